--- /dev/null
+++ b/crates/redwinglatch-core/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The types that nearly every package needs.
+
+pub use crate::{
+    AdapterVersion, CellId, Contract, CustomerId, EngineId, Epoch, Incarnation, InstanceId, PinId,
+    Ran, Refusal, RefusalReason, ReplicaId, RequestId, RetryReason, Revision,
+};
--- /dev/null
+++ b/crates/redwinglatch-operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of redwinglatch.
--- /dev/null
+++ b/crates/redwinglatchd/src/main.rs
@@ -0,0 +1,3 @@
+//! Part of redwinglatch.
+
+fn main() {}
