--- a/crates/redwinglatch-core/src/lib.rs
+++ b/crates/redwinglatch-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod prelude;
 mod reason;
 mod refusal;
+mod remedy;
 
 pub use adapter::AdapterVersion;
 pub use contract::{AdapterRule, Contract};
--- a/crates/redwinglatch-instances/src/lib.rs
+++ b/crates/redwinglatch-instances/src/lib.rs
@@ -1,1 +1,19 @@
-//! Part of redwinglatch.
+//! TCP transport with postcard between the system's own processes.
+//!
+//! A [`Transport`] keeps one outgoing connection to each other instance it talks to. Connections
+//! are authenticated both ways with a shared secret, carry checksummed frames, are probed each
+//! second and closed after three seconds without a frame, so that a half-open connection is found
+//! and replaced within that bound.
+
+mod connection;
+mod error;
+mod frame;
+mod handshake;
+mod message;
+mod transport;
+
+pub use error::{TransportError, TransportErrorKind};
+pub use frame::{FRAME_LIMIT_BYTES, FrameDecoder, encode_frame};
+pub use handshake::SharedSecret;
+pub use message::PeerMessage;
+pub use transport::{Incoming, Transport, TransportSettings};
--- /dev/null
+++ b/crates/redwinglatch-instances/src/transport.rs
@@ -0,0 +1,368 @@
+//! Connections between instances and the calls over them.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use redwinglatch_core::{Incarnation, InstanceId, RefusalReason};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+
+use crate::connection::{FrameReader, PING_INTERVAL, write_bytes};
+use crate::frame::encode_frame;
+use crate::handshake::{SharedSecret, accept_handshake, connect_handshake};
+use crate::{TransportError, TransportErrorKind};
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
+/// Time after a failed connection attempt in which messages fail at once.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+const QUEUE_MESSAGES: usize = 1024;
+/// Bytes of queued frames that one write takes together.
+const WRITE_BATCH_BYTES: usize = 64 * 1024;
+
+/// Identity, addresses and secret of an instance's transport.
+#[derive(Debug, Clone)]
+pub struct TransportSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// This life of its process.
+    pub incarnation: Incarnation,
+    /// The addresses of the other instances.
+    pub addresses: HashMap<InstanceId, SocketAddr>,
+    /// The secret shared by the instances.
+    pub secret: SharedSecret,
+    /// Connections accepted at once.
+    pub max_connections: usize,
+}
+
+/// A message from another instance.
+#[derive(Debug)]
+pub struct Incoming<M> {
+    /// The instance that sent it.
+    pub from: InstanceId,
+    /// The life of that instance's process.
+    pub incarnation: Incarnation,
+    /// The message.
+    pub message: M,
+    /// Takes the reply, when the sender waits for one.
+    pub reply: Option<oneshot::Sender<M>>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum Envelope<M> {
+    Ping,
+    OneWay(M),
+    Call { request_id: u64, message: M },
+    Reply { request_id: u64, message: M },
+}
+
+struct Outgoing<M> {
+    message: M,
+    reply: Option<oneshot::Sender<Result<M, TransportErrorKind>>>,
+}
+
+/// Sends messages to the other instances; cheap to clone.
+#[derive(Debug)]
+pub struct Transport<M> {
+    peers: Arc<HashMap<InstanceId, mpsc::Sender<Outgoing<M>>>>,
+}
+
+impl<M> Clone for Transport<M> {
+    fn clone(&self) -> Transport<M> {
+        Transport { peers: self.peers.clone() }
+    }
+}
+
+impl<M: Serialize + DeserializeOwned + Send + Sync + 'static> Transport<M> {
+    /// Starts the tasks that accept and open connections.
+    ///
+    /// Messages of other instances go to `incoming`; `count` is called for each connection that is
+    /// refused.
+    pub fn start(
+        settings: TransportSettings,
+        listener: TcpListener,
+        incoming: mpsc::Sender<Incoming<M>>,
+        count: impl Fn(RefusalReason) + Send + Sync + 'static,
+    ) -> Transport<M> {
+        let settings = Arc::new(settings);
+        let peers = settings
+            .addresses
+            .iter()
+            .filter(|(instance, _)| **instance != settings.instance)
+            .map(|(&instance, &address)| {
+                let (sender, queue) = mpsc::channel(QUEUE_MESSAGES);
+                tokio::spawn(run_peer(settings.clone(), instance, address, queue));
+                (instance, sender)
+            })
+            .collect();
+        tokio::spawn(accept_connections(settings, listener, incoming, Arc::new(count)));
+        Transport { peers: Arc::new(peers) }
+    }
+
+    /// Sends `message` and waits for the reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance can't be reached or does not reply within `limit`; the error's kind
+    /// tells whether the message may have been handled.
+    pub async fn call(
+        &self,
+        to: InstanceId,
+        message: M,
+        limit: Duration,
+    ) -> Result<M, TransportError> {
+        let error = |kind| TransportError { to, kind };
+        let (reply, answer) = oneshot::channel();
+        self.enqueue(to, Outgoing { message, reply: Some(reply) }).map_err(error)?;
+        match timeout(limit, answer).await {
+            Ok(Ok(Ok(reply))) => Ok(reply),
+            Ok(Ok(Err(kind))) => Err(error(kind)),
+            Ok(Err(_)) => Err(error(TransportErrorKind::ConnectionLost)),
+            Err(_) => Err(error(TransportErrorKind::TimedOut)),
+        }
+    }
+
+    /// Sends `message` without waiting; it may be lost.
+    pub fn send(&self, to: InstanceId, message: M) {
+        // Senders of one-way messages repeat them; a full queue is the same as a lost datagram.
+        let _ = self.enqueue(to, Outgoing { message, reply: None });
+    }
+
+    fn enqueue(&self, to: InstanceId, outgoing: Outgoing<M>) -> Result<(), TransportErrorKind> {
+        let queue = self.peers.get(&to).ok_or(TransportErrorKind::UnknownInstance)?;
+        queue.try_send(outgoing).map_err(|_| TransportErrorKind::QueueFull)
+    }
+}
+
+/// Owns the outgoing connection to one instance.
+async fn run_peer<M: Serialize + DeserializeOwned + Send + 'static>(
+    settings: Arc<TransportSettings>,
+    instance: InstanceId,
+    address: SocketAddr,
+    mut queue: mpsc::Receiver<Outgoing<M>>,
+) {
+    let mut failed_at: Option<Instant> = None;
+    while let Some(first) = queue.recv().await {
+        if failed_at.is_some_and(|at| at.elapsed() < RECONNECT_PAUSE) {
+            fail(first, TransportErrorKind::NotConnected);
+            continue;
+        }
+        match open_connection(&settings, address).await {
+            Ok((stream, reader)) => {
+                failed_at = None;
+                let ended = exchange(stream, reader, first, &mut queue).await;
+                log::info!("instances: connection to instance {instance} ended: {ended}");
+            }
+            Err(error) => {
+                log::debug!("instances: cannot connect to instance {instance}: {error}");
+                failed_at = Some(Instant::now());
+                fail(first, TransportErrorKind::NotConnected);
+            }
+        }
+    }
+}
+
+async fn open_connection(
+    settings: &TransportSettings,
+    address: SocketAddr,
+) -> io::Result<(TcpStream, FrameReader)> {
+    let mut stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let mut reader = FrameReader::new();
+    let handshake = connect_handshake(
+        &mut reader,
+        &mut stream,
+        &settings.secret,
+        settings.instance,
+        settings.incarnation,
+    );
+    timeout(HANDSHAKE_LIMIT, handshake).await??;
+    Ok((stream, reader))
+}
+
+/// Sends queued messages and hands replies back until the connection fails.
+async fn exchange<M: Serialize + DeserializeOwned>(
+    stream: TcpStream,
+    mut reader: FrameReader,
+    first: Outgoing<M>,
+    queue: &mut mpsc::Receiver<Outgoing<M>>,
+) -> io::Error {
+    let (mut read_half, mut write_half) = stream.into_split();
+    let mut pending = HashMap::new();
+    let mut next_request_id = 0;
+    let mut pings = ping_interval();
+    let mut frames = Vec::new();
+    let mut next = Some(first);
+    loop {
+        while let Some(outgoing) = next {
+            append_outgoing(&mut frames, outgoing, &mut pending, &mut next_request_id);
+            next = if frames.len() < WRITE_BATCH_BYTES { queue.try_recv().ok() } else { None };
+        }
+        if !frames.is_empty() {
+            if let Err(error) = write_bytes(&mut write_half, &frames).await {
+                return error;
+            }
+            frames.clear();
+        }
+        tokio::select! {
+            envelope = reader.read::<Envelope<M>>(&mut read_half) => match envelope {
+                Ok(Envelope::Reply { request_id, message }) => {
+                    if let Some(reply) = pending.remove(&request_id) {
+                        let reply: oneshot::Sender<Result<M, TransportErrorKind>> = reply;
+                        let _ = reply.send(Ok(message));
+                    }
+                }
+                Ok(_) => {}
+                Err(error) => return error,
+            },
+            outgoing = queue.recv() => match outgoing {
+                Some(outgoing) => next = Some(outgoing),
+                None => return io::ErrorKind::ConnectionAborted.into(),
+            },
+            _ = pings.tick() => {
+                // Callers that gave up leave closed channels behind.
+                pending.retain(|_, reply| !reply.is_closed());
+                frames = encode_frame(&Envelope::<M>::Ping).unwrap_or_default();
+            }
+        }
+    }
+}
+
+fn append_outgoing<M: Serialize>(
+    frames: &mut Vec<u8>,
+    outgoing: Outgoing<M>,
+    pending: &mut HashMap<u64, oneshot::Sender<Result<M, TransportErrorKind>>>,
+    next_request_id: &mut u64,
+) {
+    let Outgoing { message, reply } = outgoing;
+    let envelope = match reply {
+        None => Envelope::OneWay(message),
+        Some(reply) => {
+            if reply.is_closed() {
+                return;
+            }
+            let request_id = *next_request_id;
+            *next_request_id += 1;
+            pending.insert(request_id, reply);
+            Envelope::Call { request_id, message }
+        }
+    };
+    match encode_frame(&envelope) {
+        Ok(frame) => frames.extend_from_slice(&frame),
+        Err(error) => log::error!("instances: a message was not sent: {error}"),
+    }
+}
+
+fn fail<M>(outgoing: Outgoing<M>, kind: TransportErrorKind) {
+    if let Some(reply) = outgoing.reply {
+        let _ = reply.send(Err(kind));
+    }
+}
+
+async fn accept_connections<M: Serialize + DeserializeOwned + Send + Sync + 'static>(
+    settings: Arc<TransportSettings>,
+    listener: TcpListener,
+    incoming: mpsc::Sender<Incoming<M>>,
+    count: Arc<dyn Fn(RefusalReason) + Send + Sync>,
+) {
+    let permits = Arc::new(Semaphore::new(settings.max_connections));
+    while !incoming.is_closed() {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = incoming.closed() => return,
+        };
+        let Ok((stream, peer)) = accepted else {
+            // Out of file descriptors, for example; an immediate retry would spin.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(permit) = permits.clone().try_acquire_owned() else {
+            count(RefusalReason::TooManyConnections);
+            continue;
+        };
+        let settings = settings.clone();
+        let incoming = incoming.clone();
+        let count = count.clone();
+        tokio::spawn(async move {
+            let ended = serve_connection(&settings, stream, incoming, &*count).await;
+            log::debug!("instances: connection from {peer} ended: {ended}");
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<M: Serialize + DeserializeOwned + Send + 'static>(
+    settings: &TransportSettings,
+    mut stream: TcpStream,
+    incoming: mpsc::Sender<Incoming<M>>,
+    count: &(dyn Fn(RefusalReason) + Send + Sync),
+) -> io::Error {
+    let _ = stream.set_nodelay(true);
+    let mut reader = FrameReader::new();
+    let handshake = accept_handshake(&mut reader, &mut stream, &settings.secret);
+    let (from, incarnation) = match timeout(HANDSHAKE_LIMIT, handshake).await {
+        Ok(Ok(identity)) => identity,
+        Ok(Err(error)) => {
+            count(RefusalReason::Unauthenticated);
+            return error;
+        }
+        Err(_) => {
+            count(RefusalReason::Unauthenticated);
+            return io::ErrorKind::TimedOut.into();
+        }
+    };
+    let (mut read_half, mut write_half) = stream.into_split();
+    let (replies, mut reply_queue) = mpsc::channel::<Vec<u8>>(QUEUE_MESSAGES);
+    let mut pings = ping_interval();
+    loop {
+        let frames = tokio::select! {
+            envelope = reader.read::<Envelope<M>>(&mut read_half) => {
+                let (message, request_id) = match envelope {
+                    Ok(Envelope::OneWay(message)) => (message, None),
+                    Ok(Envelope::Call { request_id, message }) => (message, Some(request_id)),
+                    Ok(Envelope::Ping | Envelope::Reply { .. }) => continue,
+                    Err(error) => return error,
+                };
+                let reply = request_id.map(|request_id| reply_later(request_id, replies.clone()));
+                if incoming.send(Incoming { from, incarnation, message, reply }).await.is_err() {
+                    return io::ErrorKind::ConnectionAborted.into();
+                }
+                continue;
+            }
+            Some(frames) = reply_queue.recv() => frames,
+            _ = pings.tick() => encode_frame(&Envelope::<M>::Ping).unwrap_or_default(),
+        };
+        if let Err(error) = write_bytes(&mut write_half, &frames).await {
+            return error;
+        }
+    }
+}
+
+/// Makes a channel whose message is sent back as the reply to `request_id`.
+fn reply_later<M: Serialize + Send + 'static>(
+    request_id: u64,
+    replies: mpsc::Sender<Vec<u8>>,
+) -> oneshot::Sender<M> {
+    let (reply, answer) = oneshot::channel();
+    tokio::spawn(async move {
+        let Ok(message) = answer.await else { return };
+        match encode_frame(&Envelope::Reply { request_id, message }) {
+            // The connection may have ended meanwhile; the caller's timeout covers that.
+            Ok(frame) => drop(replies.send(frame).await),
+            Err(error) => log::error!("instances: a reply was not sent: {error}"),
+        }
+    });
+    reply
+}
+
+fn ping_interval() -> tokio::time::Interval {
+    let mut pings = interval(PING_INTERVAL);
+    pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    pings
+}
