--- /dev/null
+++ b/crates/redwinglatch-log/src/config.rs
@@ -0,0 +1,137 @@
+//! Settings of a replica.
+
+use redwinglatch_core::ReplicaId;
+use thiserror::Error;
+
+use crate::{MAX_ENTRY_BYTES, MAX_MESSAGE_BYTES, Membership, message::MAX_BATCH_ENTRIES};
+
+/// Settings of a replica; [`ReplicaConfig::new`] fills in the defaults.
+#[derive(Debug, Clone)]
+pub struct ReplicaConfig {
+    /// The replica's id; a replica that lost its disk gets a new one.
+    pub id: ReplicaId,
+    /// The members of a log that has no entry yet.
+    ///
+    /// It must be the same on all initial replicas and empty on a replica that joins later.
+    pub initial_membership: Membership,
+    /// How often a leader makes contact with each replica.
+    pub heartbeat_interval_ms: u64,
+    /// The shortest time without contact before a replica stands for election; the actual time is
+    /// drawn between this and twice this.
+    pub election_timeout_ms: u64,
+    /// How long an acknowledged message proves leadership, counted from when it was sent.
+    pub leader_lease_ms: u64,
+    /// The largest relative error of any replica's clock, in thousandths.
+    pub clock_drift_permille: u64,
+    /// The most entries in one message.
+    pub max_batch_entries: usize,
+    /// The most bytes of entries in one message, unless one entry alone is larger.
+    pub max_batch_bytes: usize,
+    /// The most messages with entries under way to one replica.
+    pub max_in_flight_messages: usize,
+    /// The most bytes of proposed entries that are not committed yet.
+    pub max_uncommitted_bytes: usize,
+    /// The size of the parts in which a snapshot is sent.
+    pub snapshot_chunk_bytes: usize,
+    /// The largest snapshot that is accepted.
+    pub max_snapshot_bytes: u64,
+    /// A snapshot is due after this many applied entries.
+    pub snapshot_interval_entries: u64,
+    /// A snapshot is due after this many bytes of applied entries.
+    pub snapshot_interval_bytes: u64,
+    /// How many entries before the snapshot stay in memory for replicas that lag a little.
+    pub retained_entries: u64,
+}
+
+/// Why settings are refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[non_exhaustive]
+pub enum ConfigError {
+    /// The lease might outlast the time in which voters refuse other candidates.
+    #[error(
+        "leader_lease_ms {leader_lease_ms} must be below election_timeout_ms \
+         {election_timeout_ms} with {clock_drift_permille} permille of clock drift on both sides"
+    )]
+    LeaseTooLong {
+        /// The lease.
+        leader_lease_ms: u64,
+        /// The election timeout.
+        election_timeout_ms: u64,
+        /// The drift.
+        clock_drift_permille: u64,
+    },
+    /// A value is outside its range.
+    #[error("{name} must be between {min} and {max}")]
+    OutOfRange {
+        /// The setting.
+        name: &'static str,
+        /// The smallest value.
+        min: u64,
+        /// The largest value.
+        max: u64,
+    },
+}
+
+impl ReplicaConfig {
+    /// Settings for replica `id` with the default times and sizes.
+    #[must_use]
+    pub fn new(id: ReplicaId, initial_membership: Membership) -> ReplicaConfig {
+        ReplicaConfig {
+            id,
+            initial_membership,
+            heartbeat_interval_ms: 100,
+            election_timeout_ms: 800,
+            leader_lease_ms: 600,
+            clock_drift_permille: 10,
+            max_batch_entries: 1024,
+            max_batch_bytes: 512 << 10,
+            max_in_flight_messages: 8,
+            max_uncommitted_bytes: 16 << 20,
+            snapshot_chunk_bytes: 256 << 10,
+            max_snapshot_bytes: 512 << 20,
+            snapshot_interval_entries: 1000,
+            snapshot_interval_bytes: 4 << 20,
+            retained_entries: 1000,
+        }
+    }
+
+    /// Checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting that is out of range or would make the lease unsafe.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        let day_ms = 24 * 60 * 60 * 1000;
+        let ranges = [
+            ("election_timeout_ms", self.election_timeout_ms, 10, day_ms),
+            ("clock_drift_permille", self.clock_drift_permille, 0, 500),
+            ("heartbeat_interval_ms", self.heartbeat_interval_ms, 1, self.election_timeout_ms / 2),
+            ("max_batch_entries", self.max_batch_entries as u64, 1, MAX_BATCH_ENTRIES as u64),
+            (
+                "max_batch_bytes",
+                self.max_batch_bytes as u64,
+                1,
+                (MAX_MESSAGE_BYTES - MAX_ENTRY_BYTES) as u64 / 2,
+            ),
+            ("max_in_flight_messages", self.max_in_flight_messages as u64, 1, 1024),
+            ("snapshot_chunk_bytes", self.snapshot_chunk_bytes as u64, 1, MAX_ENTRY_BYTES as u64),
+        ];
+        for (name, value, min, max) in ranges {
+            if !(min..=max).contains(&value) {
+                return Err(ConfigError::OutOfRange { name, min, max });
+            }
+        }
+        // The leader's clock may be slow and the voter's fast: in true time the lease lasts up to
+        // lease / (1 - drift), and the voter refuses for at least timeout / (1 + drift).
+        let drift = self.clock_drift_permille;
+        let lease = self.leader_lease_ms.saturating_mul(1000 + drift);
+        if lease >= self.election_timeout_ms * (1000 - drift) {
+            return Err(ConfigError::LeaseTooLong {
+                leader_lease_ms: self.leader_lease_ms,
+                election_timeout_ms: self.election_timeout_ms,
+                clock_drift_permille: drift,
+            });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-log/src/replica/election.rs
@@ -0,0 +1,183 @@
+//! Elections with pre-vote.
+
+use redwinglatch_core::ReplicaId;
+use smallvec::SmallVec;
+
+use crate::{EntryKind, Index, MessageKind, Replica, Role, Term};
+
+use super::Leading;
+
+impl Replica {
+    pub(super) fn reset_election_timer(&mut self) {
+        let timeout_ms = self.config.election_timeout_ms;
+        self.election_deadline_ms = self.now_ms + timeout_ms + self.rng.u64(0..timeout_ms);
+    }
+
+    /// Whether a vote must be refused because a leader may hold a lease that counts on it.
+    pub(super) fn hears_from_leader(&self) -> bool {
+        self.role == Role::Leader
+            || self.now_ms < self.leader_contact_ms + self.config.election_timeout_ms
+    }
+
+    fn other_voters(&self) -> SmallVec<[ReplicaId; 8]> {
+        let id = self.config.id;
+        self.log.membership().voters().iter().copied().filter(|&voter| voter != id).collect()
+    }
+
+    /// Asks the voters for their view before the term is raised.
+    ///
+    /// A replica that was cut off would otherwise return with a high term and depose the leader.
+    pub(super) fn start_pre_vote(&mut self) {
+        self.reset_election_timer();
+        if !self.log.membership().is_voter(self.config.id) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.own_vote_write = None;
+        self.votes.clear();
+        self.votes.push((self.config.id, true));
+        if self.has_majority() {
+            self.start_election(false);
+            return;
+        }
+        let last_index = self.log.last_index();
+        let last_term = self.log.last_term();
+        for voter in self.other_voters() {
+            let kind = MessageKind::PreVote { last_index, last_term };
+            let after = self.queue.covering_write(last_index);
+            self.send(voter, self.term + 1, kind, after);
+        }
+    }
+
+    fn start_election(&mut self, transfer: bool) {
+        self.reset_election_timer();
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.incoming = None;
+        self.term += 1;
+        self.voted_for = Some(self.config.id);
+        self.queue.hard_state = true;
+        self.votes.clear();
+        let last_index = self.log.last_index();
+        let last_term = self.log.last_term();
+        self.own_vote_write = Some(self.queue.covering_write(last_index));
+        for voter in self.other_voters() {
+            self.send_after_sync(voter, MessageKind::Vote { last_index, last_term, transfer });
+        }
+    }
+
+    /// Counts a candidate's vote for itself once it is synced.
+    pub(super) fn count_own_vote(&mut self) {
+        let Some(write) = self.own_vote_write else { return };
+        if self.role == Role::Candidate && self.queue.is_synced(write) {
+            self.own_vote_write = None;
+            self.count_vote(self.config.id, true);
+        }
+    }
+
+    fn count_vote(&mut self, from: ReplicaId, granted: bool) {
+        if !self.votes.iter().any(|&(voter, _)| voter == from) {
+            self.votes.push((from, granted));
+        }
+        if !self.has_majority() {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.start_election(false),
+            Role::Candidate => self.become_leader(),
+            Role::Follower | Role::Leader | Role::Halted => {}
+        }
+    }
+
+    fn has_majority(&self) -> bool {
+        let membership = self.log.membership();
+        let granted =
+            self.votes.iter().filter(|(voter, granted)| *granted && membership.is_voter(*voter));
+        granted.count() >= membership.majority()
+    }
+
+    fn is_up_to_date(&self, last_index: Index, last_term: Term) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    pub(super) fn handle_pre_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        last_index: Index,
+        last_term: Term,
+    ) {
+        let granted = term > self.term
+            && !self.hears_from_leader()
+            && self.is_up_to_date(last_index, last_term);
+        let answer_term = if granted { term } else { self.term };
+        let after = self.queue.covering_write(self.log.last_index());
+        self.send(from, answer_term, MessageKind::PreVoteReply { granted }, after);
+    }
+
+    pub(super) fn handle_pre_vote_granted(&mut self, from: ReplicaId, term: Term) {
+        if self.role == Role::PreCandidate && term == self.term + 1 {
+            self.count_vote(from, true);
+        }
+    }
+
+    pub(super) fn handle_vote(&mut self, from: ReplicaId, last_index: Index, last_term: Term) {
+        let granted = self.voted_for.is_none_or(|candidate| candidate == from)
+            && self.leader.is_none()
+            && self.is_up_to_date(last_index, last_term);
+        if granted {
+            if self.voted_for.is_none() {
+                self.voted_for = Some(from);
+                self.queue.hard_state = true;
+            }
+            self.reset_election_timer();
+        }
+        self.send_after_sync(from, MessageKind::VoteReply { granted });
+    }
+
+    pub(super) fn handle_vote_reply(&mut self, from: ReplicaId, granted: bool) {
+        if self.role == Role::Candidate {
+            self.count_vote(from, granted);
+        }
+    }
+
+    /// Stands for election at once because the leader gave up its lease.
+    pub(super) fn handle_timeout_now(&mut self, from: ReplicaId) {
+        let is_voter = self.log.membership().is_voter(self.config.id);
+        if self.role == Role::Follower && self.leader == Some(from) && is_voter {
+            log::info!("log: replica {} takes over from replica {from}", self.config.id);
+            self.start_election(true);
+        }
+    }
+
+    fn become_leader(&mut self) {
+        let id = self.config.id;
+        log::info!("log: replica {id} leads in term {}", self.term);
+        self.role = Role::Leader;
+        self.leader = Some(id);
+        self.votes.clear();
+        self.own_vote_write = None;
+        let next_index = self.log.last_index() + 1;
+        let others = self.log.membership().members().filter(|&member| member != id);
+        self.leading = Some(Leading::new(others, next_index, self.now_ms));
+        self.append_entry(EntryKind::Empty);
+    }
+
+    pub(super) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
+        if term > self.term {
+            self.term = term;
+            self.voted_for = None;
+            self.queue.hard_state = true;
+            self.incoming = None;
+        }
+        if self.role != Role::Follower {
+            self.stop_leading();
+            self.role = Role::Follower;
+            self.reset_election_timer();
+        }
+        self.votes.clear();
+        self.own_vote_write = None;
+        self.leader = leader;
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-log/src/replica/follower.rs
@@ -0,0 +1,113 @@
+//! Receiving entries from a leader.
+
+use redwinglatch_core::ReplicaId;
+
+use crate::{AppendResult, Entry, Index, MessageKind, Replica, Role, Stamp, Term};
+
+/// The largest index accepted from a message, so that index arithmetic can't overflow.
+pub(super) const MAX_INDEX: Index = u64::MAX / 4;
+
+impl Replica {
+    /// Follows `from`, which sent a message that only the leader of the current term sends.
+    pub(super) fn accept_leader(&mut self, from: ReplicaId) -> bool {
+        if self.role == Role::Leader || self.leader.is_some_and(|leader| leader != from) {
+            log::error!("log: replicas {from} and {:?} both lead term {}", self.leader, self.term);
+            return false;
+        }
+        self.become_follower(self.term, Some(from));
+        self.leader_contact_ms = self.now_ms;
+        self.reset_election_timer();
+        true
+    }
+
+    /// Tells the sender of an old term about the current one.
+    pub(super) fn answer_old_term(&mut self, from: ReplicaId, kind: &MessageKind) {
+        let kind = match kind {
+            MessageKind::Vote { .. } => MessageKind::VoteReply { granted: false },
+            MessageKind::Append { prev_index, stamp, .. } => MessageKind::AppendReply {
+                stamp: *stamp,
+                result: AppendResult::Conflict {
+                    prev_index: *prev_index,
+                    term: None,
+                    first_index: self.log.last_index() + 1,
+                },
+            },
+            MessageKind::SnapshotChunk { index, stamp, .. } => {
+                MessageKind::SnapshotReply { stamp: *stamp, index: *index, next_offset: 0 }
+            }
+            _ => return,
+        };
+        self.send_after_sync(from, kind);
+    }
+
+    pub(super) fn handle_append(
+        &mut self,
+        from: ReplicaId,
+        (prev_index, prev_term): (Index, Term),
+        entries: Vec<Entry>,
+        leader_commit: Index,
+        stamp: Stamp,
+    ) {
+        if !self.is_well_formed(prev_index, prev_term, &entries) {
+            log::warn!("log: replica {from} sent entries out of order; they are ignored");
+            return;
+        }
+        let result = self.append_after(prev_index, prev_term, entries);
+        if let AppendResult::Matched { index } = result {
+            self.commit = self.commit.max(leader_commit.min(index));
+        }
+        self.send_after_sync(from, MessageKind::AppendReply { stamp, result });
+    }
+
+    fn is_well_formed(&self, prev_index: Index, prev_term: Term, entries: &[Entry]) -> bool {
+        let mut index = prev_index;
+        let mut term = prev_term;
+        for entry in entries {
+            if index >= MAX_INDEX || entry.index != index + 1 || entry.term < term {
+                return false;
+            }
+            index = entry.index;
+            term = entry.term;
+        }
+        index <= MAX_INDEX && term <= self.term
+    }
+
+    fn append_after(
+        &mut self,
+        prev_index: Index,
+        prev_term: Term,
+        entries: Vec<Entry>,
+    ) -> AppendResult {
+        let last_new = prev_index + entries.len() as u64;
+        // Entries up to the base are committed, so they are equal to the leader's.
+        let base_index = self.log.base_index();
+        if last_new <= base_index {
+            return AppendResult::Matched { index: last_new };
+        }
+        let own_term = self.log.term_at(prev_index);
+        if prev_index >= base_index && own_term != Some(prev_term) {
+            let first_index = match own_term {
+                Some(_) => self.log.first_of_term_run(prev_index, self.commit + 1),
+                None => self.log.last_index() + 1,
+            };
+            return AppendResult::Conflict { prev_index, term: own_term, first_index };
+        }
+        for entry in entries {
+            match self.log.term_at(entry.index) {
+                _ if entry.index <= base_index => {}
+                Some(term) if term == entry.term => {}
+                Some(_) if entry.index <= self.commit => {
+                    log::error!("log: the leader differs at committed index {}", entry.index);
+                    return AppendResult::Matched { index: prev_index };
+                }
+                Some(_) => {
+                    self.log.truncate(entry.index);
+                    self.queue.truncate(entry.index);
+                    self.log.push(entry);
+                }
+                None => self.log.push(entry),
+            }
+        }
+        AppendResult::Matched { index: last_new }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-log/src/storage/open.rs
@@ -0,0 +1,241 @@
+//! Reading a folder when a replica starts.
+
+use std::{path::PathBuf, sync::Arc};
+
+use bytes::Bytes;
+use redwinglatch_core::ReplicaId;
+use serde::de::DeserializeOwned;
+
+use crate::{DurableState, Entry, HardState, Index, Snapshot, StorageError};
+
+use super::{
+    DEFAULT_SEGMENT_BYTES, FileOps, HARD_STATE_FILE, IDENTITY_FILE, RecordError, SEGMENT_PREFIX,
+    SNAPSHOT_PREFIX, Segment, SnapshotHead, Storage, TEMPORARY_SUFFIX, checked_file, record,
+};
+
+pub(super) fn open(
+    dir: PathBuf,
+    replica: ReplicaId,
+    files: FileOps,
+) -> Result<(Storage, DurableState), StorageError> {
+    let io = |operation, path: &PathBuf| {
+        let path = path.clone();
+        move |source| StorageError::Io { operation, path, source }
+    };
+    (files.create_dir)(&dir).map_err(io("create", &dir))?;
+    let lock = (files.lock_dir)(&dir).map_err(io("lock", &dir))?;
+    let Some(lock) = lock else { return Err(StorageError::InUse { dir }) };
+    let mut names = (files.list)(&dir).map_err(io("list", &dir))?;
+    names.sort_unstable();
+    let mut storage = Storage {
+        dir,
+        files,
+        segment_bytes: DEFAULT_SEGMENT_BYTES,
+        segments: Vec::new(),
+        active: None,
+        unsynced: false,
+        next_index: 1,
+        poisoned: None,
+        _lock: lock,
+    };
+    let hard_state = storage.open_identity(replica, &names)?;
+    for name in names.iter().filter(|name| name.ends_with(TEMPORARY_SUFFIX)) {
+        storage.remove_file(storage.dir.join(name))?;
+    }
+    names.retain(|name| !name.ends_with(TEMPORARY_SUFFIX));
+    let snapshot = storage.read_newest_snapshot(&names)?;
+    let entries = storage.read_segments(&names)?;
+    let entries = storage.after_snapshot(entries, snapshot.as_deref())?;
+    Ok((storage, DurableState { hard_state, snapshot, entries }))
+}
+
+impl Storage {
+    /// Checks that the folder belongs to `replica`, or claims an empty one; returns the hard state.
+    fn open_identity(
+        &mut self,
+        replica: ReplicaId,
+        names: &[String],
+    ) -> Result<HardState, StorageError> {
+        let has = |wanted: &str| names.iter().any(|name| name == wanted);
+        if !has(IDENTITY_FILE) {
+            let is_log = |name: &&String| {
+                name.starts_with(SEGMENT_PREFIX) || name.starts_with(SNAPSHOT_PREFIX)
+            };
+            if let Some(name) = names.iter().find(is_log) {
+                return Err(self.damaged(name, 0, "the folder has a log but no identity file"));
+            }
+            // The identity comes last: a folder that has one also has a hard state.
+            self.write_hard_state(&HardState::default())?;
+            self.replace_file(IDENTITY_FILE, &replica, &[])?;
+            return Ok(HardState::default());
+        }
+        let (found, _): (ReplicaId, _) = self.read_checked(IDENTITY_FILE)?;
+        if found != replica {
+            return Err(StorageError::OtherReplica {
+                dir: self.dir.clone(),
+                found,
+                expected: replica,
+            });
+        }
+        if !has(HARD_STATE_FILE) {
+            // Without its vote, the replica could vote twice in one term.
+            return Err(self.damaged(HARD_STATE_FILE, 0, "the file is missing"));
+        }
+        Ok(self.read_checked(HARD_STATE_FILE)?.0)
+    }
+
+    fn damaged(&self, name: &str, offset: u64, detail: impl Into<Box<str>>) -> StorageError {
+        StorageError::Damaged { path: self.dir.join(name), offset, detail: detail.into() }
+    }
+
+    fn read_file(&mut self, name: &str) -> Result<Vec<u8>, StorageError> {
+        let path = self.dir.join(name);
+        let result = (self.files.read)(&path);
+        self.check("read", &path, result)
+    }
+
+    /// Reads a file with a checksum; returns its head and its tail.
+    fn read_checked<T: DeserializeOwned>(
+        &mut self,
+        name: &str,
+    ) -> Result<(T, Bytes), StorageError> {
+        let bytes = self.read_file(name)?;
+        let (head, tail_offset) =
+            checked_file::decode(&bytes).map_err(|detail| self.damaged(name, 0, detail))?;
+        Ok((head, Bytes::from(bytes).slice(tail_offset..)))
+    }
+
+    fn read_newest_snapshot(
+        &mut self,
+        names: &[String],
+    ) -> Result<Option<Arc<Snapshot>>, StorageError> {
+        let mut snapshots = names.iter().filter(|name| name.starts_with(SNAPSHOT_PREFIX)).rev();
+        let Some(newest) = snapshots.next() else { return Ok(None) };
+        let (head, data) = self.read_checked(newest)?;
+        let SnapshotHead { index, term, membership } = head;
+        for older in snapshots {
+            self.remove_file(self.dir.join(older))?;
+        }
+        Ok(Some(Arc::new(Snapshot { index, term, membership, data })))
+    }
+
+    fn read_segments(&mut self, names: &[String]) -> Result<Vec<Entry>, StorageError> {
+        let names: Vec<_> = names.iter().filter(|name| name.starts_with(SEGMENT_PREFIX)).collect();
+        let mut entries: Vec<Entry> = Vec::new();
+        for (position, name) in names.iter().enumerate() {
+            let Ok(first_index) = name[SEGMENT_PREFIX.len()..].parse() else {
+                return Err(self.damaged(name, 0, "the file's name has no index"));
+            };
+            if entries.last().is_some_and(|last| last.index + 1 != first_index) {
+                return Err(self.damaged(name, 0, "the entries before this file are missing"));
+            }
+            let is_last = position + 1 == names.len();
+            self.read_segment(name, first_index, is_last, &mut entries)?;
+        }
+        Ok(entries)
+    }
+
+    fn read_segment(
+        &mut self,
+        name: &str,
+        first_index: Index,
+        is_last: bool,
+        entries: &mut Vec<Entry>,
+    ) -> Result<(), StorageError> {
+        let bytes = self.read_file(name)?;
+        let mut segment =
+            Segment { path: self.dir.join(name), first_index, offsets: Vec::new(), size_bytes: 0 };
+        let mut offset = 0;
+        while offset < bytes.len() {
+            match record::decode_record(&bytes[offset..]) {
+                Ok((entry, size_bytes)) => {
+                    let last_term = entries.last().map_or(0, |last| last.term);
+                    if entry.index != segment.next_index() || entry.term < last_term {
+                        let detail = format!("entry {} is out of order", entry.index);
+                        return Err(self.damaged(name, offset as u64, detail));
+                    }
+                    segment.offsets.push(offset as u64);
+                    entries.push(entry);
+                    offset += size_bytes;
+                }
+                Err(error) => {
+                    self.check_torn(name, &bytes, offset, segment.next_index(), is_last, error)?;
+                    break;
+                }
+            }
+        }
+        segment.size_bytes = offset as u64;
+        self.next_index = segment.next_index();
+        self.segments.push(segment);
+        if offset < bytes.len() {
+            log::warn!("log: removes {} torn bytes from {name}", bytes.len() - offset);
+            self.cut_last(offset as u64)?;
+        }
+        Ok(())
+    }
+
+    /// Refuses damage that can't come from a crash during the last write.
+    fn check_torn(
+        &self,
+        name: &str,
+        bytes: &[u8],
+        offset: usize,
+        next_index: Index,
+        is_last: bool,
+        error: RecordError,
+    ) -> Result<(), StorageError> {
+        if !is_last {
+            let detail = format!("{error}, and later files follow");
+            return Err(self.damaged(name, offset as u64, detail));
+        }
+        if let Some(valid) = record::find_record(&bytes[offset + 1..], next_index - 1) {
+            let valid = offset + 1 + valid;
+            let detail = format!("{error}, and a valid record follows at offset {valid}");
+            return Err(self.damaged(name, offset as u64, detail));
+        }
+        Ok(())
+    }
+
+    /// Cuts the last segment to `size_bytes` and syncs it.
+    fn cut_last(&mut self, size_bytes: u64) -> Result<(), StorageError> {
+        self.open_last()?;
+        let (Some(active), Some(segment)) = (&mut self.active, self.segments.last()) else {
+            return Ok(());
+        };
+        let path = segment.path.clone();
+        let result = (active.truncate)(size_bytes);
+        let synced = (active.sync)();
+        self.check("truncate", &path, result)?;
+        self.check_sync(&path, synced)
+    }
+
+    /// Keeps the entries that follow the snapshot and removes a log that it replaced.
+    fn after_snapshot(
+        &mut self,
+        mut entries: Vec<Entry>,
+        snapshot: Option<&Snapshot>,
+    ) -> Result<Vec<Entry>, StorageError> {
+        let base_index = snapshot.map_or(0, |snapshot| snapshot.index);
+        let Some(first) = entries.first() else {
+            self.truncate(0)?;
+            self.next_index = base_index + 1;
+            return Ok(entries);
+        };
+        if first.index > base_index + 1 {
+            let name = super::segment_name(first.index);
+            let detail = format!("the entries from {} on are missing", base_index + 1);
+            return Err(self.damaged(&name, 0, detail));
+        }
+        let at_base = entries.iter().find(|entry| entry.index == base_index);
+        let continues = first.index == base_index + 1
+            || at_base.map(|entry| entry.term) == snapshot.map(|snapshot| snapshot.term);
+        if !continues {
+            // A crash came between writing a snapshot from the leader and removing the old log.
+            self.truncate(0)?;
+            self.next_index = base_index + 1;
+            return Ok(Vec::new());
+        }
+        entries.retain(|entry| entry.index > base_index);
+        Ok(entries)
+    }
+}
