Read settings and contracts from INI; count refusals and times

Cause: the daemon needs checked settings and a metrics page to be written against. Change: redwinglatch-settings turns INI text into typed settings and contracts and lists every fault with file, section, key, value and remedy; redwinglatch-metrics counts each refusal and retry reason, holds named counters, gauges and histograms, and renders the Prometheus text format.

--- /dev/null
+++ b/crates/redwinglatch-settings/src/control.rs
@@ -0,0 +1,52 @@
+//! Times and sizes of the control log and the serving leases.
+
+use crate::section::Section;
+
+/// `[control]`: times and sizes of the control log and the serving leases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ControlSettings {
+    /// How often an instance renews its serving lease.
+    pub renew_interval_ms: u64,
+    /// How long a serving lease lasts.
+    pub lease_ms: u64,
+    /// How far clocks may drift from each other, in thousandths of the time that passed.
+    pub clock_drift_permille: u64,
+    /// How long an acknowledgement by a majority lets the leader grant leases.
+    pub leader_lease_ms: u64,
+    /// The shortest silence of the leader after which a replica starts an election.
+    pub election_timeout_ms: u64,
+    /// A snapshot is taken after this many log entries.
+    pub snapshot_entries: u64,
+    /// A snapshot is taken after this many bytes of log.
+    pub snapshot_bytes: u64,
+}
+
+impl ControlSettings {
+    pub(crate) fn read(section: &mut Section) -> ControlSettings {
+        ControlSettings {
+            renew_interval_ms: section.number("renew_interval_ms", Some(1_000), 10..=60_000),
+            lease_ms: section.number("lease_ms", Some(4_000), 20..=60_000),
+            clock_drift_permille: section.number("clock_drift_permille", Some(10), 0..=10_000),
+            leader_lease_ms: section.number("leader_lease_ms", Some(800), 10..=60_000),
+            election_timeout_ms: section.number("election_timeout_ms", Some(1_000), 10..=60_000),
+            snapshot_entries: section.number("snapshot_entries", Some(1_000), 1..=1_000_000),
+            snapshot_bytes: section.number(
+                "snapshot_bytes",
+                Some(4_194_304),
+                4_096..=1_073_741_824,
+            ),
+        }
+    }
+
+    /// The lease as its holder counts it: shortened by the allowed drift.
+    #[must_use]
+    pub fn holder_lease_ms(&self) -> u64 {
+        self.lease_ms - (self.lease_ms * self.clock_drift_permille.min(1_000)).div_ceil(1_000)
+    }
+
+    /// The lease as the leader counts it: lengthened by the allowed drift.
+    #[must_use]
+    pub fn granter_lease_ms(&self) -> u64 {
+        self.lease_ms + (self.lease_ms * self.clock_drift_permille).div_ceil(1_000)
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-settings/tests/settings.rs
@@ -0,0 +1,246 @@
+//! Settings files: defaults, faults as they are shown, and texts without sense.
+
+use std::net::SocketAddr;
+
+use miette::{GraphicalReportHandler, GraphicalTheme};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use redwinglatch_core::{InstanceId, ReplicaId};
+use redwinglatch_settings::{ErrorKind, Fencing, PoolKind, Settings, SettingsError};
+
+const SMALL: &str = "\
+[instance]
+id = 1
+data_centre = hall-a
+region = great-lakes
+callers_address = 192.0.2.1:7000
+instances_address = 192.0.2.1:7001
+operators_address = 192.0.2.1:7002
+
+[secrets]
+operators_file = /etc/redwinglatch/operators
+instances_file = /etc/redwinglatch/instances
+callers_file = /etc/redwinglatch/callers
+
+[state]
+data_dir = /var/lib/redwinglatch
+replica_id = 1
+
+[replica.1]
+instance = 1
+
+[instance.1]
+data_centre = hall-a
+callers_address = 192.0.2.1:7000
+instances_address = 192.0.2.1:7001
+operators_address = 192.0.2.1:7002
+
+[platform]
+list_address = 198.51.100.1:8000
+
+[cell.scope-writer]
+parallel_loads = 1
+load_ms = 333
+loads_per_s = 3
+
+[pool.scope-writer]
+kind = engine
+cell = scope-writer
+model = scope-writer
+max_batch = 16
+slots = 8
+step_ms = 30
+
+[pool.dispatch-desk]
+kind = service
+backends = 198.51.100.9:9000, [2001:db8::9]:9000
+";
+
+fn render(error: &SettingsError) -> String {
+    let handler = GraphicalReportHandler::new_themed(GraphicalTheme::none()).with_width(100);
+    let mut page = String::new();
+    handler.render_report(&mut page, error).expect("a string takes any text");
+    page
+}
+
+fn faults_of(text: &str) -> Vec<(ErrorKind, String)> {
+    let error = Settings::from_str("small.ini", text).expect_err("the text has a fault");
+    error.faults.iter().map(|fault| (fault.kind, fault.to_string())).collect()
+}
+
+/// Guards against a default that differs from the design page.
+#[test]
+fn defaults_are_those_of_the_page() {
+    let settings = Settings::from_str("small.ini", SMALL).expect("the text is valid");
+    let control = settings.control;
+    assert_eq!((control.renew_interval_ms, control.lease_ms), (1_000, 4_000));
+    assert_eq!((control.clock_drift_permille, control.leader_lease_ms), (10, 800));
+    assert_eq!((control.holder_lease_ms(), control.granter_lease_ms()), (3_960, 4_040));
+    assert_eq!(control.election_timeout_ms, 1_000);
+    assert_eq!((control.snapshot_entries, control.snapshot_bytes), (1_000, 4_194_304));
+    let callers = settings.callers;
+    assert_eq!((callers.keep_for_s, callers.max_body_bytes), (30, 1_048_576));
+    assert_eq!((callers.max_header_bytes, callers.keep_alive_ms), (16_384, 5_000));
+    assert_eq!(callers.write_stall_ms, 10_000);
+    assert_eq!(settings.platform.poll_ms, 1_000);
+    assert_eq!(settings.cells[0].load_starvation_ms, 10_000);
+    assert_eq!(settings.state.as_ref().map(|state| state.replica_id), Some(ReplicaId(1)));
+    assert_eq!(settings.replicas[0].instance, InstanceId(1));
+
+    let [service, engine] = &*settings.pools else { panic!("two pools") };
+    assert_eq!((service.kind.clone(), service.backends.len()), (PoolKind::Service, 2));
+    assert_eq!((engine.stall_ms, engine.report_ms), (1_000, 500));
+    let engine = engine.engine().expect("the pool has engines");
+    assert_eq!((engine.order_timeout_ms, engine.order_settle_ms), (1_000, 2_000));
+    assert_eq!(engine.fencing, Fencing::Ignored);
+}
+
+/// Guards against a file whose faults show up one at a time, and against a message that lacks
+/// file, section, key, value or remedy.
+#[test]
+fn all_faults_are_listed_at_once() {
+    let text = SMALL
+        .replace("region = great-lakes\n", "")
+        .replace("192.0.2.1:7002\n\n[secrets]", "lakeshore:7002\nmax_connections =\n\n[secrets]")
+        .replace("list_address = 198.51.100.1:8000", "list_address = 198.51.100.1")
+        .replace("parallel_loads = 1", "parallel_loads = 1\nparallel_loads = 2")
+        .replace("slots = 8", "slots = many")
+        .replace("step_ms = 30", "step_ms = 30 ms\nstall_s = 1\ncolour = red")
+        + "[control]\nlease_ms = 4s\nrenew_interval_ms = 0\n[extra]\na = 1\n[extra]\n";
+    let error = Settings::from_str("small.ini", &text).expect_err("the text has faults");
+    let expected = include_str!("all_faults.txt");
+    assert_eq!(render(&error), expected, "\n{}", render(&error));
+}
+
+/// Guards against values that are each in range and together break a guarantee.
+#[test]
+fn contradictions_are_faults() {
+    let control = |lines: &str| format!("{SMALL}[control]\n{lines}\n");
+    let cases = [
+        (control("clock_drift_permille = 1000"), "clock_drift_permille = 1000: the drift is above"),
+        (control("renew_interval_ms = 3960"), "renew_interval_ms = 3960: a lease of 4000 ms"),
+        (control("leader_lease_ms = 1000"), "election_timeout_ms = 1000: the election timeout is"),
+        (control("leader_lease_ms = 991"), "which is 1001 ms with the drift"),
+        (control("lease_ms = 8000"), "take 10080 ms, but an accepted change has to be in force"),
+        (SMALL.replace("[instance.1]", "[instance.2]"), "lacks `[instance.1]`, this instance"),
+        (SMALL.replacen("hall-a", "hall-b", 1), "`[instance]` has data_centre = hall-b"),
+        (SMALL.replace(":7001", ":7000"), "`[instance.1] callers_address` has the same address"),
+        (SMALL.replace("[replica.1]\ninstance = 1", ""), "no instance holds a replica"),
+        (SMALL.replace("replica_id = 1", "replica_id = 2"), "no `[replica.2]` exists"),
+        (SMALL.replace("[replica.1]\n", "[replica.1]\ninstance = 1\n[replica.2]\n"), "is on the"),
+        (SMALL.replace("[replica.1]\ninstance = 1", "[replica.1]\ninstance = 7"), "no `[instance"),
+        (SMALL.replace("cell = scope-writer", "cell = other"), "no `[cell.other]` exists"),
+        (SMALL.replace("kind = engine", "kind = service"), "only pools of kind = engine"),
+        (SMALL.replace("slots = 8", "slots = 8\norder_settle_ms = 999"), "longer than a new"),
+        (SMALL.replace("slots = 8", "slots = 8\norder_timeout_ms = 3960"), "a lease lasts 3960"),
+        (format!("{SMALL}[cell.spare]\nparallel_loads=1\nload_ms=1\nloads_per_s=1\n"), "no pool"),
+    ];
+    for (text, expected) in cases {
+        let faults = faults_of(&text);
+        let is_found = faults.iter().any(|(kind, message)| {
+            matches!(kind, ErrorKind::Contradiction | ErrorKind::MissingSection)
+                && message.contains(expected)
+        });
+        assert!(is_found, "expected {expected:?} in {faults:#?}");
+    }
+    let without_state =
+        SMALL.replace("[state]\ndata_dir = /var/lib/redwinglatch\nreplica_id = 1\n", "");
+    assert!(faults_of(&without_state)[0].1.ends_with("`[state]` is missing"));
+}
+
+/// Guards against faults that only some texts reach: each kind has a text that leads to it.
+#[test]
+fn each_kind_of_fault_is_found() {
+    let cases = [
+        ("[instance\n".to_owned(), ErrorKind::Syntax),
+        (format!("key = 1\n{SMALL}"), ErrorKind::UnknownKey),
+        (format!("{SMALL}[extra]\n"), ErrorKind::UnknownSection),
+        (format!("{SMALL}[instance.02]\n"), ErrorKind::UnknownSection),
+        (format!("{SMALL}[pool.a b]\nkind = service\n"), ErrorKind::UnknownSection),
+        (format!("{SMALL}[instance.1]\n"), ErrorKind::Duplicate),
+        (SMALL.replace("9000, ", "9000, 198.51.100.9:9000, "), ErrorKind::Duplicate),
+        (SMALL.replace("[platform]\n", "[x]\n"), ErrorKind::MissingSection),
+        (SMALL.replace("slots = 8\n", ""), ErrorKind::MissingValue),
+        (SMALL.replace("load_ms = 333", "load_s = 1"), ErrorKind::BadUnit),
+        (SMALL.replace("load_ms = 333", "load_ms = 0.3"), ErrorKind::BadUnit),
+        (SMALL.replace("loads_per_s = 3", "loads_per_s = NaN"), ErrorKind::BadValue),
+        (SMALL.replace("kind = service", "kind = plain"), ErrorKind::BadValue),
+        (SMALL.replace("198.51.100.1:8000", "0.0.0.0:8000"), ErrorKind::BadAddress),
+        (SMALL.replace("198.51.100.1:8000", "198.51.100.1:0"), ErrorKind::BadAddress),
+    ];
+    for (text, expected) in cases {
+        let faults = faults_of(&text);
+        assert!(faults.iter().any(|(kind, _)| *kind == expected), "{expected:?}: {faults:#?}");
+    }
+    let error = Settings::from_file("no/such/file.ini").expect_err("the file does not exist");
+    assert_eq!(error.faults[0].kind, ErrorKind::Unreadable);
+}
+
+/// A valid settings value, and a text made from it by a few random edits.
+#[derive(Debug, Clone)]
+struct Edited {
+    valid: String,
+    edited: String,
+}
+
+impl Arbitrary for Edited {
+    fn arbitrary(g: &mut Gen) -> Edited {
+        let mut number = |low: u64, high: u64| low + u64::arbitrary(g) % (high - low + 1);
+        let lease_ms = number(2_000, 6_000);
+        let valid = SMALL
+            .replace("load_ms = 333", &format!("load_ms = {}", number(1, 600_000)))
+            .replace("s = 3\n", &format!("s = {}\n", number(1, 10_000_000) as f64 / 1_000.0))
+            .replace("slots = 8", &format!("slots = {}\nstall_ms = 300", number(1, 100_000)))
+            .replace("region = great-lakes", &format!("region = kraj-č{}", number(0, 99)))
+            .replace("step_ms = 30", &format!("step_ms = {}", number(1, 60_000)))
+            + &format!("[control]\nlease_ms = {lease_ms}\nrenew_interval_ms = {}", lease_ms / 4);
+        let mut characters: Vec<char> = valid.chars().collect();
+        for _ in 0..number(1, 8) {
+            let at = number(0, characters.len() as u64 - 1) as usize;
+            let parts = ['[', ']', '=', '\n', '.', ';', '#', '"', '\\', '0', ' ', '\u{feff}'];
+            match number(0, 2) {
+                0 => characters[at] = parts[number(0, 11) as usize],
+                1 => characters.insert(at, parts[number(0, 11) as usize]),
+                _ => drop(characters.remove(at)),
+            }
+        }
+        Edited { valid, edited: characters.into_iter().collect() }
+    }
+}
+
+fn seeded(tests: u64) -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 7)).tests(tests)
+}
+
+/// Guards against a panic on texts without sense.
+#[test]
+fn no_text_makes_the_parser_panic() {
+    fn survives(text: String) -> bool {
+        Settings::from_str("any.ini", &text).is_err()
+    }
+    fn survives_edited(text: Edited) -> bool {
+        match Settings::from_str("any.ini", &text.edited) {
+            Ok(settings) => Settings::from_str("again.ini", &settings.to_string()) == Ok(settings),
+            Err(error) => !error.faults.is_empty() && !render(&error).is_empty(),
+        }
+    }
+    seeded(2_000).quickcheck(survives as fn(String) -> bool);
+    seeded(2_000).quickcheck(survives_edited as fn(Edited) -> bool);
+}
+
+/// Guards against a rendered form that loses or changes a value.
+#[test]
+fn rendered_settings_parse_back() {
+    fn parses_back(text: Edited) -> bool {
+        let settings = Settings::from_str("any.ini", &text.valid).expect("the text is valid");
+        Settings::from_str("rendered.ini", &settings.to_string()) == Ok(settings)
+    }
+    seeded(300).quickcheck(parses_back as fn(Edited) -> bool);
+}
+
+/// Guards against an address that another part of the text would hide.
+#[test]
+fn addresses_are_read_as_written() {
+    let settings = Settings::from_str("small.ini", SMALL).expect("the text is valid");
+    let expected: SocketAddr = "[2001:db8::9]:9000".parse().expect("an address");
+    assert_eq!(settings.pools[0].backends[1], expected);
+}
