Place requests on engines with one load queue for each cell

Cause: the coordinator refused every request. Change: slots and pins, the load queue with shares, ageing and early refusal, popularity, engine reports and read-back, prefix index, takeover, lost instances, preloading and draining of slots. The public types are unchanged.

--- a/crates/redwinglatch-placement/src/coordinator.rs
+++ b/crates/redwinglatch-placement/src/coordinator.rs
@@ -1,23 +1,57 @@
 //! The coordinator of a cell.
 
+mod engines;
+mod loading;
+mod pinning;
+mod placing;
+mod reporting;
+mod taking_over;
+
+use std::{
+    collections::{BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
+};
+
 use redwinglatch_core::{EngineId, Epoch, Incarnation, InstanceId, PinId, Refusal, RefusalReason};
+use slotmap::SlotMap;
 
 use crate::{
-    CacheEvents, Effect, EngineInfo, LoadFailure, LoadId, PlaceRequest, Release, Report,
-    ReportedPin, RequestKey, Settings,
+    Effect, RequestKey, Settings,
+    adapters::AdapterTable,
+    customers::CustomerTable,
+    engine::Engine,
+    keys::{AdapterKey, EngineKey, PinKey, WaitKey},
+    pin::Pin,
+    queue::LoadQueue,
+    waiting::Waiting,
 };
 
-/// What a coordinator is told when the log names it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TakeOver {
-    /// The new epoch.
-    pub epoch: Epoch,
-    /// The time to wait before the first order, so that orders of the former coordinator settle.
-    pub settle_ms: u64,
-    /// The end of the own serving lease on this clock.
-    pub lease_until_ms: u64,
-    /// The live instances; each is expected to report its pins.
-    pub live: Vec<(InstanceId, Incarnation)>,
+pub use taking_over::TakeOver;
+use taking_over::Unreported;
+
+/// How often the queue is looked through for requests that can't be served in time.
+const SWEEP_INTERVAL_MS: u64 = 50;
+/// The first estimate of a request's time for each token that it may generate.
+const FIRST_TOKEN_MS: f32 = 20.0;
+
+/// A base model of the cell.
+#[derive(Debug)]
+struct Model {
+    name: Box<str>,
+    engines: Vec<EngineKey>,
+    /// Places in the batches of all engines that take work, as of the last sweep.
+    places: u32,
+    /// Free ones among them, kept up to date between sweeps.
+    free_places: u32,
+    /// Requests that wait.
+    waiting: u32,
+}
+
+/// Where a known request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RequestState {
+    Waiting(WaitKey),
+    Pinned(PinKey),
 }
 
 /// Decides for a cell where requests run and which adapters its engines hold.
@@ -26,13 +60,88 @@
     settings: Settings,
     rng: fastrand::Rng,
     effects: Vec<Effect>,
+    epoch: Option<Epoch>,
+    /// When the orders of the former coordinator have settled.
+    settled_ms: u64,
+    settled: bool,
+    lease_until_ms: u64,
+    unreported: Vec<Unreported>,
+    /// Instances whose requests have pins here; requests of others protect what they run on.
+    known_instances: HashSet<(InstanceId, Incarnation)>,
+    engines: SlotMap<EngineKey, Engine>,
+    engine_ids: HashMap<EngineId, EngineKey>,
+    engine_addresses: HashMap<SocketAddr, EngineKey>,
+    next_engine: u32,
+    models: Vec<Model>,
+    data_centres: Vec<Box<str>>,
+    adapters: AdapterTable,
+    customers: CustomerTable,
+    queue: LoadQueue,
+    /// Whether a slot is kept free of new pins for a load.
+    draining: bool,
+    /// Popular adapters that were loaded once and are not any more.
+    lost_adapters: Vec<AdapterKey>,
+    requests: HashMap<RequestKey, RequestState>,
+    waiting: SlotMap<WaitKey, Waiting>,
+    /// Waiting requests by the moment from which they can't be served in time.
+    give_up: BTreeSet<(u64, WaitKey)>,
+    pins: SlotMap<PinKey, Pin>,
+    pin_ids: HashMap<PinId, PinKey>,
+    next_pin: u64,
+    /// Pins that end when the engine no longer reports their request.
+    orphans: Vec<PinKey>,
+    /// The measured time of a request for each token that it may generate.
+    ms_per_token: f32,
+    /// The measured time of a request.
+    run_ms: f32,
+    next_sweep_ms: u64,
+    next_pin_sweep_ms: u64,
 }
 
 impl Coordinator {
     /// Creates a coordinator that refuses requests until [`Coordinator::take_over`].
     #[must_use]
-    pub fn new(settings: Settings, rng: fastrand::Rng) -> Coordinator {
-        Coordinator { settings, rng, effects: Vec::new() }
+    pub fn new(settings: Settings, mut rng: fastrand::Rng) -> Coordinator {
+        let adapters = AdapterTable::new(
+            rng.u64(..),
+            settings.max_known_adapters,
+            settings.popularity_half_life_ms,
+        );
+        let queue =
+            LoadQueue::new(settings.parallel_loads, settings.load_ms, settings.load_starvation_ms);
+        Coordinator {
+            settings,
+            rng,
+            effects: Vec::new(),
+            epoch: None,
+            settled_ms: 0,
+            settled: false,
+            lease_until_ms: 0,
+            unreported: Vec::new(),
+            known_instances: HashSet::new(),
+            engines: SlotMap::with_key(),
+            engine_ids: HashMap::new(),
+            engine_addresses: HashMap::new(),
+            next_engine: 0,
+            models: Vec::new(),
+            data_centres: Vec::new(),
+            adapters,
+            customers: CustomerTable::default(),
+            queue,
+            draining: false,
+            lost_adapters: Vec::new(),
+            requests: HashMap::new(),
+            waiting: SlotMap::with_key(),
+            give_up: BTreeSet::new(),
+            pins: SlotMap::with_key(),
+            pin_ids: HashMap::new(),
+            next_pin: 0,
+            orphans: Vec::new(),
+            ms_per_token: FIRST_TOKEN_MS,
+            run_ms: FIRST_TOKEN_MS * 100.0,
+            next_sweep_ms: 0,
+            next_pin_sweep_ms: 0,
+        }
     }
 
     /// The settings.
@@ -46,82 +155,103 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Starts an epoch: waits, reads back the engines and collects the pins of live instances.
-    pub fn take_over(&mut self, _now_ms: u64, _start: TakeOver) {}
-
-    /// Ends the epoch: refuses waiting requests and orders nothing more.
-    pub fn resign(&mut self, _now_ms: u64) {}
-
-    /// Extends the own serving lease.
-    pub fn lease_renewed(&mut self, _until_ms: u64) {}
-
     /// The epoch, unless this coordinator is not in charge.
     #[must_use]
     pub fn epoch(&self) -> Option<Epoch> {
-        None
+        self.epoch
     }
 
-    /// Adds an engine and returns its id; an engine with a known address keeps its id.
-    pub fn engine_added(&mut self, _now_ms: u64, _info: EngineInfo) -> EngineId {
-        EngineId(self.rng.u32(..))
+    /// How many requests wait for a placement.
+    #[must_use]
+    pub fn waiting_requests(&self) -> usize {
+        self.waiting.len()
     }
 
-    /// Removes an engine that left the platform's list.
-    pub fn engine_removed(&mut self, _now_ms: u64, _engine: EngineId) {}
-
-    /// Stops new work for an engine that is leaving.
-    pub fn engine_leaving(&mut self, _now_ms: u64, _engine: EngineId) {}
-
-    /// Takes an engine's report.
-    pub fn engine_report(&mut self, _now_ms: u64, _engine: EngineId, _report: Report) {}
-
-    /// Takes an engine's cache events.
-    pub fn cache_events(&mut self, _now_ms: u64, _engine: EngineId, _events: CacheEvents) {}
-
-    /// Places a request; the answer is an effect, possibly later.
-    pub fn place(&mut self, _now_ms: u64, request: PlaceRequest) {
-        let answer = Err(Refusal::not_run(RefusalReason::NoCoordinator, "not in charge"));
-        self.effects.push(Effect::Answer { request: request.key(), answer });
+    /// How many pins are held.
+    #[must_use]
+    pub fn pins(&self) -> usize {
+        self.pins.len()
     }
 
-    /// Withdraws a request that waits for its placement; it gets no answer.
-    pub fn withdraw(&mut self, _now_ms: u64, _request: RequestKey) {}
+    /// How many loads are in flight.
+    #[must_use]
+    pub fn loads_in_flight(&self) -> usize {
+        self.queue.in_flight.len()
+    }
 
-    /// Ends a pin.
-    pub fn release(&mut self, _now_ms: u64, _pin: PinId, _release: Release) {}
+    /// How many adapters are remembered.
+    #[must_use]
+    pub fn known_adapters(&self) -> usize {
+        self.adapters.len()
+    }
 
-    /// Takes the end of a load order.
-    pub fn load_finished(&mut self, _now_ms: u64, _load: LoadId, _result: Result<(), LoadFailure>) {
+    /// Does what is due; call it at [`Coordinator::next_wake_ms`] or more often.
+    pub fn tick(&mut self, now_ms: u64) {
+        let Some(_) = self.epoch else { return };
+        if now_ms >= self.lease_until_ms {
+            self.refuse_all_waiting(now_ms, "the coordinator's lease ended");
+        }
+        if !self.settled && now_ms >= self.settled_ms {
+            self.settled = true;
+            self.read_all_reports();
+        }
+        if now_ms >= self.next_pin_sweep_ms {
+            self.next_pin_sweep_ms = now_ms + 1_000;
+            self.sweep_pins(now_ms);
+            self.forget_lost_instances(now_ms);
+        }
+        self.give_up_late(now_ms);
+        if now_ms >= self.next_sweep_ms {
+            self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS;
+            self.customers.refresh(now_ms);
+            self.count_places(now_ms);
+            self.serve_waiting(now_ms);
+            self.refuse_unservable(now_ms);
+        }
+        self.start_loads(now_ms);
     }
 
-    /// Takes the end of a cancel order.
-    pub fn cancel_finished(&mut self, _now_ms: u64, _request: RequestKey, _acknowledged: bool) {}
+    /// The next moment at which [`Coordinator::tick`] has something to do.
+    #[must_use]
+    pub fn next_wake_ms(&self) -> Option<u64> {
+        self.epoch?;
+        let mut next_ms = self.next_pin_sweep_ms;
+        if !self.settled {
+            next_ms = next_ms.min(self.settled_ms);
+        }
+        if let Some((give_up_ms, _)) = self.give_up.first() {
+            next_ms = next_ms.min(*give_up_ms).min(self.next_sweep_ms);
+        }
+        Some(next_ms)
+    }
 
-    /// Takes the loss of an instance, whose serving lease has certainly expired.
-    pub fn instance_lost(
-        &mut self,
-        _now_ms: u64,
-        _instance: InstanceId,
-        _incarnation: Incarnation,
-    ) {
+    fn is_in_charge(&self, now_ms: u64) -> bool {
+        self.epoch.is_some() && now_ms < self.lease_until_ms
     }
 
-    /// Takes all pins that an instance holds.
-    pub fn pins_reported(
-        &mut self,
-        _now_ms: u64,
-        _instance: InstanceId,
-        _incarnation: Incarnation,
-        _pins: Vec<ReportedPin>,
-    ) {
+    /// Whether orders may be sent to the engine now.
+    fn may_order(&self, now_ms: u64, engine: &Engine) -> bool {
+        let reserve_ms = match engine.fencing {
+            crate::Fencing::Honoured => 0,
+            crate::Fencing::Ignored => self.settings.order_timeout_ms,
+        };
+        self.epoch.is_some()
+            && self.settled
+            && engine.read_back
+            && now_ms + reserve_ms < self.lease_until_ms
     }
 
-    /// Does what is due; call it at [`Coordinator::next_wake_ms`] or more often.
-    pub fn tick(&mut self, _now_ms: u64) {}
+    fn refuse(&mut self, request: RequestKey, refusal: Refusal) {
+        self.effects.push(Effect::Answer { request, answer: Err(refusal) });
+    }
 
-    /// The next moment at which [`Coordinator::tick`] has something to do.
-    #[must_use]
-    pub fn next_wake_ms(&self) -> Option<u64> {
-        None
+    fn refuse_no_coordinator(&mut self, request: RequestKey, detail: &str, retry_after_ms: u64) {
+        let refusal = Refusal::not_run(RefusalReason::NoCoordinator, detail);
+        self.refuse(request, refusal.retry_after_ms(retry_after(retry_after_ms)));
     }
 }
+
+/// A retry delay within sensible bounds.
+fn retry_after(delay_ms: u64) -> u32 {
+    delay_ms.clamp(50, 60_000) as u32
+}
--- /dev/null
+++ b/crates/redwinglatch-placement/src/coordinator/pinning.rs
@@ -0,0 +1,270 @@
+//! Pins: granting, releasing, and ending those whose instance is gone.
+
+use redwinglatch_core::{Incarnation, InstanceId, PinId, Refusal, RefusalReason};
+
+use super::{Coordinator, RequestState};
+use crate::{
+    Effect, Release, ReportedPin, RequestKey,
+    engine::SlotState,
+    keys::{AdapterKey, EngineKey, PinKey, WaitKey},
+    pin::{Orphan, Pin},
+};
+
+/// How much a finished request changes the estimate of the next one's time.
+const RUN_TIME_GAIN: f32 = 0.02;
+/// How long an unanswered cancel order is waited for.
+const CANCEL_RETRY_MS: u64 = 1_000;
+/// Refused connections after which an engine counts as leaving.
+const MAX_REFUSED_CONNECTIONS: u8 = 3;
+
+impl Coordinator {
+    pub(super) fn insert_pin(&mut self, pin: Pin) -> PinKey {
+        self.adapters.hold(pin.adapter);
+        let engine = &mut self.engines[pin.engine];
+        engine.pins += 1;
+        if let Some(at) = engine.slot_of(pin.adapter) {
+            engine.slots[at].pins += 1;
+        }
+        let model = &mut self.models[usize::from(engine.model.0)];
+        model.free_places = model.free_places.saturating_sub(1);
+        let key = self.pins.insert(pin);
+        self.pin_ids.insert(pin.id, key);
+        self.requests.insert(pin.request, RequestState::Pinned(key));
+        key
+    }
+
+    /// The pins of an adapter on an engine, for a slot that gets the adapter.
+    pub(super) fn count_pins(&self, engine: EngineKey, adapter: AdapterKey) -> u32 {
+        self.pins.values().filter(|it| (it.engine, it.adapter) == (engine, adapter)).count() as u32
+    }
+
+    /// Ends a pin and frees its place.
+    pub(super) fn remove_pin(&mut self, now_ms: u64, key: PinKey) -> Option<Pin> {
+        let pin = self.pins.remove(key)?;
+        self.pin_ids.remove(&pin.id);
+        if pin.orphan != Orphan::No {
+            self.orphans.retain(|it| *it != key);
+        }
+        // The request may have been placed again on another engine.
+        if self.requests.get(&pin.request) == Some(&RequestState::Pinned(key)) {
+            self.requests.remove(&pin.request);
+        }
+        if let Some(engine) = self.engines.get_mut(pin.engine) {
+            engine.pins = engine.pins.saturating_sub(1);
+            if let Some(at) = engine.slot_of(pin.adapter) {
+                let slot = &mut engine.slots[at];
+                slot.pins = slot.pins.saturating_sub(1);
+            }
+            self.models[usize::from(engine.model.0)].free_places += 1;
+        }
+        self.adapters.drop_hold(pin.adapter, now_ms);
+        self.drop_if_removed(pin.engine);
+        Some(pin)
+    }
+
+    /// Ends a pin. A pin that is not known, for example since its engine restarted, is ignored.
+    pub fn release(&mut self, now_ms: u64, pin: PinId, release: Release) {
+        let Some(key) = self.pin_ids.get(&pin).copied() else { return };
+        let Some(pin) = self.remove_pin(now_ms, key) else { return };
+        match release {
+            Release::Finished => self.measure_run(now_ms, &pin),
+            Release::Cancelled | Release::NotSent => {}
+            Release::AdapterMissing => self.adapter_missing(now_ms, &pin),
+            Release::EngineLeaving => self.stop_new_work(now_ms, pin.engine),
+            Release::ConnectRefused => {
+                if let Some(engine) = self.engines.get_mut(pin.engine) {
+                    engine.refused_connections = engine.refused_connections.saturating_add(1);
+                    if engine.refused_connections >= MAX_REFUSED_CONNECTIONS {
+                        self.stop_new_work(now_ms, pin.engine);
+                    }
+                }
+                self.back_off(now_ms, pin.engine);
+            }
+            Release::EngineRefused | Release::EngineFailed => self.back_off(now_ms, pin.engine),
+        }
+        self.serve_engine(now_ms, pin.engine);
+        self.start_loads(now_ms);
+    }
+
+    /// Learns from a request that ran to its end.
+    fn measure_run(&mut self, now_ms: u64, pin: &Pin) {
+        if let Some(engine) = self.engines.get_mut(pin.engine) {
+            engine.failures = 0;
+            engine.refused_connections = 0;
+        }
+        if pin.max_tokens > 0 {
+            let took_ms = now_ms.saturating_sub(pin.granted_ms) as f32;
+            self.run_ms += RUN_TIME_GAIN * (took_ms - self.run_ms);
+            let per_token = took_ms / pin.max_tokens as f32;
+            self.ms_per_token += RUN_TIME_GAIN * (per_token - self.ms_per_token);
+        }
+    }
+
+    /// The engine doesn't hold an adapter that was ready: the slot has to be read back.
+    fn adapter_missing(&mut self, now_ms: u64, pin: &Pin) {
+        let Some(engine) = self.engines.get_mut(pin.engine) else { return };
+        let Some(at) = engine.slot_of(pin.adapter) else { return };
+        let slot = &mut engine.slots[at];
+        if slot.state != SlotState::Ready {
+            return;
+        }
+        slot.state = SlotState::Unknown;
+        slot.since_ms = now_ms;
+        let (id, address) = (engine.id, engine.address);
+        self.remove_copy(now_ms, pin.adapter, pin.engine);
+        self.renew_demand(now_ms, pin.adapter);
+        self.effects.push(Effect::ReadReport { engine: id, address });
+    }
+
+    /// Sends an engine that failed no work for a while.
+    pub(super) fn back_off(&mut self, now_ms: u64, engine: EngineKey) {
+        let Some(failures) = self.engines.get(engine).map(|it| it.failures.saturating_add(1))
+        else {
+            return;
+        };
+        let backoff_ms = self.backoff_ms(failures);
+        let engine = &mut self.engines[engine];
+        if engine.blocked_until_ms > now_ms {
+            // Requests that were under way when the engine failed say nothing new.
+            return;
+        }
+        engine.failures = failures;
+        engine.blocked_until_ms = now_ms + backoff_ms;
+    }
+
+    /// Takes the loss of an instance, whose serving lease has certainly expired. Its running
+    /// requests are cancelled; each pin ends when the engine no longer reports the request, or
+    /// after its deadline once the engine acknowledged the cancel order.
+    pub fn instance_lost(&mut self, now_ms: u64, instance: InstanceId, incarnation: Incarnation) {
+        self.known_instances.remove(&(instance, incarnation));
+        for it in &mut self.unreported {
+            if (it.instance, it.incarnation) == (instance, incarnation) {
+                it.lost_ms.get_or_insert(now_ms);
+            }
+        }
+        let of_instance =
+            |it: &RequestKey| (it.instance, it.incarnation) == (instance, incarnation);
+        let waiting: Vec<WaitKey> = self
+            .give_up
+            .iter()
+            .map(|(_, wait)| *wait)
+            .filter(|wait| of_instance(&self.waiting[*wait].key))
+            .collect();
+        for wait in waiting {
+            let refusal = Refusal::not_run(RefusalReason::NotCurrent, "the instance was lost");
+            self.refuse_waiting(now_ms, wait, refusal);
+        }
+        for (key, pin) in &mut self.pins {
+            if !of_instance(&pin.request) || matches!(pin.orphan, Orphan::InstanceLost { .. }) {
+                continue;
+            }
+            if pin.orphan == Orphan::No {
+                self.orphans.push(key);
+            }
+            pin.orphan =
+                Orphan::InstanceLost { since_ms: now_ms, cancelled_ms: None, acknowledged: false };
+        }
+        self.sweep_pins(now_ms);
+        self.start_loads(now_ms);
+    }
+
+    /// Takes the end of a cancel order; `acknowledged` says that the engine took it.
+    pub fn cancel_finished(&mut self, now_ms: u64, request: RequestKey, acknowledged: bool) {
+        for key in &self.orphans {
+            let Some(pin) = self.pins.get_mut(*key) else { continue };
+            if pin.request == request
+                && let Orphan::InstanceLost { acknowledged: known, .. } = &mut pin.orphan
+            {
+                *known |= acknowledged;
+            }
+        }
+        self.sweep_pins(now_ms);
+    }
+
+    /// Looks for overdue pins, and ends or cancels those of lost instances.
+    pub(super) fn sweep_pins(&mut self, now_ms: u64) {
+        let grace_ms = self.settings.pin_grace_ms;
+        for (key, pin) in &mut self.pins {
+            if pin.orphan == Orphan::No && now_ms >= pin.deadline_ms + grace_ms {
+                pin.orphan = Orphan::Overdue { since_ms: now_ms };
+                self.orphans.push(key);
+            }
+        }
+        for key in self.orphans.clone() {
+            let Some(pin) = self.pins.get(key).copied() else { continue };
+            let Orphan::InstanceLost { cancelled_ms, acknowledged, .. } = pin.orphan else {
+                continue;
+            };
+            if acknowledged {
+                if now_ms >= pin.deadline_ms + grace_ms {
+                    self.remove_pin(now_ms, key);
+                }
+                continue;
+            }
+            if cancelled_ms.is_none_or(|sent_ms| now_ms >= sent_ms + CANCEL_RETRY_MS) {
+                self.cancel(now_ms, key, &pin);
+            }
+        }
+    }
+
+    fn cancel(&mut self, now_ms: u64, key: PinKey, pin: &Pin) {
+        let Some(engine) = self.engines.get(pin.engine) else { return };
+        if !self.is_in_charge(now_ms) || !self.may_order(now_ms, engine) {
+            return;
+        }
+        let Some(epoch) = self.epoch else { return };
+        self.effects.push(Effect::Cancel {
+            epoch,
+            engine: engine.id,
+            address: engine.address,
+            request: pin.request,
+        });
+        if let Orphan::InstanceLost { cancelled_ms, .. } = &mut self.pins[key].orphan {
+            *cancelled_ms = Some(now_ms);
+        }
+    }
+
+    /// Takes all pins that an instance holds; it is asked for them by a new coordinator.
+    pub fn pins_reported(
+        &mut self,
+        now_ms: u64,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        pins: Vec<ReportedPin>,
+    ) {
+        if self.epoch.is_none() {
+            return;
+        }
+        self.unreported.retain(|it| (it.instance, it.incarnation) != (instance, incarnation));
+        self.known_instances.insert((instance, incarnation));
+        for reported in pins {
+            if self.pin_ids.contains_key(&reported.pin) {
+                continue;
+            }
+            let Some(engine) = self.engine_addresses.get(&reported.engine).copied() else {
+                // The engine is gone, so nothing on it can be evicted.
+                continue;
+            };
+            let model = self.engines[engine].model;
+            let Some(adapter) = self.adapters.intern(model, &reported.adapter, now_ms) else {
+                continue;
+            };
+            let request = RequestKey { instance, incarnation, request: reported.request };
+            if let Some(RequestState::Waiting(wait)) = self.requests.get(&request).copied() {
+                self.remove_waiting(now_ms, wait);
+            }
+            self.insert_pin(Pin {
+                id: reported.pin,
+                request,
+                engine,
+                adapter,
+                granted_ms: now_ms,
+                deadline_ms: now_ms + reported.budget_ms,
+                max_tokens: 0,
+                stall_ms: 0,
+                orphan: Orphan::No,
+            });
+        }
+        self.start_loads(now_ms);
+    }
+}
