--- /dev/null
+++ b/crates/redwinglatch-control/src/change_ids.rs
@@ -0,0 +1,66 @@
+//! Results of contract changes by change id.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use redwinglatch_core::Revision;
+use serde::{Deserialize, Serialize};
+
+use crate::StateLimits;
+
+/// The first result of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum ChangeResult {
+    Accepted(Revision),
+    Conflict(Revision),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct KnownChange {
+    digest: u64,
+    at_wall_s: u64,
+    result: ChangeResult,
+}
+
+/// The change ids of the last days, in the order of their first use.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ChangeIds {
+    known: BTreeMap<Box<str>, KnownChange>,
+    order: VecDeque<Box<str>>,
+}
+
+impl ChangeIds {
+    /// The first result of `change_id` with the digest of its content.
+    pub(crate) fn get(&self, change_id: &str) -> Option<(u64, ChangeResult)> {
+        self.known.get(change_id).map(|known| (known.digest, known.result))
+    }
+
+    pub(crate) fn insert(
+        &mut self,
+        change_id: &str,
+        digest: u64,
+        at_wall_s: u64,
+        result: ChangeResult,
+        limits: &StateLimits,
+    ) {
+        self.known.insert(change_id.into(), KnownChange { digest, at_wall_s, result });
+        self.order.push_back(change_id.into());
+        while self.order.len() > limits.change_ids {
+            self.remove_oldest();
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now_wall_s: u64, limits: &StateLimits) {
+        while let Some(known) = self.order.front().and_then(|oldest| self.known.get(oldest)) {
+            if known.at_wall_s.saturating_add(limits.change_id_keep_s) > now_wall_s {
+                return;
+            }
+            self.remove_oldest();
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        if let Some(oldest) = self.order.pop_front() {
+            self.known.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-control/src/configuration_view.rs
@@ -0,0 +1,172 @@
+//! The configuration that an instance has in force.
+
+use std::collections::{BTreeMap, HashMap};
+
+use redwinglatch_core::prelude::*;
+
+use crate::{ConfigurationUpdate, ContractChange};
+
+/// Why an update of the configuration was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum ConfigurationError {
+    /// The update starts after what is known.
+    #[error(
+        "the update starts at revision {from}, but only {known} is known; ask for the changes since {known}"
+    )]
+    Gap {
+        /// Where the update starts.
+        from: Revision,
+        /// What is known.
+        known: Revision,
+    },
+    /// The update or its sender is behind what is in force.
+    #[error("the update ends at revision {to}, but {known} is in force; ignore it")]
+    Older {
+        /// Where the update ends.
+        to: Revision,
+        /// What is in force.
+        known: Revision,
+    },
+}
+
+/// A contract in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ContractInForce {
+    /// The revision of the contract.
+    pub revision: Revision,
+    /// The contract.
+    pub contract: Contract,
+}
+
+/// A customer whose contract was changed by an update.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplacedContract {
+    /// The customer.
+    pub customer: Box<str>,
+    /// The contract before the update.
+    pub before: Option<Contract>,
+}
+
+#[derive(Debug, Clone)]
+struct Staged {
+    full: bool,
+    reached: Revision,
+    changes: BTreeMap<Box<str>, ContractChange>,
+}
+
+/// The contracts that an instance has in force. It moves only forward.
+///
+/// An update in several parts takes effect as a whole with its last part, so the revision in force
+/// never claims a change that a later part would bring.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigurationView {
+    revision: Revision,
+    contracts: HashMap<Box<str>, ContractInForce>,
+    staged: Option<Staged>,
+}
+
+impl ConfigurationView {
+    /// An empty view at revision 0.
+    #[must_use]
+    pub fn new() -> ConfigurationView {
+        ConfigurationView::default()
+    }
+
+    /// The revision in force.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// How far an update in several parts has come.
+    #[must_use]
+    pub fn staged(&self) -> Option<Revision> {
+        self.staged.as_ref().map(|staged| staged.reached)
+    }
+
+    /// The contract of a customer.
+    #[must_use]
+    pub fn contract(&self, customer: &str) -> Option<&ContractInForce> {
+        self.contracts.get(customer)
+    }
+
+    /// All contracts, in no particular order.
+    pub fn contracts(&self) -> impl Iterator<Item = &ContractInForce> {
+        self.contracts.values()
+    }
+
+    /// Applies the update of a leader whose configuration ends at `head` and returns the
+    /// customers whose contract changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the update leaves a gap or is older than what is in force; nothing changes.
+    pub fn apply(
+        &mut self,
+        head: Revision,
+        update: Option<&ConfigurationUpdate>,
+    ) -> Result<Vec<ReplacedContract>, ConfigurationError> {
+        if head < self.revision {
+            return Err(ConfigurationError::Older { to: head, known: self.revision });
+        }
+        let Some(update) = update else { return Ok(Vec::new()) };
+        if !update.full {
+            let known = self.staged().unwrap_or(self.revision);
+            if update.from > known {
+                return Err(ConfigurationError::Gap { from: update.from, known });
+            }
+            if update.to < known {
+                return Err(ConfigurationError::Older { to: update.to, known });
+            }
+        }
+        if update.to > head {
+            return Err(ConfigurationError::Older { to: head, known: update.to });
+        }
+        let mut staged = match self.staged.take() {
+            Some(staged) if !update.full => staged,
+            _ => Staged { full: update.full, reached: self.revision, changes: BTreeMap::new() },
+        };
+        staged.reached = update.to;
+        for change in &update.changes {
+            staged.changes.insert(change.customer.clone(), change.clone());
+        }
+        if staged.reached < head {
+            self.staged = Some(staged);
+            return Ok(Vec::new());
+        }
+        Ok(self.put_in_force(staged))
+    }
+
+    fn put_in_force(&mut self, staged: Staged) -> Vec<ReplacedContract> {
+        let mut changed = Vec::new();
+        if staged.full {
+            let gone = |customer: &str| {
+                staged.changes.get(customer).is_none_or(|change| change.contract.is_none())
+            };
+            let removed: Vec<Box<str>> =
+                self.contracts.keys().filter(|customer| gone(customer)).cloned().collect();
+            for customer in removed {
+                let before = self.contracts.remove(&customer).map(|before| before.contract);
+                changed.push(ReplacedContract { customer, before });
+            }
+        }
+        for (customer, change) in staged.changes {
+            let known = self.contracts.get(&customer).map(|known| known.revision);
+            if known.is_some_and(|known| known >= change.revision) {
+                continue;
+            }
+            let before = match change.contract {
+                Some(contract) => self.contracts.insert(
+                    customer.clone(),
+                    ContractInForce { revision: change.revision, contract },
+                ),
+                None => self.contracts.remove(&customer),
+            };
+            let before = before.map(|before| before.contract);
+            changed.push(ReplacedContract { customer, before });
+        }
+        self.revision = staged.reached;
+        changed
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-control/src/history.rs
@@ -0,0 +1,1 @@
+//! Checkers of recorded histories.
--- /dev/null
+++ b/crates/redwinglatch-control/src/leader.rs
@@ -0,0 +1,147 @@
+//! The soft state of the control leader.
+
+use redwinglatch_core::Revision;
+
+use crate::{
+    CellGrants, ControlState, CoordinatorUpdate, LeaseHolder, LeaseSettings, LeaseVerdict, Leases,
+    PendingChanges, Renewal, RenewalReply, Shares, leases::Renewed,
+};
+
+/// Everything that a control leader keeps besides the log. A new leader starts a new one.
+///
+/// Create it once the leader has applied the first entry of its own term, and call
+/// [`LeaderState::renew`] only while the log's `leader_lease_valid` holds. Otherwise a deposed
+/// leader could grant leases without knowing of committed changes.
+#[derive(Debug)]
+pub struct LeaderState {
+    settings: LeaseSettings,
+    leases: Leases,
+    shares: Shares,
+    cells: CellGrants,
+    pending: PendingChanges,
+}
+
+impl LeaderState {
+    /// The state of the leader of `term`, elected at `elected_at_ms`.
+    #[must_use]
+    pub fn new(settings: LeaseSettings, term: u64, elected_at_ms: u64) -> LeaderState {
+        let leases = Leases::new(settings, term, elected_at_ms);
+        let waiting_until_ms = leases.waiting_until_ms();
+        LeaderState {
+            settings,
+            leases,
+            shares: Shares::new(waiting_until_ms),
+            cells: CellGrants::new(settings, waiting_until_ms),
+            pending: PendingChanges::default(),
+        }
+    }
+
+    /// Answers a renewal; `None` when it is older than one answered before.
+    pub fn renew(
+        &mut self,
+        now_ms: u64,
+        state: &ControlState,
+        renewal: &Renewal,
+    ) -> Option<RenewalReply> {
+        self.advance(now_ms);
+        let holder = LeaseHolder { instance: renewal.instance, incarnation: renewal.incarnation };
+        let mut reply = RenewalReply {
+            term: self.leases.term(),
+            incarnation: renewal.incarnation,
+            sequence: renewal.sequence,
+            verdict: LeaseVerdict::Granted { lease_ms: self.settings.lease_ms },
+            head: state.revision(),
+            configuration: None,
+            coordinators: None,
+            cells: Vec::new(),
+            shares_reset: false,
+            shares: Vec::new(),
+            instances: None,
+        };
+        let new = match self.leases.renew(now_ms, renewal) {
+            Renewed::Ignored => return None,
+            Renewed::Refused(verdict) => {
+                reply.verdict = verdict;
+                return Some(reply);
+            }
+            Renewed::Granted { new } => new,
+        };
+        let applied_sequence = self.leases.applied_sequence(holder);
+        if new {
+            self.cells.adopt(holder, renewal);
+            self.shares.admit(now_ms, holder, renewal);
+        }
+        reply.configuration = state.update_since(renewal.staged.unwrap_or(renewal.revision));
+        reply.coordinators = coordinators(state, renewal);
+        reply.cells = self.cells.renew(now_ms, state, holder, renewal, applied_sequence);
+        let settled = self.leases.settled(now_ms);
+        self.shares.observe_contracts(now_ms, state, settled);
+        (reply.shares_reset, reply.shares) =
+            self.shares.renew(now_ms, holder, renewal, applied_sequence);
+        let known = if renewal.term == reply.term { renewal.instances_version } else { 0 };
+        reply.instances = self.leases.list_update(now_ms, known);
+        Some(reply)
+    }
+
+    /// Ends the leases that have surely run out, with their shares and grants.
+    pub fn advance(&mut self, now_ms: u64) {
+        for holder in self.leases.expire(now_ms) {
+            self.shares.lost(holder);
+            self.cells.lost(now_ms, holder);
+        }
+    }
+
+    /// The changes that may now be reported as accepted, with their tickets.
+    pub fn take_reportable(&mut self, now_ms: u64) -> Vec<(Revision, u64)> {
+        self.advance(now_ms);
+        self.pending.take_reportable(self.leases.settled(now_ms))
+    }
+
+    /// The processes with running claims whose lease has surely ended; propose `InstanceLost` for
+    /// each.
+    #[must_use]
+    pub fn lost_claimants(&self, now_ms: u64, state: &ControlState) -> Vec<LeaseHolder> {
+        let claimants = state.claimants();
+        claimants
+            .map(|(instance, incarnation)| LeaseHolder { instance, incarnation })
+            .filter(|holder| self.leases.surely_gone(now_ms, *holder))
+            .collect()
+    }
+
+    /// The leases.
+    #[must_use]
+    pub fn leases(&self) -> &Leases {
+        &self.leases
+    }
+
+    /// The shares.
+    #[must_use]
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    /// The coordination grants.
+    #[must_use]
+    pub fn cells(&self) -> &CellGrants {
+        &self.cells
+    }
+
+    /// The changes that are not yet in force everywhere.
+    #[must_use]
+    pub fn pending(&self) -> &PendingChanges {
+        &self.pending
+    }
+
+    /// The changes that are not yet in force everywhere, to add one.
+    pub fn pending_mut(&mut self) -> &mut PendingChanges {
+        &mut self.pending
+    }
+}
+
+fn coordinators(state: &ControlState, renewal: &Renewal) -> Option<CoordinatorUpdate> {
+    let version = state.coordinators_version();
+    (version != renewal.coordinators_version).then(|| CoordinatorUpdate {
+        version,
+        coordinators: state.coordinators().copied().collect(),
+    })
+}
--- a/crates/redwinglatch-control/src/lib.rs
+++ b/crates/redwinglatch-control/src/lib.rs
@@ -1,1 +1,113 @@
-//! Part of redwinglatch.
+//! The control state machine of redwinglatch and the leases that depend on it.
+//!
+//! [`ControlState`] is the deterministic state behind the replicated log: contracts, coordinators
+//! and idempotency records. [`LeaderState`] is the soft state of the control leader: serving
+//! leases, limit shares, coordination grants and the changes that wait until they are in force.
+//! [`RenewalClient`] is the counterpart on every instance. Nothing here opens a socket or reads a
+//! clock; monotonic time comes in as `now_ms`, wall-clock time comes in commands.
+//!
+//! ```
+//! use redwinglatch_control::{
+//!     Command, ControlState, InstanceProfile, LeaderState, LeaseSettings, Outcome, RenewalClient,
+//!     ReplyResult,
+//! };
+//! use redwinglatch_core::prelude::*;
+//!
+//! let contract = Contract {
+//!     customer: "lakeshore".into(),
+//!     adapters: Vec::new(),
+//!     services: vec!["dispatch-desk".into()],
+//!     request_rate_per_s: 100,
+//!     concurrent_requests: 20,
+//!     token_rate_per_s: 10_000,
+//!     load_share_permille: 500,
+//!     default_priority: 4,
+//!     max_priority: 9,
+//!     default_deadline_ms: 10_000,
+//!     max_deadline_ms: 60_000,
+//! };
+//! let mut state = ControlState::new();
+//! let outcome = state.apply(
+//!     1,
+//!     &Command::ApplyContract {
+//!         change_id: "change-1".into(),
+//!         customer: "lakeshore".into(),
+//!         expected_revision: Revision(0),
+//!         contract,
+//!         now_wall_s: 1_000,
+//!     },
+//! );
+//! assert_eq!(outcome, Outcome::Accepted { revision: Revision(1) });
+//!
+//! // The leader of term 1 was elected at 0 ms; an instance renews its lease.
+//! let settings = LeaseSettings::default();
+//! let mut leader = LeaderState::new(settings, 1, 0);
+//! let profile = InstanceProfile { addresses: vec!["10.0.0.1:80".into()], data_centre: "a".into() };
+//! let mut instance = RenewalClient::new(InstanceId(1), Incarnation(77), settings, profile);
+//! let renewal = instance.renewal(5_000);
+//! let reply = leader.renew(5_001, &state, &renewal).unwrap();
+//! // The leader doesn't know the process yet and asks for a full renewal.
+//! let asked = instance.apply_reply(&reply);
+//! assert_eq!(asked, ReplyResult::Applied { renew_now: true, changed_customers: Vec::new() });
+//! let renewal = instance.renewal(5_001);
+//! let reply = leader.renew(5_002, &state, &renewal).unwrap();
+//! let _applied = instance.apply_reply(&reply);
+//! assert!(instance.may_serve(5_002));
+//! assert_eq!(instance.configuration().revision(), Revision(1));
+//!
+//! // The change may be reported once every lease holder has acknowledged it.
+//! leader.pending_mut().add(Revision(1), 42);
+//! assert!(leader.take_reportable(5_003).is_empty());
+//! let renewal = instance.renewal(6_000);
+//! let _reply = leader.renew(6_001, &state, &renewal);
+//! assert_eq!(leader.take_reportable(6_001), [(Revision(1), 42)]);
+//! ```
+
+mod cell_grants;
+mod change_ids;
+mod command;
+mod configuration_view;
+mod contract_check;
+mod contracts;
+mod coordinators;
+mod held_shares;
+pub mod history;
+mod instance_list;
+mod leader;
+mod leases;
+mod message;
+mod once;
+mod outcome;
+mod pending;
+mod renewal_client;
+mod serving_lease;
+mod settings;
+mod share;
+mod share_target;
+mod shares;
+mod state;
+
+pub use cell_grants::CellGrants;
+pub use command::{Command, OnceOutcome};
+pub use configuration_view::{
+    ConfigurationError, ConfigurationView, ContractInForce, ReplacedContract,
+};
+pub use contract_check::{ContractError, validate_contract};
+pub use contracts::{ContractChange, HistoryEntry};
+pub use coordinators::Coordinator;
+pub use held_shares::HeldShares;
+pub use leader::LeaderState;
+pub use leases::{LeaseHolder, Leases};
+pub use message::{
+    CellGrant, ConfigurationUpdate, CoordinatorUpdate, InstanceListUpdate, InstanceProfile,
+    InstanceRecord, LeaseVerdict, Renewal, RenewalReply, ShareGrant, ShareReport,
+};
+pub use once::OnceUsage;
+pub use outcome::Outcome;
+pub use pending::PendingChanges;
+pub use renewal_client::{RenewalClient, ReplyResult};
+pub use serving_lease::ServingLease;
+pub use settings::{LeaseSettings, StateLimits};
+pub use share::Share;
+pub use shares::Shares;
+pub use state::{ControlState, RestoreError};
--- /dev/null
+++ b/crates/redwinglatch-control/src/message.rs
@@ -0,0 +1,172 @@
+//! The renewal of a serving lease and its reply.
+
+use redwinglatch_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{ContractChange, Coordinator, Share};
+
+/// What an instance sends to the control leader each `renew_interval_ms`.
+///
+/// Lists hold only what changed since the last acknowledged renewal, unless `full` is set.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The process.
+    pub incarnation: Incarnation,
+    /// The term of the leader whose reply was applied last; 0 before the first.
+    pub term: u64,
+    /// Numbers the renewals of this process from 1.
+    pub sequence: u64,
+    /// The sequence of the latest renewal whose reply was applied.
+    pub applied_sequence: u64,
+    /// Whether profile, cells and shares are complete.
+    pub full: bool,
+    /// The revision of configuration in force.
+    pub revision: Revision,
+    /// How far a configuration update in several parts has been received.
+    pub staged: Option<Revision>,
+    /// The version of the known coordinators.
+    pub coordinators_version: u64,
+    /// The version of the known instance list, as numbered by the leader of `term`.
+    pub instances_version: u64,
+    /// Whether the instance is draining.
+    pub draining: bool,
+    /// Addresses and data centre, in a full renewal.
+    pub profile: Option<InstanceProfile>,
+    /// The cells that this instance may coordinate, with their epochs.
+    pub cells: Vec<CellGrant>,
+    /// Demand and held shares.
+    pub shares: Vec<ShareReport>,
+}
+
+/// Where an instance is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceProfile {
+    /// The addresses for callers, as `ip:port`.
+    pub addresses: Vec<Box<str>>,
+    /// The data centre.
+    pub data_centre: Box<str>,
+}
+
+/// The right to coordinate a cell while the serving lease lasts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CellGrant {
+    /// The cell.
+    pub cell: CellId,
+    /// The epoch, which is the fencing token of every order.
+    pub epoch: Epoch,
+}
+
+/// An instance's demand for one customer and what it holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareReport {
+    /// The customer.
+    pub customer: Box<str>,
+    /// What the instance could use now.
+    pub demand: Share,
+    /// What the instance holds, with requests in flight above its share of concurrent requests.
+    pub held: Share,
+}
+
+/// The control leader's answer to a renewal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewalReply {
+    /// The leader's term.
+    pub term: u64,
+    /// The process that the reply is for.
+    pub incarnation: Incarnation,
+    /// The sequence of the renewal that is answered.
+    pub sequence: u64,
+    /// Whether the lease was renewed.
+    pub verdict: LeaseVerdict,
+    /// The leader's revision of configuration. The instance may serve once it has reached it.
+    pub head: Revision,
+    /// The changes that the instance lacks, or a part of them.
+    pub configuration: Option<ConfigurationUpdate>,
+    /// The coordinators, when they changed.
+    pub coordinators: Option<CoordinatorUpdate>,
+    /// All cells that the instance may coordinate.
+    pub cells: Vec<CellGrant>,
+    /// Whether the instance must forget all shares that `shares` doesn't list.
+    pub shares_reset: bool,
+    /// The shares that changed.
+    pub shares: Vec<ShareGrant>,
+    /// The live instances, when they changed.
+    pub instances: Option<InstanceListUpdate>,
+}
+
+/// Whether a lease was renewed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseVerdict {
+    /// The lease is valid from the moment the renewal was sent.
+    Granted {
+        /// For how long, before the allowance for clock drift.
+        lease_ms: u64,
+    },
+    /// The leader doesn't know this process yet; send a full renewal at once.
+    NeedFull,
+    /// Another process with the same instance id has taken over. Give this instance another id in
+    /// its settings if both are meant to run.
+    Superseded,
+}
+
+/// A part of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationUpdate {
+    /// The revision after which the part starts; 0 for the start of a full copy.
+    pub from: Revision,
+    /// The revision that the part reaches.
+    pub to: Revision,
+    /// Whether the part starts a full copy, which replaces everything.
+    pub full: bool,
+    /// The latest state of each customer that changed after `from`, in the order of revisions.
+    pub changes: Vec<ContractChange>,
+}
+
+/// The coordinators of all cells.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoordinatorUpdate {
+    /// The version of the list.
+    pub version: u64,
+    /// The coordinators.
+    pub coordinators: Vec<Coordinator>,
+}
+
+/// A share set by the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareGrant {
+    /// The customer.
+    pub customer: Box<str>,
+    /// The new share.
+    pub share: Share,
+    /// Whether `share` replaces the former one. Otherwise the smaller of both is in force: the
+    /// leader doesn't know exactly what the instance holds after a contract was lowered.
+    pub exact: bool,
+}
+
+/// A live instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceRecord {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The process.
+    pub incarnation: Incarnation,
+    /// Where it is.
+    pub profile: InstanceProfile,
+    /// Whether it is draining.
+    pub draining: bool,
+}
+
+/// Changes of the list of live instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceListUpdate {
+    /// The version that the list reaches.
+    pub version: u64,
+    /// Whether `changed` is the whole list.
+    pub full: bool,
+    /// New and changed instances.
+    pub changed: Vec<InstanceRecord>,
+    /// Instances that are surely gone.
+    pub removed: Vec<(InstanceId, Incarnation)>,
+}
--- /dev/null
+++ b/crates/redwinglatch-control/src/once.rs
@@ -0,0 +1,290 @@
+//! Idempotency records: at most one run of each marked request.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use redwinglatch_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{OnceOutcome, Outcome, StateLimits};
+
+/// Memory of a record besides its key and body: map entries, expiry entry, reference counts.
+const RECORD_BYTES: usize = 200;
+/// How long a removed claim is remembered, so that a duplicate of it in the log is not granted.
+const RELEASED_KEEP_S: u64 = 600;
+/// Records removed by one `ExpireOnce`, so that one entry never blocks the log for long.
+const EXPIRE_AT_ONCE: usize = 20_000;
+
+/// How full the idempotency records are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OnceUsage {
+    /// The number of records.
+    pub records: usize,
+    /// Their estimated memory.
+    pub bytes: usize,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Claimant {
+    pub(crate) instance: InstanceId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) request: RequestId,
+}
+
+impl Claimant {
+    fn process(&self) -> (InstanceId, Incarnation) {
+        (self.instance, self.incarnation)
+    }
+}
+
+pub(crate) struct Claim<'a> {
+    pub(crate) key: &'a str,
+    pub(crate) customer: &'a str,
+    pub(crate) request_digest: u64,
+    pub(crate) claimant: Claimant,
+    pub(crate) at_most_once: bool,
+    pub(crate) now_wall_s: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum RecordState {
+    Running,
+    Answered {
+        status: u16,
+        body: Box<[u8]>,
+    },
+    /// The request may have run. Only a key that was never marked at-most-once may run again.
+    Unknown,
+    /// The request surely did not run and may run again.
+    Released,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Record {
+    digest: u64,
+    claim: u64,
+    claimant: Claimant,
+    at_most_once: bool,
+    /// An earlier claim of this key may have run, so `NotRun` of the current claim is not enough
+    /// to call the key unused.
+    earlier_run: bool,
+    expires_wall_s: u64,
+    state: RecordState,
+}
+
+impl Record {
+    fn bytes(&self, key: &str) -> usize {
+        let body = match &self.state {
+            RecordState::Answered { body, .. } => body.len(),
+            _ => 0,
+        };
+        RECORD_BYTES + key.len() + body
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct OnceRecords {
+    records: HashMap<Arc<str>, Record>,
+    by_expiry: BTreeSet<(u64, Arc<str>)>,
+    running: BTreeMap<(InstanceId, Incarnation), BTreeSet<Arc<str>>>,
+    bytes: usize,
+    /// The latest time of an `ExpireOnce`. A claim from an instance with a slow clock counts from
+    /// here, so that its record doesn't expire early.
+    clock_wall_s: u64,
+}
+
+impl OnceRecords {
+    pub(crate) fn usage(&self) -> OnceUsage {
+        OnceUsage { records: self.records.len(), bytes: self.bytes }
+    }
+
+    /// The processes with running claims.
+    pub(crate) fn claimants(&self) -> impl Iterator<Item = (InstanceId, Incarnation)> {
+        self.running.keys().copied()
+    }
+
+    pub(crate) fn claim(&mut self, index: u64, claim: &Claim<'_>, limits: &StateLimits) -> Outcome {
+        if claim.key.len() > limits.key_bytes || claim.customer.len() > limits.key_bytes {
+            return Outcome::Full;
+        }
+        let name = record_name(claim.customer, claim.key);
+        let mut earlier_run = false;
+        let mut at_most_once = claim.at_most_once;
+        if let Some(record) = self.records.get(&*name) {
+            if record.digest != claim.request_digest {
+                return Outcome::KeyReused;
+            }
+            let same_claim = record.claimant == claim.claimant;
+            match &record.state {
+                RecordState::Running if same_claim => {
+                    return Outcome::Granted { claim: record.claim };
+                }
+                RecordState::Running => {
+                    return Outcome::Running { instance: record.claimant.instance };
+                }
+                RecordState::Answered { status, body } => {
+                    return Outcome::Answered { status: *status, body: body.clone() };
+                }
+                RecordState::Unknown if record.at_most_once || claim.at_most_once => {
+                    return Outcome::Unknown;
+                }
+                _ if same_claim => return Outcome::Superseded,
+                RecordState::Unknown => earlier_run = true,
+                RecordState::Released => at_most_once |= record.at_most_once,
+            }
+        }
+        if !self.has_room(&name, limits) {
+            return Outcome::Full;
+        }
+        let start = claim.now_wall_s.max(self.clock_wall_s);
+        self.put(
+            name,
+            Record {
+                digest: claim.request_digest,
+                claim: index,
+                claimant: claim.claimant,
+                at_most_once,
+                earlier_run,
+                expires_wall_s: start.saturating_add(limits.once_keep_s),
+                state: RecordState::Running,
+            },
+        );
+        Outcome::Granted { claim: index }
+    }
+
+    /// Leaves a sixteenth of the bytes for the answers of running claims.
+    fn has_room(&self, name: &str, limits: &StateLimits) -> bool {
+        let known = usize::from(self.records.contains_key(name));
+        let bytes = self.bytes + RECORD_BYTES + name.len();
+        self.records.len() - known < limits.once_records
+            && bytes <= limits.once_bytes - limits.once_bytes / 16
+    }
+
+    pub(crate) fn finish(
+        &mut self,
+        (customer, key): (&str, &str),
+        (claim, incarnation): (u64, Incarnation),
+        outcome: &OnceOutcome,
+        limits: &StateLimits,
+    ) -> Outcome {
+        let name = record_name(customer, key);
+        let Some(record) = self.records.get(&*name) else { return Outcome::Superseded };
+        let current = record.claim == claim && record.claimant.incarnation == incarnation;
+        // The claimant itself may still settle a record that became unknown because its lease
+        // ended: no other claim was granted in between.
+        let open = matches!(record.state, RecordState::Running | RecordState::Unknown);
+        if !current || !open {
+            return Outcome::Superseded;
+        }
+        let mut record = record.clone();
+        let mut result = Outcome::Finished;
+        record.state = match outcome {
+            OnceOutcome::Answered { status, body } => {
+                let fits = self.bytes + body.len() <= limits.once_bytes;
+                if body.len() <= limits.body_bytes && fits {
+                    RecordState::Answered { status: *status, body: body.clone() }
+                } else {
+                    // Without its answer the request must still not run again.
+                    record.at_most_once = true;
+                    result = Outcome::FinishedWithoutBody;
+                    RecordState::Unknown
+                }
+            }
+            OnceOutcome::NotRun if record.earlier_run => RecordState::Unknown,
+            OnceOutcome::NotRun => {
+                let keep = self.clock_wall_s.saturating_add(RELEASED_KEEP_S);
+                record.expires_wall_s = record.expires_wall_s.min(keep);
+                RecordState::Released
+            }
+            OnceOutcome::Unknown => RecordState::Unknown,
+        };
+        self.put(name, record);
+        result
+    }
+
+    pub(crate) fn instance_lost(&mut self, process: (InstanceId, Incarnation)) -> Outcome {
+        let (mut unknown, mut released) = (0, 0);
+        for name in self.running.remove(&process).unwrap_or_default() {
+            let Some(record) = self.records.get_mut(&name) else { continue };
+            record.state = RecordState::Unknown;
+            if record.at_most_once {
+                unknown += 1;
+            } else {
+                released += 1;
+            }
+        }
+        Outcome::ClaimsEnded { unknown, released }
+    }
+
+    pub(crate) fn expire(&mut self, now_wall_s: u64) -> Outcome {
+        self.clock_wall_s = self.clock_wall_s.max(now_wall_s);
+        let mut records = 0;
+        while (records as usize) < EXPIRE_AT_ONCE {
+            let Some((expires_wall_s, name)) = self.by_expiry.first() else { break };
+            if *expires_wall_s > now_wall_s {
+                break;
+            }
+            let name = name.clone();
+            self.remove(&name);
+            records += 1;
+        }
+        Outcome::Expired { records }
+    }
+
+    fn put(&mut self, name: Arc<str>, record: Record) {
+        self.remove(&name);
+        self.bytes += record.bytes(&name);
+        self.by_expiry.insert((record.expires_wall_s, name.clone()));
+        if record.state == RecordState::Running {
+            let process = record.claimant.process();
+            self.running.entry(process).or_default().insert(name.clone());
+        }
+        self.records.insert(name, record);
+    }
+
+    fn remove(&mut self, name: &str) {
+        let Some((name, record)) = self.records.remove_entry(name) else { return };
+        self.bytes -= record.bytes(&name);
+        self.by_expiry.remove(&(record.expires_wall_s, name.clone()));
+        let process = record.claimant.process();
+        if let Some(names) = self.running.get_mut(&process) {
+            names.remove(&name);
+            if names.is_empty() {
+                self.running.remove(&process);
+            }
+        }
+    }
+}
+
+/// Joins customer and key; contract names hold no control characters.
+fn record_name(customer: &str, key: &str) -> Arc<str> {
+    let mut name = String::with_capacity(customer.len() + 1 + key.len());
+    name.push_str(customer);
+    name.push('\0');
+    name.push_str(key);
+    name.into()
+}
+
+impl Serialize for OnceRecords {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let records: Vec<(&str, &Record)> = self
+            .by_expiry
+            .iter()
+            .filter_map(|(_, name)| Some((&**name, self.records.get(name)?)))
+            .collect();
+        (self.clock_wall_s, records).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for OnceRecords {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (clock_wall_s, list) = <(u64, Vec<(Box<str>, Record)>)>::deserialize(deserializer)?;
+        let mut records = OnceRecords { clock_wall_s, ..OnceRecords::default() };
+        for (name, record) in list {
+            records.put(name.into(), record);
+        }
+        Ok(records)
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-control/src/renewal_client.rs
@@ -0,0 +1,225 @@
+//! The instance's side of the renewal.
+
+use std::collections::BTreeMap;
+
+use redwinglatch_core::prelude::*;
+
+use crate::{
+    CellGrant, ConfigurationView, Coordinator, HeldShares, InstanceListUpdate, InstanceProfile,
+    InstanceRecord, LeaseHolder, LeaseSettings, LeaseVerdict, Renewal, RenewalReply,
+    ReplacedContract, ServingLease, Share,
+};
+
+/// What became of a reply.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReplyResult {
+    /// The reply was late, duplicated, from an older term or from a leader that lags; nothing
+    /// changed.
+    Ignored,
+    /// The reply was applied.
+    Applied {
+        /// Whether to send the next renewal now instead of after `renew_interval_ms`: the leader
+        /// needs a full renewal, or more parts of the configuration follow.
+        renew_now: bool,
+        /// The customers whose contract changed.
+        changed_customers: Vec<Box<str>>,
+    },
+    /// Another process with this instance id has taken over; this one must stop.
+    Superseded,
+}
+
+/// Everything that an instance keeps about its leader: serving lease, configuration, shares,
+/// coordination grants and the list of live instances.
+#[derive(Debug)]
+pub struct RenewalClient {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    profile: InstanceProfile,
+    draining: bool,
+    need_full: bool,
+    lease: ServingLease,
+    configuration: ConfigurationView,
+    shares: HeldShares,
+    cells: Vec<CellGrant>,
+    coordinators: Vec<Coordinator>,
+    coordinators_version: u64,
+    instances: BTreeMap<LeaseHolder, InstanceRecord>,
+    instances_version: u64,
+}
+
+impl RenewalClient {
+    /// The client of a process that has just started.
+    #[must_use]
+    pub fn new(
+        instance: InstanceId,
+        incarnation: Incarnation,
+        settings: LeaseSettings,
+        profile: InstanceProfile,
+    ) -> RenewalClient {
+        RenewalClient {
+            instance,
+            incarnation,
+            profile,
+            draining: false,
+            need_full: true,
+            lease: ServingLease::new(settings, incarnation),
+            configuration: ConfigurationView::new(),
+            shares: HeldShares::default(),
+            cells: Vec::new(),
+            coordinators: Vec::new(),
+            coordinators_version: 0,
+            instances: BTreeMap::new(),
+            instances_version: 0,
+        }
+    }
+
+    /// The renewal to send now. Each call numbers a new one; don't send the same one twice.
+    pub fn renewal(&mut self, now_ms: u64) -> Renewal {
+        let full = self.need_full;
+        if full && !self.lease.may_serve(now_ms) {
+            // The leader may have given these rights to others when the lease ended.
+            self.shares.clear();
+            self.cells.clear();
+        }
+        let sequence = self.lease.renewal_sent(now_ms);
+        Renewal {
+            instance: self.instance,
+            incarnation: self.incarnation,
+            term: self.lease.term(),
+            sequence,
+            applied_sequence: self.lease.applied_sequence(),
+            full,
+            revision: self.configuration.revision(),
+            staged: self.configuration.staged(),
+            coordinators_version: self.coordinators_version,
+            instances_version: self.instances_version,
+            draining: self.draining,
+            profile: full.then(|| self.profile.clone()),
+            cells: if full { self.cells.clone() } else { Vec::new() },
+            shares: self.shares.reports(sequence, full),
+        }
+    }
+
+    /// Applies a reply.
+    pub fn apply_reply(&mut self, reply: &RenewalReply) -> ReplyResult {
+        if !self.lease.accepts(reply) {
+            return ReplyResult::Ignored;
+        }
+        match reply.verdict {
+            LeaseVerdict::Granted { .. } => self.granted(reply),
+            LeaseVerdict::NeedFull => {
+                self.enter_term(reply.term);
+                self.need_full = true;
+                self.lease.replied(reply, false);
+                ReplyResult::Applied { renew_now: true, changed_customers: Vec::new() }
+            }
+            LeaseVerdict::Superseded => ReplyResult::Superseded,
+        }
+    }
+
+    fn granted(&mut self, reply: &RenewalReply) -> ReplyResult {
+        let update = reply.configuration.as_ref();
+        let Ok(changed) = self.configuration.apply(reply.head, update) else {
+            return ReplyResult::Ignored;
+        };
+        self.enter_term(reply.term);
+        self.need_full = false;
+        let caught_up = self.configuration.revision() == reply.head;
+        self.shares.acknowledged(reply.sequence);
+        for ReplacedContract { customer, before } in &changed {
+            let before = before.as_ref().map_or(Share::NONE, Share::whole);
+            let after = self.configuration.contract(customer);
+            let after = after.map_or(Share::NONE, |after| Share::whole(&after.contract));
+            self.shares.contract_changed(customer, before, after);
+        }
+        self.shares.apply(reply.shares_reset, &reply.shares);
+        self.cells.clone_from(&reply.cells);
+        if let Some(update) = &reply.coordinators
+            && update.version >= self.coordinators_version
+        {
+            self.coordinators.clone_from(&update.coordinators);
+            self.coordinators_version = update.version;
+        }
+        if let Some(update) = &reply.instances {
+            self.update_instances(update);
+        }
+        self.lease.replied(reply, caught_up);
+        let changed_customers = changed.into_iter().map(|changed| changed.customer).collect();
+        ReplyResult::Applied { renew_now: !caught_up, changed_customers }
+    }
+
+    fn enter_term(&mut self, term: u64) {
+        if term != self.lease.term() {
+            // The versions of the list and the acknowledged reports belong to one leader.
+            self.instances_version = 0;
+            self.shares.forget_reports();
+        }
+    }
+
+    fn update_instances(&mut self, update: &InstanceListUpdate) {
+        if update.full {
+            self.instances.clear();
+        }
+        for record in &update.changed {
+            let holder = LeaseHolder { instance: record.instance, incarnation: record.incarnation };
+            self.instances.insert(holder, record.clone());
+        }
+        for (instance, incarnation) in &update.removed {
+            let holder = LeaseHolder { instance: *instance, incarnation: *incarnation };
+            self.instances.remove(&holder);
+        }
+        self.instances_version = update.version;
+    }
+
+    /// Says that the instance drains; the leader tells the others.
+    pub fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// Whether the instance may accept requests now.
+    #[must_use]
+    pub fn may_serve(&self, now_ms: u64) -> bool {
+        self.lease.may_serve(now_ms)
+    }
+
+    /// The epoch under which this instance may order in a cell now.
+    #[must_use]
+    pub fn may_order(&self, now_ms: u64, cell: CellId) -> Option<Epoch> {
+        let grant = self.cells.iter().find(|grant| grant.cell == cell)?;
+        self.lease.may_serve(now_ms).then_some(grant.epoch)
+    }
+
+    /// What the instance may use for a customer now.
+    #[must_use]
+    pub fn usable_share(&self, now_ms: u64, customer: &str) -> Share {
+        if self.lease.may_serve(now_ms) { self.shares.usable(customer) } else { Share::NONE }
+    }
+
+    /// The serving lease.
+    #[must_use]
+    pub fn lease(&self) -> &ServingLease {
+        &self.lease
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> &ConfigurationView {
+        &self.configuration
+    }
+
+    /// The held shares, to report demand and requests in flight.
+    pub fn shares_mut(&mut self) -> &mut HeldShares {
+        &mut self.shares
+    }
+
+    /// The known coordinators of all cells.
+    #[must_use]
+    pub fn coordinators(&self) -> &[Coordinator] {
+        &self.coordinators
+    }
+
+    /// The known live instances. Empty until the leader has sent its first list.
+    pub fn instances(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.instances.values()
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-control/src/serving_lease.rs
@@ -0,0 +1,101 @@
+//! The serving lease as the instance counts it.
+
+use std::collections::VecDeque;
+
+use redwinglatch_core::Incarnation;
+
+use crate::{LeaseSettings, LeaseVerdict, RenewalReply};
+
+/// Renewals whose reply is still awaited; a reply to an older one would renew nothing.
+const SENT_KEPT: usize = 64;
+
+/// The serving lease on the instance's own clock.
+///
+/// It counts from the moment the renewal was sent, so it ends before the leader counts it as
+/// ended, whatever the delay of the reply.
+#[derive(Debug)]
+pub struct ServingLease {
+    settings: LeaseSettings,
+    incarnation: Incarnation,
+    term: u64,
+    sequence: u64,
+    applied_sequence: u64,
+    sent: VecDeque<(u64, u64)>,
+    expires_at_ms: Option<u64>,
+}
+
+impl ServingLease {
+    /// The lease of a process that has just started: not valid yet.
+    #[must_use]
+    pub fn new(settings: LeaseSettings, incarnation: Incarnation) -> ServingLease {
+        ServingLease {
+            settings,
+            incarnation,
+            term: 0,
+            sequence: 0,
+            applied_sequence: 0,
+            sent: VecDeque::new(),
+            expires_at_ms: None,
+        }
+    }
+
+    /// Numbers a renewal that is sent now.
+    pub fn renewal_sent(&mut self, now_ms: u64) -> u64 {
+        self.sequence += 1;
+        self.sent.push_back((self.sequence, now_ms));
+        if self.sent.len() > SENT_KEPT {
+            self.sent.pop_front();
+        }
+        self.sequence
+    }
+
+    /// Whether a reply may be applied: it is for this process, not from an older term, and answers
+    /// a newer renewal than the last applied reply did.
+    #[must_use]
+    pub fn accepts(&self, reply: &RenewalReply) -> bool {
+        reply.incarnation == self.incarnation
+            && reply.term >= self.term
+            && reply.sequence > self.applied_sequence
+            && reply.sequence <= self.sequence
+    }
+
+    /// Applies a reply that [`ServingLease::accepts`] allowed. The lease is renewed only if the
+    /// instance has caught up with the leader's configuration.
+    pub fn replied(&mut self, reply: &RenewalReply, caught_up: bool) {
+        self.term = reply.term;
+        self.applied_sequence = reply.sequence;
+        let sent = self.sent.iter().find(|(sequence, _)| *sequence == reply.sequence);
+        let sent_at_ms = sent.map(|(_, sent_at_ms)| *sent_at_ms);
+        self.sent.retain(|(sequence, _)| *sequence > reply.sequence);
+        let LeaseVerdict::Granted { lease_ms } = reply.verdict else { return };
+        if let Some(sent_at_ms) = sent_at_ms.filter(|_| caught_up) {
+            let expires_at_ms = sent_at_ms + self.settings.holder_lease_ms(lease_ms);
+            self.expires_at_ms = Some(expires_at_ms.max(self.expires_at_ms.unwrap_or(0)));
+        }
+    }
+
+    /// Whether the instance may accept requests, coordinate and use shares now.
+    #[must_use]
+    pub fn may_serve(&self, now_ms: u64) -> bool {
+        self.remaining_ms(now_ms) > 0
+    }
+
+    /// How long the lease remains valid. A coordinator of engines that ignore fencing tokens sends
+    /// an order only when this is at least the time-out of the order.
+    #[must_use]
+    pub fn remaining_ms(&self, now_ms: u64) -> u64 {
+        self.expires_at_ms.unwrap_or(0).saturating_sub(now_ms)
+    }
+
+    /// The term of the last applied reply.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// The sequence of the renewal whose reply was applied last.
+    #[must_use]
+    pub fn applied_sequence(&self) -> u64 {
+        self.applied_sequence
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-control/src/share_target.rs
@@ -0,0 +1,133 @@
+//! How a contract's limit is divided by demand.
+
+use crate::{LeaseHolder, Share};
+
+/// One limit divided among the demands of the instances by max-min fairness.
+#[derive(Debug, Clone, Default)]
+struct PartSplit {
+    /// No instance gets more than this.
+    level: u64,
+    /// Instances that get one unit more, because the limit doesn't divide evenly.
+    extra: Vec<LeaseHolder>,
+    /// What each demanding instance gets above its demand when not everything is demanded.
+    spare: u64,
+}
+
+/// The division of a contract's three limits.
+#[derive(Debug, Clone)]
+pub(crate) struct Split {
+    request_rate: PartSplit,
+    concurrent: PartSplit,
+    token_rate: PartSplit,
+}
+
+impl Split {
+    pub(crate) fn new(
+        total: Share,
+        rotation: u64,
+        demands: impl Iterator<Item = (LeaseHolder, Share)>,
+    ) -> Split {
+        let demands: Vec<(LeaseHolder, Share)> = demands.collect();
+        let part = |total: u64, part: fn(&Share) -> u64| {
+            let demands = demands.iter().map(|(holder, share)| (*holder, part(share)));
+            PartSplit::new(total, rotation, demands.filter(|(_, demand)| *demand > 0).collect())
+        };
+        Split {
+            request_rate: part(total.request_rate_milli, |share| share.request_rate_milli),
+            concurrent: part(total.concurrent_requests, |share| share.concurrent_requests),
+            token_rate: part(total.token_rate_per_s, |share| share.token_rate_per_s),
+        }
+    }
+
+    /// Whether the division changes with the rotation.
+    pub(crate) fn rotates(&self) -> bool {
+        let parts = [&self.request_rate, &self.concurrent, &self.token_rate];
+        parts.iter().any(|part| !part.extra.is_empty())
+    }
+
+    pub(crate) fn target(&self, holder: LeaseHolder, demand: Share) -> Share {
+        Share {
+            request_rate_milli: self.request_rate.target(holder, demand.request_rate_milli),
+            concurrent_requests: self.concurrent.target(holder, demand.concurrent_requests),
+            token_rate_per_s: self.token_rate.target(holder, demand.token_rate_per_s),
+        }
+    }
+}
+
+impl PartSplit {
+    fn new(total: u64, rotation: u64, mut demands: Vec<(LeaseHolder, u64)>) -> PartSplit {
+        let count = demands.len() as u64;
+        let sum = demands.iter().fold(0_u64, |sum, (_, demand)| sum.saturating_add(*demand));
+        if sum <= total {
+            // Half of the rest stays free for instances that ask anew.
+            let spare = (total - sum) / (2 * count.max(1));
+            return PartSplit { level: u64::MAX, extra: Vec::new(), spare };
+        }
+        demands.sort_by_key(|(holder, demand)| (*demand, *holder));
+        let mut left = total;
+        let mut satisfied = 0;
+        for (_, demand) in &demands {
+            let level = left / (count - satisfied);
+            if *demand > level {
+                break;
+            }
+            left -= demand;
+            satisfied += 1;
+        }
+        let open = count - satisfied;
+        let (level, rest) = (left / open.max(1), left % open.max(1));
+        let above = &demands[satisfied as usize..];
+        // Sorted by holder, so that the rotation doesn't depend on the demands.
+        let mut above: Vec<LeaseHolder> = above.iter().map(|(holder, _)| *holder).collect();
+        above.sort_unstable();
+        let start = (rotation % open.max(1)) as usize;
+        let extra = above.iter().cycle().skip(start).take(rest as usize).copied().collect();
+        PartSplit { level, extra, spare: 0 }
+    }
+
+    fn target(&self, holder: LeaseHolder, demand: u64) -> u64 {
+        if demand == 0 {
+            return 0;
+        }
+        let extra = u64::from(self.extra.contains(&holder));
+        demand.min(self.level.saturating_add(extra)).saturating_add(self.spare)
+    }
+}
+
+/// The next value of a share on its way to its target.
+pub(crate) fn next_part(
+    value: &Share,
+    target: &Share,
+    demand: &Share,
+    free: &Share,
+    total: &Share,
+) -> Share {
+    if demand.is_none() {
+        return Share::NONE;
+    }
+    let next = |part: fn(&Share) -> u64| {
+        next_value(part(value), part(target), part(demand), part(free), part(total))
+    };
+    Share {
+        request_rate_milli: next(|share| share.request_rate_milli),
+        concurrent_requests: next(|share| share.concurrent_requests),
+        token_rate_per_s: next(|share| share.token_rate_per_s),
+    }
+}
+
+fn next_value(value: u64, target: u64, demand: u64, free: u64, total: u64) -> u64 {
+    if value < target {
+        // Half of what is free, so that several instances that ask at once all get some.
+        return value + (target - value).min(free.div_ceil(2));
+    }
+    // A share above its target is taken back only when others could need it; small changes of
+    // demand then cause no messages.
+    let scarce = free.saturating_mul(4) < total;
+    if value > total {
+        target
+    } else if scarce || demand == 0 {
+        value - (value - target).div_ceil(2)
+    } else {
+        value
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-control/src/state.rs
@@ -0,0 +1,336 @@
+//! The control state machine.
+
+use redwinglatch_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Command, ConfigurationUpdate, ContractError, Coordinator, HistoryEntry, OnceUsage, Outcome,
+    StateLimits,
+    change_ids::{ChangeIds, ChangeResult},
+    contracts::Contracts,
+    coordinators::Coordinators,
+    once::{Claim, Claimant, OnceRecords},
+    validate_contract,
+};
+
+const SNAPSHOT_VERSION: u8 = 1;
+
+/// Why a snapshot could not be read.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum RestoreError {
+    /// The snapshot has another format.
+    #[error(
+        "the snapshot has format {found}, not {SNAPSHOT_VERSION}; start the version that wrote it"
+    )]
+    Version {
+        /// The format of the snapshot.
+        found: u8,
+    },
+    /// The snapshot is empty or damaged.
+    #[error("the snapshot can't be decoded ({0}); fetch it again from another log replica")]
+    Damaged(#[from] postcard::Error),
+}
+
+/// The deterministic state that the control log produces.
+///
+/// Replicas that apply the same commands at the same indices hold equal states and produce equal
+/// outcomes and snapshots.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ControlState {
+    limits: StateLimits,
+    body: Body,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Body {
+    applied: u64,
+    contracts: Contracts,
+    change_ids: ChangeIds,
+    coordinators: Coordinators,
+    once: OnceRecords,
+}
+
+impl ControlState {
+    /// An empty state with the default limits.
+    #[must_use]
+    pub fn new() -> ControlState {
+        ControlState::default()
+    }
+
+    /// An empty state with other limits.
+    #[must_use]
+    pub fn with_limits(limits: StateLimits) -> ControlState {
+        ControlState { limits, body: Body::default() }
+    }
+
+    /// Applies the committed entry at `index`.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        if index <= self.body.applied {
+            return Outcome::AlreadyApplied;
+        }
+        self.body.applied = index;
+        let limits = &self.limits;
+        let body = &mut self.body;
+        match command {
+            Command::ApplyContract {
+                change_id,
+                customer,
+                expected_revision,
+                contract,
+                now_wall_s,
+            } => {
+                if let Err(error) = validate_contract(customer, contract) {
+                    return Outcome::Invalid(error);
+                }
+                let change = Change {
+                    change_id,
+                    customer,
+                    expected_revision: *expected_revision,
+                    contract: Some(contract),
+                    now_wall_s: *now_wall_s,
+                };
+                body.change_contract(index, &change, limits)
+            }
+            Command::RemoveContract { change_id, customer, expected_revision, now_wall_s } => {
+                let change = Change {
+                    change_id,
+                    customer,
+                    expected_revision: *expected_revision,
+                    contract: None,
+                    now_wall_s: *now_wall_s,
+                };
+                body.change_contract(index, &change, limits)
+            }
+            Command::AssignCoordinator { cell, instance, incarnation, expected_epoch } => {
+                let next = Coordinator {
+                    cell: *cell,
+                    epoch: *expected_epoch,
+                    instance: *instance,
+                    incarnation: *incarnation,
+                };
+                body.coordinators.assign(index, next, *expected_epoch)
+            }
+            Command::ClaimOnce {
+                key,
+                customer,
+                request_digest,
+                instance,
+                incarnation,
+                request,
+                at_most_once,
+                now_wall_s,
+            } => {
+                let claim = Claim {
+                    key,
+                    customer,
+                    request_digest: *request_digest,
+                    claimant: Claimant {
+                        instance: *instance,
+                        incarnation: *incarnation,
+                        request: *request,
+                    },
+                    at_most_once: *at_most_once,
+                    now_wall_s: *now_wall_s,
+                };
+                body.once.claim(index, &claim, limits)
+            }
+            Command::FinishOnce { key, customer, claim, incarnation, outcome } => {
+                body.once.finish((customer, key), (*claim, *incarnation), outcome, limits)
+            }
+            Command::InstanceLost { instance, incarnation } => {
+                body.once.instance_lost((*instance, *incarnation))
+            }
+            Command::ExpireOnce { now_wall_s } => {
+                body.change_ids.expire(*now_wall_s, limits);
+                body.once.expire(*now_wall_s)
+            }
+        }
+    }
+
+    /// The index of the last applied entry.
+    #[must_use]
+    pub fn applied(&self) -> u64 {
+        self.body.applied
+    }
+
+    /// The revision of the latest accepted contract change.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.body.contracts.head()
+    }
+
+    /// The contract of a customer with its revision.
+    #[must_use]
+    pub fn contract(&self, customer: &str) -> Option<(Revision, &Contract)> {
+        self.body.contracts.current(customer)
+    }
+
+    /// All contracts with their revisions, in the order of customers.
+    pub fn contracts(&self) -> impl Iterator<Item = (Revision, &Contract)> {
+        self.body.contracts.iter()
+    }
+
+    /// The kept history of a customer, oldest first.
+    pub fn contract_history(&self, customer: &str) -> impl Iterator<Item = &HistoryEntry> {
+        self.body.contracts.history(customer)
+    }
+
+    /// What an instance at revision `since` lacks: the changes after it, or a full copy when
+    /// `since` is too old. Large updates come in parts; ask again from
+    /// [`ConfigurationUpdate::to`].
+    #[must_use]
+    pub fn update_since(&self, since: Revision) -> Option<ConfigurationUpdate> {
+        self.body.contracts.update_since(since)
+    }
+
+    pub(crate) fn changed_since(
+        &self,
+        since: Revision,
+    ) -> impl Iterator<Item = (Revision, &str, Option<&Contract>)> {
+        self.body.contracts.changed_since(since)
+    }
+
+    /// The coordinator of a cell.
+    #[must_use]
+    pub fn coordinator(&self, cell: CellId) -> Option<&Coordinator> {
+        self.body.coordinators.get(cell)
+    }
+
+    /// All coordinators, in the order of cells.
+    pub fn coordinators(&self) -> impl Iterator<Item = &Coordinator> {
+        self.body.coordinators.iter()
+    }
+
+    /// The index of the latest coordinator assignment.
+    #[must_use]
+    pub fn coordinators_version(&self) -> u64 {
+        self.body.coordinators.version()
+    }
+
+    /// The processes with running claims. The leader proposes `InstanceLost` for each one that
+    /// [`Leases::surely_gone`](crate::Leases::surely_gone) names, also again after it did so
+    /// before: a claim may commit late.
+    pub fn claimants(&self) -> impl Iterator<Item = (InstanceId, Incarnation)> {
+        self.body.once.claimants()
+    }
+
+    /// How full the idempotency records are.
+    #[must_use]
+    pub fn once_usage(&self) -> OnceUsage {
+        self.body.once.usage()
+    }
+
+    /// Encodes the state.
+    ///
+    /// # Panics
+    ///
+    /// Never in practice: encoding into memory has no error case for these types.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        let buffer = vec![SNAPSHOT_VERSION];
+        postcard::to_extend(&self.body, buffer).expect("encoding into memory does not fail")
+    }
+
+    /// Decodes a state that [`ControlState::snapshot`] encoded.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the snapshot has another format or is damaged.
+    pub fn restore(snapshot: &[u8]) -> Result<ControlState, RestoreError> {
+        ControlState::restore_with_limits(snapshot, StateLimits::default())
+    }
+
+    /// Decodes a state, with other limits.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the snapshot has another format or is damaged.
+    pub fn restore_with_limits(
+        snapshot: &[u8],
+        limits: StateLimits,
+    ) -> Result<ControlState, RestoreError> {
+        match snapshot.split_first() {
+            Some((&SNAPSHOT_VERSION, body)) => {
+                Ok(ControlState { limits, body: postcard::from_bytes(body)? })
+            }
+            Some((&found, _)) => Err(RestoreError::Version { found }),
+            None => Err(RestoreError::Damaged(postcard::Error::DeserializeUnexpectedEnd)),
+        }
+    }
+}
+
+struct Change<'a> {
+    change_id: &'a str,
+    customer: &'a str,
+    expected_revision: Revision,
+    contract: Option<&'a Contract>,
+    now_wall_s: u64,
+}
+
+impl Change<'_> {
+    /// A 64-bit FNV-1a hash of the content. It must stay equal between versions, because it is
+    /// compared with digests in snapshots.
+    fn digest(&self) -> u64 {
+        let content = (self.customer, self.expected_revision, self.contract);
+        let bytes = postcard::to_allocvec(&content).unwrap_or_default();
+        bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+            (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+        })
+    }
+}
+
+impl Body {
+    fn change_contract(
+        &mut self,
+        index: u64,
+        change: &Change<'_>,
+        limits: &StateLimits,
+    ) -> Outcome {
+        if change.change_id.is_empty() || change.change_id.len() > limits.key_bytes {
+            let problem = format!("it has {} bytes", change.change_id.len());
+            let remedy = format!("write 1 to {} bytes", limits.key_bytes);
+            return Outcome::Invalid(ContractError::new("change_id", problem, remedy));
+        }
+        let digest = change.digest();
+        if let Some((first_digest, result)) = self.change_ids.get(change.change_id) {
+            if first_digest != digest {
+                return Outcome::ChangeIdReused;
+            }
+            return match result {
+                ChangeResult::Accepted(revision) => Outcome::Accepted { revision },
+                ChangeResult::Conflict(current_revision) => {
+                    let current = self.contracts.at(change.customer, current_revision).cloned();
+                    Outcome::Conflict { current_revision, current }
+                }
+            };
+        }
+        let current_revision = self.contracts.current_revision(change.customer);
+        if change.contract.is_some()
+            && current_revision == Revision(0)
+            && self.contracts.live() >= limits.contracts
+        {
+            let problem = format!("there are {} contracts already", limits.contracts);
+            let remedy = "remove a contract that is no longer used";
+            return Outcome::Invalid(ContractError::new("customer", problem, remedy));
+        }
+        let absent_removal = change.contract.is_none() && current_revision == Revision(0);
+        let (result, outcome) = if current_revision != change.expected_revision || absent_removal {
+            let current = self.contracts.current(change.customer).map(|(_, found)| found.clone());
+            let outcome = Outcome::Conflict { current_revision, current };
+            (ChangeResult::Conflict(current_revision), outcome)
+        } else {
+            let revision = Revision(index);
+            let entry = HistoryEntry {
+                revision,
+                at_wall_s: change.now_wall_s,
+                change_id: change.change_id.into(),
+                contract: change.contract.cloned(),
+            };
+            self.contracts.change(change.customer, entry, limits);
+            (ChangeResult::Accepted(revision), Outcome::Accepted { revision })
+        };
+        self.change_ids.insert(change.change_id, digest, change.now_wall_s, result, limits);
+        outcome
+    }
+}
