Add the backend client and fakes over loopback

Cause: the daemon needs a client for engines and plain services, and stand-ins to run it against. Change: FakeEngine, FakeService, FakeWeightStore and FakePlatform over HTTP/1.1; BackendClient with complete, resume, cancel, load, unload, report, events and call_service over a bounded pool; resuming token streams.

--- a/crates/redwinglatch-backends/src/lib.rs
+++ b/crates/redwinglatch-backends/src/lib.rs
@@ -1,1 +1,59 @@
-//! Part of redwinglatch.
+//! HTTP client for model engines and plain services.
+//!
+//! [`BackendClient`] speaks the engine protocol of `docs/design.md` section 6.1 over a bounded pool
+//! of HTTP/1.1 connections. Each [`BackendError`] says honestly whether the request ran: `not_run`
+//! only when the connection was refused, the request was surely not written, or the server's typed
+//! refusal says so. [`ResumingStream`] passes each token on once and in order, and resumes on a new
+//! connection when the current one goes silent or breaks.
+//!
+//! ```
+//! use redwinglatch_backends::{BackendClient, BackendSettings, CompletionRequest};
+//! use redwinglatch_fakes::{EngineSettings, FakeEngine, expected_text};
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let engine = FakeEngine::start(EngineSettings::new("base"))?;
+//! engine.preload("scope", 3);
+//!
+//! let client = BackendClient::new(BackendSettings::default());
+//! let request = CompletionRequest::new("r-1", "base", "scope", 3, "Draft the scope.")
+//!     .max_tokens(5)
+//!     .deadline_ms(10_000);
+//! let mut stream = client.complete(engine.address(), request).await?;
+//! let mut answer = String::new();
+//! while let Some(token) = stream.next().await? {
+//!     answer.push_str(&token.text);
+//! }
+//! assert_eq!(answer, expected_text("Draft the scope.", "scope", 3, 5));
+//! assert_eq!(stream.finish().map(|finish| finish.tokens), Some(5));
+//! # Ok(())
+//! # }
+//! ```
+
+mod client;
+mod connection;
+mod counts;
+mod error;
+mod event_parser;
+mod pool;
+mod prefix;
+mod resuming_stream;
+mod service_call;
+mod settings;
+mod stream_event;
+mod token_stream;
+mod wire;
+
+pub use client::BackendClient;
+pub use counts::RetryCounts;
+pub use error::{BackendError, BackendErrorKind};
+pub use event_parser::{EventParser, EventParserError, ParsedEvent};
+pub use prefix::prefix_hashes;
+pub use resuming_stream::ResumingStream;
+pub use service_call::{ServiceRequest, ServiceResponse};
+pub use settings::BackendSettings;
+pub use stream_event::{Finish, Token};
+pub use wire::{
+    CacheEvent, CacheEventKind, CancelOutcome, CompletionRequest, EngineEvents, EngineReport,
+    SlotReport,
+};
--- /dev/null
+++ b/crates/redwinglatch-fakes/src/answer.rs
@@ -0,0 +1,96 @@
+//! Bodies and answers that all fakes share.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited, combinators::BoxBody};
+use hyper::{
+    Response, StatusCode,
+    body::{Body, Frame, Incoming, SizeHint},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::link::RequestGuard;
+
+/// The body of every answer.
+pub(crate) type AnswerBody = BoxBody<Bytes, Infallible>;
+
+/// The largest request body that a fake reads; above the 1 MiB limit of the client.
+const REQUEST_LIMIT_BYTES: usize = 4 << 20;
+
+/// Answers with `value` as JSON.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
+    let body = serde_json::to_vec(value).expect("answers of fakes serialize");
+    Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)).boxed())
+        .expect("the headers are valid")
+}
+
+/// Answers with a typed refusal of section 6.1.
+pub(crate) fn refusal(status: u16, code: &str, message: &str) -> Response<AnswerBody> {
+    let status = StatusCode::from_u16(status).expect("the status is valid");
+    json(status, &serde_json::json!({ "error": { "code": code, "message": message } }))
+}
+
+/// Marks a refusal as one whose request did not run.
+pub(crate) fn not_run(response: Response<AnswerBody>) -> Response<AnswerBody> {
+    with_flag(response, "x-not-run")
+}
+
+/// Marks a refusal as one of a server that is leaving.
+pub(crate) fn leaving(response: Response<AnswerBody>) -> Response<AnswerBody> {
+    with_flag(response, "x-leaving")
+}
+
+fn with_flag(mut response: Response<AnswerBody>, name: &'static str) -> Response<AnswerBody> {
+    response.headers_mut().insert(name, hyper::header::HeaderValue::from_static("true"));
+    response
+}
+
+/// Reads a whole request body, bounded.
+pub(crate) async fn read_body(body: Incoming) -> Option<Bytes> {
+    Limited::new(body, REQUEST_LIMIT_BYTES).collect().await.ok().map(|all| all.to_bytes())
+}
+
+/// Reads a request body as JSON.
+pub(crate) async fn read_json<T: DeserializeOwned>(body: Incoming) -> Option<T> {
+    serde_json::from_slice(&read_body(body).await?).ok()
+}
+
+/// A body that keeps its request counted as in progress until it has been sent.
+pub(crate) struct GuardedBody {
+    inner: AnswerBody,
+    _guard: RequestGuard,
+}
+
+impl GuardedBody {
+    pub(crate) fn new(inner: AnswerBody, guard: RequestGuard) -> GuardedBody {
+        GuardedBody { inner, _guard: guard }
+    }
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
