--- a/crates/redwinglatch-instances/src/lib.rs
+++ b/crates/redwinglatch-instances/src/lib.rs
@@ -15,5 +15,5 @@
 pub use error::{TransportError, TransportErrorKind};
 pub use frame::{FRAME_LIMIT_BYTES, FrameDecoder, encode_frame};
 pub use handshake::SharedSecret;
-pub use message::PeerMessage;
+pub use message::{ContractQuery, ControlRefusal, PeerMessage};
 pub use transport::{Incoming, Transport, TransportSettings};
--- /dev/null
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -0,0 +1,534 @@
+//! One completion request, from its admission to the end of its answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use redwinglatch_backends::{
+    BackendError, BackendErrorKind, CompletionRequest, ResumingStream, Token, prefix_hashes,
+};
+use redwinglatch_callers::{CallerAnswer, CallerEvent, CompletionCall, RanOn};
+use redwinglatch_control::OnceOutcome;
+use redwinglatch_core::prelude::*;
+use redwinglatch_instances::PeerMessage;
+use redwinglatch_metrics::{Counter, Timing};
+use redwinglatch_placement::{PlaceRequest, Placed, Release, RequestKey};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::callers::{Caller, admit, refuse};
+use crate::coordinator::{EndPin, Place, Withdraw};
+use crate::entry::{Admitted, DropPin, HeldPin, HoldPin, Target, find_coordinator};
+use crate::once::{Claim, ClaimRequest, Claimed, claim, finish};
+use crate::shared::{Shared, pool_of_model};
+
+/// Attempts on different engines for one request.
+const MAX_ATTEMPTS: usize = 3;
+/// Pause before the coordinator is asked again while it changes.
+const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
+/// Events buffered between the engine's stream and the caller's connection.
+const EVENT_BUFFER: usize = 64;
+/// How often the end of a pin is sent until the coordinator takes it.
+const RELEASE_ATTEMPTS: usize = 100;
+const RELEASE_PAUSE: Duration = Duration::from_millis(300);
+const RELEASE_LIMIT: Duration = Duration::from_secs(1);
+
+/// The whole answer of a completion, as JSON; also kept under an idempotency key.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct CompletionDocument {
+    model: Box<str>,
+    adapter: Box<str>,
+    version: u32,
+    backend: SocketAddr,
+    text: String,
+    finish_reason: Box<str>,
+    tokens: u32,
+}
+
+/// Runs a completion and answers the caller.
+pub(crate) async fn run(
+    caller: &Caller,
+    call: CompletionCall,
+    reply: oneshot::Sender<CallerAnswer>,
+) {
+    let arrived_at = Instant::now();
+    let shared = &caller.shared;
+    let target = Target::Adapter(call.adapter.clone());
+    let admitted = match admit(caller, &call.headers, target).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(shared, reply, refusal).await,
+    };
+    let deadline = arrived_at + Duration::from_millis(u64::from(admitted.budget_ms));
+    let request = shared.next_request_id();
+    let job = Job { caller, call: &call, admitted, request, arrived_at, deadline };
+    job.run(reply).await;
+    let customer = call.headers.customer.clone();
+    let _ = shared.entry.send(crate::entry::Leave { customer }).await;
+}
+
+struct Job<'a> {
+    caller: &'a Caller,
+    call: &'a CompletionCall,
+    admitted: Admitted,
+    request: RequestId,
+    arrived_at: Instant,
+    deadline: Instant,
+}
+
+/// Why an attempt ended without an answer.
+enum Failed {
+    /// Another engine may be tried.
+    Retry { reason: RetryReason, excluded: SocketAddr, refusal: Refusal },
+    /// The request is given up.
+    Final(Refusal),
+}
+
+/// A started answer: its stream and first event.
+struct Started {
+    stream: ResumingStream,
+    first: Option<Token>,
+    placed: Placed,
+}
+
+impl Job<'_> {
+    fn shared(&self) -> &Arc<Shared> {
+        &self.caller.shared
+    }
+
+    fn key(&self) -> RequestKey {
+        RequestKey {
+            instance: self.shared().instance(),
+            incarnation: self.shared().incarnation,
+            request: self.request,
+        }
+    }
+
+    fn left_ms(&self) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    async fn run(&self, reply: oneshot::Sender<CallerAnswer>) {
+        let claim = match self.claim().await {
+            Ok(None) => None,
+            Ok(Some(Claimed::Granted(claim))) => Some(claim),
+            Ok(Some(Claimed::Answered { status, body })) => {
+                self.shared().metrics.increment(Counter::AnswersFromRecord);
+                let answer = stored_answer(status, &body, self.call.stream);
+                drop(reply.send(answer));
+                return;
+            }
+            Err(refusal) => return refuse(self.shared(), reply, refusal).await,
+        };
+        match self.start().await {
+            Ok((started, cell)) => self.answer(started, cell, claim, reply).await,
+            Err(refusal) => {
+                self.end_claim(claim, outcome_of(refusal.ran)).await;
+                refuse(self.shared(), reply, refusal).await;
+            }
+        }
+    }
+
+    async fn claim(&self) -> Result<Option<Claimed>, Refusal> {
+        let Some(key) = &self.call.headers.idempotency_key else { return Ok(None) };
+        let request = ClaimRequest {
+            key: key.clone(),
+            customer: self.call.headers.customer.clone(),
+            digest: self.call.digest,
+            request: self.request,
+            at_most_once: self.call.headers.at_most_once,
+        };
+        claim(self.shared(), &self.caller.control, request, self.deadline).await.map(Some)
+    }
+
+    async fn end_claim(&self, claim: Option<Claim>, outcome: OnceOutcome) {
+        if let Some(claim) = claim {
+            finish(self.shared(), &self.caller.control, claim, outcome).await;
+        }
+    }
+
+    /// Places and sends the request until an engine has started its answer.
+    async fn start(&self) -> Result<(Started, CellId), Refusal> {
+        let shared = self.shared();
+        let Some((_, _, cell)) = pool_of_model(&shared.settings, &self.call.model) else {
+            let detail = format!("no pool serves the base model {:?}", self.call.model);
+            return Err(Refusal::not_run(RefusalReason::UnknownModel, detail));
+        };
+        let mut excluded: SmallVec<[SocketAddr; 2]> = SmallVec::new();
+        loop {
+            let placed = self.place(cell, &excluded).await?;
+            match self.attempt(cell, placed).await {
+                Ok(started) => return Ok((started, cell)),
+                Err(Failed::Final(refusal)) => return Err(refusal),
+                Err(Failed::Retry { reason, excluded: engine, refusal }) => {
+                    excluded.push(engine);
+                    if MAX_ATTEMPTS <= excluded.len() || self.left_ms() == 0 {
+                        return Err(refusal);
+                    }
+                    shared.metrics.retried(reason);
+                }
+            }
+        }
+    }
+
+    /// Asks the cell's coordinator for an engine, also while the coordinator changes.
+    async fn place(&self, cell: CellId, excluded: &[SocketAddr]) -> Result<Placed, Refusal> {
+        let shared = self.shared();
+        let call = self.call;
+        loop {
+            let budget_ms = self.left_ms();
+            if budget_ms == 0 {
+                let detail = "the deadline passed before an engine was found";
+                return Err(Refusal::not_run(RefusalReason::DeadlinePassed, detail));
+            }
+            let prefix_hashes =
+                prefix_hashes(&call.prompt, &call.adapter.adapter, call.adapter.version);
+            let request = PlaceRequest {
+                instance: shared.instance(),
+                incarnation: shared.incarnation,
+                request: self.request,
+                model: call.model.clone(),
+                adapter: call.adapter.clone(),
+                customer: call.headers.customer.clone(),
+                load_share_permille: self.admitted.load_share_permille,
+                budget_ms,
+                priority: self.admitted.priority,
+                max_tokens: call.max_tokens,
+                prefix_hashes: prefix_hashes.into_iter().take(4).collect(),
+                data_centre: shared.settings.instance.data_centre.clone(),
+                excluded: excluded.iter().copied().collect(),
+            };
+            let answer = match find_coordinator(shared, cell).await {
+                Some((instance, _)) => self.ask(cell, instance, request).await,
+                None => None,
+            };
+            match answer {
+                Some(Ok(placed)) if self.hold(cell, &placed).await => return Ok(placed),
+                // A newer coordinator has collected the pins without this one.
+                Some(Ok(_)) => {}
+                Some(Err(refusal)) if refusal.reason != RefusalReason::NoCoordinator => {
+                    return Err(refusal);
+                }
+                Some(Err(_)) | None => {}
+            }
+            shared.metrics.retried(RetryReason::CoordinatorChanged);
+            sleep(COORDINATOR_PAUSE.min(self.deadline - Instant::now())).await;
+        }
+    }
+
+    /// Sends one placement request; `None` when no answer came.
+    async fn ask(
+        &self,
+        cell: CellId,
+        coordinator: InstanceId,
+        request: PlaceRequest,
+    ) -> Option<Result<Placed, Refusal>> {
+        let shared = self.shared();
+        let key = request.key();
+        if coordinator == shared.instance() {
+            let actor = shared.coordinators.get(&cell)?;
+            let answer = actor.send(Place(request)).await.ok()?;
+            let answer = timeout_at(self.deadline, answer).await;
+            if answer.is_err() {
+                let _ = actor.send(Withdraw(key)).await;
+            }
+            return answer.ok()?.ok();
+        }
+        let message = PeerMessage::Place { cell, request };
+        let limit = self.deadline.saturating_duration_since(Instant::now());
+        match shared.transport.call(coordinator, message, limit).await {
+            Ok(PeerMessage::Placed(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!("placement: {error}");
+                // The request may wait there or hold a pin.
+                shared.transport.send(coordinator, PeerMessage::Withdraw { cell, request: key });
+                None
+            }
+        }
+    }
+
+    /// Notes the pin before the request is sent, so that a new coordinator learns of it.
+    async fn hold(&self, cell: CellId, placed: &Placed) -> bool {
+        let pin = HeldPin {
+            cell,
+            epoch: placed.epoch,
+            pin: placed.pin,
+            request: self.request,
+            engine: placed.engine,
+            model: self.call.model.clone(),
+            adapter: self.call.adapter.clone(),
+            deadline_ms: self.shared().now_ms() + self.left_ms(),
+        };
+        self.shared().entry.send(HoldPin(pin)).await.unwrap_or(false)
+    }
+
+    /// Sends the request to the placed engine and waits for its first event.
+    async fn attempt(&self, cell: CellId, placed: Placed) -> Result<Started, Failed> {
+        let shared = self.shared();
+        let call = self.call;
+        shared.metrics.record(Timing::LoadStall, Duration::from_millis(placed.stall_ms));
+        let request = CompletionRequest::new(
+            self.key().to_string(),
+            call.model.clone(),
+            call.adapter.adapter.clone(),
+            call.adapter.version,
+            call.prompt.clone(),
+        )
+        .max_tokens(call.max_tokens)
+        .priority(self.admitted.priority)
+        .deadline_ms(self.left_ms());
+        let started = match shared.backends.complete(placed.engine, request).await {
+            Ok(mut stream) => match stream.next().await {
+                Ok(first) => Ok(Started { stream, first, placed }),
+                Err(error) => Err(error),
+            },
+            Err(error) => Err(error),
+        };
+        match started {
+            Ok(started) => Ok(started),
+            Err(error) => Err(self.attempt_failed(cell, placed, &error).await),
+        }
+    }
+
+    /// Ends the pin of a failed attempt and decides whether another engine may be tried.
+    async fn attempt_failed(&self, cell: CellId, placed: Placed, error: &BackendError) -> Failed {
+        let shared = self.shared();
+        log::debug!("placement: engine {} failed a request: {error}", placed.engine);
+        let mut not_run = error.ran == Ran::NotRun;
+        if !not_run && !self.call.headers.at_most_once {
+            // The engine's own word that it stopped before any token makes a repeat safe.
+            let cancelled =
+                shared.backends.cancel(placed.engine, &self.key().to_string(), placed.epoch).await;
+            not_run = cancelled.is_ok_and(|outcome| outcome.cancelled && outcome.tokens == 0);
+        }
+        let release = match error.kind {
+            _ if error.leaving => Release::EngineLeaving,
+            BackendErrorKind::AdapterMissing => Release::AdapterMissing,
+            BackendErrorKind::ConnectRefused => Release::ConnectRefused,
+            _ if error.ran == Ran::NotRun => Release::EngineRefused,
+            _ => Release::EngineFailed,
+        };
+        release_pin(self.caller, cell, placed, release);
+        if not_run {
+            let reason = match release {
+                Release::EngineLeaving => RetryReason::BackendLeaving,
+                Release::AdapterMissing => RetryReason::AdapterMissing,
+                Release::ConnectRefused => RetryReason::ConnectRefused,
+                _ => RetryReason::BackendRefused,
+            };
+            let detail = format!("engine {} did not run the request: {error}", placed.engine);
+            let refusal =
+                Refusal::not_run(RefusalReason::BackendUnavailable, detail).retry_after_ms(1_000);
+            return Failed::Retry { reason, excluded: placed.engine, refusal };
+        }
+        Failed::Final(unknown_refusal(placed.engine, error))
+    }
+
+    /// Passes the answer on, keeps it under the idempotency key and releases the pin.
+    async fn answer(
+        &self,
+        started: Started,
+        cell: CellId,
+        claim: Option<Claim>,
+        reply: oneshot::Sender<CallerAnswer>,
+    ) {
+        let shared = self.shared();
+        let Started { mut stream, first, placed } = started;
+        shared.metrics.record(Timing::TimeToFirstToken, self.arrived_at.elapsed());
+        let ran_on = RanOn { adapter: Some(self.call.adapter.clone()), backend: placed.engine };
+        let mut sink = if self.call.stream {
+            let (events, receiver) = mpsc::channel(EVENT_BUFFER);
+            drop(reply.send(CallerAnswer::Stream { ran_on, events: receiver }));
+            Sink::Stream(events)
+        } else {
+            Sink::Whole(ran_on, reply)
+        };
+        // A keyed request runs to its end for the record even if its caller leaves.
+        let runs_on = claim.is_some();
+        let mut text = String::new();
+        let mut next = Ok(first);
+        let mut previous_at = Instant::now();
+        let result = loop {
+            match next {
+                Ok(Some(token)) => {
+                    text.push_str(&token.text);
+                    let gone = !sink.pass_on(token).await;
+                    shared.metrics.increment(Counter::TokensSent);
+                    if gone && !runs_on {
+                        break Err(None);
+                    }
+                }
+                Ok(None) => break Ok(()),
+                Err(error) => break Err(Some(error)),
+            }
+            next = stream.next().await;
+            shared.metrics.record(Timing::TokenGap, previous_at.elapsed());
+            previous_at = Instant::now();
+        };
+        self.count_retries();
+        match (result, stream.finish().cloned()) {
+            (Ok(()), Some(finish)) => {
+                release_pin(self.caller, cell, placed, Release::Finished);
+                let document = CompletionDocument {
+                    model: self.call.model.clone(),
+                    adapter: self.call.adapter.adapter.clone(),
+                    version: self.call.adapter.version,
+                    backend: placed.engine,
+                    text,
+                    finish_reason: finish.reason,
+                    tokens: u32::try_from(finish.tokens).unwrap_or(u32::MAX),
+                };
+                let body = serde_json::to_vec(&document).expect("documents have string keys only");
+                let stored = OnceOutcome::Answered { status: 200, body: body.clone().into() };
+                self.end_claim(claim, stored).await;
+                sink.done(&document, body.into()).await;
+                shared.metrics.increment(Counter::RequestsAnswered);
+            }
+            (Err(None), _) => {
+                drop(stream);
+                shared.metrics.increment(Counter::RequestsCancelled);
+                let key = self.key().to_string();
+                let _ = shared.backends.cancel(placed.engine, &key, placed.epoch).await;
+                release_pin(self.caller, cell, placed, Release::Cancelled);
+            }
+            (Err(Some(error)), _) => {
+                release_pin(self.caller, cell, placed, Release::EngineFailed);
+                self.end_claim(claim, OnceOutcome::Unknown).await;
+                let refusal = unknown_refusal(placed.engine, &error);
+                sink.failed(shared, refusal).await;
+            }
+            (Ok(()), None) => {
+                release_pin(self.caller, cell, placed, Release::EngineFailed);
+                self.end_claim(claim, OnceOutcome::Unknown).await;
+                let detail = "the stream ended without its last event";
+                let refusal = Refusal::unknown(RefusalReason::BackendFailed, detail);
+                sink.failed(shared, refusal).await;
+            }
+        }
+    }
+
+    fn count_retries(&self) {
+        for (reason, count) in self.shared().backends.take_retries().iter() {
+            for _ in 0..count {
+                self.shared().metrics.retried(reason);
+            }
+        }
+    }
+}
+
+/// Where an answer goes.
+enum Sink {
+    Stream(mpsc::Sender<CallerEvent>),
+    Whole(RanOn, oneshot::Sender<CallerAnswer>),
+}
+
+impl Sink {
+    /// Passes a token on; false when the caller is gone.
+    async fn pass_on(&mut self, token: Token) -> bool {
+        match self {
+            Sink::Stream(events) => {
+                let index = u32::try_from(token.index).unwrap_or(u32::MAX);
+                events.send(CallerEvent::Token { index, text: token.text }).await.is_ok()
+            }
+            Sink::Whole(_, reply) => !reply.is_closed(),
+        }
+    }
+
+    async fn done(self, document: &CompletionDocument, body: Bytes) {
+        match self {
+            Sink::Stream(events) => {
+                let finish_reason = document.finish_reason.clone();
+                let done = CallerEvent::Done { finish_reason, tokens: document.tokens };
+                let _ = events.send(done).await;
+            }
+            Sink::Whole(ran_on, reply) => {
+                let content_type = "application/json".into();
+                let ran_on = Some(ran_on);
+                drop(reply.send(CallerAnswer::Whole { ran_on, status: 200, content_type, body }));
+            }
+        }
+    }
+
+    async fn failed(self, shared: &Shared, refusal: Refusal) {
+        match self {
+            Sink::Stream(events) => {
+                shared.metrics.refused(refusal.reason);
+                let _ = events.send(CallerEvent::Failed(refusal)).await;
+            }
+            Sink::Whole(_, reply) => refuse(shared, reply, refusal).await,
+        }
+    }
+}
+
+fn outcome_of(ran: Ran) -> OnceOutcome {
+    match ran {
+        Ran::NotRun => OnceOutcome::NotRun,
+        Ran::Unknown | Ran::Ran => OnceOutcome::Unknown,
+    }
+}
+
+fn unknown_refusal(engine: SocketAddr, error: &BackendError) -> Refusal {
+    let reason = match error.kind {
+        BackendErrorKind::WrongAdapter => RefusalReason::WrongAdapter,
+        BackendErrorKind::DeadlinePassed => RefusalReason::DeadlinePassed,
+        _ => RefusalReason::BackendFailed,
+    };
+    Refusal::unknown(reason, format!("engine {engine} failed: {error}"))
+}
+
+/// The answer kept under an idempotency key, as a stream or whole.
+fn stored_answer(status: u16, body: &[u8], stream: bool) -> CallerAnswer {
+    let document = serde_json::from_slice::<CompletionDocument>(body).ok();
+    if let (true, Some(document)) = (stream, document) {
+        let (events, receiver) = mpsc::channel(2);
+        let CompletionDocument { text, finish_reason, tokens, .. } = document;
+        // The channel has room for both events.
+        let _ = events.try_send(CallerEvent::Token { index: 0, text: text.into() });
+        let _ = events.try_send(CallerEvent::Done { finish_reason, tokens });
+        let adapter = AdapterVersion::new(document.adapter, document.version);
+        let ran_on = RanOn { adapter: Some(adapter), backend: document.backend };
+        return CallerAnswer::Stream { ran_on, events: receiver };
+    }
+    let body = Bytes::copy_from_slice(body);
+    let content_type = "application/json".into();
+    CallerAnswer::Whole { ran_on: None, status, content_type, body }
+}
+
+/// Ends a pin at whichever instance coordinates the cell; the pin stays noted until that is done.
+fn release_pin(caller: &Caller, cell: CellId, placed: Placed, release: Release) {
+    let shared = caller.shared.clone();
+    let pin = placed.pin;
+    tokio::spawn(async move {
+        for _ in 0..RELEASE_ATTEMPTS {
+            if let Some((coordinator, epoch)) = find_coordinator(&shared, cell).await
+                // A later epoch learnt of the pin, an earlier one never did.
+                && placed.epoch <= epoch
+                && send_release(&shared, coordinator, cell, pin, release).await
+            {
+                break;
+            }
+            sleep(RELEASE_PAUSE).await;
+        }
+        let _ = shared.entry.send(DropPin { cell, pin }).await;
+    });
+}
+
+async fn send_release(
+    shared: &Shared,
+    coordinator: InstanceId,
+    cell: CellId,
+    pin: PinId,
+    release: Release,
+) -> bool {
+    if coordinator == shared.instance() {
+        let Some(actor) = shared.coordinators.get(&cell) else { return true };
+        return actor.send(EndPin { pin, release }).await.unwrap_or(true);
+    }
+    let message = PeerMessage::Release { cell, pin, release };
+    let released = shared.transport.call(coordinator, message, RELEASE_LIMIT).await;
+    matches!(released, Ok(PeerMessage::Released(true)))
+}
--- /dev/null
+++ b/crates/redwinglatch-server/src/control.rs
@@ -0,0 +1,566 @@
+//! The log replica and, while it leads, the control leader's soft state.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use redwinglatch_control::{
+    Command, ControlState, HistoryEntry, LeaderState, LeaseHolder, LeaseSettings, Outcome, Renewal,
+    RenewalReply,
+};
+use redwinglatch_core::prelude::*;
+use redwinglatch_instances::{ContractQuery, ControlRefusal, PeerMessage, Transport};
+use redwinglatch_log::{
+    Effects, Entry, EntryKind, Index, LogMessage, ProposeError, Replica, Storage, StorageError,
+    Term, WriteId,
+};
+use redwinglatch_metrics::{Counter, Gauge, Metrics};
+use tokio::sync::oneshot;
+use xtra::prelude::*;
+
+use crate::clock::{Clock, wall_clock_s};
+
+/// How often the replica's clock advances; well below the heartbeat interval.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often expired records are removed.
+const EXPIRE_INTERVAL_MS: u64 = 60_000;
+/// How long a proposal that the leader makes by itself may take before it is made again.
+const OWN_PROPOSAL_TIMEOUT_MS: u64 = 2_000;
+
+pub(crate) type Proposed = Result<Outcome, ControlRefusal>;
+
+/// What a log replica is started with.
+pub(crate) struct ControlParts {
+    pub(crate) replica: Replica,
+    pub(crate) lease_settings: LeaseSettings,
+    /// The instance of each log replica.
+    pub(crate) replica_instances: HashMap<ReplicaId, InstanceId>,
+    pub(crate) cells: Vec<CellId>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) transport: Transport<PeerMessage>,
+}
+
+/// Owns the log replica, its storage and the control state.
+pub(crate) struct ControlActor {
+    parts: ControlParts,
+    /// `None` while a write is under way; the proposals that arrive meanwhile share the next sync.
+    storage: Option<Storage>,
+    state: ControlState,
+    /// The term of the last applied entry. A leader is current once it applied one of its own term.
+    applied_term: Term,
+    leader: Option<LeaderState>,
+    proposals: BTreeMap<Index, Proposal>,
+    tickets: HashMap<u64, (Revision, oneshot::Sender<Proposed>)>,
+    next_ticket: u64,
+    /// Assignments and losses proposed by this leader, with the time after which to try again.
+    own_proposals: HashMap<OwnProposal, u64>,
+    expire_at_ms: u64,
+}
+
+struct Proposal {
+    term: Term,
+    reply: oneshot::Sender<Proposed>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum OwnProposal {
+    Assign(CellId),
+    Lost(LeaseHolder),
+}
+
+/// Commits a command; the channel gets the outcome.
+pub(crate) struct Propose(pub(crate) Command);
+
+/// Renews a serving lease.
+pub(crate) struct Renew(pub(crate) Renewal);
+
+/// Reads contracts at the leader.
+pub(crate) struct ReadContracts(pub(crate) ContractQuery);
+
+/// A message of another replica.
+pub(crate) struct Step {
+    pub(crate) from: ReplicaId,
+    pub(crate) to: ReplicaId,
+    pub(crate) message: LogMessage,
+}
+
+/// Hands leadership to another replica before a planned stop.
+pub(crate) struct TransferLeadership;
+
+/// Reads what the operators' status shows.
+pub(crate) struct ReadControlStatus;
+
+/// The state of the log replica and of the leader's soft state.
+#[derive(Debug, Clone, Default, serde::Serialize)]
+pub(crate) struct ControlStatus {
+    pub(crate) is_leader: bool,
+    pub(crate) leader: Option<InstanceId>,
+    pub(crate) term: Term,
+    pub(crate) commit_index: Index,
+    pub(crate) lease_holders: Vec<(InstanceId, bool)>,
+}
+
+struct Tick;
+
+struct Written {
+    storage: Storage,
+    write: WriteId,
+    result: Result<(), StorageError>,
+}
+
+impl ControlActor {
+    /// Starts the actor and its ticks.
+    pub(crate) fn spawn(mut parts: ControlParts, storage: Storage) -> Address<ControlActor> {
+        parts.replica.tick(parts.clock.now_ms());
+        let actor = ControlActor {
+            parts,
+            storage: Some(storage),
+            state: ControlState::new(),
+            applied_term: 0,
+            leader: None,
+            proposals: BTreeMap::new(),
+            tickets: HashMap::new(),
+            next_ticket: 0,
+            own_proposals: HashMap::new(),
+            expire_at_ms: 0,
+        };
+        let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        let weak = address.downgrade();
+        tokio::spawn(async move {
+            let mut ticks = tokio::time::interval(TICK_INTERVAL);
+            ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                if weak.send(Tick).await.is_err() {
+                    return;
+                }
+            }
+        });
+        address
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.parts.clock.now_ms()
+    }
+
+    /// Performs what the replica asks for, unless a write is under way.
+    fn drive(&mut self, ctx: &Context<Self>) {
+        while self.storage.is_some() {
+            let mut effects = self.parts.replica.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            self.send_messages(&mut effects);
+            let committed = std::mem::take(&mut effects.committed);
+            if let Some(snapshot) = effects.restore.take() {
+                self.restore(&snapshot.data);
+            }
+            if let Some(write) = effects.write {
+                self.start_write(write, effects, ctx);
+            }
+            for entry in &committed {
+                self.apply(entry);
+            }
+        }
+        self.follow_role();
+        self.report_changes_in_force();
+        self.compact();
+    }
+
+    fn send_messages(&self, effects: &mut Effects) {
+        let from = self.parts.replica.id();
+        for outgoing in effects.messages.drain(..) {
+            let to = outgoing.to;
+            if let Some(instance) = self.parts.replica_instances.get(&to) {
+                let message = PeerMessage::Log { from, to, message: outgoing.message };
+                self.parts.transport.send(*instance, message);
+            }
+        }
+    }
+
+    fn start_write(&mut self, write: WriteId, effects: Effects, ctx: &Context<Self>) {
+        let Some(mut storage) = self.storage.take() else { return };
+        self.parts.metrics.add(Counter::LogEntries, effects.append.len() as u64);
+        self.parts.metrics.increment(Counter::LogSyncs);
+        let address = ctx.mailbox().address();
+        tokio::spawn(async move {
+            let written = tokio::task::spawn_blocking(move || {
+                let result = storage.save(&effects);
+                Written { storage, write, result }
+            });
+            match written.await {
+                // The actor ends only with the process.
+                Ok(written) => drop(address.send(written).await),
+                Err(error) => log::error!("control: the write of the log ended: {error}"),
+            }
+        });
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        match ControlState::restore(snapshot) {
+            Ok(state) => self.state = state,
+            Err(error) => {
+                log::error!("control: the snapshot can't be restored: {error}");
+                self.parts.replica.halt();
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        self.applied_term = entry.term;
+        let outcome = match &entry.kind {
+            EntryKind::Data(data) => match postcard::from_bytes::<Command>(data) {
+                Ok(command) => Some(self.apply_command(entry.index, &command)),
+                Err(error) => {
+                    // All replicas run the same code on the same bytes, so all stop here alike.
+                    log::error!("control: entry {} does not decode: {error}", entry.index);
+                    self.parts.replica.halt();
+                    None
+                }
+            },
+            EntryKind::Empty | EntryKind::Membership(_) => None,
+        };
+        let Some(proposal) = self.proposals.remove(&entry.index) else { return };
+        match outcome {
+            Some(outcome) if proposal.term == entry.term => self.answer(outcome, proposal.reply),
+            _ => drop(proposal.reply.send(Err(ControlRefusal::OutcomeUnknown))),
+        }
+    }
+
+    fn apply_command(&mut self, index: Index, command: &Command) -> Outcome {
+        match command {
+            Command::AssignCoordinator { cell, .. } => {
+                self.own_proposals.remove(&OwnProposal::Assign(*cell));
+            }
+            Command::InstanceLost { instance, incarnation } => {
+                let holder = LeaseHolder { instance: *instance, incarnation: *incarnation };
+                self.own_proposals.remove(&OwnProposal::Lost(holder));
+            }
+            _ => {}
+        }
+        let outcome = self.state.apply(index, command);
+        if matches!(outcome, Outcome::Accepted { .. }) {
+            self.parts.metrics.increment(Counter::ChangesCommitted);
+        }
+        outcome
+    }
+
+    /// Answers a proposal; an accepted contract change waits until it is in force everywhere.
+    fn answer(&mut self, outcome: Outcome, reply: oneshot::Sender<Proposed>) {
+        match (&outcome, &mut self.leader) {
+            (Outcome::Accepted { revision }, Some(leader)) => {
+                let ticket = self.next_ticket;
+                self.next_ticket += 1;
+                leader.pending_mut().add(*revision, ticket);
+                self.tickets.insert(ticket, (*revision, reply));
+            }
+            (Outcome::Accepted { .. }, None) => {
+                let _ = reply.send(Err(ControlRefusal::OutcomeUnknown));
+            }
+            _ => drop(reply.send(Ok(outcome))),
+        }
+    }
+
+    /// Starts and ends the leader's soft state with leadership.
+    fn follow_role(&mut self) {
+        let term = self.parts.replica.term();
+        let leads = self.parts.replica.is_leader() && self.applied_term == term;
+        let known_term = self.leader.as_ref().map(|leader| leader.leases().term());
+        if leads && known_term != Some(term) {
+            log::info!("control: this instance leads in term {term}");
+            self.end_leadership();
+            let now_ms = self.now_ms();
+            self.leader = Some(LeaderState::new(self.parts.lease_settings, term, now_ms));
+        } else if !leads && self.leader.is_some() {
+            log::info!("control: this instance no longer leads");
+            self.end_leadership();
+        }
+        if !self.parts.replica.is_leader() && !self.proposals.is_empty() {
+            self.fail_proposals();
+        }
+        let metrics = &self.parts.metrics;
+        metrics.set(Gauge::ControlLeader, i64::from(self.leader.is_some()));
+        metrics.set(Gauge::LogTerm, i64::try_from(term).unwrap_or(i64::MAX));
+        let commit_index = self.parts.replica.commit_index();
+        metrics.set(Gauge::CommitIndex, i64::try_from(commit_index).unwrap_or(i64::MAX));
+    }
+
+    fn end_leadership(&mut self) {
+        self.leader = None;
+        self.own_proposals.clear();
+        for (_, (_, reply)) in self.tickets.drain() {
+            let _ = reply.send(Err(ControlRefusal::OutcomeUnknown));
+        }
+    }
+
+    fn fail_proposals(&mut self) {
+        for (_, proposal) in std::mem::take(&mut self.proposals) {
+            let _ = proposal.reply.send(Err(ControlRefusal::OutcomeUnknown));
+        }
+    }
+
+    fn report_changes_in_force(&mut self) {
+        let now_ms = self.now_ms();
+        let Some(leader) = &mut self.leader else { return };
+        if leader.pending().is_empty() || !self.parts.replica.leader_lease_valid(now_ms) {
+            return;
+        }
+        for (revision, ticket) in leader.take_reportable(now_ms) {
+            if let Some((_, reply)) = self.tickets.remove(&ticket) {
+                let _ = reply.send(Ok(Outcome::Accepted { revision }));
+            }
+        }
+    }
+
+    fn compact(&mut self) {
+        if self.parts.replica.snapshot_due() {
+            let index = self.parts.replica.applied_index();
+            if self.parts.replica.compact(index, self.state.snapshot()) {
+                self.parts.metrics.increment(Counter::Snapshots);
+            }
+        }
+    }
+
+    /// The leader's soft state, if this instance surely leads now.
+    fn current_leader(&mut self, now_ms: u64) -> Result<&mut LeaderState, ControlRefusal> {
+        let leader_instance = self.leader_instance();
+        match &mut self.leader {
+            Some(leader) if self.parts.replica.leader_lease_valid(now_ms) => Ok(leader),
+            _ => Err(ControlRefusal::NotLeader(leader_instance)),
+        }
+    }
+
+    fn leader_instance(&self) -> Option<InstanceId> {
+        let leader = self.parts.replica.leader()?;
+        self.parts.replica_instances.get(&leader).copied()
+    }
+
+    fn propose(&mut self, command: &Command) -> Result<(Index, Term), ControlRefusal> {
+        let data = postcard::to_allocvec(command).expect("commands encode into memory");
+        let now_ms = self.now_ms();
+        match self.parts.replica.propose(data, now_ms) {
+            Ok(index) => Ok((index, self.parts.replica.term())),
+            Err(ProposeError::NotLeader(_)) => {
+                Err(ControlRefusal::NotLeader(self.leader_instance()))
+            }
+            Err(error) => {
+                log::warn!("control: a command is refused: {error}");
+                Err(ControlRefusal::Busy)
+            }
+        }
+    }
+
+    /// Proposes what follows from the leases: lost instances, coordinators, expired records.
+    fn propose_own(&mut self, now_ms: u64) {
+        if self.current_leader(now_ms).is_err() {
+            return;
+        }
+        let Some(leader) = &self.leader else { return };
+        let mut commands = Vec::new();
+        for holder in leader.lost_claimants(now_ms, &self.state) {
+            let LeaseHolder { instance, incarnation } = holder;
+            let command = Command::InstanceLost { instance, incarnation };
+            commands.push((OwnProposal::Lost(holder), command));
+        }
+        for cell in &self.parts.cells {
+            if let Some(command) = self.assignment(now_ms, leader, *cell) {
+                commands.push((OwnProposal::Assign(*cell), command));
+            }
+        }
+        for (key, command) in commands {
+            if self.own_proposals.get(&key).is_some_and(|retry_at_ms| now_ms < *retry_at_ms) {
+                continue;
+            }
+            if self.propose(&command).is_ok() {
+                self.own_proposals.insert(key, now_ms + OWN_PROPOSAL_TIMEOUT_MS);
+            }
+        }
+        if self.expire_at_ms <= now_ms {
+            self.expire_at_ms = now_ms + EXPIRE_INTERVAL_MS;
+            // A failed proposal is made again after the next interval.
+            let _ = self.propose(&Command::ExpireOnce { now_wall_s: wall_clock_s() });
+        }
+    }
+
+    /// A new coordinator for `cell`, if its current one is gone or draining.
+    fn assignment(&self, now_ms: u64, leader: &LeaderState, cell: CellId) -> Option<Command> {
+        let current = self.state.coordinator(cell);
+        let record_of = |instance, incarnation| {
+            leader
+                .leases()
+                .instances()
+                .find(|record| record.instance == instance && record.incarnation == incarnation)
+        };
+        if let Some(current) = current {
+            let holder =
+                LeaseHolder { instance: current.instance, incarnation: current.incarnation };
+            let record = record_of(current.instance, current.incarnation);
+            let stays = match record {
+                Some(record) => !record.draining,
+                None => !leader.leases().surely_gone(now_ms, holder),
+            };
+            if stays {
+                return None;
+            }
+        }
+        // The instance with the fewest cells; among equals the lowest id, for a stable choice.
+        let cells_of =
+            |instance| self.state.coordinators().filter(|known| known.instance == instance).count();
+        let chosen = leader
+            .leases()
+            .instances()
+            .filter(|record| !record.draining)
+            .filter(|record| {
+                let (instance, incarnation) = (record.instance, record.incarnation);
+                leader.leases().is_current(now_ms, LeaseHolder { instance, incarnation })
+            })
+            .min_by_key(|record| (cells_of(record.instance), record.instance))?;
+        Some(Command::AssignCoordinator {
+            cell,
+            instance: chosen.instance,
+            incarnation: chosen.incarnation,
+            expected_epoch: current.map_or(Epoch(0), |current| current.epoch),
+        })
+    }
+}
+
+impl Actor for ControlActor {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<Tick> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, ctx: &mut Context<Self>) {
+        let now_ms = self.now_ms();
+        self.parts.replica.tick(now_ms);
+        if let Some(leader) = &mut self.leader {
+            leader.advance(now_ms);
+        }
+        self.propose_own(now_ms);
+        self.drive(ctx);
+    }
+}
+
+impl Handler<Step> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, step: Step, ctx: &mut Context<Self>) {
+        // A replica that was replaced may still get messages for its old id.
+        if step.to == self.parts.replica.id() {
+            let now_ms = self.now_ms();
+            self.parts.replica.step(step.from, step.message, now_ms);
+            self.drive(ctx);
+        }
+    }
+}
+
+impl Handler<Written> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, written: Written, ctx: &mut Context<Self>) {
+        match written.result {
+            Ok(()) => {
+                self.storage = Some(written.storage);
+                self.parts.replica.persisted(written.write);
+                self.drive(ctx);
+            }
+            Err(error) => {
+                log::error!("control: this log replica stops: {error}");
+                self.parts.replica.halt();
+                self.follow_role();
+            }
+        }
+    }
+}
+
+impl Handler<Propose> for ControlActor {
+    type Return = oneshot::Receiver<Proposed>;
+
+    async fn handle(&mut self, Propose(command): Propose, ctx: &mut Context<Self>) -> Self::Return {
+        let (reply, outcome) = oneshot::channel();
+        match self.propose(&command) {
+            Ok((index, term)) => drop(self.proposals.insert(index, Proposal { term, reply })),
+            Err(refusal) => drop(reply.send(Err(refusal))),
+        }
+        self.drive(ctx);
+        outcome
+    }
+}
+
+impl Handler<Renew> for ControlActor {
+    type Return = Result<Option<RenewalReply>, ControlRefusal>;
+
+    async fn handle(&mut self, Renew(renewal): Renew, _: &mut Context<Self>) -> Self::Return {
+        let now_ms = self.now_ms();
+        self.current_leader(now_ms)?;
+        let Some(leader) = &mut self.leader else {
+            return Err(ControlRefusal::NotLeader(None));
+        };
+        let reply = leader.renew(now_ms, &self.state, &renewal);
+        self.report_changes_in_force();
+        Ok(reply)
+    }
+}
+
+impl Handler<ReadContracts> for ControlActor {
+    type Return = Result<Vec<HistoryEntry>, ControlRefusal>;
+
+    async fn handle(
+        &mut self,
+        ReadContracts(query): ReadContracts,
+        _: &mut Context<Self>,
+    ) -> Self::Return {
+        let now_ms = self.now_ms();
+        self.current_leader(now_ms)?;
+        let entry = |(revision, contract): (Revision, &Contract)| HistoryEntry {
+            revision,
+            at_wall_s: 0,
+            change_id: "".into(),
+            contract: Some(contract.clone()),
+        };
+        Ok(match query {
+            ContractQuery::All => self.state.contracts().map(entry).collect(),
+            ContractQuery::Current(customer) => {
+                self.state.contract(&customer).map(entry).into_iter().collect()
+            }
+            ContractQuery::History(customer) => {
+                self.state.contract_history(&customer).cloned().collect()
+            }
+        })
+    }
+}
+
+impl Handler<TransferLeadership> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: TransferLeadership, ctx: &mut Context<Self>) {
+        if self.parts.replica.is_leader() {
+            let now_ms = self.now_ms();
+            if let Err(error) = self.parts.replica.transfer_leadership(None, now_ms) {
+                log::warn!("control: leadership stays until this instance ends: {error}");
+            }
+            self.drive(ctx);
+        }
+    }
+}
+
+impl Handler<ReadControlStatus> for ControlActor {
+    type Return = ControlStatus;
+
+    async fn handle(&mut self, _: ReadControlStatus, _: &mut Context<Self>) -> ControlStatus {
+        let lease_holders = self.leader.iter().flat_map(|leader| {
+            leader.leases().instances().map(|record| (record.instance, record.draining))
+        });
+        ControlStatus {
+            is_leader: self.leader.is_some(),
+            leader: self.leader_instance(),
+            term: self.parts.replica.term(),
+            commit_index: self.parts.replica.commit_index(),
+            lease_holders: lease_holders.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-server/src/control_client.rs
@@ -0,0 +1,196 @@
+//! Calls to the control leader, wherever it is.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use redwinglatch_control::{Command, HistoryEntry, Outcome, Renewal, RenewalReply};
+use redwinglatch_core::prelude::*;
+use redwinglatch_instances::{ContractQuery, ControlRefusal, PeerMessage};
+use redwinglatch_metrics::Timing;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::control::{Propose, ReadContracts, Renew};
+use crate::shared::Shared;
+
+/// Time for a renewal; a lost one is repeated with the next interval.
+const RENEW_LIMIT: Duration = Duration::from_millis(700);
+/// Time for the leader to commit a command before another replica is asked.
+const COMMIT_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause before the next replica is asked, while no leader is known.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
+
+/// Finds the control leader and sends it calls; all clones share the last known leader.
+#[derive(Clone)]
+pub(crate) struct ControlClient {
+    shared: Arc<Shared>,
+    leader: Arc<AtomicU32>,
+}
+
+impl ControlClient {
+    pub(crate) fn new(shared: Arc<Shared>) -> ControlClient {
+        let first = shared.settings.replicas.first().map_or(0, |replica| replica.instance.0);
+        ControlClient { shared, leader: Arc::new(AtomicU32::new(first)) }
+    }
+
+    /// Sends one renewal to the presumed leader.
+    pub(crate) async fn renew(&self, renewal: Renewal) -> Option<RenewalReply> {
+        let leader = self.leader();
+        let sent_at = Instant::now();
+        let reply = match self.local(leader) {
+            Some(control) => control.send(Renew(renewal)).await.ok(),
+            None => match self.call(leader, PeerMessage::Renew(renewal), RENEW_LIMIT).await {
+                Some(PeerMessage::Renewed(reply)) => Some(reply),
+                _ => None,
+            },
+        };
+        match reply {
+            Some(Ok(reply)) => {
+                self.shared.metrics.record(Timing::ControlRoundTrip, sent_at.elapsed());
+                reply
+            }
+            Some(Err(refusal)) => {
+                self.follow(leader, &refusal);
+                None
+            }
+            None => {
+                self.try_next(leader);
+                None
+            }
+        }
+    }
+
+    /// Commits an idempotent command, at another leader if need be, until `until`.
+    ///
+    /// `None` means that the outcome is unknown. A contract change is answered once it is in
+    /// force, which may take a whole lease; `limit` bounds each attempt.
+    pub(crate) async fn commit(&self, command: &Command, until: Instant) -> Option<Outcome> {
+        self.commit_within(command, COMMIT_LIMIT, until).await
+    }
+
+    /// Commits a contract change and waits until it is in force everywhere.
+    pub(crate) async fn commit_in_force(
+        &self,
+        command: &Command,
+        until: Instant,
+    ) -> Option<Outcome> {
+        let limit = until.saturating_duration_since(Instant::now());
+        self.commit_within(command, limit, until).await
+    }
+
+    async fn commit_within(
+        &self,
+        command: &Command,
+        limit: Duration,
+        until: Instant,
+    ) -> Option<Outcome> {
+        loop {
+            let leader = self.leader();
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            let limit = limit.min(left);
+            let proposed = match self.local(leader) {
+                Some(control) => {
+                    let outcome = control.send(Propose(command.clone())).await.ok()?;
+                    timeout(limit, outcome).await.ok().and_then(Result::ok)
+                }
+                None => {
+                    let message = PeerMessage::Propose(command.clone());
+                    match self.call(leader, message, limit).await {
+                        Some(PeerMessage::Proposed(proposed)) => Some(proposed),
+                        _ => None,
+                    }
+                }
+            };
+            match proposed {
+                Some(Ok(outcome)) => return Some(outcome),
+                Some(Err(refusal)) => self.follow(leader, &refusal),
+                None => self.try_next(leader),
+            }
+            self.shared.metrics.retried(RetryReason::LeaderChanged);
+            sleep(SEARCH_PAUSE.min(left)).await;
+        }
+    }
+
+    /// Reads contracts at the leader until `until`.
+    pub(crate) async fn read_contracts(
+        &self,
+        query: &ContractQuery,
+        until: Instant,
+    ) -> Option<Vec<HistoryEntry>> {
+        loop {
+            let leader = self.leader();
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            let reply = match self.local(leader) {
+                Some(control) => control.send(ReadContracts(query.clone())).await.ok(),
+                None => {
+                    let message = PeerMessage::ReadContracts(query.clone());
+                    match self.call(leader, message, COMMIT_LIMIT.min(left)).await {
+                        Some(PeerMessage::Contracts(reply)) => Some(reply),
+                        _ => None,
+                    }
+                }
+            };
+            match reply {
+                Some(Ok(contracts)) => return Some(contracts),
+                Some(Err(refusal)) => self.follow(leader, &refusal),
+                None => self.try_next(leader),
+            }
+            sleep(SEARCH_PAUSE.min(left)).await;
+        }
+    }
+
+    /// The presumed leader.
+    pub(crate) fn leader(&self) -> InstanceId {
+        InstanceId(self.leader.load(Ordering::Relaxed))
+    }
+
+    fn local(&self, leader: InstanceId) -> Option<&xtra::Address<crate::control::ControlActor>> {
+        self.shared.control.as_ref().filter(|_| leader == self.shared.instance())
+    }
+
+    async fn call(
+        &self,
+        to: InstanceId,
+        message: PeerMessage,
+        limit: Duration,
+    ) -> Option<PeerMessage> {
+        match self.shared.transport.call(to, message, limit).await {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                log::debug!("control: {error}");
+                None
+            }
+        }
+    }
+
+    fn follow(&self, asked: InstanceId, refusal: &ControlRefusal) {
+        match refusal {
+            ControlRefusal::NotLeader(Some(leader)) if *leader != asked => {
+                self.leader.store(leader.0, Ordering::Relaxed);
+            }
+            ControlRefusal::NotLeader(_) => self.try_next(asked),
+            ControlRefusal::Busy | ControlRefusal::OutcomeUnknown => {}
+        }
+    }
+
+    /// Turns to the replica after `asked`, unless another task already found a leader.
+    fn try_next(&self, asked: InstanceId) {
+        let replicas = &self.shared.settings.replicas;
+        let position = replicas.iter().position(|replica| replica.instance == asked);
+        let next = position.map_or(0, |position| (position + 1) % replicas.len());
+        if let Some(next) = replicas.get(next) {
+            let _ = self.leader.compare_exchange(
+                asked.0,
+                next.instance.0,
+                Ordering::Relaxed,
+                Ordering::Relaxed,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-server/src/coordinator.rs
@@ -0,0 +1,700 @@
+//! The coordinator of a cell: drives the placement decisions and sends its orders to engines.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use redwinglatch_backends::{
+    BackendClient, BackendError, BackendErrorKind, CacheEventKind, EngineEvents, EngineReport,
+};
+use redwinglatch_core::prelude::*;
+use redwinglatch_instances::{PeerMessage, Transport};
+use redwinglatch_metrics::{Counter, Gauge, Metrics, Timing};
+use redwinglatch_placement::{
+    CacheEvent, CacheEvents, Coordinator, Effect, EngineInfo, Fencing, LoadFailure, LoadId,
+    LoadOrder, PlaceRequest, Placed, Release, Report, ReportedPin, RequestKey, SlotReport,
+    TakeOver,
+};
+use redwinglatch_settings::{CellSettings, PoolSettings, Settings};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use xtra::prelude::*;
+
+use crate::clock::Clock;
+use crate::entry::{EntryActor, ReadGrant};
+
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// How often the own right to coordinate is read.
+const GRANT_INTERVAL_MS: u64 = 100;
+/// How long an instance may take to report its pins before it is asked again.
+const REPORT_PINS_LIMIT: Duration = Duration::from_millis(500);
+/// How long releases are remembered after a takeover: an instance may release a pin while its
+/// report that lists the pin is still under way.
+const EARLY_RELEASE_KEPT_MS: u64 = 30_000;
+/// A load may take this many times its usual duration before it counts as timed out.
+const LOAD_TIMEOUT_FACTOR: u64 = 4;
+
+pub(crate) type PlaceAnswer = Result<Placed, Refusal>;
+
+/// What a coordinator task is started with.
+pub(crate) struct CoordinatorParts {
+    pub(crate) cell: CellId,
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) backends: BackendClient,
+    pub(crate) transport: Transport<PeerMessage>,
+    pub(crate) entry: Address<EntryActor>,
+    pub(crate) rng: fastrand::Rng,
+}
+
+/// Owns the placement decisions of one cell.
+pub(crate) struct CoordinatorActor {
+    parts: CoordinatorParts,
+    coordinator: Coordinator,
+    engines: HashMap<EngineId, Engine>,
+    waiting: HashMap<RequestKey, Vec<oneshot::Sender<PlaceAnswer>>>,
+    placed: HashMap<RequestKey, PinId>,
+    live: HashSet<(InstanceId, Incarnation)>,
+    early_releases: Vec<(PinId, Release)>,
+    early_releases_until_ms: u64,
+    grant_read_at_ms: u64,
+}
+
+struct Engine {
+    address: SocketAddr,
+    report_ms: u64,
+    report_due_ms: u64,
+    reading: bool,
+}
+
+/// Places a request; the channel gets the answer.
+pub(crate) struct Place(pub(crate) PlaceRequest);
+
+/// Withdraws a request that waits, or ends the pin of a placement whose answer was lost.
+pub(crate) struct Withdraw(pub(crate) RequestKey);
+
+/// Ends a pin; false when this instance does not coordinate the cell.
+pub(crate) struct EndPin {
+    pub(crate) pin: PinId,
+    pub(crate) release: Release,
+}
+
+/// A backend server of the cell, from the settings or the platform's list.
+#[derive(Debug, Clone)]
+pub(crate) struct ListedEngine {
+    pub(crate) pool: Box<str>,
+    pub(crate) address: SocketAddr,
+    pub(crate) data_centre: Box<str>,
+    pub(crate) leaving: bool,
+}
+
+/// The engines of the cell, whole.
+pub(crate) struct UpdateEngines(pub(crate) Vec<ListedEngine>);
+
+/// What the operators' status shows of a cell.
+#[derive(Debug, Clone, Default, serde::Serialize)]
+pub(crate) struct CellStatus {
+    pub(crate) cell: CellId,
+    pub(crate) epoch: Option<Epoch>,
+    pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) waiting: usize,
+    pub(crate) pins: usize,
+    pub(crate) loads_in_flight: usize,
+}
+
+/// Reads [`CellStatus`].
+pub(crate) struct ReadCellStatus;
+
+struct Tick;
+
+struct ReportRead {
+    engine: EngineId,
+    asked_ms: u64,
+    result: Result<EngineReport, BackendError>,
+}
+
+struct EventsRead {
+    engine: EngineId,
+    after: u64,
+    result: Result<EngineEvents, BackendError>,
+}
+
+struct LoadEnded {
+    load: LoadId,
+    result: Result<(), LoadFailure>,
+}
+
+struct CancelEnded {
+    request: RequestKey,
+    acknowledged: bool,
+}
+
+struct PinsRead {
+    epoch: Epoch,
+    instance: InstanceId,
+    incarnation: Incarnation,
+    pins: Vec<ReportedPin>,
+}
+
+impl CoordinatorActor {
+    pub(crate) fn spawn(mut parts: CoordinatorParts) -> Address<CoordinatorActor> {
+        let cell = &parts.settings.cells[usize::from(parts.cell.0)];
+        let coordinator = Coordinator::new(placement_settings(cell), parts.rng.fork());
+        let engines = configured_engines(&parts.settings, &cell.name);
+        let mut actor = CoordinatorActor {
+            parts,
+            coordinator,
+            engines: HashMap::new(),
+            waiting: HashMap::new(),
+            placed: HashMap::new(),
+            live: HashSet::new(),
+            early_releases: Vec::new(),
+            early_releases_until_ms: 0,
+            grant_read_at_ms: 0,
+        };
+        actor.update_engines(&engines);
+        let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        let weak = address.downgrade();
+        tokio::spawn(async move {
+            let mut ticks = interval(TICK_INTERVAL);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                if weak.send(Tick).await.is_err() {
+                    return;
+                }
+            }
+        });
+        address
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.parts.clock.now_ms()
+    }
+
+    fn update_engines(&mut self, listed: &[ListedEngine]) {
+        let now_ms = self.now_ms();
+        for engine in listed {
+            let pool = self.parts.settings.pools.iter().find(|pool| pool.name == engine.pool);
+            let Some((pool, engine_pool)) = pool.and_then(|pool| Some((pool, pool.engine()?)))
+            else {
+                continue;
+            };
+            let id = self.coordinator.engine_added(
+                now_ms,
+                EngineInfo {
+                    address: engine.address,
+                    model: engine_pool.model.clone(),
+                    data_centre: engine.data_centre.clone(),
+                    fencing: match engine_pool.fencing {
+                        redwinglatch_settings::Fencing::Enforced => Fencing::Honoured,
+                        redwinglatch_settings::Fencing::Ignored => Fencing::Ignored,
+                    },
+                },
+            );
+            if engine.leaving {
+                self.coordinator.engine_leaving(now_ms, id);
+            }
+            self.engines.entry(id).or_insert(Engine {
+                address: engine.address,
+                report_ms: pool.report_ms,
+                report_due_ms: now_ms,
+                reading: false,
+            });
+        }
+        let gone: Vec<EngineId> = self
+            .engines
+            .iter()
+            .filter(|(_, known)| !listed.iter().any(|engine| engine.address == known.address))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.engines.remove(&id);
+            self.coordinator.engine_removed(now_ms, id);
+        }
+    }
+
+    /// Follows the right to coordinate: takes over, extends the lease, notices lost instances.
+    async fn follow_grant(&mut self, now_ms: u64, ctx: &Context<Self>) {
+        if now_ms < self.grant_read_at_ms + GRANT_INTERVAL_MS {
+            return;
+        }
+        self.grant_read_at_ms = now_ms;
+        let Ok(grant) = self.parts.entry.send(ReadGrant(self.parts.cell)).await else { return };
+        let Some(grant) = grant else {
+            if self.coordinator.epoch().is_some() {
+                log::info!(
+                    "placement: this instance no longer coordinates cell {}",
+                    self.parts.cell
+                );
+                self.coordinator.resign(now_ms);
+                self.placed.clear();
+                self.parts.metrics.adjust(Gauge::CellsCoordinated, -1);
+            }
+            return;
+        };
+        let live: HashSet<_> = grant.live.iter().copied().collect();
+        if self.coordinator.epoch() == Some(grant.epoch) {
+            self.coordinator.lease_renewed(grant.lease_until_ms);
+            for &(instance, incarnation) in self.live.difference(&live) {
+                log::info!("placement: instance {instance} is lost; its pins are ended");
+                self.coordinator.instance_lost(now_ms, instance, incarnation);
+            }
+        } else {
+            log::info!(
+                "placement: this instance coordinates cell {} in epoch {}",
+                self.parts.cell,
+                grant.epoch
+            );
+            if self.coordinator.epoch().is_none() {
+                self.parts.metrics.adjust(Gauge::CellsCoordinated, 1);
+            }
+            self.placed.clear();
+            self.early_releases.clear();
+            self.early_releases_until_ms = now_ms + EARLY_RELEASE_KEPT_MS;
+            self.coordinator.take_over(
+                now_ms,
+                TakeOver {
+                    epoch: grant.epoch,
+                    // The control leader grants the cell only after orders of the former coordinator
+                    // have settled.
+                    settle_ms: 0,
+                    lease_until_ms: grant.lease_until_ms,
+                    live: grant.live.clone(),
+                },
+            );
+            for (instance, incarnation) in grant.live {
+                self.collect_pins(grant.epoch, instance, incarnation, ctx);
+            }
+        }
+        self.live = live;
+    }
+
+    /// Asks an instance for its pins until it answers or another epoch starts.
+    fn collect_pins(
+        &self,
+        epoch: Epoch,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        ctx: &Context<Self>,
+    ) {
+        let address = ctx.mailbox().address();
+        let transport = self.parts.transport.clone();
+        let entry = self.parts.entry.clone();
+        let cell = self.parts.cell;
+        let own = self.parts.settings.instance.id;
+        // Beyond this the instance is gone: its lease has ended long before.
+        let give_up_at = Instant::now() + 10 * Duration::from_millis(self.lease_ms());
+        tokio::spawn(async move {
+            while Instant::now() < give_up_at {
+                let answer = if instance == own {
+                    let pins = entry.send(crate::entry::ListPins { cell, epoch }).await;
+                    pins.ok().map(|pins| (incarnation, pins))
+                } else {
+                    let message = PeerMessage::ReportPins { cell, epoch };
+                    match transport.call(instance, message, REPORT_PINS_LIMIT).await {
+                        Ok(PeerMessage::Pins { incarnation, pins }) => Some((incarnation, pins)),
+                        _ => None,
+                    }
+                };
+                if let Some((answered, pins)) = answer {
+                    // A restarted process holds no pins of its former life; that life is lost.
+                    if answered == incarnation {
+                        let read = PinsRead { epoch, instance, incarnation, pins };
+                        let _ = address.send(read).await;
+                        return;
+                    }
+                }
+                sleep(REPORT_PINS_LIMIT).await;
+            }
+        });
+    }
+
+    fn lease_ms(&self) -> u64 {
+        self.parts.settings.control.lease_ms
+    }
+
+    fn read_due_reports(&mut self, now_ms: u64, ctx: &Context<Self>) {
+        if self.coordinator.epoch().is_none() {
+            return;
+        }
+        let due: Vec<(EngineId, SocketAddr)> = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| !engine.reading && engine.report_due_ms <= now_ms)
+            .map(|(id, engine)| (*id, engine.address))
+            .collect();
+        for (id, address) in due {
+            self.read_report(id, address, ctx);
+        }
+    }
+
+    fn read_report(&mut self, engine: EngineId, address: SocketAddr, ctx: &Context<Self>) {
+        let asked_ms = self.now_ms();
+        if let Some(known) = self.engines.get_mut(&engine) {
+            known.reading = true;
+            known.report_due_ms = asked_ms + known.report_ms;
+        }
+        let backends = self.parts.backends.clone();
+        let actor = ctx.mailbox().address();
+        tokio::spawn(async move {
+            let result = backends.report(address).await;
+            let _ = actor.send(ReportRead { engine, asked_ms, result }).await;
+        });
+    }
+
+    /// Performs what the decisions ask for.
+    fn perform(&mut self, ctx: &Context<Self>) {
+        for effect in self.coordinator.take_effects() {
+            match effect {
+                Effect::Answer { request, answer } => self.answer(request, &answer),
+                Effect::Load(order) => self.load(order, ctx),
+                Effect::Unload { epoch, address, adapter, .. } => {
+                    self.parts.metrics.increment(Counter::UnloadsOrdered);
+                    let backends = self.parts.backends.clone();
+                    tokio::spawn(async move {
+                        if let Err(error) = backends.unload(address, &adapter, epoch).await {
+                            log::debug!("placement: unload of {adapter} on {address}: {error}");
+                        }
+                    });
+                }
+                Effect::Cancel { epoch, address, request, .. } => {
+                    let backends = self.parts.backends.clone();
+                    let actor = ctx.mailbox().address();
+                    tokio::spawn(async move {
+                        let cancelled = backends.cancel(address, &request.to_string(), epoch).await;
+                        let acknowledged = cancelled.is_ok();
+                        let _ = actor.send(CancelEnded { request, acknowledged }).await;
+                    });
+                }
+                Effect::ReadReport { engine, address } => self.read_report(engine, address, ctx),
+                Effect::ReadCacheEvents { engine, address, after } => {
+                    let backends = self.parts.backends.clone();
+                    let actor = ctx.mailbox().address();
+                    tokio::spawn(async move {
+                        let result = backends.events(address, after).await;
+                        let _ = actor.send(EventsRead { engine, after, result }).await;
+                    });
+                }
+                Effect::Deposed { epoch } => {
+                    log::warn!("placement: an engine knows a newer epoch than {epoch}");
+                    self.placed.clear();
+                    self.parts.metrics.refused(RefusalReason::StaleEpoch);
+                    self.parts.metrics.adjust(Gauge::CellsCoordinated, -1);
+                }
+            }
+        }
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.parts.metrics.set(Gauge::Pins, gauge(self.coordinator.pins()));
+        let loads = self.coordinator.loads_in_flight();
+        self.parts.metrics.set(Gauge::LoadsInFlight, gauge(loads));
+    }
+
+    fn answer(&mut self, request: RequestKey, answer: &PlaceAnswer) {
+        let replies = self.waiting.remove(&request).unwrap_or_default();
+        if let Ok(placed) = answer {
+            self.parts.metrics.increment(Counter::Placements);
+            self.placed.insert(request, placed.pin);
+        }
+        let mut taken = false;
+        for reply in replies {
+            taken |= reply.send(answer.clone()).is_ok();
+        }
+        // Nobody waits any more: the entry instance gave up and never sends the request.
+        if !taken && let Some(pin) = self.placed.remove(&request) {
+            let now_ms = self.now_ms();
+            self.coordinator.release(now_ms, pin, Release::NotSent);
+        }
+    }
+
+    fn load(&self, order: LoadOrder, ctx: &Context<Self>) {
+        let metrics = self.parts.metrics.clone();
+        metrics.increment(Counter::LoadsOrdered);
+        if order.preload {
+            metrics.increment(Counter::Preloads);
+        }
+        let backends = self.parts.backends.clone();
+        let actor = ctx.mailbox().address();
+        let settings = self.coordinator.settings();
+        let timeout_ms = settings.order_timeout_ms.max(LOAD_TIMEOUT_FACTOR * settings.load_ms);
+        tokio::spawn(async move {
+            let result = load_adapter(&backends, &order, timeout_ms).await;
+            if let Err(failure) = result {
+                metrics.increment(Counter::LoadsFailed);
+                log::warn!(
+                    "placement: loading {} on {} failed: {failure:?}",
+                    order.adapter,
+                    order.address
+                );
+            }
+            let _ = actor.send(LoadEnded { load: order.load, result }).await;
+        });
+    }
+}
+
+async fn load_adapter(
+    backends: &BackendClient,
+    order: &LoadOrder,
+    timeout_ms: u64,
+) -> Result<(), LoadFailure> {
+    if let Some(evict) = &order.evict {
+        match backends.unload(order.address, evict, order.epoch).await {
+            Ok(()) => {}
+            // The engine no longer holds it, which is what was wanted.
+            Err(error) if error.kind == BackendErrorKind::AdapterMissing => {}
+            Err(error) => return Err(load_failure(&error)),
+        }
+    }
+    backends
+        .load(order.address, &order.adapter, order.epoch, timeout_ms)
+        .await
+        .map_err(|error| load_failure(&error))
+}
+
+fn load_failure(error: &BackendError) -> LoadFailure {
+    match error.kind {
+        BackendErrorKind::StaleToken => LoadFailure::StaleToken,
+        BackendErrorKind::NoSlot => LoadFailure::NoSlot,
+        BackendErrorKind::AdapterInUse => LoadFailure::AdapterInUse,
+        BackendErrorKind::UnknownAdapter => LoadFailure::UnknownAdapter,
+        BackendErrorKind::Leaving => LoadFailure::Leaving,
+        BackendErrorKind::Silent
+        | BackendErrorKind::ConnectionLost
+        | BackendErrorKind::DeadlinePassed => LoadFailure::TimedOut,
+        BackendErrorKind::ConnectRefused
+        | BackendErrorKind::ConnectFailed
+        | BackendErrorKind::NotSent => LoadFailure::Unreachable,
+        _ if error.leaving => LoadFailure::Leaving,
+        _ => LoadFailure::Failed,
+    }
+}
+
+fn placement_settings(cell: &CellSettings) -> redwinglatch_placement::Settings {
+    let base = if cell.stall_weight < cell.batch_weight {
+        redwinglatch_placement::Settings::batches_first()
+    } else {
+        redwinglatch_placement::Settings::stalls_first()
+    };
+    redwinglatch_placement::Settings {
+        parallel_loads: cell.parallel_loads as usize,
+        load_ms: cell.load_ms,
+        load_starvation_ms: cell.load_starvation_ms,
+        stall_weight: cell.stall_weight as f32,
+        batch_weight: cell.batch_weight as f32,
+        ..base
+    }
+}
+
+/// The engines that the settings name for the pools of a cell.
+fn configured_engines(settings: &Settings, cell: &str) -> Vec<ListedEngine> {
+    let in_cell = |pool: &&PoolSettings| pool.engine().is_some_and(|it| *it.cell == *cell);
+    settings
+        .pools
+        .iter()
+        .filter(in_cell)
+        .flat_map(|pool| {
+            pool.backends.iter().map(|address| ListedEngine {
+                pool: pool.name.clone(),
+                address: *address,
+                data_centre: settings.instance.data_centre.clone(),
+                leaving: false,
+            })
+        })
+        .collect()
+}
+
+fn placement_report(asked_ms: u64, report: EngineReport) -> Report {
+    let slots = report.slots.into_iter().map(|slot| SlotReport {
+        adapter: AdapterVersion::new(slot.adapter, slot.version),
+        running: slot.running,
+    });
+    Report {
+        asked_ms,
+        boot_id: report.boot_id,
+        sequence: report.sequence,
+        running: report.running,
+        waiting: report.waiting,
+        leaving: report.leaving,
+        slot_count: u16::try_from(report.slot_count).unwrap_or(u16::MAX),
+        max_batch: report.max_batch,
+        slots: slots.collect(),
+        requests: report.requests.iter().filter_map(|request| request.parse().ok()).collect(),
+    }
+}
+
+fn placement_events(after: u64, events: EngineEvents) -> CacheEvents {
+    let convert = |event: redwinglatch_backends::CacheEvent| CacheEvent {
+        sequence: event.sequence,
+        kind: match event.kind {
+            CacheEventKind::PrefixStored => redwinglatch_placement::CacheEventKind::PrefixStored,
+            CacheEventKind::PrefixEvicted => redwinglatch_placement::CacheEventKind::PrefixEvicted,
+        },
+        prefix_hash: event.prefix_hash,
+    };
+    CacheEvents {
+        after,
+        boot_id: events.boot_id,
+        next: events.next,
+        events: events.events.into_iter().map(convert).collect(),
+    }
+}
+
+impl Actor for CoordinatorActor {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<Tick> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, ctx: &mut Context<Self>) {
+        let now_ms = self.now_ms();
+        self.follow_grant(now_ms, ctx).await;
+        self.read_due_reports(now_ms, ctx);
+        self.coordinator.tick(now_ms);
+        self.perform(ctx);
+    }
+}
+
+impl Handler<Place> for CoordinatorActor {
+    type Return = oneshot::Receiver<PlaceAnswer>;
+
+    async fn handle(&mut self, Place(request): Place, ctx: &mut Context<Self>) -> Self::Return {
+        let started_at = Instant::now();
+        let (reply, answer) = oneshot::channel();
+        self.waiting.entry(request.key()).or_default().push(reply);
+        let now_ms = self.now_ms();
+        self.coordinator.place(now_ms, request);
+        self.parts.metrics.record(Timing::Decision, started_at.elapsed());
+        self.perform(ctx);
+        answer
+    }
+}
+
+impl Handler<Withdraw> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, Withdraw(request): Withdraw, ctx: &mut Context<Self>) {
+        let now_ms = self.now_ms();
+        self.waiting.remove(&request);
+        self.coordinator.withdraw(now_ms, request);
+        if let Some(pin) = self.placed.remove(&request) {
+            self.coordinator.release(now_ms, pin, Release::NotSent);
+        }
+        self.perform(ctx);
+    }
+}
+
+impl Handler<EndPin> for CoordinatorActor {
+    type Return = bool;
+
+    async fn handle(&mut self, EndPin { pin, release }: EndPin, ctx: &mut Context<Self>) -> bool {
+        if self.coordinator.epoch().is_none() {
+            return false;
+        }
+        let now_ms = self.now_ms();
+        if now_ms < self.early_releases_until_ms {
+            self.early_releases.push((pin, release));
+        }
+        self.placed.retain(|_, placed| *placed != pin);
+        self.coordinator.release(now_ms, pin, release);
+        self.perform(ctx);
+        true
+    }
+}
+
+impl Handler<PinsRead> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, read: PinsRead, ctx: &mut Context<Self>) {
+        if self.coordinator.epoch() != Some(read.epoch) {
+            return;
+        }
+        let now_ms = self.now_ms();
+        self.coordinator.pins_reported(now_ms, read.instance, read.incarnation, read.pins);
+        for (pin, release) in &self.early_releases {
+            self.coordinator.release(now_ms, *pin, *release);
+        }
+        self.perform(ctx);
+    }
+}
+
+impl Handler<ReportRead> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, read: ReportRead, ctx: &mut Context<Self>) {
+        if let Some(engine) = self.engines.get_mut(&read.engine) {
+            engine.reading = false;
+        }
+        let now_ms = self.now_ms();
+        match read.result {
+            Ok(report) => {
+                self.parts.metrics.increment(Counter::ReportsRead);
+                let report = placement_report(read.asked_ms, report);
+                self.coordinator.engine_report(now_ms, read.engine, report);
+            }
+            Err(_) => self.parts.metrics.increment(Counter::ReportsMissed),
+        }
+        self.perform(ctx);
+    }
+}
+
+impl Handler<EventsRead> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, read: EventsRead, ctx: &mut Context<Self>) {
+        if let Ok(events) = read.result {
+            let now_ms = self.now_ms();
+            let events = placement_events(read.after, events);
+            self.coordinator.cache_events(now_ms, read.engine, events);
+            self.perform(ctx);
+        }
+    }
+}
+
+impl Handler<LoadEnded> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: LoadEnded, ctx: &mut Context<Self>) {
+        let now_ms = self.now_ms();
+        self.coordinator.load_finished(now_ms, ended.load, ended.result);
+        self.perform(ctx);
+    }
+}
+
+impl Handler<CancelEnded> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: CancelEnded, ctx: &mut Context<Self>) {
+        let now_ms = self.now_ms();
+        self.coordinator.cancel_finished(now_ms, ended.request, ended.acknowledged);
+        self.perform(ctx);
+    }
+}
+
+impl Handler<UpdateEngines> for CoordinatorActor {
+    type Return = ();
+
+    async fn handle(&mut self, UpdateEngines(engines): UpdateEngines, ctx: &mut Context<Self>) {
+        self.update_engines(&engines);
+        self.perform(ctx);
+    }
+}
+
+impl Handler<ReadCellStatus> for CoordinatorActor {
+    type Return = CellStatus;
+
+    async fn handle(&mut self, _: ReadCellStatus, _: &mut Context<Self>) -> CellStatus {
+        CellStatus {
+            cell: self.parts.cell,
+            epoch: self.coordinator.epoch(),
+            engines: self.engines.values().map(|engine| engine.address).collect(),
+            waiting: self.coordinator.waiting_requests(),
+            pins: self.coordinator.pins(),
+            loads_in_flight: self.coordinator.loads_in_flight(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -0,0 +1,298 @@
+//! Starting and stopping an instance.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use redwinglatch_backends::BackendClient;
+use redwinglatch_core::prelude::*;
+use redwinglatch_instances::{SharedSecret, Transport, TransportSettings};
+use redwinglatch_log::{Membership, Replica, ReplicaConfig, Storage};
+use redwinglatch_metrics::Metrics;
+use redwinglatch_settings::{Settings, StateSettings};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::callers::{Caller, serve_callers};
+use crate::clock::Clock;
+use crate::control::{ControlActor, ControlParts, TransferLeadership};
+use crate::control_client::ControlClient;
+use crate::coordinator::{CoordinatorActor, CoordinatorParts};
+use crate::entry::{CountInFlight, EntryActor, StartDraining};
+use crate::peers::serve_peers;
+use crate::renewing::renew_forever;
+use crate::secrets::read_secret;
+use crate::shared::{Shared, backend_settings, lease_settings};
+use crate::{ServerError, ServerErrorKind};
+
+const CALL_QUEUE: usize = 1024;
+const PEER_QUEUE: usize = 1024;
+/// Connections accepted from other instances.
+const MAX_PEER_CONNECTIONS: usize = 1024;
+/// Added to the time for which callers may keep an old list of entries.
+const KEEP_MARGIN: Duration = Duration::from_secs(5);
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// A running instance.
+pub struct Instance {
+    shared: Arc<Shared>,
+    callers_address: SocketAddr,
+    stop_callers: watch::Sender<bool>,
+    callers_task: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Opens the sockets of an instance and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound, a secret can't be read or the data folder can't be
+    /// opened.
+    pub async fn start(settings: Settings) -> Result<Instance, ServerError> {
+        let mut rng = fastrand::Rng::new();
+        let incarnation = Incarnation(rng.u64(..));
+        let clock = Clock::start();
+        let metrics = Arc::new(Metrics::new());
+        let renew_now = Arc::new(Notify::new());
+        let callers_listener = bind(settings.instance.callers_address, "callers").await?;
+        let callers_address = local_address(&callers_listener, "callers")?;
+        let peers_listener = bind(settings.instance.instances_address, "instances").await?;
+        let secret = read_secret(&settings.secrets.instances_file)?;
+
+        let (peer_sender, incoming) = mpsc::channel(PEER_QUEUE);
+        let counted = metrics.clone();
+        let transport = Transport::start(
+            transport_settings(&settings, incarnation, SharedSecret::new(secret)),
+            peers_listener,
+            peer_sender,
+            move |reason| counted.refused(reason),
+        );
+        let entry = EntryActor::spawn(
+            settings.clone(),
+            incarnation,
+            clock,
+            metrics.clone(),
+            renew_now.clone(),
+            rng.fork(),
+        );
+        let control = match &settings.state {
+            Some(state) => {
+                let opened = open_replica(&settings, state, clock, rng.fork()).await?;
+                let parts = ControlParts {
+                    replica: opened.0,
+                    lease_settings: lease_settings(&settings),
+                    replica_instances: replica_instances(&settings),
+                    cells: cells(&settings).collect(),
+                    clock,
+                    metrics: metrics.clone(),
+                    transport: transport.clone(),
+                };
+                Some(ControlActor::spawn(parts, opened.1))
+            }
+            None => None,
+        };
+        let backends = BackendClient::new(backend_settings(&settings));
+        let coordinators = cells(&settings).map(|cell| {
+            let parts = CoordinatorParts {
+                cell,
+                settings: settings.clone(),
+                clock,
+                metrics: metrics.clone(),
+                backends: backends.clone(),
+                transport: transport.clone(),
+                entry: entry.clone(),
+                rng: rng.fork(),
+            };
+            (cell, CoordinatorActor::spawn(parts))
+        });
+        let coordinators: HashMap<_, _> = coordinators.collect();
+        let shared = Arc::new(Shared {
+            settings,
+            incarnation,
+            clock,
+            metrics,
+            transport,
+            backends,
+            entry,
+            control,
+            coordinators,
+            renew_now,
+            draining: watch::Sender::new(false),
+            next_request: AtomicU64::new(1),
+        });
+        Ok(Instance::serve(shared, callers_listener, callers_address, incoming))
+    }
+
+    fn serve(
+        shared: Arc<Shared>,
+        callers_listener: TcpListener,
+        callers_address: SocketAddr,
+        incoming: mpsc::Receiver<
+            redwinglatch_instances::Incoming<redwinglatch_instances::PeerMessage>,
+        >,
+    ) -> Instance {
+        let control = ControlClient::new(shared.clone());
+        let caller = Caller { shared: shared.clone(), control: control.clone() };
+        let (calls, call_queue) = mpsc::channel(CALL_QUEUE);
+        let (stop_callers, stopped) = watch::channel(false);
+        let metrics = shared.metrics.clone();
+        let callers_task = tokio::spawn(redwinglatch_callers::serve(
+            callers_listener,
+            caller_settings(&shared.settings),
+            calls,
+            move |reason| metrics.refused(reason),
+            stopped,
+        ));
+        let tasks = vec![
+            tokio::spawn(serve_peers(shared.clone(), incoming)),
+            tokio::spawn(renew_forever(shared.clone(), control)),
+            tokio::spawn(serve_callers(caller, call_queue)),
+        ];
+        log::info!("callers: instance {} listens on {callers_address}", shared.instance());
+        Instance { shared, callers_address, stop_callers, callers_task, tasks }
+    }
+
+    /// The address for callers.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// The counters and histograms.
+    #[must_use]
+    pub fn metrics(&self) -> &Arc<Metrics> {
+        &self.shared.metrics
+    }
+
+    /// Waits until an operator asks the instance to stop.
+    pub async fn stop_requested(&self) {
+        let mut draining = self.shared.draining.subscribe();
+        // The sender lives as long as the instance.
+        let _ = draining.wait_for(|draining| *draining).await;
+    }
+
+    /// Stops gracefully: leaves the entry lists, hands over its roles, serves callers that hold an
+    /// old list for as long as they may keep it, and ends after the last request in flight.
+    pub async fn stop(self) {
+        log::info!("callers: instance {} drains", self.shared.instance());
+        self.shared.draining.send_replace(true);
+        let _ = self.shared.entry.send(StartDraining).await;
+        if let Some(control) = &self.shared.control {
+            let _ = control.send(TransferLeadership).await;
+        }
+        let keep_for = Duration::from_secs(self.shared.settings.callers.keep_for_s);
+        let serve_until = Instant::now() + keep_for + KEEP_MARGIN;
+        sleep(serve_until.saturating_duration_since(Instant::now())).await;
+        self.stop_callers.send_replace(true);
+        while self.shared.entry.send(CountInFlight).await.is_ok_and(|count| 0 < count) {
+            sleep(DRAIN_POLL).await;
+        }
+        let _ = self.callers_task.await;
+        for task in self.tasks {
+            task.abort();
+        }
+        log::info!("callers: instance {} stopped", self.shared.instance());
+    }
+}
+
+/// Runs an instance until SIGTERM or SIGINT, then stops it gracefully.
+///
+/// # Errors
+///
+/// Fails when the instance can't start.
+pub async fn run(settings: Settings) -> Result<(), ServerError> {
+    use tokio::signal::unix::{SignalKind, signal};
+
+    let signal_error =
+        |error| ServerError::new(ServerErrorKind::Settings, "signals can't be received", error);
+    let mut terminate = signal(SignalKind::terminate()).map_err(signal_error)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(signal_error)?;
+    let instance = Instance::start(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = instance.stop_requested() => {}
+    }
+    instance.stop().await;
+    Ok(())
+}
+
+async fn bind(address: SocketAddr, peer: &str) -> Result<TcpListener, ServerError> {
+    TcpListener::bind(address).await.map_err(|error| {
+        let context = format!("address {address} for {peer} can't be bound");
+        ServerError::new(ServerErrorKind::Bind, context, error)
+    })
+}
+
+fn local_address(listener: &TcpListener, peer: &str) -> Result<SocketAddr, ServerError> {
+    listener.local_addr().map_err(|error| {
+        ServerError::new(ServerErrorKind::Bind, format!("no address for {peer}"), error)
+    })
+}
+
+fn transport_settings(
+    settings: &Settings,
+    incarnation: Incarnation,
+    secret: SharedSecret,
+) -> TransportSettings {
+    let addresses = settings.instances.iter().map(|entry| (entry.id, entry.instances_address));
+    TransportSettings {
+        instance: settings.instance.id,
+        incarnation,
+        addresses: addresses.collect(),
+        secret,
+        max_connections: MAX_PEER_CONNECTIONS,
+    }
+}
+
+fn caller_settings(settings: &Settings) -> redwinglatch_callers::CallerSettings {
+    redwinglatch_callers::CallerSettings {
+        max_connections: settings.instance.max_connections,
+        max_body_bytes: settings.callers.max_body_bytes,
+        max_header_bytes: settings.callers.max_header_bytes,
+        keep_alive_ms: settings.callers.keep_alive_ms,
+        write_stall_ms: settings.callers.write_stall_ms,
+    }
+}
+
+fn cells(settings: &Settings) -> impl Iterator<Item = CellId> {
+    (0..settings.cells.len()).filter_map(|position| u16::try_from(position).ok().map(CellId))
+}
+
+fn replica_instances(settings: &Settings) -> HashMap<ReplicaId, InstanceId> {
+    settings.replicas.iter().map(|replica| (replica.id, replica.instance)).collect()
+}
+
+async fn open_replica(
+    settings: &Settings,
+    state: &StateSettings,
+    clock: Clock,
+    rng: fastrand::Rng,
+) -> Result<(Replica, Storage), ServerError> {
+    let context = format!("log in {}", state.data_dir.display());
+    let error = |error: &dyn std::fmt::Display| {
+        ServerError::new(ServerErrorKind::Storage, context.clone(), error)
+    };
+    let (dir, id) = (state.data_dir.clone(), state.replica_id);
+    let opened = tokio::task::spawn_blocking(move || Storage::open(dir, id)).await;
+    let (storage, durable) =
+        opened.map_err(|cause| error(&cause))?.map_err(|cause| error(&cause))?;
+    let membership = Membership::new(settings.replicas.iter().map(|replica| replica.id));
+    let control = &settings.control;
+    let config = ReplicaConfig {
+        election_timeout_ms: control.election_timeout_ms,
+        leader_lease_ms: control.leader_lease_ms,
+        clock_drift_permille: control.clock_drift_permille,
+        snapshot_interval_entries: control.snapshot_entries,
+        snapshot_interval_bytes: control.snapshot_bytes,
+        ..ReplicaConfig::new(state.replica_id, membership)
+    };
+    let replica =
+        Replica::new(config, durable, clock.now_ms(), rng).map_err(|cause| error(&cause))?;
+    Ok((replica, storage))
+}
--- a/crates/redwinglatch-server/src/lib.rs
+++ b/crates/redwinglatch-server/src/lib.rs
@@ -1,1 +1,23 @@
-//! Part of redwinglatch.
+//! The library of the redwinglatch daemon.
+//!
+//! [`Instance::start`] opens the sockets of one instance and starts its tasks. Each task owns its
+//! state and drives the decisions of the other packages; tasks talk by messages. [`run`] is the
+//! whole daemon: it starts an instance and stops it gracefully on SIGTERM or SIGINT.
+
+mod callers;
+mod clock;
+mod completion;
+mod control;
+mod control_client;
+mod coordinator;
+mod entry;
+mod error;
+mod instance;
+mod once;
+mod peers;
+mod renewing;
+mod secrets;
+mod shared;
+
+pub use error::{ServerError, ServerErrorKind};
+pub use instance::{Instance, run};
