--- /dev/null
+++ b/crates/redwinglatch-bench/examples/placement.rs
@@ -0,0 +1,29 @@
+//! Prints the table of the benches: `placement [--short] [--no-decisions] [--seed N]`.
+
+use std::process::ExitCode;
+
+use redwinglatch_bench::{Options, run};
+
+fn main() -> ExitCode {
+    let mut options = Options::full();
+    let mut arguments = std::env::args().skip(1);
+    while let Some(argument) = arguments.next() {
+        match &*argument {
+            "--short" => options.short = true,
+            "--no-decisions" => options.decisions = false,
+            "--seed" => match arguments.next().and_then(|it| it.parse().ok()) {
+                Some(seed) => options.seed = seed,
+                None => return usage(),
+            },
+            _ => return usage(),
+        }
+    }
+    let report = run(&options, |step| eprintln!("{step}"));
+    println!("{report}");
+    if report.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn usage() -> ExitCode {
+    eprintln!("usage: placement [--short] [--no-decisions] [--seed N]");
+    ExitCode::from(2)
+}
--- /dev/null
+++ b/crates/redwinglatch-bench/src/placement/figures.rs
@@ -0,0 +1,97 @@
+//! Counts the figures of one run and checks its invariants.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+
+use crate::{PlacementRow, RefusedRow};
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// It waits for an engine with its adapter.
+    Waiting,
+    /// It was sent to an engine.
+    Sent,
+    /// It ran to its end.
+    Completed,
+    /// It was refused as not run.
+    Refused,
+    /// It waited until its deadline.
+    Missed,
+}
+
+/// Counts for requests that arrived in the measured time.
+#[derive(Debug)]
+pub(crate) struct Figures {
+    pub(crate) requests: u64,
+    pub(crate) completed: u64,
+    pub(crate) in_time: u64,
+    pub(crate) missed: u64,
+    pub(crate) refused: BTreeMap<&'static str, u64>,
+    pub(crate) stall_us: u64,
+    pub(crate) first_token_ms: Histogram<u64>,
+    pub(crate) loads: u64,
+    pub(crate) violations: u64,
+    pub(crate) first_violation: Option<String>,
+}
+
+impl Figures {
+    pub(crate) fn new() -> Figures {
+        Figures {
+            requests: 0,
+            completed: 0,
+            in_time: 0,
+            missed: 0,
+            refused: BTreeMap::new(),
+            stall_us: 0,
+            first_token_ms: Histogram::new(3).expect("three digits are allowed"),
+            loads: 0,
+            violations: 0,
+            first_violation: None,
+        }
+    }
+
+    /// Counts a violation unless `holds`.
+    pub(crate) fn check(&mut self, holds: bool, describe: impl FnOnce() -> String) {
+        if !holds {
+            self.violations += 1;
+            self.first_violation.get_or_insert_with(describe);
+        }
+    }
+
+    /// The row of the report.
+    pub(crate) fn into_row(
+        self,
+        (settings, workload, policy): (&str, &str, &str),
+        measured_ms: u64,
+        batch_efficiency: f64,
+    ) -> PlacementRow {
+        let per = |count: f64, of: u64| count / of.max(1) as f64;
+        let stall_total_ms = self.stall_us / 1_000;
+        PlacementRow {
+            settings: settings.to_owned(),
+            workload: workload.to_owned(),
+            policy: policy.to_owned(),
+            requests: self.requests,
+            completed: self.completed,
+            in_time: self.in_time,
+            missed_deadlines: self.missed,
+            refused: self
+                .refused
+                .into_iter()
+                .map(|(reason, count)| RefusedRow { reason: reason.to_owned(), count })
+                .collect(),
+            stall_total_ms,
+            stall_per_completed_ms: per(stall_total_ms as f64, self.completed),
+            goodput_per_s: per(self.in_time as f64 * 1e3, measured_ms),
+            first_token_p95_ms: self.first_token_ms.value_at_quantile(0.95),
+            first_token_p99_ms: self.first_token_ms.value_at_quantile(0.99),
+            batch_efficiency,
+            loads: self.loads,
+            loads_per_1000: per(self.loads as f64 * 1e3, self.requests),
+            violations: self.violations,
+            first_violation: self.first_violation,
+        }
+    }
+}
