Serve operators and show the status of an instance

Cause: contract changes had no way in. Change: the server answers the operators' API, checks callers' secrets and tells commands that surely were not committed from those that may be.

--- a/crates/redwinglatch-server/src/callers.rs
+++ b/crates/redwinglatch-server/src/callers.rs
@@ -5,6 +5,7 @@
 
 use redwinglatch_callers::{CallHeaders, CallKind, CallerAnswer, CallerCall};
 use redwinglatch_core::prelude::*;
+use redwinglatch_operators::SecretFile;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep};
 
@@ -22,6 +23,7 @@
 pub(crate) struct Caller {
     pub(crate) shared: Arc<Shared>,
     pub(crate) control: ControlClient,
+    pub(crate) secret: Arc<SecretFile>,
 }
 
 /// Starts a task for each request.
@@ -53,6 +55,11 @@
     headers: &CallHeaders,
     target: Target,
 ) -> Result<Admitted, Refusal> {
+    let bearer = headers.bearer.as_deref().unwrap_or_default();
+    if !caller.secret.matches(bearer.as_bytes()) {
+        let detail = "the bearer secret is missing or wrong";
+        return Err(Refusal::not_run(RefusalReason::Unauthenticated, detail));
+    }
     let mut request = Admit {
         customer: headers.customer.clone(),
         target,
--- a/crates/redwinglatch-server/src/clock.rs
+++ b/crates/redwinglatch-server/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use tokio::time::{Duration, Instant};
+use tokio::time::Instant;
 
 /// The monotonic clock that all decisions use, in milliseconds since the start of the instance.
 #[derive(Debug, Clone, Copy)]
@@ -18,10 +18,6 @@
     pub(crate) fn now_ms(self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
-
-    pub(crate) fn at_ms(self, at_ms: u64) -> Instant {
-        self.started_at + Duration::from_millis(at_ms)
-    }
 }
 
 /// Wall-clock seconds, for the expiry of records that outlive a process.
--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -11,8 +11,8 @@
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{ContractQuery, ControlRefusal, PeerMessage, Transport};
 use redwinglatch_log::{
-    Effects, Entry, EntryKind, Index, LogMessage, ProposeError, Replica, Storage, StorageError,
-    Term, WriteId,
+    Effects, Entry, EntryKind, Index, LogMessage, ProposeError, Replica, Role, Storage,
+    StorageError, Term, WriteId,
 };
 use redwinglatch_metrics::{Counter, Gauge, Metrics};
 use tokio::sync::oneshot;
@@ -91,14 +91,16 @@
 /// Reads what the operators' status shows.
 pub(crate) struct ReadControlStatus;
 
-/// The state of the log replica and of the leader's soft state.
-#[derive(Debug, Clone, Default, serde::Serialize)]
+/// The state of the log replica.
 pub(crate) struct ControlStatus {
-    pub(crate) is_leader: bool,
+    pub(crate) replica: ReplicaId,
+    pub(crate) role: Role,
     pub(crate) leader: Option<InstanceId>,
     pub(crate) term: Term,
     pub(crate) commit_index: Index,
-    pub(crate) lease_holders: Vec<(InstanceId, bool)>,
+    pub(crate) last_index: Index,
+    pub(crate) voters: Vec<ReplicaId>,
+    pub(crate) learners: Vec<ReplicaId>,
 }
 
 struct Tick;
@@ -552,15 +554,16 @@
     type Return = ControlStatus;
 
     async fn handle(&mut self, _: ReadControlStatus, _: &mut Context<Self>) -> ControlStatus {
-        let lease_holders = self.leader.iter().flat_map(|leader| {
-            leader.leases().instances().map(|record| (record.instance, record.draining))
-        });
+        let replica = &self.parts.replica;
         ControlStatus {
-            is_leader: self.leader.is_some(),
+            replica: replica.id(),
+            role: replica.role(),
             leader: self.leader_instance(),
-            term: self.parts.replica.term(),
-            commit_index: self.parts.replica.commit_index(),
-            lease_holders: lease_holders.collect(),
+            term: replica.term(),
+            commit_index: replica.commit_index(),
+            last_index: replica.last_index(),
+            voters: replica.membership().voters().to_vec(),
+            learners: replica.membership().learners().to_vec(),
         }
     }
 }
--- a/crates/redwinglatch-server/src/control_client.rs
+++ b/crates/redwinglatch-server/src/control_client.rs
@@ -10,7 +10,7 @@
 use redwinglatch_metrics::Timing;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::control::{Propose, ReadContracts, Renew};
+use crate::control::{Propose, Proposed, ReadContracts, Renew};
 use crate::shared::Shared;
 
 /// Time for a renewal; a lost one is repeated with the next interval.
@@ -20,6 +20,23 @@
 /// Pause before the next replica is asked, while no leader is known.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 
+/// What became of a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Committed {
+    /// The command was committed with this outcome.
+    Outcome(Outcome),
+    /// The command may be committed, now or later.
+    Unknown,
+    /// The command surely was not and will not be committed.
+    NotDone,
+}
+
+enum Attempt {
+    Answered(Proposed),
+    NotSent,
+    Lost,
+}
+
 /// Finds the control leader and sends it calls; all clones share the last known leader.
 #[derive(Clone)]
 pub(crate) struct ControlClient {
@@ -61,59 +78,61 @@
     }
 
     /// Commits an idempotent command, at another leader if need be, until `until`.
-    ///
-    /// `None` means that the outcome is unknown. A contract change is answered once it is in
-    /// force, which may take a whole lease; `limit` bounds each attempt.
-    pub(crate) async fn commit(&self, command: &Command, until: Instant) -> Option<Outcome> {
+    pub(crate) async fn commit(&self, command: &Command, until: Instant) -> Committed {
         self.commit_within(command, COMMIT_LIMIT, until).await
     }
 
     /// Commits a contract change and waits until it is in force everywhere.
-    pub(crate) async fn commit_in_force(
-        &self,
-        command: &Command,
-        until: Instant,
-    ) -> Option<Outcome> {
+    pub(crate) async fn commit_in_force(&self, command: &Command, until: Instant) -> Committed {
         let limit = until.saturating_duration_since(Instant::now());
         self.commit_within(command, limit, until).await
     }
 
-    async fn commit_within(
-        &self,
-        command: &Command,
-        limit: Duration,
-        until: Instant,
-    ) -> Option<Outcome> {
+    async fn commit_within(&self, command: &Command, limit: Duration, until: Instant) -> Committed {
+        let mut given_up = Committed::NotDone;
         loop {
             let leader = self.leader();
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return None;
+                return given_up;
             }
-            let limit = limit.min(left);
-            let proposed = match self.local(leader) {
-                Some(control) => {
-                    let outcome = control.send(Propose(command.clone())).await.ok()?;
-                    timeout(limit, outcome).await.ok().and_then(Result::ok)
-                }
-                None => {
-                    let message = PeerMessage::Propose(command.clone());
-                    match self.call(leader, message, limit).await {
-                        Some(PeerMessage::Proposed(proposed)) => Some(proposed),
-                        _ => None,
+            match self.propose(leader, command, limit.min(left)).await {
+                Attempt::Answered(Ok(outcome)) => return Committed::Outcome(outcome),
+                Attempt::Answered(Err(refusal)) => {
+                    if refusal == ControlRefusal::OutcomeUnknown {
+                        given_up = Committed::Unknown;
                     }
+                    self.follow(leader, &refusal);
+                }
+                Attempt::NotSent => self.try_next(leader),
+                Attempt::Lost => {
+                    given_up = Committed::Unknown;
+                    self.try_next(leader);
                 }
-            };
-            match proposed {
-                Some(Ok(outcome)) => return Some(outcome),
-                Some(Err(refusal)) => self.follow(leader, &refusal),
-                None => self.try_next(leader),
             }
             self.shared.metrics.retried(RetryReason::LeaderChanged);
             sleep(SEARCH_PAUSE.min(left)).await;
         }
     }
 
+    async fn propose(&self, leader: InstanceId, command: &Command, limit: Duration) -> Attempt {
+        if let Some(control) = self.local(leader) {
+            let Ok(outcome) = control.send(Propose(command.clone())).await else {
+                return Attempt::NotSent;
+            };
+            return match timeout(limit, outcome).await {
+                Ok(Ok(proposed)) => Attempt::Answered(proposed),
+                Ok(Err(_)) | Err(_) => Attempt::Lost,
+            };
+        }
+        let message = PeerMessage::Propose(command.clone());
+        match self.shared.transport.call(leader, message, limit).await {
+            Ok(PeerMessage::Proposed(proposed)) => Attempt::Answered(proposed),
+            Err(error) if error.kind.surely_not_sent() => Attempt::NotSent,
+            Ok(_) | Err(_) => Attempt::Lost,
+        }
+    }
+
     /// Reads contracts at the leader until `until`.
     pub(crate) async fn read_contracts(
         &self,
--- a/crates/redwinglatch-server/src/coordinator.rs
+++ b/crates/redwinglatch-server/src/coordinator.rs
@@ -11,6 +11,7 @@
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{PeerMessage, Transport};
 use redwinglatch_metrics::{Counter, Gauge, Metrics, Timing};
+use redwinglatch_operators::{EngineStatus, SlotStatus};
 use redwinglatch_placement::{
     CacheEvent, CacheEvents, Coordinator, Effect, EngineInfo, Fencing, LoadFailure, LoadId,
     LoadOrder, PlaceRequest, Placed, Release, Report, ReportedPin, RequestKey, SlotReport,
@@ -63,10 +64,45 @@
 }
 
 struct Engine {
+    pool: Box<str>,
     address: SocketAddr,
+    data_centre: Box<str>,
+    leaving: bool,
     report_ms: u64,
     report_due_ms: u64,
     reading: bool,
+    /// When the last report was asked for, and the report.
+    last_report: Option<(u64, EngineReport)>,
+}
+
+impl Engine {
+    fn status(&self, now_ms: u64) -> EngineStatus {
+        let report = self.last_report.as_ref();
+        let slot = |slot: &redwinglatch_backends::SlotReport| SlotStatus {
+            adapter: AdapterVersion::new(slot.adapter.clone(), slot.version),
+            pins: slot.running,
+            is_loading: false,
+        };
+        EngineStatus {
+            pool: self.pool.clone(),
+            address: self.address,
+            data_centre: Some(self.data_centre.clone()),
+            is_leaving: self.leaving || report.is_some_and(|(_, report)| report.leaving),
+            report_age_ms: report.map(|(asked_ms, _)| now_ms.saturating_sub(*asked_ms)),
+            running: report.map_or(0, |(_, report)| report.running),
+            waiting: report.map_or(0, |(_, report)| report.waiting),
+            slot_count: report.map_or(0, |(_, report)| report.slot_count),
+            slots: report.map_or_else(Vec::new, |(_, it)| it.slots.iter().map(slot).collect()),
+            batch_efficiency_permille: report.and_then(|(_, report)| batch_efficiency(report)),
+        }
+    }
+}
+
+/// The mean share of a step in use since the engine's start, in thousandths.
+fn batch_efficiency(report: &EngineReport) -> Option<u32> {
+    let capacity = report.steps.checked_mul(u64::from(report.max_batch))?;
+    let permille = (report.batched_tokens * 1_000).checked_div(capacity)?;
+    u32::try_from(permille).ok()
 }
 
 /// Places a request; the channel gets the answer.
@@ -94,13 +130,12 @@
 pub(crate) struct UpdateEngines(pub(crate) Vec<ListedEngine>);
 
 /// What the operators' status shows of a cell.
-#[derive(Debug, Clone, Default, serde::Serialize)]
 pub(crate) struct CellStatus {
     pub(crate) cell: CellId,
     pub(crate) epoch: Option<Epoch>,
-    pub(crate) engines: Vec<SocketAddr>,
+    /// Empty while another instance coordinates.
+    pub(crate) engines: Vec<EngineStatus>,
     pub(crate) waiting: usize,
-    pub(crate) pins: usize,
     pub(crate) loads_in_flight: usize,
 }
 
@@ -197,12 +232,17 @@
             if engine.leaving {
                 self.coordinator.engine_leaving(now_ms, id);
             }
-            self.engines.entry(id).or_insert(Engine {
+            let known = self.engines.entry(id).or_insert_with(|| Engine {
+                pool: pool.name.clone(),
                 address: engine.address,
+                data_centre: engine.data_centre.clone(),
+                leaving: false,
                 report_ms: pool.report_ms,
                 report_due_ms: now_ms,
                 reading: false,
+                last_report: None,
             });
+            known.leaving = engine.leaving;
         }
         let gone: Vec<EngineId> = self
             .engines
@@ -633,6 +673,9 @@
         match read.result {
             Ok(report) => {
                 self.parts.metrics.increment(Counter::ReportsRead);
+                if let Some(engine) = self.engines.get_mut(&read.engine) {
+                    engine.last_report = Some((read.asked_ms, report.clone()));
+                }
                 let report = placement_report(read.asked_ms, report);
                 self.coordinator.engine_report(now_ms, read.engine, report);
             }
@@ -691,9 +734,11 @@
         CellStatus {
             cell: self.parts.cell,
             epoch: self.coordinator.epoch(),
-            engines: self.engines.values().map(|engine| engine.address).collect(),
+            engines: match self.coordinator.epoch() {
+                Some(_) => self.engines.values().map(|it| it.status(self.now_ms())).collect(),
+                None => Vec::new(),
+            },
             waiting: self.coordinator.waiting_requests(),
-            pins: self.coordinator.pins(),
             loads_in_flight: self.coordinator.loads_in_flight(),
         }
     }
--- a/crates/redwinglatch-server/src/entry.rs
+++ b/crates/redwinglatch-server/src/entry.rs
@@ -6,7 +6,8 @@
 
 use redwinglatch_callers::{EntriesDocument, EntryDocument};
 use redwinglatch_control::{
-    InstanceProfile, Renewal, RenewalClient, RenewalReply, ReplyResult, Share,
+    Coordinator, InstanceProfile, InstanceRecord, Renewal, RenewalClient, RenewalReply,
+    ReplyResult, Share,
 };
 use redwinglatch_core::prelude::*;
 use redwinglatch_metrics::{Counter, Gauge, Metrics};
@@ -141,17 +142,16 @@
 pub(crate) struct CountInFlight;
 
 /// What the operators' status shows of this instance.
-#[derive(Debug, Clone, serde::Serialize)]
 pub(crate) struct EntryStatus {
-    pub(crate) instance: InstanceId,
-    pub(crate) incarnation: Incarnation,
     pub(crate) serving: bool,
     pub(crate) draining: bool,
     pub(crate) lease_remaining_ms: u64,
     pub(crate) revision: Revision,
     pub(crate) in_flight: u64,
-    pub(crate) pins: usize,
-    pub(crate) shares: Vec<(Box<str>, Share)>,
+    /// Each customer's usable share and requests in flight.
+    pub(crate) shares: Vec<(Box<str>, Share, u64)>,
+    pub(crate) instances: Vec<InstanceRecord>,
+    pub(crate) coordinators: Vec<Coordinator>,
 }
 
 /// Reads [`EntryStatus`].
@@ -479,19 +479,19 @@
             self.client.shares_mut().customers().map(Into::into).collect();
         let shares = customers.into_iter().map(|customer| {
             let share = self.client.usable_share(now_ms, &customer);
-            (customer, share)
+            let in_flight = self.in_flight.get(&customer).copied().unwrap_or(0);
+            (customer, share, in_flight)
         });
         let shares = shares.collect();
         EntryStatus {
-            instance: self.settings.instance.id,
-            incarnation: Incarnation(0),
             serving: self.client.may_serve(now_ms),
             draining: self.draining,
             lease_remaining_ms: self.client.lease().remaining_ms(now_ms),
             revision: self.client.configuration().revision(),
             in_flight: self.in_flight.values().sum(),
-            pins: self.pins.len(),
             shares,
+            instances: self.client.instances().cloned().collect(),
+            coordinators: self.client.coordinators().to_vec(),
         }
     }
 }
--- a/crates/redwinglatch-server/src/instance.rs
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -2,16 +2,18 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use redwinglatch_backends::BackendClient;
 use redwinglatch_core::prelude::*;
-use redwinglatch_instances::{SharedSecret, Transport, TransportSettings};
+use redwinglatch_instances::{Incoming, PeerMessage, SharedSecret, Transport, TransportSettings};
 use redwinglatch_log::{Membership, Replica, ReplicaConfig, Storage};
 use redwinglatch_metrics::Metrics;
-use redwinglatch_settings::{Settings, StateSettings};
+use redwinglatch_operators::{OperatorServer, SecretFile};
+use redwinglatch_settings::{InstanceSettings, Settings, StateSettings};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
@@ -23,6 +25,7 @@
 use crate::control_client::ControlClient;
 use crate::coordinator::{CoordinatorActor, CoordinatorParts};
 use crate::entry::{CountInFlight, EntryActor, StartDraining};
+use crate::operators::serve_operators;
 use crate::peers::serve_peers;
 use crate::renewing::renew_forever;
 use crate::secrets::read_secret;
@@ -31,16 +34,42 @@
 
 const CALL_QUEUE: usize = 1024;
 const PEER_QUEUE: usize = 1024;
+const OPERATOR_QUEUE: usize = 64;
 /// Connections accepted from other instances.
 const MAX_PEER_CONNECTIONS: usize = 1024;
 /// Added to the time for which callers may keep an old list of entries.
 const KEEP_MARGIN: Duration = Duration::from_secs(5);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// The listening sockets of an instance.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For other instances.
+    pub instances: TcpListener,
+    /// For operators.
+    pub operators: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses in the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn bind(settings: &InstanceSettings) -> Result<Listeners, ServerError> {
+        Ok(Listeners {
+            callers: bind(settings.callers_address, "callers").await?,
+            instances: bind(settings.instances_address, "instances").await?,
+            operators: bind(settings.operators_address, "operators").await?,
+        })
+    }
+}
+
 /// A running instance.
 pub struct Instance {
     shared: Arc<Shared>,
-    callers_address: SocketAddr,
     stop_callers: watch::Sender<bool>,
     callers_task: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
@@ -54,21 +83,31 @@
     /// Fails when an address can't be bound, a secret can't be read or the data folder can't be
     /// opened.
     pub async fn start(settings: Settings) -> Result<Instance, ServerError> {
+        let listeners = Listeners::bind(&settings.instance).await?;
+        Instance::start_on(settings, listeners).await
+    }
+
+    /// Starts the tasks of an instance on sockets that are open already.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a secret can't be read or the data folder can't be opened.
+    pub async fn start_on(
+        settings: Settings,
+        listeners: Listeners,
+    ) -> Result<Instance, ServerError> {
         let mut rng = fastrand::Rng::new();
         let incarnation = Incarnation(rng.u64(..));
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
         let renew_now = Arc::new(Notify::new());
-        let callers_listener = bind(settings.instance.callers_address, "callers").await?;
-        let callers_address = local_address(&callers_listener, "callers")?;
-        let peers_listener = bind(settings.instance.instances_address, "instances").await?;
         let secret = read_secret(&settings.secrets.instances_file)?;
 
         let (peer_sender, incoming) = mpsc::channel(PEER_QUEUE);
         let counted = metrics.clone();
         let transport = Transport::start(
             transport_settings(&settings, incarnation, SharedSecret::new(secret)),
-            peers_listener,
+            listeners.instances,
             peer_sender,
             move |reason| counted.refused(reason),
         );
@@ -125,21 +164,27 @@
             draining: watch::Sender::new(false),
             next_request: AtomicU64::new(1),
         });
-        Ok(Instance::serve(shared, callers_listener, callers_address, incoming))
+        let callers_secret = open_secret(&shared.settings.secrets.callers_file)?;
+        let operators_secret = open_secret(&shared.settings.secrets.operators_file)?;
+        let control = ControlClient::new(shared.clone());
+        let caller = Caller { shared, control, secret: callers_secret };
+        let (callers, operators) = (listeners.callers, listeners.operators);
+        Ok(Instance::serve(caller, callers, operators, operators_secret, incoming))
     }
 
     fn serve(
-        shared: Arc<Shared>,
+        caller: Caller,
         callers_listener: TcpListener,
-        callers_address: SocketAddr,
-        incoming: mpsc::Receiver<
-            redwinglatch_instances::Incoming<redwinglatch_instances::PeerMessage>,
-        >,
+        operators_listener: TcpListener,
+        operators_secret: Arc<SecretFile>,
+        incoming: mpsc::Receiver<Incoming<PeerMessage>>,
     ) -> Instance {
-        let control = ControlClient::new(shared.clone());
-        let caller = Caller { shared: shared.clone(), control: control.clone() };
+        let shared = caller.shared.clone();
         let (calls, call_queue) = mpsc::channel(CALL_QUEUE);
+        let (operator_calls, operator_queue) = mpsc::channel(OPERATOR_QUEUE);
         let (stop_callers, stopped) = watch::channel(false);
+        let operators =
+            OperatorServer::new(operators_secret, operator_calls, shared.metrics.clone());
         let metrics = shared.metrics.clone();
         let callers_task = tokio::spawn(redwinglatch_callers::serve(
             callers_listener,
@@ -150,17 +195,16 @@
         ));
         let tasks = vec![
             tokio::spawn(serve_peers(shared.clone(), incoming)),
-            tokio::spawn(renew_forever(shared.clone(), control)),
+            tokio::spawn(renew_forever(shared.clone(), caller.control.clone())),
+            tokio::spawn(watch_callers_secret(caller.clone())),
+            tokio::spawn(serve_operators(caller.clone(), operator_queue)),
+            // Operators are served until the tasks end, also while the instance drains.
+            tokio::spawn(operators.serve(operators_listener, std::future::pending())),
             tokio::spawn(serve_callers(caller, call_queue)),
         ];
-        log::info!("callers: instance {} listens on {callers_address}", shared.instance());
-        Instance { shared, callers_address, stop_callers, callers_task, tasks }
-    }
-
-    /// The address for callers.
-    #[must_use]
-    pub fn callers_address(&self) -> SocketAddr {
-        self.callers_address
+        let own = &shared.settings.instance;
+        log::info!("callers: instance {} listens on {}", own.id, own.callers_address);
+        Instance { shared, stop_callers, callers_task, tasks }
     }
 
     /// The counters and histograms.
@@ -229,12 +273,17 @@
     })
 }
 
-fn local_address(listener: &TcpListener, peer: &str) -> Result<SocketAddr, ServerError> {
-    listener.local_addr().map_err(|error| {
-        ServerError::new(ServerErrorKind::Bind, format!("no address for {peer}"), error)
+fn open_secret(path: &Path) -> Result<Arc<SecretFile>, ServerError> {
+    SecretFile::open(path).map(Arc::new).map_err(|error| {
+        let context = format!("secret file {}", path.display());
+        ServerError::new(ServerErrorKind::Secret, context, error)
     })
 }
 
+async fn watch_callers_secret(caller: Caller) {
+    caller.secret.watch(&caller.shared.metrics).await;
+}
+
 fn transport_settings(
     settings: &Settings,
     incarnation: Incarnation,
--- a/crates/redwinglatch-server/src/lib.rs
+++ b/crates/redwinglatch-server/src/lib.rs
@@ -14,10 +14,12 @@
 mod error;
 mod instance;
 mod once;
+mod operators;
 mod peers;
 mod renewing;
 mod secrets;
 mod shared;
+mod status;
 
 pub use error::{ServerError, ServerErrorKind};
-pub use instance::{Instance, run};
+pub use instance::{Instance, Listeners, run};
--- a/crates/redwinglatch-server/src/once.rs
+++ b/crates/redwinglatch-server/src/once.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::clock::wall_clock_s;
-use crate::control_client::ControlClient;
+use crate::control_client::{Committed, ControlClient};
 use crate::shared::Shared;
 
 /// How long the end of a claim is tried to be committed before the answer goes to the caller.
@@ -61,11 +61,16 @@
         at_most_once: request.at_most_once,
         now_wall_s: wall_clock_s(),
     };
-    let Some(outcome) = control.commit(&command, until).await else {
-        end_unanswered_claim(shared, control, request, command);
-        let detail = "the idempotency key could not be recorded in time";
-        return Err(Refusal::not_run(RefusalReason::ControlUnavailable, detail)
-            .retry_after_ms(STILL_RUNNING_RETRY_MS));
+    let outcome = match control.commit(&command, until).await {
+        Committed::Outcome(outcome) => outcome,
+        given_up => {
+            if given_up == Committed::Unknown {
+                end_unanswered_claim(shared, control, request, command);
+            }
+            let detail = "the idempotency key could not be recorded in time";
+            return Err(Refusal::not_run(RefusalReason::ControlUnavailable, detail)
+                .retry_after_ms(STILL_RUNNING_RETRY_MS));
+        }
     };
     let key = &request.key;
     match outcome {
@@ -113,7 +118,8 @@
     tokio::spawn(async move {
         let until = Instant::now() + FINISH_LATER_LIMIT;
         // The same request proposed again is granted the same claim.
-        if let Some(Outcome::Granted { claim }) = control.commit(&command, until).await {
+        let committed = control.commit(&command, until).await;
+        if let Committed::Outcome(Outcome::Granted { claim }) = committed {
             let claim = Claim { key: request.key, customer: request.customer, claim };
             finish(&shared, &control, claim, OnceOutcome::NotRun).await;
         }
@@ -137,12 +143,14 @@
         incarnation: shared.incarnation,
         outcome,
     };
-    if control.commit(&command, Instant::now() + FINISH_LIMIT).await.is_some() {
+    let until = Instant::now() + FINISH_LIMIT;
+    if let Committed::Outcome(_) = control.commit(&command, until).await {
         return;
     }
     let control = control.clone();
     tokio::spawn(async move {
-        if control.commit(&command, Instant::now() + FINISH_LATER_LIMIT).await.is_none() {
+        let until = Instant::now() + FINISH_LATER_LIMIT;
+        if !matches!(control.commit(&command, until).await, Committed::Outcome(_)) {
             log::warn!("control: the end of a claimed request could not be recorded");
         }
     });
--- /dev/null
+++ b/crates/redwinglatch-server/src/status.rs
@@ -0,0 +1,126 @@
+//! The operators' view of an instance and of what it knows of the deployment.
+
+use redwinglatch_operators::{
+    CoordinatorStatus, InstanceState, InstanceStatus, LeaderStatus, LeaseStatus, ReplicaRole,
+    ReplicaStatus, ShareStatus, StatusDocument, StoreStatus,
+};
+
+use crate::callers::Caller;
+use crate::control::{ControlStatus, ReadControlStatus};
+use crate::coordinator::{CellStatus, ReadCellStatus};
+use crate::entry::{EntryStatus, ReadEntryStatus};
+use crate::shared::Shared;
+
+/// Collects the status; `None` when the instance is ending.
+pub(crate) async fn read(caller: &Caller) -> Option<StatusDocument> {
+    let shared = &caller.shared;
+    let entry = shared.entry.send(ReadEntryStatus).await.ok()?;
+    let control = match &shared.control {
+        Some(control) => Some(control.send(ReadControlStatus).await.ok()?),
+        None => None,
+    };
+    let mut cells = Vec::new();
+    for coordinator in shared.coordinators.values() {
+        cells.push(coordinator.send(ReadCellStatus).await.ok()?);
+    }
+    cells.sort_by_key(|cell| cell.cell);
+    let own = &shared.settings.instance;
+    Some(StatusDocument {
+        instance: own.id,
+        incarnation: shared.incarnation,
+        data_centre: own.data_centre.clone(),
+        region: own.region.clone(),
+        is_draining: entry.draining,
+        requests_in_flight: entry.in_flight,
+        revision: entry.revision,
+        lease: LeaseStatus { is_valid: entry.serving, remaining_ms: entry.lease_remaining_ms },
+        leader: control.as_ref().and_then(|control| {
+            Some(LeaderStatus { instance: control.leader?, term: control.term })
+        }),
+        replica: control.map(replica_status),
+        instances: instances(shared, &entry),
+        coordinators: coordinators(shared, &entry),
+        engines: cells.iter().flat_map(|cell| cell.engines.iter().cloned()).collect(),
+        stores: cells.iter().filter_map(|cell| store(shared, cell)).collect(),
+        shares: entry.shares.iter().map(share).collect(),
+        pending_changes: Vec::new(),
+    })
+}
+
+fn replica_status(control: ControlStatus) -> ReplicaStatus {
+    ReplicaStatus {
+        id: control.replica,
+        role: match control.role {
+            redwinglatch_log::Role::Leader => ReplicaRole::Leader,
+            redwinglatch_log::Role::Halted => ReplicaRole::Stopped,
+            _ if control.learners.contains(&control.replica) => ReplicaRole::Learner,
+            redwinglatch_log::Role::Follower => ReplicaRole::Follower,
+            _ => ReplicaRole::Candidate,
+        },
+        term: control.term,
+        commit_index: control.commit_index,
+        last_index: control.last_index,
+        voters: control.voters,
+        learners: control.learners,
+    }
+}
+
+fn instances(shared: &Shared, entry: &EntryStatus) -> Vec<InstanceStatus> {
+    let status = |listed: &redwinglatch_settings::InstanceEntry| {
+        let known = entry.instances.iter().find(|known| known.instance == listed.id);
+        InstanceStatus {
+            id: listed.id,
+            data_centre: listed.data_centre.clone(),
+            state: match known {
+                Some(known) if known.draining => InstanceState::Draining,
+                Some(_) => InstanceState::Live,
+                None if entry.instances.is_empty() => InstanceState::Unknown,
+                None => InstanceState::Lost,
+            },
+            callers_address: listed.callers_address,
+            operators_address: listed.operators_address,
+            incarnation: known.map(|known| known.incarnation),
+            revision: (listed.id == shared.instance()).then_some(entry.revision),
+            lease_remaining_ms: (listed.id == shared.instance())
+                .then_some(entry.lease_remaining_ms),
+        }
+    };
+    shared.settings.instances.iter().map(status).collect()
+}
+
+fn coordinators(shared: &Shared, entry: &EntryStatus) -> Vec<CoordinatorStatus> {
+    let status = |known: &redwinglatch_control::Coordinator| {
+        let cell = shared.settings.cells.get(usize::from(known.cell.0))?;
+        Some(CoordinatorStatus {
+            cell: cell.name.clone(),
+            instance: known.instance,
+            epoch: known.epoch,
+            is_rebuilding: false,
+        })
+    };
+    entry.coordinators.iter().filter_map(status).collect()
+}
+
+fn store(shared: &Shared, cell: &CellStatus) -> Option<StoreStatus> {
+    cell.epoch?;
+    let name = &shared.settings.cells.get(usize::from(cell.cell.0))?.name;
+    Some(StoreStatus {
+        cell: name.clone(),
+        waiting_loads: u32::try_from(cell.waiting).unwrap_or(u32::MAX),
+        loads_in_flight: u32::try_from(cell.loads_in_flight).unwrap_or(u32::MAX),
+        oldest_wait_ms: None,
+    })
+}
+
+fn share(
+    (customer, share, in_flight): &(Box<str>, redwinglatch_control::Share, u64),
+) -> ShareStatus {
+    let number = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+    ShareStatus {
+        customer: customer.clone(),
+        request_rate_per_s: number(share.request_rate_milli / 1_000),
+        concurrent_requests: number(share.concurrent_requests),
+        token_rate_per_s: number(share.token_rate_per_s),
+        requests_in_flight: number(*in_flight),
+    }
+}
