Admit, retry and route by the admission decisions; serve plain services

Cause: the server checked contracts but not limits, and refused services. Change: the entry task owns limiter, retry budgets and service routers; a task follows the platform's list; a fake caller stands in for users. Conclusion: every part of a request's path exists.

--- a/crates/redwinglatch-fakes/src/lib.rs
+++ b/crates/redwinglatch-fakes/src/lib.rs
@@ -22,6 +22,7 @@
 //! ```
 
 mod answer;
+mod caller;
 mod engine;
 mod engine_routes;
 mod engine_settings;
@@ -38,6 +39,7 @@
 mod text;
 mod weight_store;
 
+pub use caller::{CallerRequest, CallerResponse, CallerStream, FakeCaller};
 pub use engine::FakeEngine;
 pub use engine_settings::{EngineSettings, Fencing};
 pub use engine_stream::StreamFault;
--- /dev/null
+++ b/crates/redwinglatch-server/src/attempts.rs
@@ -0,0 +1,23 @@
+//! From errors of backend servers to the failures that the retry policy knows.
+
+use redwinglatch_admission::{BackendCode, Failure};
+use redwinglatch_backends::{BackendError, BackendErrorKind};
+use redwinglatch_core::Ran;
+
+/// The failure that `error` stands for, before any token was passed on.
+pub(crate) fn failure_of(error: &BackendError) -> Failure {
+    let not_run = error.ran == Ran::NotRun;
+    let refused = |code| Failure::Refused { code, not_run };
+    match error.kind {
+        BackendErrorKind::ConnectRefused => Failure::ConnectRefused,
+        BackendErrorKind::WrongAdapter => Failure::WrongAdapter,
+        BackendErrorKind::AdapterMissing => refused(BackendCode::AdapterMissing),
+        BackendErrorKind::QueueFull => refused(BackendCode::QueueFull),
+        BackendErrorKind::Leaving => refused(BackendCode::Leaving),
+        BackendErrorKind::UnknownAdapter => refused(BackendCode::UnknownAdapter),
+        BackendErrorKind::Refused => refused(BackendCode::Other),
+        _ if not_run => Failure::NotWritten,
+        BackendErrorKind::Silent | BackendErrorKind::DeadlinePassed => Failure::Timeout,
+        _ => Failure::ResetAfterFirstByte,
+    }
+}
--- a/crates/redwinglatch-server/src/callers.rs
+++ b/crates/redwinglatch-server/src/callers.rs
@@ -7,15 +7,14 @@
 use redwinglatch_core::prelude::*;
 use redwinglatch_operators::SecretFile;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
-use crate::completion;
 use crate::control_client::ControlClient;
-use crate::entry::{Admission, Admit, Admitted, ListEntries, ListOthers, Target};
+use crate::entry::{Admission, Admit, Admitted, ListEntries, ListOthers};
 use crate::shared::Shared;
+use crate::{completion, service};
 
-/// How long a request waits for a first share of its customer's contract.
-const SHARE_LIMIT: Duration = Duration::from_millis(200);
+/// How often a request that waits for a first share is decided again.
 const SHARE_PAUSE: Duration = Duration::from_millis(10);
 
 /// What the tasks of requests share.
@@ -40,10 +39,7 @@
                 CallKind::Completion(completion) => {
                     completion::run(&caller, completion, call.reply).await;
                 }
-                CallKind::Service(_) => {
-                    let refusal = Refusal::not_run(RefusalReason::ServiceNotAllowed, "no services");
-                    refuse(&caller.shared, call.reply, refusal).await;
-                }
+                CallKind::Service(service) => service::run(&caller, service, call.reply).await,
             }
         });
     }
@@ -53,41 +49,25 @@
 pub(crate) async fn admit(
     caller: &Caller,
     headers: &CallHeaders,
-    target: Target,
+    request: Admit,
 ) -> Result<Admitted, Refusal> {
     let bearer = headers.bearer.as_deref().unwrap_or_default();
     if !caller.secret.matches(bearer.as_bytes()) {
         let detail = "the bearer secret is missing or wrong";
         return Err(Refusal::not_run(RefusalReason::Unauthenticated, detail));
     }
-    let mut request = Admit {
-        customer: headers.customer.clone(),
-        target,
-        deadline_ms: headers.deadline_ms,
-        priority: headers.priority,
-    };
-    let give_up_at = Instant::now() + SHARE_LIMIT;
     loop {
-        let target = match &request.target {
-            Target::Adapter(adapter) => Target::Adapter(adapter.clone()),
-            Target::Service(service) => Target::Service(service.clone()),
-        };
-        let retry = Admit { customer: request.customer.clone(), target, ..request };
-        match caller.shared.entry.send(request).await {
+        match caller.shared.entry.send(request.clone()).await {
             Ok(Admission::Admitted(admitted)) => return Ok(admitted),
             Ok(Admission::Refused(refusal)) => return Err(refusal),
-            Ok(Admission::NeedShare) if Instant::now() < give_up_at => {}
-            Ok(Admission::NeedShare) => {
-                let detail = "the customer's concurrent requests are in use";
-                let refusal = Refusal::not_run(RefusalReason::Concurrency, detail);
-                return Err(refusal.retry_after_ms(500));
+            Ok(Admission::AskForShare { until_ms }) => {
+                let left_ms = until_ms.saturating_sub(caller.shared.now_ms()).max(1);
+                sleep(SHARE_PAUSE.min(Duration::from_millis(left_ms))).await;
             }
             Err(_) => {
                 return Err(Refusal::not_run(RefusalReason::Draining, "the instance is stopping"));
             }
         }
-        request = retry;
-        sleep(SHARE_PAUSE).await;
     }
 }
 
--- a/crates/redwinglatch-server/src/clock.rs
+++ b/crates/redwinglatch-server/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 
 /// The monotonic clock that all decisions use, in milliseconds since the start of the instance.
 #[derive(Debug, Clone, Copy)]
@@ -15,6 +15,10 @@
         Clock { started_at: Instant::now() }
     }
 
+    pub(crate) fn at_ms(self, at_ms: u64) -> Instant {
+        self.started_at + Duration::from_millis(at_ms)
+    }
+
     pub(crate) fn now_ms(self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
--- a/crates/redwinglatch-server/src/completion.rs
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use redwinglatch_admission::{BackendKind, Failure, NextStep, RequestTerms};
 use redwinglatch_backends::{
     BackendError, BackendErrorKind, CompletionRequest, ResumingStream, Token, prefix_hashes,
 };
@@ -19,14 +20,16 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::attempts::failure_of;
 use crate::callers::{Caller, admit, refuse};
 use crate::coordinator::{EndPin, Place, Withdraw};
-use crate::entry::{Admitted, DropPin, HeldPin, HoldPin, Target, find_coordinator};
+use crate::entry::{
+    Admit, Admitted, CountAttempt, DecideNext, DropPin, HeldPin, HoldPin, Leave, Target,
+    find_coordinator,
+};
 use crate::once::{Claim, ClaimRequest, Claimed, claim, finish};
 use crate::shared::{Shared, pool_of_model};
 
-/// Attempts on different engines for one request.
-const MAX_ATTEMPTS: usize = 3;
 /// Pause before the coordinator is asked again while it changes.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
 /// Events buffered between the engine's stream and the caller's connection.
@@ -56,23 +59,32 @@
 ) {
     let arrived_at = Instant::now();
     let shared = &caller.shared;
-    let target = Target::Adapter(call.adapter.clone());
-    let admitted = match admit(caller, &call.headers, target).await {
+    let request = Admit {
+        customer: call.headers.customer.clone(),
+        target: Target::Adapter(call.adapter.clone()),
+        arrived_at_ms: shared.now_ms(),
+        deadline_ms: call.headers.deadline_ms,
+        priority: call.headers.priority,
+        max_tokens: call.max_tokens,
+    };
+    let admitted = match admit(caller, &call.headers, request).await {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(shared, reply, refusal).await,
     };
-    let deadline = arrived_at + Duration::from_millis(u64::from(admitted.budget_ms));
+    let Admitted { terms, load_share_permille, permit } = admitted;
     let request = shared.next_request_id();
-    let job = Job { caller, call: &call, admitted, request, arrived_at, deadline };
-    job.run(reply).await;
-    let customer = call.headers.customer.clone();
-    let _ = shared.entry.send(crate::entry::Leave { customer }).await;
+    let deadline = shared.clock.at_ms(terms.deadline_ms);
+    let job =
+        Job { caller, call: &call, terms, load_share_permille, request, arrived_at, deadline };
+    let tokens = job.run(reply).await;
+    let _ = shared.entry.send(Leave { permit, tokens }).await;
 }
 
 struct Job<'a> {
     caller: &'a Caller,
     call: &'a CompletionCall,
-    admitted: Admitted,
+    terms: RequestTerms,
+    load_share_permille: u16,
     request: RequestId,
     arrived_at: Instant,
     deadline: Instant,
@@ -81,7 +93,7 @@
 /// Why an attempt ended without an answer.
 enum Failed {
     /// Another engine may be tried.
-    Retry { reason: RetryReason, excluded: SocketAddr, refusal: Refusal },
+    Retry { reason: RetryReason, delay_ms: u64, excluded: SocketAddr },
     /// The request is given up.
     Final(Refusal),
 }
@@ -111,7 +123,8 @@
         u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
     }
 
-    async fn run(&self, reply: oneshot::Sender<CallerAnswer>) {
+    /// Runs the request and says how many tokens it generated.
+    async fn run(&self, reply: oneshot::Sender<CallerAnswer>) -> u32 {
         let claim = match self.claim().await {
             Ok(None) => None,
             Ok(Some(Claimed::Granted(claim))) => Some(claim),
@@ -119,15 +132,19 @@
                 self.shared().metrics.increment(Counter::AnswersFromRecord);
                 let answer = stored_answer(status, &body, self.call.stream);
                 drop(reply.send(answer));
-                return;
+                return 0;
+            }
+            Err(refusal) => {
+                refuse(self.shared(), reply, refusal).await;
+                return 0;
             }
-            Err(refusal) => return refuse(self.shared(), reply, refusal).await,
         };
         match self.start().await {
             Ok((started, cell)) => self.answer(started, cell, claim, reply).await,
             Err(refusal) => {
                 self.end_claim(claim, outcome_of(refusal.ran)).await;
                 refuse(self.shared(), reply, refusal).await;
+                0
             }
         }
     }
@@ -160,15 +177,18 @@
         let mut excluded: SmallVec<[SocketAddr; 2]> = SmallVec::new();
         loop {
             let placed = self.place(cell, &excluded).await?;
-            match self.attempt(cell, placed).await {
+            if excluded.is_empty() {
+                let customer = self.call.headers.customer.clone();
+                let counted = CountAttempt { customer, backend: placed.engine };
+                let _ = shared.entry.send(counted).await;
+            }
+            match self.attempt(cell, placed, excluded.len()).await {
                 Ok(started) => return Ok((started, cell)),
                 Err(Failed::Final(refusal)) => return Err(refusal),
-                Err(Failed::Retry { reason, excluded: engine, refusal }) => {
+                Err(Failed::Retry { reason, delay_ms, excluded: engine }) => {
                     excluded.push(engine);
-                    if MAX_ATTEMPTS <= excluded.len() || self.left_ms() == 0 {
-                        return Err(refusal);
-                    }
                     shared.metrics.retried(reason);
+                    sleep(Duration::from_millis(delay_ms)).await;
                 }
             }
         }
@@ -193,9 +213,9 @@
                 model: call.model.clone(),
                 adapter: call.adapter.clone(),
                 customer: call.headers.customer.clone(),
-                load_share_permille: self.admitted.load_share_permille,
+                load_share_permille: self.load_share_permille,
                 budget_ms,
-                priority: self.admitted.priority,
+                priority: self.terms.priority,
                 max_tokens: call.max_tokens,
                 prefix_hashes: prefix_hashes.into_iter().take(4).collect(),
                 data_centre: shared.settings.instance.data_centre.clone(),
@@ -267,7 +287,12 @@
     }
 
     /// Sends the request to the placed engine and waits for its first event.
-    async fn attempt(&self, cell: CellId, placed: Placed) -> Result<Started, Failed> {
+    async fn attempt(
+        &self,
+        cell: CellId,
+        placed: Placed,
+        failed_before: usize,
+    ) -> Result<Started, Failed> {
         let shared = self.shared();
         let call = self.call;
         shared.metrics.record(Timing::LoadStall, Duration::from_millis(placed.stall_ms));
@@ -279,7 +304,7 @@
             call.prompt.clone(),
         )
         .max_tokens(call.max_tokens)
-        .priority(self.admitted.priority)
+        .priority(self.terms.priority)
         .deadline_ms(self.left_ms());
         let started = match shared.backends.complete(placed.engine, request).await {
             Ok(mut stream) => match stream.next().await {
@@ -290,20 +315,29 @@
         };
         match started {
             Ok(started) => Ok(started),
-            Err(error) => Err(self.attempt_failed(cell, placed, &error).await),
+            Err(error) => Err(self.attempt_failed(cell, placed, &error, failed_before).await),
         }
     }
 
     /// Ends the pin of a failed attempt and decides whether another engine may be tried.
-    async fn attempt_failed(&self, cell: CellId, placed: Placed, error: &BackendError) -> Failed {
+    async fn attempt_failed(
+        &self,
+        cell: CellId,
+        placed: Placed,
+        error: &BackendError,
+        failed_before: usize,
+    ) -> Failed {
         let shared = self.shared();
         log::debug!("placement: engine {} failed a request: {error}", placed.engine);
-        let mut not_run = error.ran == Ran::NotRun;
-        if !not_run && !self.call.headers.at_most_once {
+        let mut step = self.decide(placed, failure_of(error), error, failed_before).await;
+        if step == NextStep::CancelThenRetry {
             // The engine's own word that it stopped before any token makes a repeat safe.
-            let cancelled =
-                shared.backends.cancel(placed.engine, &self.key().to_string(), placed.epoch).await;
-            not_run = cancelled.is_ok_and(|outcome| outcome.cancelled && outcome.tokens == 0);
+            let key = self.key().to_string();
+            let failure = match shared.backends.cancel(placed.engine, &key, placed.epoch).await {
+                Ok(outcome) if outcome.cancelled => Failure::Cancelled { tokens: outcome.tokens },
+                Ok(_) | Err(_) => Failure::CancelFailed,
+            };
+            step = self.decide(placed, failure, error, failed_before).await;
         }
         let release = match error.kind {
             _ if error.leaving => Release::EngineLeaving,
@@ -313,29 +347,48 @@
             _ => Release::EngineFailed,
         };
         release_pin(self.caller, cell, placed, release);
-        if not_run {
-            let reason = match release {
-                Release::EngineLeaving => RetryReason::BackendLeaving,
-                Release::AdapterMissing => RetryReason::AdapterMissing,
-                Release::ConnectRefused => RetryReason::ConnectRefused,
-                _ => RetryReason::BackendRefused,
-            };
-            let detail = format!("engine {} did not run the request: {error}", placed.engine);
-            let refusal =
-                Refusal::not_run(RefusalReason::BackendUnavailable, detail).retry_after_ms(1_000);
-            return Failed::Retry { reason, excluded: placed.engine, refusal };
+        match step {
+            NextStep::Retry { delay_ms, reason } => {
+                Failed::Retry { reason, delay_ms, excluded: placed.engine }
+            }
+            NextStep::Final(refusal) => Failed::Final(refusal),
+            // The stream itself has resumed as long as it could.
+            NextStep::Resume { .. } | NextStep::CancelThenRetry => {
+                Failed::Final(unknown_refusal(placed.engine, error))
+            }
         }
-        Failed::Final(unknown_refusal(placed.engine, error))
     }
 
-    /// Passes the answer on, keeps it under the idempotency key and releases the pin.
+    async fn decide(
+        &self,
+        placed: Placed,
+        failure: Failure,
+        error: &BackendError,
+        failed_before: usize,
+    ) -> NextStep {
+        let decide = DecideNext {
+            failure,
+            customer: self.call.headers.customer.clone(),
+            backend: placed.engine,
+            kind: BackendKind::Engine { resumable: false },
+            at_most_once: self.call.headers.at_most_once,
+            may_have_run: error.ran != Ran::NotRun,
+            failed_attempts: u32::try_from(failed_before).unwrap_or(u32::MAX).saturating_add(1),
+            deadline_ms: self.terms.deadline_ms,
+        };
+        let step = self.shared().entry.send(decide).await;
+        step.unwrap_or_else(|_| NextStep::Final(unknown_refusal(placed.engine, error)))
+    }
+
+    /// Passes the answer on, keeps it under the idempotency key and releases the pin; returns the
+    /// number of tokens.
     async fn answer(
         &self,
         started: Started,
         cell: CellId,
         claim: Option<Claim>,
         reply: oneshot::Sender<CallerAnswer>,
-    ) {
+    ) -> u32 {
         let shared = self.shared();
         let Started { mut stream, first, placed } = started;
         shared.metrics.record(Timing::TimeToFirstToken, self.arrived_at.elapsed());
@@ -370,6 +423,7 @@
             previous_at = Instant::now();
         };
         self.count_retries();
+        let tokens = u32::try_from(stream.next_index()).unwrap_or(u32::MAX);
         match (result, stream.finish().cloned()) {
             (Ok(()), Some(finish)) => {
                 release_pin(self.caller, cell, placed, Release::Finished);
@@ -409,6 +463,7 @@
                 sink.failed(shared, refusal).await;
             }
         }
+        tokens
     }
 
     fn count_retries(&self) {
--- a/crates/redwinglatch-server/src/instance.rs
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -24,7 +24,8 @@
 use crate::control::{ControlActor, ControlParts, TransferLeadership};
 use crate::control_client::ControlClient;
 use crate::coordinator::{CoordinatorActor, CoordinatorParts};
-use crate::entry::{CountInFlight, EntryActor, StartDraining};
+use crate::entry::{CountInFlight, EntryActor, EntryParts, StartDraining};
+use crate::listing::follow_list;
 use crate::operators::serve_operators;
 use crate::peers::serve_peers;
 use crate::renewing::renew_forever;
@@ -111,14 +112,14 @@
             peer_sender,
             move |reason| counted.refused(reason),
         );
-        let entry = EntryActor::spawn(
-            settings.clone(),
+        let entry = EntryActor::spawn(EntryParts {
+            settings: settings.clone(),
             incarnation,
             clock,
-            metrics.clone(),
-            renew_now.clone(),
-            rng.fork(),
-        );
+            metrics: metrics.clone(),
+            renew_now: renew_now.clone(),
+            rng: rng.fork(),
+        });
         let control = match &settings.state {
             Some(state) => {
                 let opened = open_replica(&settings, state, clock, rng.fork()).await?;
@@ -196,6 +197,7 @@
         let tasks = vec![
             tokio::spawn(serve_peers(shared.clone(), incoming)),
             tokio::spawn(renew_forever(shared.clone(), caller.control.clone())),
+            tokio::spawn(follow_list(shared.clone())),
             tokio::spawn(watch_callers_secret(caller.clone())),
             tokio::spawn(serve_operators(caller.clone(), operator_queue)),
             // Operators are served until the tasks end, also while the instance drains.
--- a/crates/redwinglatch-server/src/lib.rs
+++ b/crates/redwinglatch-server/src/lib.rs
@@ -4,6 +4,7 @@
 //! state and drives the decisions of the other packages; tasks talk by messages. [`run`] is the
 //! whole daemon: it starts an instance and stops it gracefully on SIGTERM or SIGINT.
 
+mod attempts;
 mod callers;
 mod clock;
 mod completion;
@@ -13,11 +14,13 @@
 mod entry;
 mod error;
 mod instance;
+mod listing;
 mod once;
 mod operators;
 mod peers;
 mod renewing;
 mod secrets;
+mod service;
 mod shared;
 mod status;
 
