Add the command line, the daemon's start and example settings

Change: redwinglatch has contract, instance, status, settings, bench and demo (the last two are stubs until they are linked); redwinglatchd reads and checks its settings and has one marked place for the server library; examples hold an instance with a disk and one without for each deployment, and contracts. A first contract's change id includes the customer's last known revision, because a contract written again after its removal would otherwise be answered with the result of the first time.

--- a/crates/redwinglatch-operators/src/client.rs
+++ b/crates/redwinglatch-operators/src/client.rs
@@ -26,6 +26,8 @@
 /// Above the time in which the server gives its own answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 const PAUSE_BETWEEN_ROUNDS: Duration = Duration::from_secs(1);
+/// Bounds the time of a request when the list of addresses is long and nobody answers.
+const MAX_ATTEMPTS: usize = 12;
 /// The list of 380 instances or of some thousand contracts is well below this.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -225,6 +227,9 @@
                 sleep(PAUSE_BETWEEN_ROUNDS).await;
             }
             for address in &self.addresses {
+                if attempts.len() >= MAX_ATTEMPTS {
+                    break;
+                }
                 match self.send(*address, parts).await {
                     Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
                         debug!("operators: {address} can't serve the request at the moment");
--- a/crates/redwinglatch-operators/src/contract_document.rs
+++ b/crates/redwinglatch-operators/src/contract_document.rs
@@ -24,6 +24,8 @@
 pub struct HistoryEntry {
     /// The revision of the change.
     pub revision: Revision,
+    /// When the change was proposed, in seconds since 1970.
+    pub at_wall_s: u64,
     /// The id under which the operator sent the change.
     pub change_id: Box<str>,
     /// The contract after the change; absent if the change removed it.
--- /dev/null
+++ b/crates/redwinglatch-settings/tests/examples.rs
@@ -0,0 +1,69 @@
+//! The example settings and contracts in the repository.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use redwinglatch_settings::{ContractFile, Settings};
+
+fn folder(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
+}
+
+fn ini_files(folder: &Path) -> Vec<PathBuf> {
+    let entries = std::fs::read_dir(folder).expect("the folder exists");
+    let paths = entries.map(|entry| entry.expect("the folder can be read").path());
+    let mut files: Vec<_> =
+        paths.filter(|path| path.extension().is_some_and(|extension| extension == "ini")).collect();
+    files.sort();
+    files
+}
+
+/// Guards against examples that do not describe the deployments of the design page, or that
+/// differ between the instances of a deployment.
+#[test]
+fn examples_describe_the_deployments_of_the_page() {
+    let expected = [
+        ("lakeshore", "great-lakes", ("scope-writer", 12), ("dispatch-desk", 3)),
+        ("prirucka", "cz-morava", ("assistant-llm", 18), ("portal-app", 3)),
+    ];
+    for (name, region, engines, services) in expected {
+        let files = ini_files(&folder(name));
+        let settings: Vec<_> = files
+            .iter()
+            .map(|file| Settings::from_file(file).unwrap_or_else(|error| panic!("{error:?}")))
+            .collect();
+        let disks: Vec<_> = settings.iter().map(|settings| settings.state.is_some()).collect();
+        assert_eq!(disks, [true, false], "{name}: one instance with a disk and one without");
+        for settings in &settings {
+            assert_eq!(&*settings.instance.region, region);
+            assert_eq!((settings.instances.len(), settings.replicas.len()), (12, 5));
+            let centres: BTreeSet<_> =
+                settings.instances.iter().map(|entry| &entry.data_centre).collect();
+            assert_eq!(centres.len(), 3);
+            let pools: BTreeSet<_> =
+                settings.pools.iter().map(|pool| (&*pool.name, pool.backends.len())).collect();
+            assert_eq!(pools, BTreeSet::from([engines, services]));
+        }
+        let [first, second] = &*settings else { panic!("two files") };
+        assert_eq!((&first.instances, &first.replicas), (&second.instances, &second.replicas));
+        assert_eq!((&first.cells, &first.pools), (&second.cells, &second.pools));
+        assert_eq!(first.control, second.control);
+    }
+}
+
+/// Guards against example contracts with faults, or with adapters or services of the other
+/// deployment.
+#[test]
+fn example_contracts_are_valid() {
+    for (name, service) in [("lakeshore", "dispatch-desk"), ("prirucka", "portal-app")] {
+        let files = ini_files(&folder(name).join("contracts"));
+        assert!(!files.is_empty());
+        for file in files {
+            let contract = ContractFile::from_file(&file);
+            let contract = contract.unwrap_or_else(|error| panic!("{error:?}")).contract;
+            let stem = file.file_stem().and_then(|stem| stem.to_str());
+            assert_eq!(stem, Some(&*contract.customer), "the file is named after the customer");
+            assert!(contract.allows_service(service));
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch/src/args.rs
@@ -0,0 +1,230 @@
+//! The commands and their options.
+
+use std::path::PathBuf;
+
+use bpaf::{Bpaf, ShellComp};
+
+use crate::bench::{BenchArgs, bench_args};
+use crate::connection::{Connection, connection};
+use crate::output::{Format, format};
+
+const INI_FILES: ShellComp = ShellComp::File { mask: Some("*.ini") };
+
+/// Operate a deployment of redwinglatch
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(
+    options,
+    version,
+    header(
+        "Operators write one contract for each customer; every limit on the customer's traffic \
+         follows from it. A change is accepted once and is in force on every instance within \
+         seconds."
+    ),
+    footer(
+        "First steps:\n   redwinglatch settings check node.ini\n   redwinglatch status --settings \
+         node.ini\n   redwinglatch contract apply contracts/north.ini --settings node.ini\n Each \
+         command has its own help, for example `redwinglatch contract apply --help`.\n Exit \
+         codes: 0 done, 2 usage error, 1 everything else.\n Completions for bash: source \
+         <(redwinglatch --bpaf-complete-style-bash); -zsh, -fish and -elvish likewise."
+    )
+)]
+pub(crate) enum Command {
+    #[bpaf(command)]
+    /// Write, read and compare contracts
+    Contract(#[bpaf(external(contract_command))] ContractCommand),
+    #[bpaf(command)]
+    /// List instances and stop one as planned
+    Instance(#[bpaf(external(instance_command))] InstanceCommand),
+    #[bpaf(command, footer("Example:\n   redwinglatch status --settings node.ini --format json"))]
+    /// Show what an instance knows: leases, leader, coordinators, engines, queues and shares
+    Status {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+    },
+    #[bpaf(command)]
+    /// Check settings files
+    Settings(#[bpaf(external(settings_command))] SettingsCommand),
+    #[bpaf(command)]
+    /// Run the benchmarks on the paused clock, beside the baselines
+    Bench(#[bpaf(external(bench_args))] BenchArgs),
+    #[bpaf(command)]
+    /// Show a small deployment with fakes at work on this machine
+    Demo,
+}
+
+impl Command {
+    /// The format that the command's output and errors have.
+    pub(crate) fn format(&self) -> Format {
+        match self {
+            Command::Contract(
+                ContractCommand::Apply { format, .. }
+                | ContractCommand::Get { format, .. }
+                | ContractCommand::List { format, .. }
+                | ContractCommand::Diff { format, .. }
+                | ContractCommand::History { format, .. }
+                | ContractCommand::Remove { format, .. },
+            )
+            | Command::Instance(
+                InstanceCommand::List { format, .. } | InstanceCommand::Stop { format, .. },
+            )
+            | Command::Status { format, .. }
+            | Command::Settings(SettingsCommand::Check { format, .. }) => *format,
+            Command::Bench(args) => args.format,
+            Command::Demo => Format::Text,
+        }
+    }
+}
+
+/// Commands about contracts.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) enum ContractCommand {
+    #[bpaf(
+        command,
+        footer(
+            "Without --expected-revision the current contract is read first and replaced.\n If an \
+             answer is lost, the change is sent again under the same change id; it is made once.\n \
+             If another operator was faster, nothing is changed and the difference is shown.\n \
+             Examples:\n   redwinglatch contract apply contracts/north.ini --settings node.ini\n   \
+             redwinglatch contract apply north.ini --settings node.ini --expected-revision 12"
+        )
+    )]
+    /// Write the contract in FILE
+    Apply {
+        #[bpaf(external(change_options))]
+        change: ChangeOptions,
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// A contract file: one section [contract], one customer
+        #[bpaf(positional("FILE"), complete_shell(INI_FILES))]
+        file: PathBuf,
+    },
+    #[bpaf(
+        command,
+        footer(
+            "The text form is a contract file:\n   redwinglatch contract get north --settings \
+             node.ini > contracts/north.ini"
+        )
+    )]
+    /// Show the contract of CUSTOMER
+    Get {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// The customer's name
+        #[bpaf(positional("CUSTOMER"))]
+        customer: String,
+    },
+    #[bpaf(command)]
+    /// List all contracts
+    List {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+    },
+    #[bpaf(command)]
+    /// Show how the contract in FILE differs from the current one
+    Diff {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// A contract file
+        #[bpaf(positional("FILE"), complete_shell(INI_FILES))]
+        file: PathBuf,
+    },
+    #[bpaf(command)]
+    /// Show the past changes of CUSTOMER's contract
+    History {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// The customer's name
+        #[bpaf(positional("CUSTOMER"))]
+        customer: String,
+    },
+    #[bpaf(command)]
+    /// Remove the contract of CUSTOMER; its requests are refused from then on
+    Remove {
+        #[bpaf(external(change_options))]
+        change: ChangeOptions,
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// The customer's name
+        #[bpaf(positional("CUSTOMER"))]
+        customer: String,
+    },
+}
+
+/// How a change is named and what it replaces.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct ChangeOptions {
+    /// Name the change; without it the id follows from the content and the expected revision
+    #[bpaf(long, argument("ID"))]
+    pub(crate) change_id: Option<String>,
+    /// Make the change only if this is the current revision; 0 stands for "no contract yet"
+    #[bpaf(long, argument("REVISION"))]
+    pub(crate) expected_revision: Option<u64>,
+}
+
+/// Commands about instances.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) enum InstanceCommand {
+    #[bpaf(command)]
+    /// List all instances with their state
+    List {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+    },
+    #[bpaf(
+        command,
+        footer(
+            "The instance takes no new work, serves callers that still hold an old list, and ends \
+             after its last request. No request is interrupted.\n Example:\n   redwinglatch \
+             instance stop 3 --settings node.ini"
+        )
+    )]
+    /// Stop instance ID after its last request
+    Stop {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// The id of the instance, as `redwinglatch instance list` shows it
+        #[bpaf(positional("ID"))]
+        id: u32,
+    },
+}
+
+/// Commands about settings.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) enum SettingsCommand {
+    #[bpaf(
+        command,
+        footer(
+            "All faults are listed at once, each with a remedy. No other instance is asked and no \
+             secret is read.\n Example:\n   redwinglatch settings check --print node.ini"
+        )
+    )]
+    /// Check the settings in FILE
+    Check {
+        /// Print the settings with every default written out
+        #[bpaf(long)]
+        print: bool,
+        #[bpaf(external)]
+        format: Format,
+        /// A settings file of an instance
+        #[bpaf(positional("FILE"), complete_shell(INI_FILES))]
+        file: PathBuf,
+    },
+}
--- a/crates/redwinglatchd/src/main.rs
+++ b/crates/redwinglatchd/src/main.rs
@@ -1,3 +1,93 @@
-//! Part of redwinglatch.
+//! The daemon of redwinglatch: reads its settings and runs `redwinglatch-server`.
+//!
+//! Exit codes: 0 done, 2 usage error, 1 everything else.
 
-fn main() {}
+use std::fmt;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{Bpaf, ShellComp};
+use log::info;
+use miette::Diagnostic;
+use redwinglatch_settings::Settings;
+
+/// The usual width of a terminal; help is wrapped to it.
+const HELP_WIDTH: usize = 100;
+
+/// Serve callers in front of model engines and plain services
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(
+    options,
+    version,
+    header(
+        "The daemon reads its settings, joins the other instances and accepts requests as soon as \
+         it holds a serving lease. Stop it with `redwinglatch instance stop ID` or SIGTERM; it \
+         ends after its last request."
+    ),
+    footer(
+        "Examples:\n   redwinglatchd --config node.ini --check\n   RUST_LOG=info redwinglatchd \
+         --config node.ini\n Exit codes: 0 done, 2 usage error, 1 everything else."
+    )
+)]
+struct DaemonArgs {
+    /// Read the settings in FILE
+    #[bpaf(long, argument("FILE"), complete_shell(ShellComp::File { mask: Some("*.ini") }))]
+    config: PathBuf,
+    /// Check the settings and end
+    #[bpaf(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = match daemon_args().run_inner(bpaf::Args::current_args()) {
+        Ok(args) => args,
+        Err(failure) => {
+            // Help, version and completions go to standard output, usage errors to standard error.
+            failure.print_message(HELP_WIDTH);
+            let is_usage_error = failure.exit_code() != 0;
+            return ExitCode::from(if is_usage_error { 2 } else { 0 });
+        }
+    };
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &DaemonArgs) -> miette::Result<()> {
+    let settings = Settings::from_file(&args.config)?;
+    let file = args.config.display();
+    if args.check {
+        println!("{file}: the settings of instance {} are valid", settings.instance.id);
+        return Ok(());
+    }
+    info!("daemon: instance {} starts with the settings in {file}", settings.instance.id);
+    run_server(settings)
+}
+
+/// The one place where the server library is called: `redwinglatch_server::run(settings)`.
+fn run_server(_settings: Settings) -> miette::Result<()> {
+    Err(NotLinked.into())
+}
+
+/// The server library is not linked in yet.
+#[derive(Debug)]
+struct NotLinked;
+
+impl fmt::Display for NotLinked {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the server library is not linked in yet")
+    }
+}
+
+impl std::error::Error for NotLinked {}
+
+impl Diagnostic for NotLinked {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new("use --check to check the settings only"))
+    }
+}
