Tell load stalls from waits for a place in a batch

Cause: the bench counted the coordinator's wait for a place in a full batch as load stall, but not the same wait in an engine's queue. Failed loads were drawn differently for each policy. Failures depend on adapter and attempt only.

--- a/crates/redwinglatch-bench/src/placement/engine.rs
+++ b/crates/redwinglatch-bench/src/placement/engine.rs
@@ -17,6 +17,8 @@
     pub(crate) adapter: u32,
     pub(crate) ready: bool,
     pub(crate) used_us: u64,
+    /// Since when the adapter is ready.
+    pub(crate) ready_us: u64,
 }
 
 /// A request at the modelled engine.
@@ -26,6 +28,16 @@
     pub(crate) adapter: u32,
     pub(crate) tokens_left: u32,
     pub(crate) started: bool,
+    /// When it was sent to the engine.
+    pub(crate) sent_us: u64,
+}
+
+/// A step that begins.
+#[derive(Debug)]
+pub(crate) struct StepBegin {
+    pub(crate) took_us: u64,
+    /// Requests that join the batch.
+    pub(crate) joined: Vec<Running>,
 }
 
 /// The modelled engine.
@@ -75,13 +87,13 @@
     }
 
     /// Begins a step and returns its time, unless there is nothing to do.
-    pub(crate) fn begin_step(&mut self) -> Option<u64> {
-        let mut prompts = 0;
+    pub(crate) fn begin_step(&mut self) -> Option<StepBegin> {
+        let mut joined = Vec::new();
         while self.batch.len() < self.max_batch
             && let Some(running) = self.queue.pop_front()
         {
             self.batch.push(running);
-            prompts += 1;
+            joined.push(running);
         }
         self.stepping = !self.batch.is_empty();
         if !self.stepping {
@@ -90,12 +102,11 @@
         let mut adapters: Vec<u32> = self.batch.iter().map(|it| it.adapter).collect();
         adapters.sort_unstable();
         adapters.dedup();
-        Some(
-            STEP_BASE_US
-                + STEP_REQUEST_US * self.batch.len() as u64
-                + STEP_ADAPTER_US * adapters.len() as u64
-                + PROMPT_US * prompts,
-        )
+        let took_us = STEP_BASE_US
+            + STEP_REQUEST_US * self.batch.len() as u64
+            + STEP_ADAPTER_US * adapters.len() as u64
+            + PROMPT_US * joined.len() as u64;
+        Some(StepBegin { took_us, joined })
     }
 
     /// Ends a step: each request in the batch gets a token. Returns the requests with their first
--- a/crates/redwinglatch-bench/src/placement/figures.rs
+++ b/crates/redwinglatch-bench/src/placement/figures.rs
@@ -30,6 +30,7 @@
     pub(crate) missed: u64,
     pub(crate) refused: BTreeMap<&'static str, u64>,
     pub(crate) stall_us: u64,
+    pub(crate) batch_wait_us: u64,
     pub(crate) first_token_ms: Histogram<u64>,
     pub(crate) engine_refusals: u64,
     pub(crate) loads: u64,
@@ -46,6 +47,7 @@
             missed: 0,
             refused: BTreeMap::new(),
             stall_us: 0,
+            batch_wait_us: 0,
             first_token_ms: Histogram::new(3).expect("three digits are allowed"),
             engine_refusals: 0,
             loads: 0,
@@ -91,6 +93,7 @@
                 .map(|(reason, count)| RefusedRow { reason: reason.to_owned(), count })
                 .collect(),
             stall_total_ms,
+            batch_wait_total_ms: self.batch_wait_us / 1_000,
             stall_per_completed_ms: per(stall_total_ms as f64, self.completed),
             goodput_per_s: per(self.in_time as f64 * 1e3, measured_ms),
             first_token_p95_ms: self.first_token_ms.value_at_quantile(0.95),
--- a/crates/redwinglatch-bench/src/placement/world.rs
+++ b/crates/redwinglatch-bench/src/placement/world.rs
@@ -76,6 +76,8 @@
     span: Span,
     loads: HashMap<u64, Load>,
     next_load: u64,
+    /// Loads of each adapter so far.
+    attempts: HashMap<u32, u64>,
 }
 
 impl World {
@@ -108,6 +110,7 @@
             span,
             loads: HashMap::new(),
             next_load: 0,
+            attempts: HashMap::new(),
         }
     }
 
@@ -246,18 +249,25 @@
         let waiting = state.outcome == Outcome::Waiting;
         self.figures.check(waiting, || format!("answered twice: {request}"));
         state.outcome = Outcome::Sent;
-        if state.measured {
-            self.figures.stall_us += self.now_us - state.waits_since_us;
-        }
         let tokens_left = state.arrival.tokens;
         let it = &mut self.engines[engine];
+        if state.measured {
+            // The load stall ends when the adapter is ready on the engine; a wait after that is
+            // for a place in the batch, as in the engine's own queue.
+            let slot = it.slots.iter().find(|slot| slot.adapter == adapter && slot.ready);
+            let ready_us = slot.map_or(self.now_us, |slot| slot.ready_us);
+            let ready_us = ready_us.clamp(state.waits_since_us, self.now_us);
+            self.figures.stall_us += ready_us - state.waits_since_us;
+            self.figures.batch_wait_us += self.now_us - ready_us;
+        }
         self.figures.check(it.is_ready(adapter), || {
             format!("request {request} sent to engine {engine} without adapter {adapter}")
         });
         for slot in it.slots.iter_mut().filter(|slot| slot.adapter == adapter) {
             slot.used_us = self.now_us;
         }
-        it.queue.push_back(Running { request, adapter, tokens_left, started: false });
+        let sent_us = self.now_us;
+        it.queue.push_back(Running { request, adapter, tokens_left, started: false, sent_us });
         if !it.stepping {
             self.begin_step(engine);
         }
@@ -289,17 +299,20 @@
 
     fn begin_step(&mut self, engine: usize) {
         let it = &mut self.engines[engine];
-        let Some(took_us) = it.begin_step() else { return };
+        let Some(step) = it.begin_step() else { return };
         let in_batch = it.batch.len() <= it.max_batch;
         let ready = it.batch.iter().all(|running| it.is_ready(running.adapter));
         let boot = it.boot;
         self.figures.check(in_batch, || format!("batch of engine {engine} too large"));
         self.figures.check(ready, || format!("engine {engine} runs without the adapter"));
-        for at in 0..self.engines[engine].batch.len() {
-            let request = self.engines[engine].batch[at].request;
-            self.requests[request].ran = true;
+        for joined in step.joined {
+            let state = &mut self.requests[joined.request];
+            state.ran = true;
+            if state.measured {
+                self.figures.batch_wait_us += self.now_us - joined.sent_us;
+            }
         }
-        self.at(self.now_us + took_us, Event::StepEnd { engine, boot });
+        self.at(self.now_us + step.took_us, Event::StepEnd { engine, boot });
     }
 
     fn end_step(&mut self, policy: &mut Policy, engine: usize, boot: u64) {
@@ -345,14 +358,18 @@
             it.slots.retain(|slot| slot.adapter != evict);
             self.figures.check(!used, || format!("engine {engine} evicts {evict} in use"));
         }
-        it.slots.push(Slot { adapter, ready: false, used_us: now_us });
+        it.slots.push(Slot { adapter, ready: false, used_us: now_us, ready_us: now_us });
         let (used, count, boot) = (it.slots.len(), it.slot_count, it.boot);
         self.figures.check(used <= count, || format!("engine {engine} has no slot for {adapter}"));
         if now_us >= self.span.from_ms * 1_000 && now_us < self.span.until_ms * 1_000 {
             self.figures.loads += 1;
         }
         self.next_load += 1;
-        let fails = self.rng.f64() < self.workload.load_failure_share();
+        // All policies meet the same failures: they depend on the adapter and the attempt.
+        let attempts = self.attempts.entry(adapter).or_default();
+        *attempts += 1;
+        let draw = (u64::from(adapter) << 32) | *attempts;
+        let fails = fastrand::Rng::with_seed(draw).f64() < self.workload.load_failure_share();
         self.loads.insert(self.next_load, Load { engine, boot, adapter, fails });
         let took_us = self.site.load_us * self.rng.u64(900..=1_100) / 1_000;
         self.at(now_us + took_us, Event::LoadEnd(self.next_load));
@@ -375,6 +392,7 @@
         if succeeded {
             for slot in engine.slots.iter_mut().filter(|it| it.adapter == load.adapter) {
                 slot.ready = true;
+                slot.ready_us = self.now_us;
                 slot.used_us = self.now_us;
             }
         } else if engine.boot == load.boot {
--- a/crates/redwinglatch-bench/src/report.rs
+++ b/crates/redwinglatch-bench/src/report.rs
@@ -32,8 +32,11 @@
     pub missed_deadlines: u64,
     /// Refused requests by reason.
     pub refused: Vec<RefusedRow>,
-    /// The time that all requests waited before they were sent to an engine with their adapter.
+    /// Load stall: the time that all requests waited until their adapter was ready on the engine
+    /// that serves them; for those that no engine served, until their end.
     pub stall_total_ms: u64,
+    /// The time that all requests waited for a place in a batch, in any queue.
+    pub batch_wait_total_ms: u64,
     /// The same for each request that ran to its end.
     pub stall_per_completed_ms: f64,
     /// Requests that ended by their deadline, for each second.
@@ -141,7 +144,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<11} {:<17} {:<13} {:>6} {:>6} {:>6} {:>5} {:>5} {:>9} {:>8} {:>6} {:>6} {:>6} {:>6} {:>7} {:>3}",
+            "{:<11} {:<17} {:<13} {:>6} {:>6} {:>6} {:>5} {:>5} {:>9} {:>8} {:>9} {:>6} {:>6} {:>6} {:>6} {:>7} {:>3}",
             "settings",
             "workload",
             "policy",
@@ -152,6 +155,7 @@
             "refus",
             "stall_s",
             "stall/rq",
+            "bwait_s",
             "good/s",
             "p95ms",
             "p99ms",
@@ -162,7 +166,7 @@
         for row in &self.placement {
             writeln!(
                 f,
-                "{:<11} {:<17} {:<13} {:>6} {:>6} {:>6} {:>5} {:>5} {:>9.1} {:>8.1} {:>6.2} {:>6} {:>6} {:>6.4} {:>7.1} {:>3}",
+                "{:<11} {:<17} {:<13} {:>6} {:>6} {:>6} {:>5} {:>5} {:>9.1} {:>8.1} {:>9.1} {:>6.2} {:>6} {:>6} {:>6.4} {:>7.1} {:>3}",
                 row.settings,
                 row.workload,
                 row.policy,
@@ -173,6 +177,7 @@
                 row.refused_total(),
                 row.stall_total_ms as f64 / 1e3,
                 row.stall_per_completed_ms,
+                row.batch_wait_total_ms as f64 / 1e3,
                 row.goodput_per_s,
                 row.first_token_p95_ms,
                 row.first_token_p99_ms,
