Spread adapters over engines before batches are full

Cause: with batches first, loads went to the fullest engine, and requests for its other adapters waited for places in its batch. Change: an engine whose adapters are expected to fill more than half of the batch costs more; a copy is loaded when the wait for a place, expected or already spent, exceeds one load time (two with batches first).

--- a/crates/redwinglatch-placement/src/coordinator/loading.rs
+++ b/crates/redwinglatch-placement/src/coordinator/loading.rs
@@ -19,10 +19,14 @@
 const START_ATTEMPTS: usize = 8;
 /// Part of an adapter's stall that evicting one of several copies costs.
 const COPY_VALUE: f32 = 0.2;
+/// Part of a batch from which on an engine counts as crowded.
+const CROWDED_PART: f32 = 0.5;
 /// How much more popular than the evicted adapter a preloaded one has to be.
 const PRELOAD_MARGIN: f32 = 2.0;
 /// Expected requests below which an adapter is not preloaded.
 const PRELOAD_MIN: f32 = 0.5;
+/// Load times that a wait for a place in a batch may take at most before a copy is loaded.
+const COPY_PATIENCE: f32 = 2.0;
 /// Adapters remembered for preloading.
 const LOST_LIMIT: usize = 256;
 /// Part of a load that is still ahead when abandoning it pays.
@@ -142,6 +146,7 @@
             let Some((slot, evict_cost)) = self.choose_slot(now_ms, key, engine) else { continue };
             let mut cost = evict_cost
                 + engine.step_ms_per_request(&self.settings, true) * self.settings.batch_weight;
+            cost += self.crowding_cost(now_ms, engine, adapter);
             if engine.is_stale(now_ms, self.settings.report_stale_ms) {
                 cost += self.queue.load_ms;
             }
@@ -159,6 +164,21 @@
         }
     }
 
+    /// The cost of an engine whose adapters are expected to fill the batch: requests for them would
+    /// wait for each other, although their adapters are loaded.
+    fn crowding_cost(&self, now_ms: u64, engine: &Engine, adapter: AdapterKey) -> f32 {
+        let expected = |it: AdapterKey, further: usize| {
+            let copies = self.adapters.active(it).map_or(0, |active| active.copies.len());
+            self.adapters.popularity(it, now_ms) / (copies + further).max(1) as f32
+        };
+        let requests = engine.slots.iter().filter_map(|it| it.adapter).map(|it| expected(it, 0));
+        let requests = requests.sum::<f32>() + expected(adapter, 1);
+        let per_ms =
+            requests * std::f32::consts::LN_2 / self.settings.popularity_half_life_ms as f32;
+        let crowded = per_ms * self.run_ms - CROWDED_PART * engine.max_batch as f32;
+        crowded.max(0.0) * self.queue.load_ms
+    }
+
     /// Until when the engine should not load `adapter`, if it failed to.
     fn load_backoff(
         &self,
@@ -501,13 +521,16 @@
         let usable = self.has_usable_copy(now_ms, adapter);
         let demand = self.queue.demands[at];
         // A further copy is wanted only if waiting for a place costs more than a load.
-        let wait_ms = self.capacity_wait_ms(&Demand { wants_load: false, ..demand }) as f32;
+        let wait_ms = self.capacity_wait_ms(&Demand { wants_load: false, ..demand });
+        let waited_ms = now_ms - demand.enqueued_ms;
         let room = self
             .adapters
             .get(adapter)
             .is_some_and(|it| self.models[usize::from(it.model.0)].free_places > 0);
-        let weight = self.settings.stall_weight / self.settings.batch_weight.max(f32::EPSILON);
-        let copy = room && wait_ms * weight.min(1.0) > self.queue.load_ms;
+        let weight = self.settings.batch_weight / self.settings.stall_weight.max(f32::EPSILON);
+        let copy = room
+            && wait_ms.max(waited_ms) as f32
+                > self.queue.load_ms * weight.clamp(1.0, COPY_PATIENCE);
         let demand = &mut self.queue.demands[at];
         demand.wants_load = !usable || copy;
         if !demand.wants_load {
