Show each failure of backend servers over real sockets

Cause: silent, broken and hostile connections must neither lose, repeat nor mix answers, and each error must say honestly whether the request ran. Change: failure tests for streams, connections, orders, services and hostile bytes; the pool hands connections to waiting requests, drops all idle connections of an address after one suspect, and bounds connecting by the deadline; the platform's list client; fakes report their connections.

--- a/crates/redwinglatch-backends/src/client.rs
+++ b/crates/redwinglatch-backends/src/client.rs
@@ -20,7 +20,7 @@
 };
 
 /// The longest time that any call may ask for; it keeps sums of times in range.
-const LONGEST_MS: u64 = 24 * 60 * 60 * 1000;
+const LONGEST: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// The client of engines and plain services; clones share one pool.
 #[derive(Debug, Clone)]
@@ -203,8 +203,10 @@
         for (name, value) in &headers {
             http_request.headers_mut().append(name, value.clone());
         }
-        let (connection, response) =
-            self.pool.send(address, Lane::Work, Reuse::Allowed, http_request, until).await?;
+        let (connection, response) = self
+            .pool
+            .send(address, Lane::Work, Reuse::Allowed, http_request, LONGEST, until)
+            .await?;
         let (mut parts, body) = response.into_parts();
         let body = self.read_whole(address, Lane::Work, connection, body, limit_bytes, until).await;
         let refused = !parts.status.is_success()
@@ -225,7 +227,7 @@
     ) -> Result<Bytes, BackendError> {
         let until = after_ms(timeout_ms);
         let (connection, response) =
-            self.pool.send(address, Lane::Control, Reuse::Allowed, request, until).await?;
+            self.pool.send(address, Lane::Control, Reuse::Allowed, request, LONGEST, until).await?;
         let (parts, body) = response.into_parts();
         let limit_bytes = self.pool.settings.body_limit_bytes;
         let body =
@@ -277,10 +279,12 @@
     request: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> Result<TokenStream, BackendError> {
-    let until = after_ms(pool.settings.stall_ms).min(deadline);
-    let (connection, response) = pool.send(address, Lane::Work, reuse, request, until).await?;
+    let stall = Duration::from_millis(pool.settings.stall_ms).min(LONGEST);
+    let (connection, response) =
+        pool.send(address, Lane::Work, reuse, request, stall, deadline).await?;
     let (parts, body) = response.into_parts();
     if parts.status != StatusCode::OK {
+        let until = deadline.min(Instant::now() + stall);
         let body = timeout_at(until, read_body(body, pool.settings.body_limit_bytes)).await;
         let complete = matches!(body, Ok(Ok(_)));
         let body = body.ok().and_then(Result::ok).unwrap_or_default();
@@ -302,7 +306,7 @@
 }
 
 fn after_ms(timeout_ms: u64) -> Instant {
-    Instant::now() + Duration::from_millis(timeout_ms.min(LONGEST_MS))
+    Instant::now() + Duration::from_millis(timeout_ms).min(LONGEST)
 }
 
 fn invalid(detail: impl Into<Box<str>>) -> BackendError {
--- a/crates/redwinglatch-backends/src/pool.rs
+++ b/crates/redwinglatch-backends/src/pool.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use bytes::Bytes;
@@ -12,7 +15,7 @@
 use redwinglatch_core::RetryReason;
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
-    time::{Duration, Instant, timeout},
+    time::{Duration, Instant, timeout, timeout_at},
 };
 
 use crate::{
@@ -46,6 +49,24 @@
 struct LanePool {
     idle: Vec<Connection>,
     permits: Arc<Semaphore>,
+    /// Requests that wait for a permit.
+    waiting: Arc<AtomicUsize>,
+}
+
+/// Counts a request as waiting until dropped.
+struct Waiting(Arc<AtomicUsize>);
+
+impl Waiting {
+    fn begin(waiting: &Arc<AtomicUsize>) -> Waiting {
+        waiting.fetch_add(1, Ordering::SeqCst);
+        Waiting(waiting.clone())
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 #[derive(Debug)]
@@ -65,7 +86,7 @@
         Pool { settings, retries: RetryCounters::new(), addresses: Mutex::default() }
     }
 
-    /// Sends a request and waits for the response head until `until`.
+    /// Sends a request and waits for the response head, at most `head_limit` and until `deadline`.
     ///
     /// A request that was surely not written goes to another connection.
     pub(crate) async fn send(
@@ -74,11 +95,18 @@
         lane: Lane,
         reuse: Reuse,
         mut request: Request<Full<Bytes>>,
-        until: Instant,
+        head_limit: Duration,
+        deadline: Instant,
     ) -> Result<(Connection, Response<Incoming>), BackendError> {
         for attempt in 0..=POOLED_ATTEMPTS {
             let reuse = if attempt == POOLED_ATTEMPTS { Reuse::Never } else { reuse };
-            let mut connection = self.checkout(address, lane, reuse).await?;
+            let Ok(checkout) = timeout_at(deadline, self.checkout(address, lane, reuse)).await
+            else {
+                let detail = format!("{address}: no connection before the deadline");
+                return Err(BackendError::not_run(BackendErrorKind::ConnectFailed, detail));
+            };
+            let mut connection = checkout?;
+            let until = deadline.min(Instant::now() + head_limit);
             match connection.send(request, until).await {
                 Ok(response) => return Ok((connection, response)),
                 Err(SendFailure::NotSent(unsent)) => {
@@ -103,9 +131,11 @@
         }
         connection.note_proof();
         let mut addresses = self.addresses();
-        let idle = &mut self.address_pool(&mut addresses, address).lanes[lane as usize].idle;
-        if idle.len() < self.settings.idle_per_address {
-            idle.push(connection);
+        let pool = &mut self.address_pool(&mut addresses, address).lanes[lane as usize];
+        // An idle connection keeps its permit, so one that others wait for is closed instead.
+        let wanted = pool.waiting.load(Ordering::SeqCst) > 0;
+        if !wanted && pool.idle.len() < self.settings.idle_per_address {
+            pool.idle.push(connection);
         }
     }
 
@@ -113,14 +143,8 @@
     ///
     /// Whatever silenced one established connection has probably silenced the others too.
     pub(crate) fn drop_suspects(&self, address: SocketAddr) {
-        self.drop_idle_proven_before(address, Instant::now());
-    }
-
-    fn drop_idle_proven_before(&self, address: SocketAddr, moment: Instant) {
         if let Some(pool) = self.addresses().get_mut(&address) {
-            for lane in &mut pool.lanes {
-                lane.idle.retain(|connection| connection.proven_at() > moment);
-            }
+            pool.lanes.iter_mut().for_each(|lane| lane.idle.clear());
         }
     }
 
@@ -145,7 +169,9 @@
                 return Ok(connection);
             }
             self.retries.count(RetryReason::StaleConnection);
-            self.drop_suspects(address);
+            if !connection.is_closed() {
+                self.drop_suspects(address);
+            }
         }
         let permit = self.permit(address, lane).await?;
         let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
@@ -171,13 +197,13 @@
         address: SocketAddr,
         lane: Lane,
     ) -> Result<OwnedSemaphorePermit, BackendError> {
-        let permits = {
+        let (permits, _waiting) = {
             let mut addresses = self.addresses();
             let pool = &mut self.address_pool(&mut addresses, address).lanes[lane as usize];
             if pool.permits.available_permits() == 0 && !pool.idle.is_empty() {
                 pool.idle.remove(0);
             }
-            pool.permits.clone()
+            (pool.permits.clone(), Waiting::begin(&pool.waiting))
         };
         let limit = Duration::from_millis(self.settings.connect_timeout_ms);
         match timeout(limit, permits.acquire_owned()).await {
@@ -207,8 +233,11 @@
             });
         }
         addresses.entry(address).or_insert_with(|| {
-            let lane =
-                |limit| LanePool { idle: Vec::new(), permits: Arc::new(Semaphore::new(limit)) };
+            let lane = |limit| LanePool {
+                idle: Vec::new(),
+                permits: Arc::new(Semaphore::new(limit)),
+                waiting: Arc::default(),
+            };
             let work = lane(settings.connections_per_address);
             AddressPool { lanes: [work, lane(settings.control_connections_per_address)] }
         })
--- a/crates/redwinglatch-backends/src/token_stream.rs
+++ b/crates/redwinglatch-backends/src/token_stream.rs
@@ -104,6 +104,9 @@
         };
         let stall = Duration::from_millis(self.pool.settings.stall_ms);
         let silent_at = *self.waiting_since.get_or_insert_with(Instant::now) + stall;
+        // hyper's bodies take no part in the runtime's task budget, so a fast engine could
+        // otherwise keep other tasks from running.
+        tokio::task::coop::consume_budget().await;
         let frame = match timeout_at(silent_at, body.frame()).await {
             Err(_) => return Err(StreamBreak::Silent),
             Ok(None) => {
--- /dev/null
+++ b/crates/redwinglatch-backends/tests/hostile_bytes.rs
@@ -0,0 +1,168 @@
+//! Answers that are not in the protocol's form, and events split in any way.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{quick, quick_client, read_all, request};
+use quickcheck::{QuickCheck, TestResult};
+use redwinglatch_backends::{
+    BackendClient, BackendErrorKind, BackendSettings, EventParser, EventParserError, ParsedEvent,
+};
+use redwinglatch_core::Ran;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
+
+const LIMIT_BYTES: usize = 24;
+
+/// Parses `bytes` in pieces of the given sizes, repeated.
+fn parse(bytes: &[u8], sizes: &[u8]) -> (Vec<ParsedEvent>, Option<EventParserError>) {
+    let mut parser = EventParser::new(LIMIT_BYTES);
+    let mut events = Vec::new();
+    let mut rest = bytes;
+    let mut sizes = sizes.iter().map(|size| usize::from(*size).max(1)).cycle();
+    while !rest.is_empty() {
+        let (mut piece, after) = rest.split_at(sizes.next().unwrap_or(rest.len()).min(rest.len()));
+        rest = after;
+        loop {
+            match parser.next(&mut piece) {
+                Ok(Some(event)) => events.push(event),
+                Ok(None) => break,
+                Err(error) => return (events, Some(error)),
+            }
+        }
+    }
+    (events, None)
+}
+
+/// Turns arbitrary bytes into ones that meet the parser's special cases often.
+fn as_stream(bytes: &[u8]) -> Vec<u8> {
+    const PARTS: [&[u8]; 12] = [
+        b"data: ",
+        b"data:",
+        b"data",
+        b"\n",
+        b"\r",
+        b"\r\n",
+        b"\n\n",
+        b": comment\n",
+        b"event: x\n",
+        b"\xef\xbb\xbf",
+        b"{\"index\":1}",
+        b"\xff\x00",
+    ];
+    bytes.iter().flat_map(|byte| PARTS[usize::from(*byte) % PARTS.len()]).copied().collect()
+}
+
+/// Guards against events that depend on how the network splits the stream.
+#[test]
+fn events_are_the_same_however_the_bytes_are_split() {
+    fn property(bytes: Vec<u8>, sizes: Vec<u8>) -> bool {
+        let stream = as_stream(&bytes);
+        let small: Vec<u8> = sizes.iter().map(|size| size % 9).collect();
+        let whole = parse(&stream, &[]);
+        whole == parse(&stream, &small) && whole == parse(&stream, &[1])
+    }
+    QuickCheck::new().tests(3_000).quickcheck(property as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+/// Guards against a panic, and against events above the limit, on arbitrary bytes.
+#[test]
+fn arbitrary_bytes_never_panic_and_never_exceed_the_limit() {
+    fn property(bytes: Vec<u8>, sizes: Vec<u8>) -> TestResult {
+        let (events, _) = parse(&bytes, &sizes);
+        TestResult::from_bool(events.iter().all(|event| match event {
+            ParsedEvent::Data(data) => data.len() <= LIMIT_BYTES,
+            ParsedEvent::Comment => true,
+        }))
+    }
+    QuickCheck::new().tests(3_000).quickcheck(property as fn(Vec<u8>, Vec<u8>) -> TestResult);
+}
+
+/// Guards against a parser that agrees with itself but not with the format.
+#[test]
+fn the_parser_follows_the_format() {
+    let data = |text: &str| ParsedEvent::Data(text.as_bytes().to_vec());
+    let stream = "\u{feff}data: a\r\ndata:b\r\r\n: c\ndata\n\nevent: x\nid: 1\n\ndata: d";
+    let (events, error) = parse(stream.as_bytes(), &[]);
+    assert_eq!(events, [data("a\nb"), ParsedEvent::Comment, data("")]);
+    assert_eq!(error, None);
+    let too_large = Some(EventParserError::TooLarge { limit_bytes: LIMIT_BYTES });
+    assert_eq!(parse(&[b'x'; LIMIT_BYTES + 1], &[1]), (vec![], too_large));
+    let lines = format!("{}\n", "data: 1234567890\n".repeat(3));
+    assert_eq!(parse(lines.as_bytes(), &[1]), (vec![], too_large));
+}
+
+/// Answers each connection with `answer` after its request, and then keeps it open.
+async fn server(answer: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let mut request = [0; 4096];
+                let _ = socket.read(&mut request).await;
+                let _ = socket.write_all(&answer).await;
+                while socket.read(&mut request).await.is_ok_and(|read| read > 0) {}
+            });
+        }
+    });
+    address
+}
+
+fn http(head: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {head}\r\n\r\n{body}").into_bytes()
+}
+
+/// Guards against panics, endless waits and "not run" on answers that are not in the form.
+#[tokio::test]
+async fn malformed_answers_are_unknown() {
+    let stream_head = "200 OK\r\ncontent-type: text/event-stream\r\nx-engine-boot-id: b";
+    let event = r#"data: {"index":9,"text":"a","adapter":"scope","version":1}"#;
+    let cases = [
+        b"\x16\x03\x01 this is not HTTP\r\n\r\n".to_vec(),
+        vec![b'x'; 1 << 20],
+        http(&format!("200 OK\r\nx: {}", "y".repeat(1 << 20)), ""),
+        http("200 OK\r\ncontent-length: 2", "{}"),
+        http("200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 0", ""),
+        http("500 Oops\r\ncontent-length: 3", "\u{1}{}"),
+        http(&format!("{stream_head}\r\ncontent-length: 9999999"), "data: [DONE]\n\n"),
+        http(&format!("{stream_head}\r\ncontent-length: 9999999"), &format!("{event}\n\n")),
+        http(&format!("{stream_head}\r\ntransfer-encoding: chunked"), "zz\r\n"),
+        http(&format!("{stream_head}\r\ncontent-length: 9999999"), &"y".repeat(1 << 20)),
+    ];
+    for (number, answer) in cases.into_iter().enumerate() {
+        let address = server(answer).await;
+        let settings = BackendSettings { resume_attempts: 2, ..quick() };
+        let client = BackendClient::new(settings);
+        let error = match client.complete(address, request("r-1", 5)).await {
+            Ok(mut stream) => read_all(&mut stream).await.unwrap_err(),
+            Err(error) => error,
+        };
+        assert_eq!(error.ran, Ran::Unknown, "case {number}: {error}");
+    }
+}
+
+/// Guards against reading a body without bound, whether or not its size is announced.
+#[tokio::test]
+async fn a_body_above_the_limit_is_not_read() {
+    for head in ["200 OK\r\ncontent-length: 99999999999", "200 OK\r\nconnection: close"] {
+        let address = server(http(head, &" ".repeat((1 << 20) + 1))).await;
+        let error = quick_client().report(address).await.unwrap_err();
+        assert_eq!((error.kind, error.ran), (BackendErrorKind::TooLarge, Ran::Unknown));
+    }
+}
+
+/// Guards against taking a report with wrong or missing fields.
+#[tokio::test]
+async fn a_report_in_another_form_is_malformed() {
+    for body in ["", "[]", "{\"boot_id\":1}", "{\"boot_id\":\"b\"}", &"[".repeat(10_000)] {
+        let address =
+            server(http(&format!("200 OK\r\ncontent-length: {}", body.len()), body)).await;
+        let error = quick_client().report(address).await.unwrap_err();
+        assert_eq!(error.kind, BackendErrorKind::Malformed);
+    }
+}
--- a/crates/redwinglatch-fakes/src/answer.rs
+++ b/crates/redwinglatch-fakes/src/answer.rs
@@ -24,9 +24,15 @@
 
 /// Answers with `value` as JSON.
 pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
-    let body = serde_json::to_vec(value).expect("answers of fakes serialize");
+    let body = serde_json::to_string(value).expect("answers of fakes serialize");
+    let mut response = raw_json(body);
+    *response.status_mut() = status;
+    response
+}
+
+/// Answers with a body that claims to be JSON.
+pub(crate) fn raw_json(body: String) -> Response<AnswerBody> {
     Response::builder()
-        .status(status)
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body)).boxed())
         .expect("the headers are valid")
--- a/crates/redwinglatch-fakes/src/engine.rs
+++ b/crates/redwinglatch-fakes/src/engine.rs
@@ -135,6 +135,11 @@
         self.server.connection_count()
     }
 
+    /// Waits until `count` connections are established.
+    pub async fn wait_for_connections(&self, count: usize) {
+        self.server.wait_for_connections(count).await;
+    }
+
     /// Waits until a condition over the records holds; checked after each change.
     pub async fn wait_until(&self, condition: impl Fn(&[RunRecord]) -> bool) {
         self.shared.wait_until(|state| condition(&state.records)).await;
--- a/crates/redwinglatch-fakes/src/platform.rs
+++ b/crates/redwinglatch-fakes/src/platform.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Duration, Instant};
 
 use crate::{
-    answer::{AnswerBody, json, refusal},
+    answer::{AnswerBody, json, raw_json, refusal},
     server::FakeServer,
 };
 
@@ -61,6 +61,7 @@
     lag_ms: u64,
     fail_next: u32,
     requests: u64,
+    answers: VecDeque<String>,
     current: Vec<Entry>,
     /// Lists with the time of their change; holds one older than the lag and all later ones.
     versions: VecDeque<(Instant, Vec<Entry>)>,
@@ -97,6 +98,7 @@
             lag_ms: settings.lag_ms,
             fail_next: 0,
             requests: 0,
+            answers: VecDeque::new(),
             current: Vec::new(),
             versions: VecDeque::new(),
         };
@@ -142,6 +144,11 @@
         self.state().fail_next += count;
     }
 
+    /// Answers one of the next requests with `body` instead of the list.
+    pub fn answer_next(&self, body: String) {
+        self.state().answers.push_back(body);
+    }
+
     /// How many requests for the list arrived.
     #[must_use]
     pub fn requests(&self) -> u64 {
@@ -173,7 +180,10 @@
                 inner.fail_next -= 1;
                 return refusal(503, "unavailable", "failed by the test");
             }
-            json(StatusCode::OK, &json_value!({ "instances": inner.visible() }))
+            match inner.answers.pop_front() {
+                Some(body) => raw_json(body),
+                None => json(StatusCode::OK, &json_value!({ "instances": inner.visible() })),
+            }
         }
         path => refusal(404, "not_found", path),
     }
--- a/crates/redwinglatch-fakes/src/service.rs
+++ b/crates/redwinglatch-fakes/src/service.rs
@@ -166,6 +166,11 @@
         self.server.connection_count()
     }
 
+    /// Waits until `count` connections are established.
+    pub async fn wait_for_connections(&self, count: usize) {
+        self.server.wait_for_connections(count).await;
+    }
+
     /// Waits until a condition over the runs holds; checked after each change.
     pub async fn wait_until(&self, condition: impl Fn(&[ServiceRun]) -> bool) {
         let mut changes = self.shared.changes.subscribe();
