Run the whole path in a demonstration on loopback

Cause: nothing had run end to end. Change: redwinglatch-local starts instances and fakes in one process; `redwinglatch demo` sends completions and a dispatch, changes a contract and stops an instance in mid-stream; redwinglatchd runs the server library. Conclusion: the thin path stands; failures come next.

--- a/crates/redwinglatch-fakes/src/caller.rs
+++ b/crates/redwinglatch-fakes/src/caller.rs
@@ -134,14 +134,18 @@
     ///
     /// # Errors
     ///
-    /// Fails when the instance can't be reached.
+    /// Fails when the instance can't be reached; a refusal is an error with its JSON as message.
     pub async fn stream(
         &self,
         address: SocketAddr,
         request: &CallerRequest,
     ) -> io::Result<CallerStream> {
         let response = self.start(address, request).await?;
-        Ok(CallerStream { response, buffer: Vec::new(), ended: false })
+        if response.status().is_success() {
+            return Ok(CallerStream { response, buffer: Vec::new(), ended: false });
+        }
+        let refusal = response.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
+        Err(io::Error::other(String::from_utf8_lossy(&refusal).into_owned()))
     }
 
     async fn start(
@@ -185,6 +189,12 @@
         Some((header("x-redwinglatch-adapter")?.into(), version))
     }
 
+    /// The backend server in the answer's headers.
+    #[must_use]
+    pub fn backend(&self) -> Option<SocketAddr> {
+        self.response.headers().get("x-redwinglatch-backend")?.to_str().ok()?.parse().ok()
+    }
+
     /// The next event as JSON, or `None` after the last one.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/redwinglatch-local/src/layout.rs
@@ -0,0 +1,180 @@
+//! Addresses, folders and settings of a local deployment.
+
+use std::fmt::Write as _;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use crate::{CALLERS_SECRET, Fakes, FakesOptions, INSTANCES_SECRET, OPERATORS_SECRET};
+
+/// The addresses of one instance.
+#[derive(Debug, Clone, Copy)]
+pub struct InstanceAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other instances.
+    pub instances: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// Times that tests shorten.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// How often the serving lease is renewed.
+    pub renew_interval_ms: u64,
+    /// How long the serving lease lasts.
+    pub lease_ms: u64,
+    /// How long callers may keep the list of entries.
+    pub keep_for_s: u64,
+    /// How long a new coordinator waits for old orders.
+    pub order_settle_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing { renew_interval_ms: 1_000, lease_ms: 4_000, keep_for_s: 30, order_settle_ms: 2_000 }
+    }
+}
+
+/// Addresses, folders and settings of a local deployment.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    dir: PathBuf,
+    instances: Vec<InstanceAddresses>,
+    replicas: usize,
+    timing: Timing,
+    fakes: FakesOptions,
+    platform: SocketAddr,
+    engines: Vec<SocketAddr>,
+    services: Vec<SocketAddr>,
+}
+
+impl Layout {
+    /// Lays out instances at `addresses`, the first `replicas` of them with a disk below `dir`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder or the secret files can't be written.
+    pub fn create(
+        dir: impl Into<PathBuf>,
+        addresses: Vec<InstanceAddresses>,
+        replicas: usize,
+        timing: Timing,
+        options: FakesOptions,
+        fakes: &Fakes,
+    ) -> io::Result<Layout> {
+        let dir = dir.into();
+        std::fs::create_dir_all(&dir)?;
+        std::fs::write(dir.join("callers.secret"), CALLERS_SECRET)?;
+        std::fs::write(dir.join("operators.secret"), OPERATORS_SECRET)?;
+        std::fs::write(dir.join("instances.secret"), INSTANCES_SECRET)?;
+        Ok(Layout {
+            dir,
+            instances: addresses,
+            replicas,
+            timing,
+            fakes: options,
+            platform: fakes.platform.address(),
+            engines: fakes.engine_addresses(),
+            services: fakes.service_addresses(),
+        })
+    }
+
+    /// The folder with the secrets and the instances' data.
+    #[must_use]
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// The addresses of the instance at `position`, counted from 0.
+    #[must_use]
+    pub fn addresses(&self, position: usize) -> InstanceAddresses {
+        self.instances[position]
+    }
+
+    /// The number of instances.
+    #[must_use]
+    pub fn instance_count(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// The data folder of the instance at `position`.
+    #[must_use]
+    pub fn data_dir(&self, position: usize) -> PathBuf {
+        self.dir.join(format!("data-{}", position + 1))
+    }
+
+    /// The settings of the instance at `position`, whose id is `position + 1`.
+    #[must_use]
+    pub fn settings_text(&self, position: usize) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = self.write_settings(&mut text, position);
+        text
+    }
+
+    fn write_settings(&self, text: &mut String, position: usize) -> std::fmt::Result {
+        let own = self.instances[position];
+        writeln!(text, "[instance]")?;
+        writeln!(text, "id = {}", position + 1)?;
+        writeln!(text, "data_centre = {}", Fakes::data_centre(position))?;
+        writeln!(text, "region = great-lakes")?;
+        write_addresses(text, &own)?;
+        writeln!(text, "max_connections = 1000")?;
+        writeln!(text, "\n[secrets]")?;
+        for name in ["operators", "instances", "callers"] {
+            let file = self.dir.join(format!("{name}.secret"));
+            writeln!(text, "{name}_file = {}", file.display())?;
+        }
+        if position < self.replicas {
+            writeln!(text, "\n[state]")?;
+            writeln!(text, "data_dir = {}", self.data_dir(position).display())?;
+            writeln!(text, "replica_id = {}", position + 1)?;
+        }
+        for replica in 1..=self.replicas {
+            writeln!(text, "\n[replica.{replica}]\ninstance = {replica}")?;
+        }
+        for (other, addresses) in self.instances.iter().enumerate() {
+            writeln!(text, "\n[instance.{}]", other + 1)?;
+            writeln!(text, "data_centre = {}", Fakes::data_centre(other))?;
+            write_addresses(text, addresses)?;
+        }
+        let timing = &self.timing;
+        writeln!(text, "\n[control]")?;
+        writeln!(text, "renew_interval_ms = {}", timing.renew_interval_ms)?;
+        writeln!(text, "lease_ms = {}", timing.lease_ms)?;
+        writeln!(text, "\n[callers]\nkeep_for_s = {}", timing.keep_for_s)?;
+        writeln!(text, "\n[platform]\nlist_address = {}\npoll_ms = 200", self.platform)?;
+        self.write_pools(text)
+    }
+
+    fn write_pools(&self, text: &mut String) -> std::fmt::Result {
+        let fakes = &self.fakes;
+        writeln!(text, "\n[cell.main]")?;
+        writeln!(text, "parallel_loads = {}", fakes.parallel_loads)?;
+        let load_ms = 1_000.0 * fakes.parallel_loads as f64 / fakes.loads_per_s;
+        writeln!(text, "load_ms = {}", load_ms.ceil() as u64)?;
+        writeln!(text, "loads_per_s = {}", fakes.loads_per_s)?;
+        writeln!(text, "\n[pool.{}]", Fakes::ENGINE_POOL)?;
+        writeln!(text, "kind = engine\ncell = main\nmodel = {}", Fakes::MODEL)?;
+        let fencing = if fakes.fencing { "enforced" } else { "ignored" };
+        writeln!(text, "fencing = {fencing}")?;
+        writeln!(text, "order_settle_ms = {}", self.timing.order_settle_ms)?;
+        writeln!(text, "max_batch = {}\nslots = {}", fakes.max_batch, fakes.slots)?;
+        writeln!(text, "step_ms = {}\nreport_ms = 200", fakes.step_ms.max(1))?;
+        writeln!(text, "backends = {}", join(&self.engines))?;
+        writeln!(text, "\n[pool.{}]\nkind = service", Fakes::SERVICE)?;
+        writeln!(text, "backends = {}", join(&self.services))
+    }
+}
+
+fn write_addresses(text: &mut String, addresses: &InstanceAddresses) -> std::fmt::Result {
+    writeln!(text, "callers_address = {}", addresses.callers)?;
+    writeln!(text, "instances_address = {}", addresses.instances)?;
+    writeln!(text, "operators_address = {}", addresses.operators)
+}
+
+fn join(addresses: &[SocketAddr]) -> String {
+    addresses.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ")
+}
--- a/crates/redwinglatch-server/src/operators.rs
+++ b/crates/redwinglatch-server/src/operators.rs
@@ -28,9 +28,6 @@
         let caller = caller.clone();
         tokio::spawn(async move {
             let reply = answer(&caller, call.request).await;
-            if let OperatorReply::Refused(refusal) = &reply {
-                caller.shared.metrics.refused(refusal.reason);
-            }
             // The operator may have closed the connection.
             let _ = call.reply.send(reply);
         });
@@ -86,6 +83,7 @@
                     entries.into_iter().map(|entry| redwinglatch_operators::HistoryEntry {
                         revision: entry.revision,
                         change_id: entry.change_id,
+                        at_wall_s: entry.at_wall_s,
                         contract: entry.contract,
                     });
                 OperatorReply::History(HistoryDocument {
@@ -125,7 +123,6 @@
             OperatorReply::Change(ChangeDocument { customer, change_id, revision, is_in_force })
         }
         Committed::Outcome(Outcome::Conflict { current_revision, current }) => {
-            caller.shared.metrics.refused(RefusalReason::RevisionConflict);
             OperatorReply::Conflict(ConflictDocument { current_revision, current })
         }
         Committed::Outcome(Outcome::Invalid(error)) => {
--- a/crates/redwinglatchd/src/main.rs
+++ b/crates/redwinglatchd/src/main.rs
@@ -2,13 +2,12 @@
 //!
 //! Exit codes: 0 done, 2 usage error, 1 everything else.
 
-use std::fmt;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::{Bpaf, ShellComp};
 use log::info;
-use miette::Diagnostic;
+use miette::IntoDiagnostic;
 use redwinglatch_settings::Settings;
 
 /// The usual width of a terminal; help is wrapped to it.
@@ -69,25 +68,8 @@
     run_server(settings)
 }
 
-/// The one place where the server library is called: `redwinglatch_server::run(settings)`.
-fn run_server(_settings: Settings) -> miette::Result<()> {
-    Err(NotLinked.into())
-}
-
-/// The server library is not linked in yet.
-#[derive(Debug)]
-struct NotLinked;
-
-impl fmt::Display for NotLinked {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the server library is not linked in yet")
-    }
-}
-
-impl std::error::Error for NotLinked {}
-
-impl Diagnostic for NotLinked {
-    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
-        Some(Box::new("use --check to check the settings only"))
-    }
+fn run_server(settings: Settings) -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.into_diagnostic()?;
+    runtime.block_on(redwinglatch_server::run(settings)).into_diagnostic()
 }
