--- a/crates/redwinglatch-log/src/config.rs
+++ b/crates/redwinglatch-log/src/config.rs
@@ -122,10 +122,11 @@
             }
         }
         // The leader's clock may be slow and the voter's fast: in true time the lease lasts up to
-        // lease / (1 - drift), and the voter refuses for at least timeout / (1 + drift).
+        // lease / (1 - drift), and the voter refuses for at least timeout / (1 + drift). Both
+        // clocks count whole milliseconds, so each interval may be off by one.
         let drift = self.clock_drift_permille;
-        let lease = self.leader_lease_ms.saturating_mul(1000 + drift);
-        if lease >= self.election_timeout_ms * (1000 - drift) {
+        let longest_lease = self.leader_lease_ms.saturating_add(1).saturating_mul(1000 + drift);
+        if longest_lease >= (self.election_timeout_ms - 1) * (1000 - drift) {
             return Err(ConfigError::LeaseTooLong {
                 leader_lease_ms: self.leader_lease_ms,
                 election_timeout_ms: self.election_timeout_ms,
--- a/crates/redwinglatch-log/src/message.rs
+++ b/crates/redwinglatch-log/src/message.rs
@@ -100,6 +100,8 @@
     },
     /// Tells the receiver to stand for election at once.
     TimeoutNow,
+    /// Refuses a message of an old term.
+    OldTerm,
 }
 
 /// When a leader sent a message; receivers return it unchanged.
--- a/crates/redwinglatch-log/src/replica.rs
+++ b/crates/redwinglatch-log/src/replica.rs
@@ -177,7 +177,9 @@
             return;
         }
         match kind {
-            MessageKind::PreVote { .. } | MessageKind::PreVoteReply { .. } => {}
+            MessageKind::PreVote { .. }
+            | MessageKind::PreVoteReply { .. }
+            | MessageKind::OldTerm => {}
             MessageKind::Vote { last_index, last_term, .. } => {
                 self.handle_vote(from, last_index, last_term);
             }
--- a/crates/redwinglatch-log/src/replica/follower.rs
+++ b/crates/redwinglatch-log/src/replica/follower.rs
@@ -21,23 +21,19 @@
     }
 
     /// Tells the sender of an old term about the current one.
+    ///
+    /// The answer carries no stamp: the sender may lead the current term by now, and the stamp of
+    /// an earlier term, perhaps of an earlier process with another clock, would extend its lease.
     pub(super) fn answer_old_term(&mut self, from: ReplicaId, kind: &MessageKind) {
-        let kind = match kind {
-            MessageKind::Vote { .. } => MessageKind::VoteReply { granted: false },
-            MessageKind::Append { prev_index, stamp, .. } => MessageKind::AppendReply {
-                stamp: *stamp,
-                result: AppendResult::Conflict {
-                    prev_index: *prev_index,
-                    term: None,
-                    first_index: self.log.last_index() + 1,
-                },
-            },
-            MessageKind::SnapshotChunk { index, stamp, .. } => {
-                MessageKind::SnapshotReply { stamp: *stamp, index: *index, next_offset: 0 }
-            }
-            _ => return,
-        };
-        self.send_after_sync(from, kind);
+        let is_request = matches!(
+            kind,
+            MessageKind::Vote { .. }
+                | MessageKind::Append { .. }
+                | MessageKind::SnapshotChunk { .. }
+        );
+        if is_request {
+            self.send_after_sync(from, MessageKind::OldTerm);
+        }
     }
 
     pub(super) fn handle_append(
--- /dev/null
+++ b/crates/redwinglatch-log/tests/common/cluster.rs
@@ -0,0 +1,571 @@
+//! Runs replicas over a faulty network and faulty disks and checks the invariants.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+use redwinglatch_core::ReplicaId;
+use redwinglatch_log::{
+    Effects, Entry, EntryKind, Index, LogMessage, Membership, MembershipChange, ReadId, Replica,
+    ReplicaConfig, Storage, Term, encode_record,
+};
+
+use super::disk::Disk;
+
+/// The largest lease that [`ReplicaConfig::check`] allows for this timeout and 1 % drift.
+const ELECTION_TIMEOUT_MS: u64 = 400;
+const LEADER_LEASE_MS: u64 = 390;
+const DRIFT_PERMILLE: i64 = 10;
+
+fn config(
+    id: ReplicaId,
+    initial_membership: Membership,
+    max_batch_entries: usize,
+) -> ReplicaConfig {
+    ReplicaConfig {
+        heartbeat_interval_ms: 50,
+        election_timeout_ms: ELECTION_TIMEOUT_MS,
+        leader_lease_ms: LEADER_LEASE_MS,
+        max_batch_entries,
+        max_in_flight_messages: 3,
+        snapshot_chunk_bytes: 100,
+        snapshot_interval_entries: 25,
+        retained_entries: 10,
+        ..ReplicaConfig::new(id, initial_membership)
+    }
+}
+
+/// A process: what a crash loses.
+#[derive(Debug)]
+pub struct Process {
+    pub replica: Replica,
+    storage: Storage,
+    /// Effects that the disk has not processed yet.
+    writes: VecDeque<Effects>,
+    /// The index and hash of the applied entries.
+    applied: (Index, u32),
+    /// The highest commit index of the cluster when each read began.
+    reads: HashMap<ReadId, Index>,
+}
+
+pub struct Node {
+    pub id: ReplicaId,
+    pub disk: Disk,
+    initial_membership: Membership,
+    clock_offset_ms: u64,
+    drift_permille: i64,
+    paused_until_us: u64,
+    pub process: Option<Process>,
+}
+
+/// The replacement of a replica whose disk was lost.
+#[derive(Debug)]
+struct Repair {
+    lost: ReplicaId,
+    replacement: ReplicaId,
+}
+
+/// A committed entry.
+#[derive(Default)]
+pub struct Committed {
+    term: Term,
+    digest: u32,
+    /// The hash of the log up to the entry.
+    hash: u32,
+    /// The term in which the commit was first seen; leaders of later terms have the entry.
+    seen_in: Term,
+}
+
+pub struct Cluster {
+    pub rng: fastrand::Rng,
+    pub nodes: Vec<Node>,
+    pub faults: bool,
+    max_batch_entries: usize,
+    /// How often proposals are made and the leader is hit, which differs between schedules.
+    proposals_per_256: u8,
+    leader_faults_per_1000: u32,
+    now_us: u64,
+    next_message: u64,
+    network: BTreeMap<(u64, u64), (ReplicaId, ReplicaId, Vec<u8>)>,
+    blocked: HashSet<(ReplicaId, ReplicaId)>,
+    repair: Option<Repair>,
+    pub repairs: u32,
+    leaders: HashMap<Term, ReplicaId>,
+    /// Each entry seen in any log, with the term before it.
+    entries: HashMap<(Index, Term), (u32, Term)>,
+    pub committed: Vec<Committed>,
+    membership: (Index, Membership),
+}
+
+fn digest(entry: &Entry) -> u32 {
+    let mut record = Vec::new();
+    encode_record(entry, &mut record);
+    crc32fast::hash(&record)
+}
+
+fn chain(hash: u32, digest: u32) -> u32 {
+    crc32fast::hash(&[hash.to_le_bytes(), digest.to_le_bytes()].concat())
+}
+
+impl Cluster {
+    pub fn new(seed: u64, size: u32) -> Cluster {
+        let membership = Membership::new((1..=size).map(ReplicaId));
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut cluster = Cluster {
+            max_batch_entries: rng.usize(1..=8),
+            proposals_per_256: rng.u8(5..120),
+            leader_faults_per_1000: rng.u32(0..30),
+            rng,
+            nodes: Vec::new(),
+            faults: true,
+            now_us: 0,
+            next_message: 0,
+            network: BTreeMap::new(),
+            blocked: HashSet::new(),
+            repair: None,
+            repairs: 0,
+            leaders: HashMap::new(),
+            entries: HashMap::new(),
+            committed: vec![Committed::default()],
+            membership: (0, membership.clone()),
+        };
+        for _ in 0..size {
+            cluster.add_node(membership.clone());
+        }
+        cluster
+    }
+
+    fn add_node(&mut self, initial_membership: Membership) -> ReplicaId {
+        let id = ReplicaId(u32::try_from(self.nodes.len()).unwrap() + 1);
+        self.nodes.push(Node {
+            id,
+            disk: Disk::default(),
+            initial_membership,
+            clock_offset_ms: 0,
+            drift_permille: self.rng.i64(-DRIFT_PERMILLE..=DRIFT_PERMILLE),
+            paused_until_us: 0,
+            process: None,
+        });
+        self.start(self.nodes.len() - 1);
+        id
+    }
+
+    fn start(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        // The clock of a process starts anywhere.
+        node.clock_offset_ms = self.rng.u64(0..10_000);
+        let now_ms = node.clock_ms(self.now_us);
+        let (storage, durable) =
+            Storage::open_with("/log", node.id, node.disk.files()).expect("the disk opens");
+        let storage = storage.segment_bytes(512);
+        let applied =
+            durable.snapshot.as_ref().map_or((0, 0), |s| self.check_snapshot(s.index, &s.data));
+        let node = &mut self.nodes[at];
+        let config = config(node.id, node.initial_membership.clone(), self.max_batch_entries);
+        let rng = fastrand::Rng::with_seed(self.rng.u64(..));
+        let replica = Replica::new(config, durable, now_ms, rng).unwrap();
+        node.process = Some(Process {
+            replica,
+            storage,
+            writes: VecDeque::new(),
+            applied,
+            reads: HashMap::new(),
+        });
+    }
+
+    fn crash(&mut self, at: usize) {
+        self.nodes[at].process = None;
+        self.nodes[at].disk.crash(&mut self.rng);
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |node: &Node| node.process.as_ref().is_some_and(|p| p.replica.is_leader());
+        let term = |at: &usize| self.nodes[*at].process.as_ref().map(|p| p.replica.term());
+        (0..self.nodes.len()).filter(|&at| leads(&self.nodes[at])).max_by_key(term)
+    }
+
+    /// Advances time a little and lets everything that is due happen.
+    pub fn step(&mut self) {
+        self.now_us += self.rng.u64(200..15_000);
+        self.deliver();
+        if self.faults {
+            self.inject_fault();
+        }
+        self.use_leaders();
+        self.continue_repair();
+        for at in 0..self.nodes.len() {
+            if let Some((process, now_ms)) = self.nodes[at].awake(self.now_us) {
+                process.replica.tick(now_ms);
+            }
+            self.drive(at);
+        }
+        self.check_invariants();
+    }
+
+    fn deliver(&mut self) {
+        while let Some(first) = self.network.first_entry()
+            && first.key().0 <= self.now_us
+        {
+            let (from, to, bytes) = first.remove();
+            let Some(at) = self.nodes.iter().position(|node| node.id == to) else { continue };
+            let paused_until_us = self.nodes[at].paused_until_us;
+            if paused_until_us > self.now_us {
+                self.next_message += 1;
+                self.network.insert((paused_until_us, self.next_message), (from, to, bytes));
+            } else if let Some((process, now_ms)) = self.nodes[at].awake(self.now_us) {
+                process.replica.step(from, LogMessage::decode(&bytes).unwrap(), now_ms);
+                if self.rng.u8(..) < 200 {
+                    self.drive(at);
+                }
+            }
+        }
+    }
+
+    /// Performs the effects of a node; the disk may lag behind and messages go out before it.
+    fn drive(&mut self, at: usize) {
+        while let Some((process, _)) = self.nodes[at].awake(self.now_us) {
+            let disk_is_behind = self.faults && self.rng.u8(..) < 50;
+            let effects = process.replica.take_effects();
+            if effects.is_empty() {
+                if process.writes.is_empty() || disk_is_behind {
+                    break;
+                }
+                self.flush_disk(at);
+                continue;
+            }
+            self.register(at, &effects);
+            for outgoing in &effects.messages {
+                self.send(self.nodes[at].id, outgoing.to, &outgoing.message);
+            }
+            self.apply(at, &effects);
+            let Some(process) = &mut self.nodes[at].process else { break };
+            if effects.write.is_some() {
+                process.writes.push_back(effects);
+            }
+            if !disk_is_behind {
+                self.flush_disk(at);
+            }
+        }
+    }
+
+    fn flush_disk(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        let Some(process) = &mut node.process else { return };
+        while let Some(effects) = process.writes.pop_front() {
+            if process.storage.save(&effects).is_ok() {
+                process.replica.persisted(effects.write.unwrap());
+            } else if node.disk.state().operations_left.is_some() {
+                self.crash(at);
+                return;
+            } else {
+                // A failed sync or a full disk: the replica is replaced.
+                process.replica.halt();
+                assert!(process.storage.sync().is_err(), "a failed storage must stay failed");
+                if self.repair.is_none() {
+                    self.lose(at);
+                } else {
+                    self.crash(at);
+                }
+                return;
+            }
+        }
+    }
+
+    fn send(&mut self, from: ReplicaId, to: ReplicaId, message: &LogMessage) {
+        let bytes = message.encode().unwrap();
+        if self.blocked.contains(&(from, to)) {
+            return;
+        }
+        let copies = match self.rng.u8(0..100) {
+            0..5 if self.faults => 0,
+            5..8 if self.faults => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let slow = self.faults && self.rng.u8(0..100) < 4;
+            let delay_us = self.rng.u64(200..if slow { 1_500_000 } else { 12_000 });
+            self.next_message += 1;
+            let key = (self.now_us + delay_us, self.next_message);
+            self.network.insert(key, (from, to, bytes.clone()));
+        }
+    }
+
+    fn inject_fault(&mut self) {
+        let at = self.rng.usize(0..self.nodes.len());
+        if self.nodes[at].process.is_none() {
+            let id = self.nodes[at].id;
+            let lost = self.repair.as_ref().is_some_and(|repair| repair.lost == id);
+            if !lost && self.is_needed(id) && self.rng.u8(..) < 40 {
+                self.start(at);
+            }
+            return;
+        }
+        if self.rng.u32(0..1000) < self.leader_faults_per_1000
+            && let Some(leader) = self.leader()
+        {
+            let left = self.rng.u32(0..12);
+            match self.rng.u8(0..3) {
+                0 => self.crash(leader),
+                1 => self.nodes[leader].disk.state().operations_left = Some(left),
+                _ => {
+                    // Only one other replica hears from the leader.
+                    let (id, one) = (self.nodes[leader].id, self.rng.usize(0..self.nodes.len()));
+                    let others = self.nodes.iter().enumerate().filter(|(other, _)| *other != one);
+                    self.blocked.extend(others.map(|(_, other)| (id, other.id)));
+                }
+            }
+            return;
+        }
+        let (id, others) = (self.nodes[at].id, self.nodes.iter().map(|n| n.id).collect::<Vec<_>>());
+        match self.rng.u32(0..1000) {
+            0..6 => self.blocked.extend(others.iter().flat_map(|&o| [(id, o), (o, id)])),
+            6..10 => self.blocked.extend(others.iter().map(|&o| (id, o))),
+            10..14 => self.blocked.extend(others.iter().map(|&o| (o, id))),
+            14..18 => {
+                // The leader is cut off and goes on to believe that it leads.
+                if let Some(leader) = self.leader().map(|at| self.nodes[at].id) {
+                    self.blocked.extend(others.iter().map(|&o| (leader, o)));
+                    self.blocked.extend(others.iter().map(|&o| (o, leader)));
+                }
+            }
+            18..45 => self.blocked.clear(),
+            45..52 => self.crash(at),
+            52..60 => {
+                let left = self.rng.u32(0..20);
+                self.nodes[at].disk.state().operations_left = Some(left);
+            }
+            60..66 => {
+                self.nodes[at].paused_until_us = self.now_us + self.rng.u64(..1_500_000);
+            }
+            66..68 if self.repair.is_none() => self.lose(at),
+            68 if self.repair.is_none() => self.nodes[at].disk.state().sync_fails = true,
+            69 if self.repair.is_none() => self.nodes[at].disk.state().capacity_bytes = Some(0),
+            _ => {}
+        }
+    }
+
+    /// Loses a disk; a replica with a new id takes its place. Only one is lost at a time.
+    fn lose(&mut self, at: usize) {
+        let lost = self.nodes[at].id;
+        self.nodes[at].process = None;
+        self.nodes[at].disk.wipe();
+        let replacement = self.add_node(Membership::default());
+        self.repair = Some(Repair { lost, replacement });
+    }
+
+    /// Whether the cluster can't settle without this replica.
+    fn is_needed(&self, id: ReplicaId) -> bool {
+        self.membership.1.members().any(|member| member == id)
+            || self.repair.as_ref().is_some_and(|repair| repair.replacement == id)
+    }
+
+    fn continue_repair(&mut self) {
+        let Some(Repair { lost, replacement }) = self.repair else { return };
+        let members = &self.membership.1;
+        if members.is_voter(replacement) && !members.is_voter(lost) {
+            self.repair = None;
+            self.repairs += 1;
+            // A second loss right after the repair.
+            let voters: Vec<_> = members.voters().to_vec();
+            if self.faults && self.rng.bool() {
+                let next = voters[self.rng.usize(0..voters.len())];
+                let at = self.nodes.iter().position(|node| node.id == next).unwrap();
+                self.lose(at);
+            }
+            return;
+        }
+        let change = if !members.members().any(|member| member == replacement) {
+            MembershipChange::AddLearner(replacement)
+        } else if !members.is_voter(replacement) {
+            MembershipChange::Promote(replacement)
+        } else {
+            MembershipChange::Remove(lost)
+        };
+        if let Some(at) = self.leader()
+            && let Some((process, now_ms)) = self.nodes[at].awake(self.now_us)
+        {
+            let _ = process.replica.propose_membership(change, now_ms);
+        }
+    }
+
+    /// Proposes, reads and hands over on each node that believes that it leads.
+    fn use_leaders(&mut self) {
+        let highest = self.committed.len() as u64 - 1;
+        for node in &mut self.nodes {
+            let Some((process, now_ms)) = node.awake(self.now_us) else { continue };
+            if process.replica.snapshot_due() {
+                let (index, hash) = process.applied;
+                let mut data = hash.to_le_bytes().to_vec();
+                data.resize(4 + self.rng.usize(0..400), 7);
+                process.replica.compact(index, data);
+            }
+            if !process.replica.is_leader() {
+                continue;
+            }
+            if self.rng.u8(..) < self.proposals_per_256 {
+                for _ in 0..self.rng.usize(0..12) {
+                    let data = vec![self.rng.u8(..); self.rng.usize(0..60)];
+                    let _ = process.replica.propose(data, now_ms);
+                }
+            }
+            if self.rng.u8(..) < 20
+                && let Ok(read) = process.replica.request_read(now_ms)
+            {
+                process.reads.insert(read, highest);
+            }
+            if self.faults && self.rng.u8(..) < 2 {
+                let _ = process.replica.transfer_leadership(None, now_ms);
+            }
+            if let Some(index) = process.replica.lease_read_index(now_ms) {
+                assert!(index >= highest, "a lease read at {index} misses commit {highest}");
+            }
+        }
+    }
+
+    /// Checks log matching for the entries that a node appends.
+    fn register(&mut self, at: usize, effects: &Effects) {
+        let Some(process) = &self.nodes[at].process else { return };
+        for entry in &effects.append {
+            let before = process.replica.entry(entry.index - 1).map(|entry| entry.term);
+            let Some(before) = before.or((entry.index == 1).then_some(0)) else { continue };
+            let new = (digest(entry), before);
+            let known = *self.entries.entry((entry.index, entry.term)).or_insert(new);
+            assert_eq!(known, new, "logs differ at index {} term {}", entry.index, entry.term);
+        }
+    }
+
+    fn apply(&mut self, at: usize, effects: &Effects) {
+        if let Some(snapshot) = &effects.restore {
+            let applied = self.check_snapshot(snapshot.index, &snapshot.data);
+            if let Some(process) = &mut self.nodes[at].process {
+                process.applied = applied;
+            }
+        }
+        for entry in &effects.committed {
+            let Some(process) = &mut self.nodes[at].process else { return };
+            let term = process.replica.term();
+            self.record_committed(entry, term);
+            let Some(process) = &mut self.nodes[at].process else { return };
+            assert_eq!(entry.index, process.applied.0 + 1, "an entry is applied out of order");
+            process.applied = (entry.index, chain(process.applied.1, digest(entry)));
+        }
+        let Some(process) = &mut self.nodes[at].process else { return };
+        for read in &effects.reads {
+            let earliest = process.reads.remove(&read.id).expect("each read ends once");
+            assert!(read.index.is_none_or(|index| index >= earliest), "a confirmed read is stale");
+        }
+    }
+
+    fn check_snapshot(&self, index: Index, data: &[u8]) -> (Index, u32) {
+        let hash = u32::from_le_bytes(data[..4].try_into().unwrap());
+        let expected = self.committed[usize::try_from(index).unwrap()].hash;
+        assert_eq!(hash, expected, "the snapshot at {index} differs from the committed entries");
+        (index, hash)
+    }
+
+    fn record_committed(&mut self, entry: &Entry, seen_in: Term) {
+        let (term, digest) = (entry.term, digest(entry));
+        let at = usize::try_from(entry.index).unwrap();
+        if let Some(known) = self.committed.get(at) {
+            assert_eq!((known.term, known.digest), (term, digest), "committed entry {at} changed");
+            return;
+        }
+        assert_eq!(at, self.committed.len(), "an entry was committed before its predecessor");
+        let hash = chain(self.committed[at - 1].hash, digest);
+        self.committed.push(Committed { term, digest, hash, seen_in });
+        if let EntryKind::Membership(membership) = &entry.kind {
+            self.membership = (entry.index, membership.clone());
+        }
+    }
+
+    fn check_invariants(&mut self) {
+        let mut lease: Option<(Term, ReplicaId)> = None;
+        let mut newest_leader: Term = 0;
+        for at in 0..self.nodes.len() {
+            let Node { id, .. } = self.nodes[at];
+            let now_ms = self.nodes[at].clock_ms(self.now_us);
+            let Some(process) = &self.nodes[at].process else { continue };
+            let (term, commit) = (process.replica.term(), process.replica.commit_index());
+            let valid = process.replica.leader_lease_valid(now_ms);
+            if process.replica.is_leader() {
+                newest_leader = newest_leader.max(term);
+                let leader = *self.leaders.entry(term).or_insert(id);
+                assert_eq!(leader, id, "term {term} has two leaders");
+                let last = process.replica.last_index();
+                for (index, known) in self.committed.iter().enumerate().skip(1) {
+                    let index = index as u64;
+                    let entry = process.replica.entry(index);
+                    // Entries before the snapshot are checked by its hash.
+                    let kept = entry.is_none_or(|entry| entry.term == known.term) && index <= last;
+                    assert!(
+                        kept || known.seen_in >= term,
+                        "leader {id} of term {term} lost committed entry {index}"
+                    );
+                }
+            }
+            if valid {
+                let (other_term, other) = *lease.get_or_insert((term, id));
+                assert_eq!(other_term, term, "replicas {id} and {other} both hold a lease");
+            }
+            let first = self.committed.len() as u64;
+            let entries: Vec<_> =
+                (first..=commit).map_while(|index| process.replica.entry(index).cloned()).collect();
+            for entry in entries {
+                self.record_committed(&entry, term);
+            }
+        }
+        if let Some((term, id)) = lease {
+            assert!(newest_leader <= term, "replica {id} holds a lease beside a newer leader");
+        }
+    }
+
+    /// Ends all faults and checks that the cluster works and agrees again within 60 s.
+    pub fn settle(&mut self) {
+        self.faults = false;
+        self.blocked.clear();
+        // With one entry in a message, more proposals would come than can be sent.
+        self.proposals_per_256 = 3;
+        let lost = self.repair.as_ref().map(|repair| repair.lost);
+        for at in 0..self.nodes.len() {
+            let node = &mut self.nodes[at];
+            node.paused_until_us = 0;
+            node.disk.end_faults();
+            let id = node.id;
+            if node.process.is_none() && Some(id) != lost && self.is_needed(id) {
+                self.start(at);
+            }
+        }
+        let before = self.committed.len();
+        let end_us = self.now_us + 60_000_000;
+        while !self.is_settled(before) {
+            assert!(
+                self.now_us < end_us,
+                "the cluster doesn't recover within 60 s: {:?}, repair {:?}, {:#?}",
+                self.membership,
+                self.repair,
+                self.nodes.iter().map(|node| (node.id, &node.process)).collect::<Vec<_>>()
+            );
+            self.step();
+        }
+    }
+
+    fn is_settled(&self, before: usize) -> bool {
+        let members = &self.membership.1;
+        let applied = |node: &&Node| node.process.as_ref().map(|process| process.applied.0);
+        let voters = self.nodes.iter().filter(|node| members.is_voter(node.id));
+        self.repair.is_none()
+            && voters.filter_map(|node| applied(&node)).all(|index| index > before as u64)
+    }
+}
+
+impl Node {
+    /// The node's clock, which is wrong by its drift.
+    pub fn clock_ms(&self, now_us: u64) -> u64 {
+        let rate = u64::try_from(1000 + self.drift_permille).unwrap();
+        self.clock_offset_ms + now_us * rate / 1_000_000
+    }
+
+    fn awake(&mut self, now_us: u64) -> Option<(&mut Process, u64)> {
+        let now_ms = self.clock_ms(now_us);
+        let awake = self.paused_until_us <= now_us;
+        self.process.as_mut().filter(|_| awake).map(|process| (process, now_ms))
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-log/tests/common/disk.rs
@@ -0,0 +1,168 @@
+//! A disk in memory that forgets what was not synced when it crashes.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, ErrorKind},
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use redwinglatch_log::{FileOps, FolderLock, OpenFile};
+
+#[derive(Default)]
+struct Inode {
+    current: Vec<u8>,
+    synced: Vec<u8>,
+}
+
+#[derive(Default)]
+pub struct DiskState {
+    inodes: Vec<Inode>,
+    names: BTreeMap<PathBuf, usize>,
+    synced_names: BTreeMap<PathBuf, usize>,
+    /// Every operation fails after this many.
+    pub operations_left: Option<u32>,
+    pub sync_fails: bool,
+    pub capacity_bytes: Option<usize>,
+}
+
+impl DiskState {
+    fn operation(&mut self) -> io::Result<()> {
+        match &mut self.operations_left {
+            Some(0) => Err(io::Error::other("the process has crashed")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn inode(&mut self, path: &Path) -> io::Result<&mut Inode> {
+        let inode = *self.names.get(path).ok_or(ErrorKind::NotFound)?;
+        Ok(&mut self.inodes[inode])
+    }
+
+    fn write(&mut self, inode: usize, bytes: &[u8]) -> io::Result<()> {
+        self.operation()?;
+        let used: usize = self.names.values().map(|&inode| self.inodes[inode].current.len()).sum();
+        let room =
+            self.capacity_bytes.map_or(bytes.len(), |capacity| capacity.saturating_sub(used));
+        self.inodes[inode].current.extend_from_slice(&bytes[..room.min(bytes.len())]);
+        if room < bytes.len() { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn sync(&mut self, inode: Option<usize>) -> io::Result<()> {
+        self.operation()?;
+        if self.sync_fails {
+            return Err(io::Error::other("injected sync failure"));
+        }
+        match inode {
+            Some(inode) => self.inodes[inode].synced = self.inodes[inode].current.clone(),
+            None => self.synced_names = self.names.clone(),
+        }
+        Ok(())
+    }
+}
+
+#[derive(Clone, Default)]
+pub struct Disk(Arc<Mutex<DiskState>>);
+
+impl Disk {
+    pub fn state(&self) -> MutexGuard<'_, DiskState> {
+        self.0.lock().unwrap()
+    }
+
+    /// Drops what is not synced, but for what the kernel may have written already.
+    pub fn crash(&self, rng: &mut fastrand::Rng) {
+        self.end_faults();
+        let state = &mut *self.state();
+        if rng.bool() {
+            state.names = state.synced_names.clone();
+        } else {
+            state.synced_names = state.names.clone();
+        }
+        for Inode { current, synced } in &mut state.inodes {
+            if current.starts_with(synced) {
+                current.truncate(rng.usize(synced.len()..=current.len()));
+            } else if rng.bool() {
+                *current = synced.clone();
+            }
+            *synced = current.clone();
+        }
+    }
+
+    pub fn end_faults(&self) {
+        let mut state = self.state();
+        state.operations_left = None;
+        state.sync_fails = false;
+        state.capacity_bytes = None;
+    }
+
+    pub fn wipe(&self) {
+        *self.state() = DiskState::default();
+    }
+
+    pub fn read(&self, path: &Path) -> Vec<u8> {
+        self.state().inode(path).unwrap().current.clone()
+    }
+
+    pub fn overwrite(&self, path: &Path, bytes: Vec<u8>) {
+        self.state().inode(path).unwrap().current = bytes;
+    }
+
+    /// The names of the files that start with `prefix`.
+    pub fn names(&self, prefix: &str) -> Vec<PathBuf> {
+        let starts =
+            |path: &&PathBuf| path.file_name().unwrap().to_str().unwrap().starts_with(prefix);
+        self.state().names.keys().filter(starts).cloned().collect()
+    }
+
+    pub fn files(&self) -> FileOps {
+        let [list, read, open, rename, remove, sync_dir] = [(); 6].map(|()| self.clone());
+        FileOps {
+            create_dir: Box::new(|_| Ok(())),
+            lock_dir: Box::new(|_| Ok(Some(FolderLock::default()))),
+            list: Box::new(move |_| {
+                let state = list.state();
+                let names = state.names.keys().filter_map(|path| path.file_name()?.to_str());
+                Ok(names.map(str::to_owned).collect())
+            }),
+            read: Box::new(move |path| Ok(read.state().inode(path)?.current.clone())),
+            open: Box::new(move |path| {
+                let mut state = open.state();
+                state.operation()?;
+                let next = state.inodes.len();
+                let inode = *state.names.entry(path.to_owned()).or_insert(next);
+                if inode == next {
+                    state.inodes.push(Inode::default());
+                }
+                let [write, sync, truncate] = [(); 3].map(|()| open.clone());
+                Ok(OpenFile {
+                    write: Box::new(move |bytes| write.state().write(inode, bytes)),
+                    sync: Box::new(move || sync.state().sync(Some(inode))),
+                    truncate: Box::new(move |size_bytes| {
+                        let mut state = truncate.state();
+                        state.operation()?;
+                        state.inodes[inode].current.truncate(usize::try_from(size_bytes).unwrap());
+                        Ok(())
+                    }),
+                })
+            }),
+            rename: Box::new(move |from, to| {
+                let mut state = rename.state();
+                state.operation()?;
+                let inode = state.names.remove(from).ok_or(ErrorKind::NotFound)?;
+                state.names.insert(to.to_owned(), inode);
+                Ok(())
+            }),
+            remove: Box::new(move |path| {
+                let mut state = remove.state();
+                state.operation()?;
+                state.names.remove(path).ok_or(ErrorKind::NotFound)?;
+                Ok(())
+            }),
+            sync_dir: Box::new(move |_| sync_dir.state().sync(None)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-log/tests/decoders.rs
@@ -0,0 +1,170 @@
+//! The decoders take arbitrary bytes from disks and peers; they neither panic nor allocate more
+//! than their input justifies.
+
+use bytes::Bytes;
+use quickcheck::{Gen, QuickCheck, TestResult};
+use redwinglatch_core::ReplicaId;
+use redwinglatch_log::{
+    DurableState, Entry, EntryKind, LogMessage, MAX_MESSAGE_BYTES, Membership, MessageError,
+    MessageKind, RecordError, Replica, ReplicaConfig, Stamp, decode_record, encode_record,
+};
+
+/// Entries keep at most this many bytes for each byte of input: an empty entry takes 3 bytes in a
+/// message and [`size_of::<Entry>`] in memory, and a list may have twice the capacity it needs.
+const BYTES_PER_INPUT_BYTE: usize = 2 * size_of::<Entry>();
+
+/// Runs properties with a fixed seed, so that the verdict is the same each time.
+fn checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 20)).tests(20_000)
+}
+
+fn entry(index: u64, kind: EntryKind) -> Entry {
+    Entry { index, term: 3, kind }
+}
+
+fn sample_entries() -> Vec<Entry> {
+    let membership = Membership::new([1, 2, 3].map(ReplicaId));
+    vec![
+        entry(5, EntryKind::Empty),
+        entry(6, EntryKind::Data(Bytes::from_static(b"some data"))),
+        entry(7, EntryKind::Membership(membership)),
+    ]
+}
+
+fn sample_messages() -> Vec<LogMessage> {
+    let stamp = Stamp { round: 2, sent_ms: 900 };
+    let append = |prev_index, prev_term, entries| MessageKind::Append {
+        prev_index,
+        prev_term,
+        entries,
+        commit: 6,
+        stamp,
+    };
+    let chunk = MessageKind::SnapshotChunk {
+        index: 9,
+        snapshot_term: 3,
+        membership: Membership::new([1, 2].map(ReplicaId)),
+        total_bytes: 12,
+        offset: 0,
+        data: Bytes::from_static(b"chunk"),
+        stamp,
+    };
+    let kinds = [append(4, 2, sample_entries()), append(0, 0, Vec::new()), chunk];
+    kinds.into_iter().map(|kind| LogMessage { term: 3, kind }).collect()
+}
+
+/// Replaces some bytes, so that most of the input stays valid.
+fn corrupt(mut bytes: Vec<u8>, changes: &[(u16, u8)]) -> Vec<u8> {
+    for &(at, byte) in changes.iter().take(3) {
+        let at = usize::from(at) % bytes.len();
+        bytes[at] = byte;
+    }
+    bytes
+}
+
+fn allocated_bytes(entries: &Vec<Entry>) -> usize {
+    let data = |entry: &Entry| if let EntryKind::Data(data) = &entry.kind { data.len() } else { 0 };
+    entries.capacity() * size_of::<Entry>() + entries.iter().map(data).sum::<usize>()
+}
+
+/// Decodes `bytes`, checks the bound and gives the message to a replica.
+fn check_message(bytes: &[u8]) -> bool {
+    let Ok(message) = LogMessage::decode(bytes) else { return true };
+    let bounded = match &message.kind {
+        MessageKind::Append { entries, .. } => {
+            allocated_bytes(entries) <= BYTES_PER_INPUT_BYTE * (bytes.len() + 4)
+        }
+        MessageKind::SnapshotChunk { data, .. } => data.len() <= bytes.len(),
+        _ => true,
+    };
+    let config = ReplicaConfig::new(ReplicaId(1), Membership::new([1, 2, 3].map(ReplicaId)));
+    let rng = fastrand::Rng::with_seed(1);
+    let mut replica = Replica::new(config, DurableState::default(), 0, rng).unwrap();
+    for _ in 0..2 {
+        replica.step(ReplicaId(2), message.clone(), 10);
+        let effects = replica.take_effects();
+        if let Some(write) = effects.write {
+            replica.persisted(write);
+        }
+    }
+    bounded
+}
+
+/// Guards against a panic on a message from a broken or hostile peer.
+#[test]
+fn message_decoder_takes_arbitrary_bytes() {
+    fn property(bytes: Vec<u8>) -> bool {
+        check_message(&bytes)
+    }
+    checker().quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+/// Guards against a panic in the replica on a message that is nearly right.
+#[test]
+fn message_decoder_takes_corrupted_messages() {
+    fn property(which: usize, changes: Vec<(u16, u8)>, cut: u16) -> bool {
+        let messages = sample_messages();
+        let bytes = messages[which % messages.len()].encode().unwrap();
+        let cut = usize::from(cut) % bytes.len();
+        let bytes = corrupt(bytes, &changes);
+        check_message(&bytes) && check_message(&bytes[..cut])
+    }
+    checker().quickcheck(property as fn(usize, Vec<(u16, u8)>, u16) -> bool);
+}
+
+/// Guards against memory reserved for a length that the bytes only announce: reserving these
+/// would abort the process.
+#[test]
+fn announced_lengths_reserve_nothing() {
+    let huge = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f];
+    // Term 3, then an append whose list of entries is huge, or a chunk whose voters are.
+    for head in [&[3, 4, 0, 0][..], &[3, 6, 9, 3]] {
+        let bytes = [head, &huge, &[0; 64]].concat();
+        assert!(matches!(LogMessage::decode(&bytes), Err(MessageError::Malformed(_))));
+    }
+    let record = [&u32::MAX.to_le_bytes()[..], &[0; 64]].concat();
+    assert_eq!(decode_record(&record), Err(RecordError::BadLength(u32::MAX)));
+    let too_large = vec![0; MAX_MESSAGE_BYTES + 1];
+    assert!(matches!(LogMessage::decode(&too_large), Err(MessageError::TooLarge { .. })));
+}
+
+/// Guards against a message that decodes to something else than was sent.
+#[test]
+fn messages_and_records_survive_encoding() {
+    for message in sample_messages() {
+        assert_eq!(LogMessage::decode(&message.encode().unwrap()).unwrap(), message);
+    }
+    for entry in sample_entries() {
+        let mut record = Vec::new();
+        encode_record(&entry, &mut record);
+        assert_eq!(decode_record(&record), Ok((entry, record.len())));
+    }
+}
+
+/// Guards against a panic on a damaged disk.
+#[test]
+fn record_decoder_takes_arbitrary_bytes() {
+    fn property(bytes: Vec<u8>) -> bool {
+        decode_record(&bytes).is_err()
+    }
+    checker().quickcheck(property as fn(Vec<u8>) -> bool);
+}
+
+/// Guards against a changed record that is taken for a whole one.
+#[test]
+fn record_decoder_refuses_corrupted_records() {
+    fn property(which: usize, at: usize, flip: u8, cut: usize) -> TestResult {
+        if flip == 0 {
+            return TestResult::discard();
+        }
+        let entries = sample_entries();
+        let mut record = Vec::new();
+        encode_record(&entries[which % entries.len()], &mut record);
+        let cut = cut % record.len();
+        let cut_refused = decode_record(&record[..cut]) == Err(RecordError::Incomplete);
+        let at = at % record.len();
+        record[at] ^= flip;
+        TestResult::from_bool(cut_refused && decode_record(&record).is_err())
+    }
+    checker().quickcheck(property as fn(usize, usize, u8, usize) -> TestResult);
+}
--- /dev/null
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -0,0 +1,338 @@
+//! Single rules of the replica, each in the smallest group of replicas that shows it.
+
+use redwinglatch_core::ReplicaId;
+use redwinglatch_log::{
+    ConfigError, DurableState, Effects, LogMessage, Membership, MembershipChange, MembershipError,
+    MessageKind, ProposeError, ReadOutcome, Replica, ReplicaConfig, Role, Stamp, TransferError,
+};
+
+/// Replicas over a network without delay and disks that sync at once.
+struct Group {
+    replicas: Vec<Replica>,
+    now_ms: u64,
+    /// Links (from, to) that lose everything.
+    cut: Vec<(u32, u32)>,
+    messages: Vec<LogMessage>,
+    reads: Vec<ReadOutcome>,
+}
+
+fn ids(range: std::ops::RangeInclusive<u32>) -> Membership {
+    Membership::new(range.map(ReplicaId))
+}
+
+fn replica(id: u32, initial_membership: Membership) -> Replica {
+    let config = ReplicaConfig {
+        max_batch_entries: 40,
+        snapshot_chunk_bytes: 100,
+        retained_entries: 0,
+        ..ReplicaConfig::new(ReplicaId(id), initial_membership)
+    };
+    let rng = fastrand::Rng::with_seed(u64::from(id));
+    Replica::new(config, DurableState::default(), 0, rng).unwrap()
+}
+
+fn take_synced(replica: &mut Replica) -> Effects {
+    let effects = replica.take_effects();
+    if let Some(write) = effects.write {
+        replica.persisted(write);
+    }
+    effects
+}
+
+impl Group {
+    /// A group whose replica 1 leads.
+    fn led_by_1(size: u32) -> Group {
+        let replicas = (1..=size).map(|id| replica(id, ids(1..=size))).collect();
+        let (cut, messages, reads) = (Vec::new(), Vec::new(), Vec::new());
+        let mut group = Group { replicas, now_ms: 1600, cut, messages, reads };
+        // Only replica 1 notices that there is no leader.
+        group.get(1).tick(1600);
+        group.run(0);
+        assert!(group.get(1).is_leader());
+        group
+    }
+
+    fn get(&mut self, id: u32) -> &mut Replica {
+        &mut self.replicas[id as usize - 1]
+    }
+
+    /// Cuts a replica off in both directions.
+    fn isolate(&mut self, id: u32) {
+        let size = u32::try_from(self.replicas.len()).unwrap();
+        self.cut.extend((1..=size).flat_map(|other| [(id, other), (other, id)]));
+    }
+
+    fn run(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        loop {
+            while self.exchange() {}
+            if self.now_ms >= end_ms {
+                return;
+            }
+            self.now_ms += 10;
+            for replica in &mut self.replicas {
+                replica.tick(self.now_ms);
+            }
+        }
+    }
+
+    fn exchange(&mut self) -> bool {
+        let mut busy = false;
+        for from in 1..=u32::try_from(self.replicas.len()).unwrap() {
+            let effects = take_synced(self.get(from));
+            busy |= !effects.is_empty();
+            self.reads.extend(effects.reads);
+            for outgoing in effects.messages {
+                self.messages.push(outgoing.message.clone());
+                let now_ms = self.now_ms;
+                if !self.cut.contains(&(from, outgoing.to.0)) {
+                    self.get(outgoing.to.0).step(ReplicaId(from), outgoing.message, now_ms);
+                }
+            }
+        }
+        busy
+    }
+
+    fn propose(&mut self, count: usize) {
+        let now_ms = self.now_ms;
+        for _ in 0..count {
+            self.get(1).propose(&b"data"[..], now_ms).unwrap();
+        }
+    }
+
+    fn change(&mut self, change: MembershipChange) -> Result<u64, MembershipError> {
+        let now_ms = self.now_ms;
+        self.get(1).propose_membership(change, now_ms)
+    }
+}
+
+fn append(term: u64, sent_ms: u64) -> LogMessage {
+    let stamp = Stamp { round: 1, sent_ms };
+    let kind =
+        MessageKind::Append { prev_index: 0, prev_term: 0, entries: Vec::new(), commit: 0, stamp };
+    LogMessage { term, kind }
+}
+
+/// Guards against a lease that is extended by the stamp of an old term: the answer to an old
+/// message reaches its sender in the term that the sender leads by now (found by schedule 1980).
+#[test]
+fn an_old_term_is_answered_without_its_stamp() {
+    let mut replica = replica(1, ids(1..=3));
+    replica.step(ReplicaId(2), append(5, 100), 10);
+    let _ = take_synced(&mut replica);
+    let _ = take_synced(&mut replica);
+    replica.step(ReplicaId(3), append(4, 9000), 11);
+    let messages = take_synced(&mut replica).messages;
+    assert_eq!(messages.len(), 1);
+    assert_eq!(messages[0].message, LogMessage { term: 5, kind: MessageKind::OldTerm });
+}
+
+/// Guards against acknowledgements, votes and commits that a crash would make untrue.
+#[test]
+fn nothing_counts_before_the_sync() {
+    let mut voter = replica(1, ids(1..=3));
+    let kind = MessageKind::Vote { last_index: 0, last_term: 0, transfer: false };
+    voter.step(ReplicaId(2), LogMessage { term: 1, kind }, 2000);
+    let effects = voter.take_effects();
+    assert!(effects.hard_state.is_some() && effects.messages.is_empty());
+    assert!(voter.take_effects().is_empty());
+    voter.persisted(effects.write.unwrap());
+    let message = voter.take_effects().messages.pop().unwrap().message;
+    assert_eq!(message.kind, MessageKind::VoteReply { granted: true });
+
+    let mut single = replica(1, ids(1..=1));
+    single.tick(2000);
+    let effects = single.take_effects();
+    assert_eq!(single.role(), Role::Candidate);
+    single.persisted(effects.write.unwrap());
+    assert!(single.is_leader());
+    let effects = single.take_effects();
+    assert_eq!((effects.append.len(), single.commit_index()), (1, 0));
+    single.persisted(effects.write.unwrap());
+    assert_eq!(single.take_effects().committed.len(), 1);
+}
+
+/// Guards against a learner that votes before it has the entries that were committed when its
+/// promotion was asked for.
+#[test]
+fn a_learner_is_promoted_once_it_has_caught_up() {
+    let mut group = Group::led_by_1(3);
+    group.replicas.push(replica(4, Membership::default()));
+    let four = ReplicaId(4);
+    let promote = MembershipChange::Promote(four);
+    assert_eq!(group.change(promote), Err(MembershipError::NotMember(four)));
+    group.isolate(4);
+    group.propose(10);
+    let index = group.change(MembershipChange::AddLearner(four)).unwrap();
+    let overlapping = group.change(MembershipChange::AddLearner(ReplicaId(5)));
+    assert_eq!(overlapping, Err(MembershipError::InProgress { index }));
+    group.run(50);
+    let required_index = group.get(1).commit_index();
+    let refused =
+        Err(MembershipError::NotCaughtUp { replica: four, match_index: 0, required_index });
+    assert_eq!(group.change(promote), refused);
+    // Entries committed after the first request don't raise the bar.
+    group.propose(10);
+    group.run(50);
+    assert_eq!(group.change(promote), refused);
+    group.cut.clear();
+    group.run(200);
+    group.change(promote).unwrap();
+    group.run(200);
+    assert!(group.get(4).membership().is_voter(four));
+    group.change(MembershipChange::Remove(ReplicaId(3))).unwrap();
+    group.run(200);
+    let again = group.change(MembershipChange::AddLearner(ReplicaId(3)));
+    assert_eq!(again, Err(MembershipError::Retired(ReplicaId(3))));
+}
+
+/// Guards against a membership that can't commit anything any more.
+#[test]
+fn a_change_that_puts_the_majority_at_risk_is_refused() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    group.isolate(3);
+    group.run(1000);
+    let remove = group.change(MembershipChange::Remove(ReplicaId(2)));
+    assert_eq!(remove, Err(MembershipError::QuorumAtRisk));
+    group.change(MembershipChange::Remove(ReplicaId(3))).unwrap();
+}
+
+/// Guards against a leader that goes on to believe that it leads.
+#[test]
+fn a_leader_without_contact_loses_its_lease_and_steps_down() {
+    let mut group = Group::led_by_1(3);
+    group.run(300);
+    let now_ms = group.now_ms;
+    assert!(group.get(1).leader_lease_valid(now_ms));
+    // The leader still sends, but hears nothing.
+    group.cut = vec![(2, 1), (3, 1)];
+    group.run(600);
+    let now_ms = group.now_ms;
+    assert!(group.get(1).is_leader() && !group.get(1).leader_lease_valid(now_ms));
+    assert_eq!(group.get(1).lease_read_index(now_ms), None);
+    let read = group.get(1).request_read(now_ms).unwrap();
+    group.run(400);
+    assert!(!group.get(1).is_leader());
+    let refused = group.get(1).propose(&b"data"[..], now_ms);
+    assert!(matches!(refused, Err(ProposeError::NotLeader(_))));
+    assert_eq!(group.reads, [ReadOutcome { id: read, index: None }]);
+    group.run(4000);
+    assert_eq!(group.replicas.iter().filter(|replica| replica.is_leader()).count(), 1);
+}
+
+/// Guards against a planned stop that loses proposals, and a lease that survives the permission
+/// to elect another leader.
+#[test]
+fn a_transfer_ends_the_lease_and_makes_the_target_lead() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    group.propose(5);
+    group.run(50);
+    let now_ms = group.now_ms;
+    let nobody = group.get(1).transfer_leadership(Some(ReplicaId(9)), now_ms);
+    assert_eq!(nobody, Err(TransferError::NoTarget));
+    assert_eq!(group.get(1).transfer_leadership(Some(ReplicaId(2)), now_ms), Ok(ReplicaId(2)));
+    assert!(!group.get(1).leader_lease_valid(now_ms));
+    let refused = group.get(1).propose(&b"late"[..], now_ms);
+    assert!(refused.is_err());
+    group.run(100);
+    assert!(group.get(2).is_leader() && !group.get(1).is_leader());
+
+    // The target never answers: the lease must not come back in this term.
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    let now_ms = group.now_ms;
+    group.get(1).transfer_leadership(Some(ReplicaId(2)), now_ms).unwrap();
+    group.isolate(2);
+    for _ in 0..90 {
+        group.run(10);
+        let now_ms = group.now_ms;
+        let term = group.get(1).term();
+        assert!(term > 1 || !group.get(1).leader_lease_valid(now_ms));
+    }
+    group.run(4000);
+    assert!(group.replicas.iter().any(|replica| replica.is_leader() && replica.term() > 1));
+}
+
+/// Guards against a replica that was cut off and deposes the leader when it returns.
+#[test]
+fn a_returning_replica_does_not_depose_the_leader() {
+    let mut group = Group::led_by_1(3);
+    group.isolate(3);
+    group.run(10_000);
+    group.cut.clear();
+    group.run(3000);
+    assert!(group.get(1).is_leader());
+    assert_eq!(group.get(1).term(), 1);
+}
+
+/// Guards against a removed leader that goes on to lead.
+#[test]
+fn a_removed_leader_steps_down() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    group.change(MembershipChange::Remove(ReplicaId(1))).unwrap();
+    group.run(4000);
+    assert!(!group.get(1).is_leader());
+    assert!(group.get(2).is_leader() || group.get(3).is_leader());
+}
+
+/// Guards against a replica that takes part after its disk failed.
+#[test]
+fn a_halted_replica_is_silent() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    let now_ms = group.now_ms;
+    group.get(1).request_read(now_ms).unwrap();
+    group.get(1).halt();
+    let effects = group.get(1).take_effects();
+    assert_eq!(effects.reads.iter().map(|read| read.index).collect::<Vec<_>>(), [None]);
+    assert!(effects.messages.is_empty() && !group.get(1).leader_lease_valid(now_ms));
+    group.get(1).step(ReplicaId(2), append(9, 0), now_ms + 1);
+    group.get(1).tick(now_ms + 9000);
+    assert!(group.get(1).take_effects().is_empty());
+    assert_eq!(group.get(1).role(), Role::Halted);
+}
+
+/// Guards against messages that grow with the snapshot, and a message for each proposal.
+#[test]
+fn snapshots_and_entries_are_sent_in_bounded_parts() {
+    let mut group = Group::led_by_1(3);
+    group.isolate(3);
+    group.run(10);
+    group.messages.clear();
+    group.propose(100);
+    group.run(0);
+    let count = |kind: &MessageKind| match kind {
+        MessageKind::Append { entries, .. } => entries.len(),
+        _ => 0,
+    };
+    let batches: Vec<_> =
+        group.messages.iter().map(|message| count(&message.kind)).filter(|&n| n > 0).collect();
+    // The leader doesn't know yet that replica 3 is cut off.
+    assert_eq!(batches, [[40, 40, 20]; 2].concat());
+    let index = group.get(1).applied_index();
+    assert!(group.get(1).compact(index, vec![5; 1234]));
+    group.run(50);
+    group.cut.clear();
+    group.messages.clear();
+    group.run(500);
+    let chunks = group.messages.iter().filter_map(|message| match &message.kind {
+        MessageKind::SnapshotChunk { data, .. } => Some(data.len()),
+        _ => None,
+    });
+    assert!(chunks.clone().count() >= 13 && chunks.max() == Some(100));
+    assert_eq!(group.get(3).applied_index(), index);
+}
+
+/// Guards against settings with which two leaders could hold a lease at once.
+#[test]
+fn a_lease_that_could_outlast_the_votes_is_refused() {
+    let check = |leader_lease_ms| {
+        let config = ReplicaConfig::new(ReplicaId(1), ids(1..=3));
+        ReplicaConfig { leader_lease_ms, election_timeout_ms: 400, ..config }.check()
+    };
+    assert_eq!(check(390), Ok(()));
+    assert!(matches!(check(391), Err(ConfigError::LeaseTooLong { .. })));
+}
--- /dev/null
+++ b/crates/redwinglatch-log/tests/storage.rs
@@ -0,0 +1,280 @@
+//! The storage keeps what was synced, and refuses folders and disks that it can't trust.
+
+mod common;
+
+use std::{path::PathBuf, sync::Arc};
+
+use bytes::Bytes;
+use common::disk::Disk;
+use redwinglatch_core::ReplicaId;
+use redwinglatch_log::{
+    DurableState, Effects, Entry, EntryKind, HardState, Index, Membership, Snapshot, Storage,
+    StorageError, Term, encode_record,
+};
+
+const ID: ReplicaId = ReplicaId(7);
+
+fn open(disk: &Disk) -> Result<(Storage, DurableState), StorageError> {
+    let (storage, durable) = Storage::open_with("/log", ID, disk.files())?;
+    Ok((storage.segment_bytes(150), durable))
+}
+
+fn entry(index: Index, term: Term) -> Entry {
+    let data = Bytes::from(vec![u8::try_from(index).unwrap(); 20]);
+    Entry { index, term, kind: EntryKind::Data(data) }
+}
+
+fn entries(indexes: std::ops::RangeInclusive<Index>, term: Term) -> Vec<Entry> {
+    indexes.map(|index| entry(index, term)).collect()
+}
+
+fn snapshot(index: Index, term: Term) -> Arc<Snapshot> {
+    let membership = Membership::new([ID]);
+    Arc::new(Snapshot { index, term, membership, data: Bytes::from_static(b"state") })
+}
+
+fn hard_state(term: Term) -> HardState {
+    HardState { term, voted_for: Some(ID) }
+}
+
+/// A disk with the entries 1 to 10 of term 1 in several segments.
+fn disk_with_log() -> Disk {
+    let disk = Disk::default();
+    let (mut storage, _) = open(&disk).unwrap();
+    let append = entries(1..=10, 1);
+    let effects = Effects { append, hard_state: Some(hard_state(1)), ..Effects::default() };
+    storage.save(&effects).unwrap();
+    assert!(disk.names("segment-").len() > 2);
+    disk
+}
+
+fn last_segment(disk: &Disk) -> PathBuf {
+    disk.names("segment-").pop().unwrap()
+}
+
+/// Guards against a restart that forgets synced state.
+#[test]
+fn a_restart_finds_what_was_synced() {
+    let disk = disk_with_log();
+    let (mut storage, durable) = open(&disk).unwrap();
+    assert_eq!((durable.hard_state, durable.entries), (hard_state(1), entries(1..=10, 1)));
+    storage.save(&Effects { snapshot: Some(snapshot(8, 1)), ..Effects::default() }).unwrap();
+    storage.save(&Effects { append: entries(11..=12, 2), ..Effects::default() }).unwrap();
+    let (_, durable) = open(&disk).unwrap();
+    assert_eq!(durable.snapshot, Some(snapshot(8, 1)));
+    assert_eq!(durable.entries, [entries(9..=10, 1), entries(11..=12, 2)].concat());
+    assert!(!disk.names("segment-").contains(&PathBuf::from("/log/segment-00000000000000000001")));
+}
+
+/// Guards against a replica that can't start, or keeps half a record, after a torn write.
+#[test]
+fn a_torn_tail_is_cut_at_the_last_whole_record() {
+    let disk = disk_with_log();
+    let path = last_segment(&disk);
+    let whole = disk.read(&path);
+    let mut torn = Vec::new();
+    encode_record(&entry(11, 1), &mut torn);
+    for len in 0..torn.len() {
+        // The rest of the record never reached the disk, or reached it as zeros.
+        for rest in [0, torn.len() - len] {
+            disk.overwrite(&path, [&whole, &torn[..len], &vec![0; rest]].concat());
+            let (mut storage, durable) = open(&disk).unwrap();
+            assert_eq!(durable.entries, entries(1..=10, 1));
+            assert_eq!(disk.read(&path), whole);
+            storage.append(&[entry(11, 2)]).unwrap();
+            storage.sync().unwrap();
+            assert_eq!(open(&disk).unwrap().1.entries[10], entry(11, 2));
+        }
+    }
+}
+
+/// Guards against synced entries that disappear because of a damaged record before them.
+#[test]
+fn damage_before_valid_records_is_refused() {
+    let disk = disk_with_log();
+    for path in disk.names("segment-") {
+        let whole = disk.read(&path);
+        let mut first = Vec::new();
+        encode_record(&entry(1, 1), &mut first);
+        let is_last = path == last_segment(&disk);
+        for at in 0..first.len() {
+            let mut damaged = whole.clone();
+            damaged[at] ^= 0x10;
+            disk.overwrite(&path, damaged);
+            if is_last && whole.len() == first.len() {
+                continue;
+            }
+            match open(&disk).unwrap_err() {
+                StorageError::Damaged { path: found, offset: 0, .. } => assert_eq!(found, path),
+                error => panic!("unexpected error: {error}"),
+            }
+        }
+        disk.overwrite(&path, whole);
+    }
+    let error = {
+        let path = &disk.names("segment-")[0];
+        let mut damaged = disk.read(path);
+        damaged[60] ^= 1;
+        disk.overwrite(path, damaged);
+        open(&disk).unwrap_err().to_string()
+    };
+    let expected = "file /log/segment-00000000000000000001 is damaged at offset 45: the record's \
+                    checksum is wrong, and later files follow";
+    assert!(error.starts_with(expected), "{error}");
+}
+
+/// Guards against a second attempt after a failure, when the kernel may have dropped pages.
+#[test]
+fn a_failure_poisons_the_storage_for_good() {
+    type Inject = fn(&Disk);
+    let cases: [(Inject, &str); 2] = [
+        (|disk| disk.state().sync_fails = true, "the sync of"),
+        (|disk| disk.state().capacity_bytes = Some(0), "no space left"),
+    ];
+    for (inject, message) in cases {
+        let disk = disk_with_log();
+        let (mut storage, _) = open(&disk).unwrap();
+        inject(&disk);
+        let effects = Effects { append: entries(11..=12, 1), ..Effects::default() };
+        let error = storage.save(&effects).unwrap_err();
+        assert!(error.to_string().starts_with(message), "{error}");
+        disk.end_faults();
+        let results = [
+            storage.sync(),
+            storage.append(&[]),
+            storage.save(&effects),
+            storage.truncate(3),
+            storage.write_hard_state(&hard_state(9)),
+            storage.write_snapshot(&snapshot(5, 1)),
+            storage.remove_before(5),
+        ];
+        for result in results {
+            assert!(matches!(result, Err(StorageError::Poisoned { .. })), "{result:?}");
+        }
+        disk.crash(&mut fastrand::Rng::with_seed(3));
+        let (_, durable) = open(&disk).unwrap();
+        assert_eq!(durable.entries[..10], entries(1..=10, 1));
+        assert_eq!(durable.hard_state, hard_state(1));
+    }
+}
+
+/// Guards against two replicas that mix their logs, and a replica that forgot its vote.
+#[test]
+fn folders_that_can_not_be_trusted_are_refused() {
+    let disk = disk_with_log();
+    match Storage::open_with("/log", ReplicaId(8), disk.files()).unwrap_err() {
+        StorageError::OtherReplica { found: ID, expected: ReplicaId(8), .. } => {}
+        error => panic!("unexpected error: {error}"),
+    }
+    let (mut storage, _) = open(&disk).unwrap();
+    storage.write_snapshot(&snapshot(4, 1)).unwrap();
+    drop(storage);
+    for prefix in ["identity", "hard-state", "snapshot-"] {
+        let path = disk.names(prefix).pop().unwrap();
+        let whole = disk.read(&path);
+        for at in 0..whole.len() {
+            let mut damaged = whole.clone();
+            damaged[at] ^= 4;
+            disk.overwrite(&path, damaged);
+            assert!(matches!(open(&disk), Err(StorageError::Damaged { .. })), "{prefix} {at}");
+        }
+        disk.overwrite(&path, whole);
+    }
+    for prefix in ["hard-state", "identity"] {
+        (disk.files().remove)(&disk.names(prefix).pop().unwrap()).unwrap();
+        assert!(matches!(open(&disk), Err(StorageError::Damaged { .. })), "{prefix}");
+    }
+}
+
+/// Guards against a log with a hole.
+#[test]
+fn entries_that_leave_a_gap_are_refused() {
+    let (mut storage, _) = open(&disk_with_log()).unwrap();
+    let result = storage.append(&[entry(12, 1)]);
+    assert!(matches!(result, Err(StorageError::Gap { expected: 11, found: 12 })));
+}
+
+/// Guards against a crash inside a save that leaves a state which is neither old nor new.
+#[test]
+fn a_crash_at_any_operation_leaves_the_old_or_the_new_state() {
+    let cases = [
+        // A vote and entries that replace a part of the log.
+        Effects {
+            hard_state: Some(hard_state(2)),
+            truncate: Some(4),
+            append: entries(4..=14, 2),
+            ..Effects::default()
+        },
+        // A snapshot of the replica's own log.
+        Effects { snapshot: Some(snapshot(8, 1)), ..Effects::default() },
+        // A snapshot from the leader that replaces the log, with entries after it.
+        Effects {
+            hard_state: Some(hard_state(2)),
+            snapshot: Some(snapshot(6, 2)),
+            truncate: Some(0),
+            append: entries(7..=9, 2),
+            ..Effects::default()
+        },
+    ];
+    for effects in &cases {
+        let mut finished = false;
+        for (operations, seed) in (0..60).flat_map(|count| (0..8).map(move |seed| (count, seed))) {
+            let disk = disk_with_log();
+            let (mut storage, _) = open(&disk).unwrap();
+            disk.state().operations_left = Some(operations);
+            let saved = storage.save(effects).is_ok();
+            finished |= saved;
+            disk.crash(&mut fastrand::Rng::with_seed(seed));
+            let (mut storage, durable) = open(&disk).unwrap();
+            check_after_crash(effects, &durable, saved);
+            let base = durable.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+            let next = base + durable.entries.len() as u64 + 1;
+            storage.append(&[entry(next, 3)]).unwrap();
+            storage.sync().unwrap();
+            let (_, durable) = open(&disk).unwrap();
+            assert_eq!(durable.entries.last(), Some(&entry(next, 3)));
+        }
+        assert!(finished, "no run reached the end of the save");
+    }
+}
+
+fn check_after_crash(effects: &Effects, durable: &DurableState, saved: bool) {
+    let new_hard_state = effects.hard_state.unwrap_or(hard_state(1));
+    let base = durable.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+    if saved {
+        assert_eq!(durable.hard_state, new_hard_state);
+        assert_eq!(durable.snapshot, effects.snapshot);
+    }
+    assert!(durable.hard_state == new_hard_state || durable.hard_state == hard_state(1));
+    assert!(durable.snapshot.is_none() || durable.snapshot == effects.snapshot);
+    // The log after the snapshot is a part of the new log, or of the old one if the snapshot is
+    // not the leader's.
+    let old = entries(base + 1..=10, 1);
+    let kept = effects.truncate.map_or(10, |first| first.saturating_sub(1).max(base));
+    let new = [entries(base + 1..=kept, 1), effects.append.clone()].concat();
+    let found = &durable.entries;
+    if saved {
+        assert_eq!(*found, new);
+    }
+    let replaced = base > 0 && effects.truncate.is_some();
+    assert!(new.starts_with(found) || (!replaced && old.starts_with(found)), "{found:?}");
+    if effects.truncate.is_none() {
+        assert!(found.len() >= old.len(), "synced entries are missing");
+    }
+}
+
+/// Guards against two processes that write to one folder, and shows the storage on a real disk.
+#[test]
+fn a_real_folder_is_locked_and_read_back() {
+    let dir = std::env::temp_dir().join(format!("redwinglatch-log-{}", std::process::id()));
+    let (mut storage, _) = Storage::open(&dir, ID).unwrap();
+    assert!(matches!(Storage::open(&dir, ID), Err(StorageError::InUse { .. })));
+    let append = entries(1..=5, 1);
+    storage.save(&Effects { append, ..Effects::default() }).unwrap();
+    let append = entries(3..=3, 2);
+    storage.save(&Effects { truncate: Some(3), append, ..Effects::default() }).unwrap();
+    drop(storage);
+    let (_, durable) = Storage::open(&dir, ID).unwrap();
+    std::fs::remove_dir_all(&dir).unwrap();
+    assert_eq!(durable.entries, [entries(1..=2, 1), entries(3..=3, 2)].concat());
+}
