Keep shares right for instances that have not caught up

Change: raises go only to instances that have caught up; a grant resets what the leader is assumed to know; instances alone scale shares when a contract is lowered, so the leader no longer sends scaled values.

--- a/crates/redwinglatch-control/src/held_shares.rs
+++ b/crates/redwinglatch-control/src/held_shares.rs
@@ -111,9 +111,9 @@
         self.customers.retain(|_, held| {
             held.sent.is_some()
                 || held.in_use > 0
-                || !held.granted.is_none()
-                || held.note() != Note::default()
-                || held.known != Note::default()
+                || !held.limit.is_none()
+                || !held.demand.is_none()
+                || held.note() != held.known
         });
     }
 
@@ -130,6 +130,8 @@
         for grant in grants {
             let held = self.customers.entry(grant.customer.clone()).or_default();
             held.granted = grant.share;
+            // The leader counts on the granted share until it is told otherwise again.
+            held.known.differs = None;
             held.limit = if grant.exact { grant.share } else { held.limit.min(grant.share) };
         }
     }
@@ -139,6 +141,7 @@
         for held in self.customers.values_mut() {
             held.granted = Share::NONE;
             held.limit = Share::NONE;
+            held.known.differs = None;
         }
     }
 
--- a/crates/redwinglatch-control/src/leader.rs
+++ b/crates/redwinglatch-control/src/leader.rs
@@ -76,9 +76,10 @@
         reply.coordinators = coordinators(state, renewal);
         reply.cells = self.cells.renew(now_ms, state, holder, renewal, applied_sequence);
         let settled = self.leases.settled(now_ms);
-        self.shares.observe_contracts(now_ms, state, settled);
+        self.shares.observe_contracts(state, settled);
+        let caught_up = reply.configuration.as_ref().is_none_or(|update| update.to == reply.head);
         (reply.shares_reset, reply.shares) =
-            self.shares.renew(now_ms, holder, renewal, applied_sequence);
+            self.shares.renew(now_ms, holder, renewal, applied_sequence, caught_up);
         let known = if renewal.term == reply.term { renewal.instances_version } else { 0 };
         reply.instances = self.leases.list_update(now_ms, known);
         Some(reply)
--- a/crates/redwinglatch-control/src/shares.rs
+++ b/crates/redwinglatch-control/src/shares.rs
@@ -12,9 +12,9 @@
 /// How often scarce single units (such as 3 concurrent requests for 12 instances) move on.
 const ROTATE_MS: u64 = 4_000;
 
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Entry {
-    pub(crate) demand: Share,
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    demand: Share,
     /// The most that the instance may hold.
     reserved: Share,
     /// What the leader set last.
@@ -26,7 +26,32 @@
     in_flight_above: u64,
 }
 
+impl Default for Entry {
+    /// A share of nothing, which needs no acknowledgement.
+    fn default() -> Entry {
+        Entry {
+            demand: Share::NONE,
+            reserved: Share::NONE,
+            value: Share::NONE,
+            value_sequence: Some(0),
+            acknowledged: true,
+            in_flight_above: 0,
+        }
+    }
+}
+
 impl Entry {
+    fn take_report(&mut self, report: &ShareReport, reset: bool) {
+        self.demand = report.demand;
+        let in_flight = report.held.concurrent_requests;
+        self.in_flight_above =
+            if in_flight > self.value.concurrent_requests { in_flight } else { 0 };
+        if self.acknowledged && !reset {
+            // The instance scaled its share down with the contract.
+            self.value = self.value.min(report.held);
+        }
+    }
+
     fn refresh_reserved(&mut self) {
         if self.acknowledged {
             self.reserved = self.value;
@@ -110,12 +135,7 @@
     }
 
     /// Takes notice of contract changes. `settled` is what every lease holder has in force.
-    pub(crate) fn observe_contracts(
-        &mut self,
-        now_ms: u64,
-        state: &ControlState,
-        settled: Option<Revision>,
-    ) {
+    pub(crate) fn observe_contracts(&mut self, state: &ControlState, settled: Option<Revision>) {
         if let Some(settled) = settled {
             self.former.retain(|_, former| {
                 former.retain(|(ended, _)| *ended > settled);
@@ -133,44 +153,26 @@
         if observed == state.revision() {
             return;
         }
-        let waiting = now_ms < self.waiting_until_ms;
         if observed < state.forgotten_revision() {
             let gone = self.totals.keys().filter(|customer| state.contract(customer).is_none());
             let gone: Vec<Box<str>> = gone.cloned().collect();
             for customer in gone {
-                self.change_total(waiting, state.revision(), &customer, Share::NONE);
+                self.change_total(state.revision(), &customer, Share::NONE);
             }
         }
         for (revision, customer, contract) in state.changed_since(observed) {
             let after = contract.map_or(Share::NONE, Share::whole);
-            self.change_total(waiting, revision, customer, after);
+            self.change_total(revision, customer, after);
         }
     }
 
-    fn change_total(&mut self, waiting: bool, revision: Revision, customer: &str, after: Share) {
-        let limit = self.total(customer);
+    fn change_total(&mut self, revision: Revision, customer: &str, after: Share) {
         let before = match after.is_none() {
             true => self.totals.remove(customer),
             false => self.totals.insert(customer.into(), after),
         };
         let before = before.unwrap_or_default();
         self.former.entry(customer.into()).or_default().push((revision, before));
-        let lowered = after.min(limit);
-        let Some(shares) = self.customers.get_mut(customer) else { return };
-        if lowered == limit || waiting {
-            // In the waiting period the instances scale their own shares: this leader doesn't
-            // know all of them.
-            return;
-        }
-        // Every instance gets its reduced share in the same reply as the lowered contract.
-        let fits = shares.reserved.fits(&lowered);
-        let values = shares.entries.values().map(|entry| entry.value);
-        let before = values.fold(Share::NONE, Share::plus).max(limit);
-        for entry in shares.entries.values_mut() {
-            let value = if fits { entry.value } else { entry.value.scaled(before, lowered) };
-            entry.set(value);
-        }
-        shares.sum();
     }
 
     /// Registers a process that this leader didn't know. In the waiting period it keeps what it
@@ -181,13 +183,7 @@
             self.resets.insert(holder, renewal.sequence);
         }
         for report in renewal.shares.iter().filter(|report| adopt && !report.held.is_none()) {
-            let entry = Entry {
-                reserved: report.held,
-                value: report.held,
-                value_sequence: Some(0),
-                acknowledged: true,
-                ..Entry::default()
-            };
+            let entry = Entry { reserved: report.held, value: report.held, ..Entry::default() };
             let shares = self.customers.entry(report.customer.clone()).or_default();
             shares.entries.insert(holder, entry);
             shares.sum();
@@ -209,17 +205,29 @@
     }
 
     /// The shares for the reply to `renewal`, and whether all others must be forgotten.
+    ///
+    /// An instance that has not `caught_up` gets no more than it holds: it could not scale a share
+    /// with a contract that it doesn't have in force yet.
     pub(crate) fn renew(
         &mut self,
         now_ms: u64,
         holder: LeaseHolder,
         renewal: &Renewal,
         applied_sequence: u64,
+        caught_up: bool,
     ) -> (bool, Vec<ShareGrant>) {
         if self.resets.get(&holder).is_some_and(|since| *since <= applied_sequence) {
             self.resets.remove(&holder);
         }
-        let reset = self.resets.contains_key(&holder);
+        let round = Round {
+            now_ms,
+            holder,
+            sequence: renewal.sequence,
+            applied_sequence,
+            caught_up,
+            reset: self.resets.contains_key(&holder),
+            waiting: now_ms < self.waiting_until_ms,
+        };
         let mut reports = BTreeMap::new();
         for report in &renewal.shares {
             reports.insert(&*report.customer, report);
@@ -233,98 +241,98 @@
         let mut grants = Vec::new();
         let mut names = self.by_holder.remove(&holder).unwrap_or_default();
         names.retain(|customer| {
-            let report = reports.get(&**customer).copied();
-            let (grant, keep) =
-                self.renew_customer(now_ms, customer, holder, renewal, applied_sequence, report);
-            grants.extend(grant);
+            let total = self.total(customer);
+            if !self.customers.contains_key(customer) {
+                self.customers.insert(customer.clone(), CustomerShares::default());
+            }
+            let Some(shares) = self.customers.get_mut(customer) else { return false };
+            let (grant, keep) = shares.renew(&round, total, reports.get(&**customer).copied());
+            grants.extend(grant.map(|(share, exact)| {
+                let customer = customer.clone();
+                ShareGrant { customer, share, exact }
+            }));
+            if shares.entries.is_empty() {
+                self.customers.remove(customer);
+            }
             keep
         });
         if !names.is_empty() {
             self.by_holder.insert(holder, names);
         }
-        (reset, grants)
+        (round.reset, grants)
     }
+}
 
-    fn renew_customer(
+/// One renewal, as far as it concerns every customer.
+struct Round {
+    now_ms: u64,
+    holder: LeaseHolder,
+    sequence: u64,
+    applied_sequence: u64,
+    caught_up: bool,
+    reset: bool,
+    waiting: bool,
+}
+
+impl CustomerShares {
+    /// Returns the share to send with whether it is exact, and whether to keep the entry.
+    fn renew(
         &mut self,
-        now_ms: u64,
-        customer: &str,
-        holder: LeaseHolder,
-        renewal: &Renewal,
-        applied_sequence: u64,
+        round: &Round,
+        total: Share,
         report: Option<&ShareReport>,
-    ) -> (Option<ShareGrant>, bool) {
-        let total = self.total(customer);
-        let reset = self.resets.contains_key(&holder);
-        if !self.customers.contains_key(customer) {
-            self.customers.insert(customer.into(), CustomerShares::default());
-        }
-        let Some(shares) = self.customers.get_mut(customer) else { return (None, false) };
-        let entry = shares.entries.entry(holder).or_insert(Entry {
-            value_sequence: Some(0),
-            acknowledged: true,
-            ..Entry::default()
-        });
-        let before = entry.reserved;
-        if entry.value_sequence.is_some_and(|sequence| sequence <= applied_sequence) {
+    ) -> (Option<(Share, bool)>, bool) {
+        let mut entry = self.entries.get(&round.holder).copied().unwrap_or_default();
+        let before = entry;
+        if entry.value_sequence.is_some_and(|sequence| sequence <= round.applied_sequence) {
             entry.acknowledged = true;
         }
         if let Some(report) = report {
-            if entry.demand != report.demand {
-                entry.demand = report.demand;
-                shares.split = None;
-            }
-            entry.in_flight_above = 0;
-            if report.held.concurrent_requests > entry.value.concurrent_requests {
-                entry.in_flight_above = report.held.concurrent_requests;
-            }
-            if entry.acknowledged && !reset {
-                // The instance scaled its share down with the contract.
-                entry.value = entry.value.min(report.held);
-            }
+            entry.take_report(report, round.reset);
         }
         entry.refresh_reserved();
-        let current = *entry;
-        shares.replace(before, current.reserved);
-        if now_ms >= self.waiting_until_ms && current.acknowledged {
-            let rotation = now_ms / ROTATE_MS;
-            let fresh = matches!(&shares.split, Some((at, of, split))
-                if *of == total && (*at == rotation || !split.rotates()));
-            if !fresh {
-                let demands = shares.entries.iter().map(|(holder, entry)| (*holder, entry.demand));
-                shares.split = Some((rotation, total, Split::new(total, rotation, demands)));
-            }
-            let Some((_, _, split)) = &shares.split else { return (None, true) };
-            let target = split.target(holder, current.demand);
-            let free = total.minus(shares.reserved);
-            let next = next_part(&current.value, &target, &current.demand, &free, &total);
-            if next != current.value
-                && let Some(entry) = shares.entries.get_mut(&holder)
-            {
-                entry.set(next);
+        self.replace(before.reserved, entry.reserved);
+        if entry.demand != before.demand {
+            self.split = None;
+        }
+        self.entries.insert(round.holder, entry);
+        if !round.waiting && round.caught_up && entry.acknowledged {
+            let target = self.target(round, total, entry.demand);
+            let free = total.minus(self.reserved);
+            let next = next_part(&entry.value, &target, &entry.demand, &free, &total);
+            if next != entry.value {
                 let reserved = entry.reserved;
-                shares.replace(current.reserved, reserved);
+                entry.set(next);
+                self.replace(reserved, entry.reserved);
             }
         }
-        let Some(entry) = shares.entries.get_mut(&holder) else { return (None, false) };
-        let exact = shares.reserved.fits(&total);
-        let grant = (!entry.acknowledged).then(|| ShareGrant {
-            customer: customer.into(),
-            share: entry.value,
-            exact,
-        });
+        let exact = round.caught_up && self.reserved.fits(&total);
+        let grant = (!entry.acknowledged).then_some((entry.value, exact));
         if grant.is_some() {
-            entry.value_sequence.get_or_insert(renewal.sequence);
+            entry.value_sequence.get_or_insert(round.sequence);
         }
         let keep = !entry.acknowledged || !entry.reserved.is_none() || !entry.demand.is_none();
-        if !keep {
+        if keep {
+            self.entries.insert(round.holder, entry);
+        } else {
             // Nothing is reserved, so the sum stays.
-            shares.entries.remove(&holder);
-            shares.split = None;
-            if shares.entries.is_empty() {
-                self.customers.remove(customer);
-            }
+            self.entries.remove(&round.holder);
+            self.split = None;
         }
         (grant, keep)
     }
+
+    fn target(&mut self, round: &Round, total: Share, demand: Share) -> Share {
+        let rotation = round.now_ms / ROTATE_MS;
+        let entries = &self.entries;
+        let current = self
+            .split
+            .take()
+            .filter(|(at, of, split)| *of == total && (*at == rotation || !split.rotates()));
+        let (_, _, split) = self.split.insert(current.unwrap_or_else(|| {
+            let demands = entries.iter().map(|(holder, entry)| (*holder, entry.demand));
+            (rotation, total, Split::new(total, rotation, demands))
+        }));
+        split.target(round.holder, demand)
+    }
 }
--- a/crates/redwinglatch-control/tests/schedules/world.rs
+++ b/crates/redwinglatch-control/tests/schedules/world.rs
@@ -77,6 +77,14 @@
     }
 }
 
+/// How rough a schedule is.
+struct Roughness {
+    drop_percent: u32,
+    slow_percent: u32,
+    change_every_ms: u64,
+    leader_every_ms: u64,
+}
+
 struct Leader {
     clock: Clock,
     state: LeaderState,
@@ -89,6 +97,7 @@
     next_event: u64,
     settings: LeaseSettings,
     faults: bool,
+    rough: Roughness,
     /// The committed log, applied by two replicas of which one restarts from snapshots.
     index: u64,
     control: ControlState,
@@ -116,8 +125,15 @@
             update_bytes: [50, 1_000_000][rng.usize(0..2)],
             ..StateLimits::default()
         };
+        let rough = Roughness {
+            drop_percent: [2, 10, 30][rng.usize(0..3)],
+            slow_percent: [2, 10, 40][rng.usize(0..3)],
+            change_every_ms: [300, 2_500][rng.usize(0..2)],
+            leader_every_ms: [4_000, 9_000, 25_000][rng.usize(0..3)],
+        };
         let mut world = World {
             now_ms: 0,
+            rough,
             queue: BTreeMap::new(),
             next_event: 0,
             settings: LeaseSettings::default(),
@@ -162,7 +178,9 @@
             let delay_ms = self.rng.u64(1..10);
             return self.after(delay_ms, event);
         }
-        if self.processes[process].cut_until_ms > self.now_ms || self.rng.u32(0..10) == 0 {
+        if self.processes[process].cut_until_ms > self.now_ms
+            || self.rng.u32(0..100) < self.rough.drop_percent
+        {
             return;
         }
         if self.rng.u32(0..10) == 0 {
@@ -178,7 +196,7 @@
     fn delay_ms(&mut self) -> u64 {
         match self.rng.u32(0..100) {
             0..2 => self.rng.u64(1..9_000),
-            2..12 => self.rng.u64(1..2_500),
+            slow if slow < 2 + self.rough.slow_percent => self.rng.u64(1..2_500),
             _ => self.rng.u64(1..40),
         }
     }
@@ -247,7 +265,7 @@
                 self.call();
             }
             Event::NewChange => {
-                let delay_ms = self.rng.u64(200..2_500);
+                let delay_ms = self.rng.u64(100..self.rough.change_every_ms);
                 self.after(delay_ms, Event::NewChange);
                 if self.faults {
                     self.new_change();
@@ -259,7 +277,7 @@
                 self.leader_tick();
             }
             Event::LeaderChange => {
-                let delay_ms = self.rng.u64(1_000..9_000);
+                let delay_ms = self.rng.u64(500..self.rough.leader_every_ms);
                 self.after(delay_ms, Event::LeaderChange);
                 if self.faults && self.leader.is_some() {
                     self.leader = None;
@@ -568,6 +586,12 @@
             assert!(view.revision() >= process.last_revision, "a view went back at {now_ms}");
             process.last_revision = view.revision();
             let serves = process.client.may_serve(local_ms);
+            let holder =
+                LeaseHolder { instance: process.instance, incarnation: process.incarnation };
+            let gone = self.leader.as_ref().is_some_and(|leader| {
+                leader.state.leases().surely_gone(leader.clock.at(now_ms), holder)
+            });
+            assert!(!(serves && gone), "{holder:?} counts as gone but serves at {now_ms}");
             for (customer, name) in CUSTOMERS.iter().enumerate() {
                 let revision = view.contract(name).map(|contract| contract.revision);
                 let last = &mut process.last_contracts[customer];
@@ -586,8 +610,6 @@
                 let Some(epoch) = process.client.may_order(local_ms, CellId(cell)) else {
                     continue;
                 };
-                let holder =
-                    LeaseHolder { instance: process.instance, incarnation: process.incarnation };
                 let other = orderers[cell as usize].replace(holder);
                 assert_eq!(other, None, "two coordinators of cell {cell} at {now_ms}");
                 let first = *self.orderers.entry((cell, epoch)).or_insert(holder);
