Let adapters without recent requests give way sooner

Cause: after a shift of popularity the prior of the recent count kept idle adapters above new ones. Change: prior 0.1 instead of 0.25 requests.

--- a/crates/redwinglatch-placement/src/popularity.rs
+++ b/crates/redwinglatch-placement/src/popularity.rs
@@ -5,7 +5,7 @@
 /// How much faster the recent count decays than the long one.
 const RECENT_FACTOR: f32 = 4.0;
 /// Requests added to the recent count, so that a chance pause costs a rare adapter little.
-const RECENT_PRIOR: f32 = 0.25;
+const RECENT_PRIOR: f32 = 0.1;
 
 /// Two decayed counts; they take 12 bytes.
 ///
