Weigh recency against frequency by what requests show

Cause: after a shift of popularity, adapters with high counts kept their slots for minutes. Also, the customers' use of the store was limited by the recent count by mistake. Change: the value of a loaded adapter mixes its counts with the time since its last request. The weight moves by each request that only one of the two would have served: a miss of an adapter that the most recent ones include, a hit of one that they don't.

--- a/crates/redwinglatch-placement/src/adapters.rs
+++ b/crates/redwinglatch-placement/src/adapters.rs
@@ -60,6 +60,8 @@
     hash_seed: u64,
     limit: usize,
     half_life_ms: u32,
+    /// The weight of recency in the popularity, learnt from requests.
+    recency: f32,
 }
 
 impl AdapterTable {
@@ -71,6 +73,7 @@
             hash_seed,
             limit: limit.max(1),
             half_life_ms,
+            recency: 0.0,
         }
     }
 
@@ -107,9 +110,17 @@
         self.adapters[key].popularity.add(now_ms, half_life_ms);
     }
 
+    /// Learns from a request before it is counted.
+    pub(crate) fn learn(&mut self, key: AdapterKey, now_ms: u64, recent_ms: u64, loaded: bool) {
+        let popularity = self.adapters[key].popularity;
+        let lesson = popularity.lesson(now_ms, self.half_life_ms, recent_ms, loaded);
+        self.recency = (self.recency + lesson).clamp(0.0, 1.0);
+    }
+
     /// The adapter's expected requests within the half-life.
     pub(crate) fn popularity(&self, key: AdapterKey, now_ms: u64) -> f32 {
-        self.adapters.get(key).map_or(0.0, |it| it.popularity.value(now_ms, self.half_life_ms))
+        let (half_life_ms, recency) = (self.half_life_ms, self.recency);
+        self.adapters.get(key).map_or(0.0, |it| it.popularity.value(now_ms, half_life_ms, recency))
     }
 
     /// Adds a reference, which keeps the adapter from being forgotten.
--- a/crates/redwinglatch-placement/src/coordinator.rs
+++ b/crates/redwinglatch-placement/src/coordinator.rs
@@ -22,6 +22,7 @@
     engine::Engine,
     keys::{AdapterKey, EngineKey, PinKey, WaitKey},
     pin::Pin,
+    popularity::Popularity,
     queue::LoadQueue,
     waiting::Waiting,
 };
@@ -79,6 +80,10 @@
     queue: LoadQueue,
     /// Whether a slot is kept free of new pins for a load.
     draining: bool,
+    /// Loads so far, decayed.
+    loads: Popularity,
+    /// The age of the least recent adapter, if the slots held the most recent ones.
+    recent_ms: u64,
     /// Popular adapters that were loaded once and are not any more.
     lost_adapters: Vec<AdapterKey>,
     requests: HashMap<RequestKey, RequestState>,
@@ -129,6 +134,8 @@
             customers: CustomerTable::default(),
             queue,
             draining: false,
+            loads: Popularity::default(),
+            recent_ms: 0,
             lost_adapters: Vec::new(),
             requests: HashMap::new(),
             waiting: SlotMap::with_key(),
--- a/crates/redwinglatch-placement/src/coordinator/loading.rs
+++ b/crates/redwinglatch-placement/src/coordinator/loading.rs
@@ -27,6 +27,8 @@
 const PRELOAD_MIN: f32 = 0.5;
 /// Load times that a wait for a place in a batch may take at most before a copy is loaded.
 const COPY_PATIENCE: f32 = 2.0;
+/// Time in which the count of loads halves.
+const LOADS_HALF_LIFE_MS: u32 = 20_000;
 /// Adapters remembered for preloading.
 const LOST_LIMIT: usize = 256;
 /// Part of a load that is still ahead when abandoning it pays.
@@ -237,6 +239,11 @@
     fn order_load(&mut self, now_ms: u64, adapter: AdapterKey, target: Target, preload: bool) {
         let Some(epoch) = self.epoch else { return };
         let load = self.queue.start(now_ms, target.engine, adapter, preload);
+        self.loads.add(now_ms, LOADS_HALF_LIFE_MS);
+        let slots: usize = self.engines.values().map(|it| it.slots.len()).sum();
+        let per_ms = self.loads.long_count(now_ms, LOADS_HALF_LIFE_MS) * std::f32::consts::LN_2
+            / LOADS_HALF_LIFE_MS as f32;
+        self.recent_ms = (slots as f32 / per_ms) as u64;
         let evicted = self.clear_slot(now_ms, target.engine, target.slot);
         // One reference is the slot's, one that of the load in flight.
         self.adapters.hold(adapter);
--- a/crates/redwinglatch-placement/src/coordinator/placing.rs
+++ b/crates/redwinglatch-placement/src/coordinator/placing.rs
@@ -70,6 +70,11 @@
             let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many adapters in use");
             return Err(refusal.retry_after_ms(retry_after(1_000)));
         };
+        let known = self.adapters.active(adapter);
+        if known.is_none_or(|it| it.waiting.is_empty()) {
+            let loaded = known.is_some_and(|it| !it.copies.is_empty());
+            self.adapters.learn(adapter, now_ms, self.recent_ms, loaded);
+        }
         self.adapters.count(adapter, now_ms);
         if let Some(active) = self.adapters.active(adapter)
             && active.copies.is_empty()
--- a/crates/redwinglatch-placement/src/customers.rs
+++ b/crates/redwinglatch-placement/src/customers.rs
@@ -27,7 +27,7 @@
 impl Customer {
     /// Recent and queued loads.
     fn used(&self, now_ms: u64) -> f32 {
-        self.loads.value(now_ms, HALF_LIFE_MS) + self.queued as f32
+        self.loads.long_count(now_ms, HALF_LIFE_MS) + self.queued as f32
     }
 }
 
@@ -111,8 +111,9 @@
     fn forget_idle(&mut self, now_ms: u64) {
         let by_name = &mut self.by_name;
         self.customers.retain(|_, it| {
-            let idle =
-                it.queued == 0 && it.waiting == 0 && it.loads.value(now_ms, HALF_LIFE_MS) < IDLE;
+            let idle = it.queued == 0
+                && it.waiting == 0
+                && it.loads.long_count(now_ms, HALF_LIFE_MS) < IDLE;
             if idle {
                 by_name.remove(&it.name);
             }
