--- a/crates/redwinglatch-bench/src/placement.rs
+++ b/crates/redwinglatch-bench/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::{Options, PlacementRow};
 use baseline::{Baseline, Routing};
 use coordinated::Coordinated;
+pub(crate) use workload::Zipf;
 use workload::{Site, Span, Workload, arrivals};
 use world::{Policy, World};
 
--- a/crates/redwinglatch-placement/src/adapters.rs
+++ b/crates/redwinglatch-placement/src/adapters.rs
@@ -81,6 +81,21 @@
         self.adapters.len()
     }
 
+    /// The memory of the tables and names.
+    pub(crate) fn bytes(&self) -> usize {
+        // An arena's entry has a version beside the value, and is aligned like it.
+        let entry = size_of::<Adapter>() + size_of::<u64>();
+        // A hash table has a control byte for each bucket, and fills at most 7 of 8 buckets.
+        let buckets = (self.by_hash.capacity() * 8 / 7).next_power_of_two();
+        let bucket = size_of::<(u64, AdapterKey)>() + 1;
+        // An allocator rounds up to 16 bytes, with 8 bytes of its own.
+        let name = |it: &Adapter| (it.name.adapter.len() + 8).next_multiple_of(16).max(32);
+        self.adapters.capacity() * entry
+            + buckets * bucket
+            + self.oldest.capacity() * size_of::<AdapterKey>()
+            + self.adapters.values().map(name).sum::<usize>()
+    }
+
     pub(crate) fn get(&self, key: AdapterKey) -> Option<&Adapter> {
         self.adapters.get(key)
     }
--- a/crates/redwinglatch-placement/src/coordinator.rs
+++ b/crates/redwinglatch-placement/src/coordinator.rs
@@ -192,6 +192,13 @@
         self.adapters.len()
     }
 
+    /// The memory for adapters, without the parts of those in use, added up from the sizes of the
+    /// tables and names.
+    #[must_use]
+    pub fn adapter_bytes(&self) -> usize {
+        self.adapters.bytes()
+    }
+
     /// Does what is due; call it at [`Coordinator::next_wake_ms`] or more often.
     pub fn tick(&mut self, now_ms: u64) {
         let Some(_) = self.epoch else { return };
