--- a/crates/redwinglatch-placement/src/coordinator.rs
+++ b/crates/redwinglatch-placement/src/coordinator.rs
@@ -99,6 +99,8 @@
     ms_per_token: f32,
     /// The measured time of a request.
     run_ms: f32,
+    /// When the places of all engines were counted; `None` after a change of engines.
+    places_counted_ms: Option<u64>,
     next_sweep_ms: u64,
     next_pin_sweep_ms: u64,
 }
@@ -146,6 +148,7 @@
             orphans: Vec::new(),
             ms_per_token: FIRST_TOKEN_MS,
             run_ms: FIRST_TOKEN_MS * 100.0,
+            places_counted_ms: None,
             next_sweep_ms: 0,
             next_pin_sweep_ms: 0,
         }
--- a/crates/redwinglatch-placement/src/coordinator/engines.rs
+++ b/crates/redwinglatch-placement/src/coordinator/engines.rs
@@ -134,6 +134,7 @@
 
     /// Counts the places in the batches of engines that take work.
     pub(super) fn count_places(&mut self, now_ms: u64) {
+        self.places_counted_ms = Some(now_ms);
         for model in &mut self.models {
             model.places = 0;
             model.free_places = 0;
--- a/crates/redwinglatch-placement/src/coordinator/placing.rs
+++ b/crates/redwinglatch-placement/src/coordinator/placing.rs
@@ -3,7 +3,7 @@
 use redwinglatch_core::{PinId, Refusal, RefusalReason};
 use smallvec::SmallVec;
 
-use super::{Coordinator, RequestState, retry_after};
+use super::{Coordinator, RequestState, SWEEP_INTERVAL_MS, retry_after};
 use crate::{
     Effect, PlaceRequest, Placed, RequestKey,
     keys::{AdapterKey, EngineKey, ModelKey, WaitKey},
@@ -204,6 +204,9 @@
             return Err(refusal.retry_after_ms(retry_after(1_000)));
         }
         let (adapter, latest_ms) = (waiting.adapter, waiting.latest_start_ms());
+        if self.places_counted_ms.is_none_or(|it| now_ms >= it + SWEEP_INTERVAL_MS) {
+            self.count_places(now_ms);
+        }
         let joins = self.queue.position(adapter).is_some();
         let wait = self.insert_waiting(now_ms, waiting);
         if !self.settled {
--- a/crates/redwinglatch-placement/src/coordinator/reporting.rs
+++ b/crates/redwinglatch-placement/src/coordinator/reporting.rs
@@ -42,6 +42,9 @@
         if first && !(self.settled && report.asked_ms >= self.settled_ms) {
             return;
         }
+        if first {
+            self.places_counted_ms = None;
+        }
         self.engines[key].read_back = true;
         self.resize_slots(now_ms, key, usize::from(report.slot_count));
         self.compare_slots(now_ms, key, &report, first);
