--- a/crates/redwinglatch-placement/src/coordinator.rs
+++ b/crates/redwinglatch-placement/src/coordinator.rs
@@ -22,6 +22,7 @@
     engine::Engine,
     keys::{AdapterKey, EngineKey, PinKey, WaitKey},
     pin::Pin,
+    popularity::Popularity,
     queue::LoadQueue,
     waiting::Waiting,
 };
@@ -79,6 +80,10 @@
     queue: LoadQueue,
     /// Whether a slot is kept free of new pins for a load.
     draining: bool,
+    /// Loads so far, decayed.
+    loads: Popularity,
+    /// The age of the least recent adapter, if the slots held the most recent ones.
+    recent_ms: u64,
     /// Popular adapters that were loaded once and are not any more.
     lost_adapters: Vec<AdapterKey>,
     requests: HashMap<RequestKey, RequestState>,
@@ -94,6 +99,8 @@
     ms_per_token: f32,
     /// The measured time of a request.
     run_ms: f32,
+    /// When the places of all engines were counted; `None` after a change of engines.
+    places_counted_ms: Option<u64>,
     next_sweep_ms: u64,
     next_pin_sweep_ms: u64,
 }
@@ -129,6 +136,8 @@
             customers: CustomerTable::default(),
             queue,
             draining: false,
+            loads: Popularity::default(),
+            recent_ms: 0,
             lost_adapters: Vec::new(),
             requests: HashMap::new(),
             waiting: SlotMap::with_key(),
@@ -139,6 +148,7 @@
             orphans: Vec::new(),
             ms_per_token: FIRST_TOKEN_MS,
             run_ms: FIRST_TOKEN_MS * 100.0,
+            places_counted_ms: None,
             next_sweep_ms: 0,
             next_pin_sweep_ms: 0,
         }
@@ -185,6 +195,13 @@
         self.adapters.len()
     }
 
+    /// The memory for adapters, without the parts of those in use, added up from the sizes of the
+    /// tables and names.
+    #[must_use]
+    pub fn adapter_bytes(&self) -> usize {
+        self.adapters.bytes()
+    }
+
     /// Does what is due; call it at [`Coordinator::next_wake_ms`] or more often.
     pub fn tick(&mut self, now_ms: u64) {
         let Some(_) = self.epoch else { return };
