--- a/crates/redwinglatch-fakes/src/engine.rs
+++ b/crates/redwinglatch-fakes/src/engine.rs
@@ -145,6 +145,11 @@
         self.shared.wait_until(|state| condition(&state.records)).await;
     }
 
+    /// Waits until `count` requests are in the batch.
+    pub async fn wait_for_batch(&self, count: usize) {
+        self.shared.wait_until(|state| state.running_count() == count).await;
+    }
+
     /// Places an adapter in a free slot without an order; returns whether a slot was free.
     pub fn preload(&self, adapter: &str, version: u32) -> bool {
         let mut state = self.shared.state();
--- a/crates/redwinglatch-fakes/src/engine_state.rs
+++ b/crates/redwinglatch-fakes/src/engine_state.rs
@@ -356,6 +356,10 @@
         Ok(())
     }
 
+    pub(crate) fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
     pub(crate) fn has_work(&self) -> bool {
         let held = |id: &str| {
             self.hold_at.is_some_and(|limit| self.runs[id].progress.borrow().generated >= limit)
@@ -383,7 +387,8 @@
                 finished.push(id.clone());
             }
         }
-        self.steps += 1;
+        // A step that only admits requests to the batch is not a step of the model.
+        self.steps += u64::from(advanced > 0);
         self.batched_tokens += advanced;
         for id in &finished {
             self.running.retain(|other| other != id);
