Kill, freeze and restart daemon processes under load

Cause: no test showed the promises across real process failures. Change: tests start daemons, kill leaders and coordinators, freeze instances past their lease and let operators race.

--- /dev/null
+++ b/crates/redwinglatchd/tests/support/mod.rs
@@ -0,0 +1,203 @@
+//! A deployment of daemon processes on loopback that tests can kill, freeze and restart.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use redwinglatch_core::{Contract, Revision};
+use redwinglatch_fakes::FakeCaller;
+use redwinglatch_local::{
+    CALLERS_SECRET, Deployment, Fakes, FakesOptions, InstanceAddresses, Layout, OPERATORS_SECRET,
+    Timing,
+};
+use redwinglatch_operators::{OperatorClient, StatusDocument};
+use tokio::time::{Instant, sleep};
+
+/// Short times, so that a test sees several failovers; the proportions are those of the defaults.
+pub(crate) const TIMING: Timing =
+    Timing { renew_interval_ms: 250, lease_ms: 1_500, keep_for_s: 1, order_settle_ms: 1_000 };
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Daemon processes and the fakes around them.
+pub(crate) struct Cluster {
+    pub(crate) fakes: Fakes,
+    pub(crate) layout: Layout,
+    children: Vec<Option<Child>>,
+}
+
+impl Cluster {
+    /// Starts `instances` daemons, the first `replicas` of them with a disk.
+    pub(crate) async fn start(
+        name: &str,
+        instances: usize,
+        replicas: usize,
+        options: FakesOptions,
+    ) -> Cluster {
+        let fakes = Fakes::start(&options).unwrap();
+        let dir = std::env::temp_dir().join(format!("redwinglatch-{name}-{}", std::process::id()));
+        let addresses = free_addresses(instances);
+        let layout = Layout::create(dir, addresses, replicas, TIMING, options, &fakes).unwrap();
+        let mut cluster = Cluster { fakes, layout, children: Vec::new() };
+        for position in 0..instances {
+            cluster.children.push(None);
+            cluster.spawn(position);
+        }
+        cluster
+    }
+
+    /// Starts the daemon at `position`.
+    pub(crate) fn spawn(&mut self, position: usize) {
+        let settings = self.file(position, "ini");
+        std::fs::write(&settings, self.layout.settings_text(position)).unwrap();
+        let log = File::options().create(true).append(true).open(self.file(position, "log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_redwinglatchd"))
+            .arg("--config")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.unwrap())
+            .spawn()
+            .unwrap();
+        self.children[position] = Some(child);
+    }
+
+    fn file(&self, position: usize, extension: &str) -> PathBuf {
+        self.layout.dir().join(format!("instance-{}.{extension}", position + 1))
+    }
+
+    /// Ends a daemon at once, as a lost machine does.
+    pub(crate) fn kill(&mut self, position: usize) {
+        if let Some(mut child) = self.children[position].take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Stops a daemon's process without ending it; its connections stay open and silent.
+    #[allow(dead_code, reason = "not every test file freezes daemons")]
+    pub(crate) fn freeze(&self, position: usize) {
+        self.signal(position, "-STOP");
+    }
+
+    /// Lets a frozen daemon go on.
+    #[allow(dead_code, reason = "not every test file freezes daemons")]
+    pub(crate) fn thaw(&self, position: usize) {
+        self.signal(position, "-CONT");
+    }
+
+    fn signal(&self, position: usize, signal: &str) {
+        let child = self.children[position].as_ref().unwrap();
+        let status = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// The address for callers of the instance at `position`.
+    pub(crate) fn callers(&self, position: usize) -> SocketAddr {
+        self.layout.addresses(position).callers
+    }
+
+    /// A caller of `customer`.
+    pub(crate) fn caller(&self, customer: &str) -> FakeCaller {
+        FakeCaller::new(customer, CALLERS_SECRET)
+    }
+
+    /// An operator who asks the instances in order, `first` first.
+    pub(crate) fn operator(&self, first: usize) -> OperatorClient {
+        let count = self.layout.instance_count();
+        let addresses: Vec<SocketAddr> = (0..count)
+            .map(|offset| self.layout.addresses((first + offset) % count).operators)
+            .collect();
+        OperatorClient::new(addresses, OPERATORS_SECRET).rounds(8)
+    }
+
+    /// Applies the first contract of `customer`, which waits until the deployment serves.
+    pub(crate) async fn first_contract(&self, contract: &Contract) -> Revision {
+        let operator = self.operator(0);
+        let give_up_at = Instant::now() + START_LIMIT;
+        loop {
+            match operator.apply_contract("first", Revision(0), contract).await {
+                Ok(change) => return change.revision,
+                Err(error) if give_up_at < Instant::now() => panic!("no contract: {error}"),
+                Err(_) => sleep(Duration::from_millis(200)).await,
+            }
+        }
+    }
+
+    /// Waits until the instances at `positions` hold a lease.
+    pub(crate) async fn serving(&self, positions: &[usize]) {
+        for position in positions {
+            let operator = OperatorClient::new(
+                vec![self.layout.addresses(*position).operators],
+                OPERATORS_SECRET,
+            );
+            let give_up_at = Instant::now() + START_LIMIT;
+            while !operator.status().await.is_ok_and(|status| status.lease.is_valid) {
+                assert!(Instant::now() < give_up_at, "instance {} never served", position + 1);
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// The status as the instance at `position` shows it.
+    pub(crate) async fn status(&self, position: usize) -> Option<StatusDocument> {
+        let address = self.layout.addresses(position).operators;
+        OperatorClient::new(vec![address], OPERATORS_SECRET).status().await.ok()
+    }
+
+    /// The position of the coordinator of the only cell.
+    pub(crate) async fn coordinator(&self, asked: usize) -> usize {
+        let give_up_at = Instant::now() + START_LIMIT;
+        loop {
+            let status = self.status(asked).await;
+            let known = status.as_ref().and_then(|status| status.coordinators.first());
+            if let Some(known) = known {
+                return known.instance.0 as usize - 1;
+            }
+            assert!(Instant::now() < give_up_at, "no coordinator");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// The position of the control leader.
+    #[allow(dead_code, reason = "not every test file looks for the leader")]
+    pub(crate) async fn leader(&self, asked: usize) -> Option<usize> {
+        let leader = self.status(asked).await?.leader?;
+        Some(leader.instance.0 as usize - 1)
+    }
+
+    /// A contract for adapters named `prefix…` and the plain service.
+    pub(crate) fn contract(customer: &str, prefix: &str) -> Contract {
+        Deployment::contract(customer, prefix)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for position in 0..self.children.len() {
+            self.kill(position);
+        }
+        if std::thread::panicking() {
+            eprintln!("logs of the daemons are kept in {}", self.layout.dir().display());
+        } else {
+            let _ = std::fs::remove_dir_all(self.layout.dir());
+        }
+    }
+}
+
+/// Addresses with free ports; all are held until the last is found, so that they differ.
+fn free_addresses(instances: usize) -> Vec<InstanceAddresses> {
+    let listeners: Vec<TcpListener> =
+        (0..3 * instances).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let addresses: Vec<SocketAddr> =
+        listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
+    addresses
+        .chunks(3)
+        .map(|chunk| InstanceAddresses {
+            callers: chunk[0],
+            instances: chunk[1],
+            operators: chunk[2],
+        })
+        .collect()
+}
