Tell "not run" for a key only when no record of it exists

Cause: a retry with an idempotency key was refused before its record was read and was told not_run, although its first attempt had run on an instance that was then killed. Ruled out: a second run; the service ran the key once. Change: refusals of requests with a key ask the control leader for a record and say unknown when there is one or no leader answers. Conclusion: not_run now holds for the key and not only for the attempt.

--- a/crates/redwinglatch-control/src/once.rs
+++ b/crates/redwinglatch-control/src/once.rs
@@ -157,6 +157,11 @@
         Outcome::Granted { claim: index }
     }
 
+    /// Whether there is a record of the key, so that an earlier request with it may have run.
+    pub(crate) fn has_record(&self, customer: &str, key: &str) -> bool {
+        self.records.contains_key(&*record_name(customer, key))
+    }
+
     /// Leaves a sixteenth of the bytes for the answers of running claims.
     fn has_room(&self, name: &str, limits: &StateLimits) -> bool {
         let known = usize::from(self.records.contains_key(name));
--- a/crates/redwinglatch-control/src/state.rs
+++ b/crates/redwinglatch-control/src/state.rs
@@ -219,6 +219,13 @@
         self.body.once.claimants()
     }
 
+    /// Whether there is a record of an idempotency key. Without one, no request with the key has
+    /// been sent to a backend server so far.
+    #[must_use]
+    pub fn has_once_record(&self, customer: &str, key: &str) -> bool {
+        self.body.once.has_record(customer, key)
+    }
+
     /// How full the idempotency records are.
     #[must_use]
     pub fn once_usage(&self) -> OnceUsage {
--- a/crates/redwinglatch-instances/src/message.rs
+++ b/crates/redwinglatch-instances/src/message.rs
@@ -32,6 +32,15 @@
     ReadContracts(ContractQuery),
     /// Answers [`PeerMessage::ReadContracts`].
     Contracts(Result<Vec<HistoryEntry>, ControlRefusal>),
+    /// Asks the control leader whether there is a record of an idempotency key.
+    FindKey {
+        /// The customer.
+        customer: Box<str>,
+        /// The key.
+        key: Box<str>,
+    },
+    /// Answers [`PeerMessage::FindKey`].
+    KeyFound(Result<bool, ControlRefusal>),
     /// Asks a cell's coordinator for a placement.
     Place {
         /// The cell.
@@ -78,10 +87,6 @@
     Stop,
     /// Answers [`PeerMessage::Stop`].
     Stopping,
-    /// Asks an instance for its state, as the JSON document of the operators' API.
-    ReadStatus,
-    /// Answers [`PeerMessage::ReadStatus`].
-    Status(Box<str>),
 }
 
 /// Which contracts an operator wants to read.
--- a/crates/redwinglatch-server/src/completion.rs
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -27,7 +27,7 @@
     Admit, Admitted, CountAttempt, DecideNext, DropPin, HeldPin, HoldPin, Leave, Target,
     find_coordinator,
 };
-use crate::once::{Claim, ClaimRequest, Claimed, claim, finish};
+use crate::once::{Claim, ClaimRequest, Claimed, claim, finish, qualify};
 use crate::shared::{Shared, pool_of_model};
 
 /// Pause before the coordinator is asked again while it changes.
@@ -69,7 +69,10 @@
     };
     let admitted = match admit(caller, &call.headers, request).await {
         Ok(admitted) => admitted,
-        Err(refusal) => return refuse(shared, reply, refusal).await,
+        Err(refusal) => {
+            let refusal = qualify(&caller.control, &call.headers, refusal).await;
+            return refuse(shared, reply, refusal).await;
+        }
     };
     let Admitted { terms, load_share_permille, permit } = admitted;
     let request = shared.next_request_id();
@@ -135,6 +138,7 @@
                 return 0;
             }
             Err(refusal) => {
+                let refusal = qualify(&self.caller.control, &self.call.headers, refusal).await;
                 refuse(self.shared(), reply, refusal).await;
                 return 0;
             }
--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -78,6 +78,13 @@
 /// Reads contracts at the leader.
 pub(crate) struct ReadContracts(pub(crate) ContractQuery);
 
+/// Asks the leader whether there is a record of an idempotency key.
+#[derive(Clone)]
+pub(crate) struct FindKey {
+    pub(crate) customer: Box<str>,
+    pub(crate) key: Box<str>,
+}
+
 /// A message of another replica.
 pub(crate) struct Step {
     pub(crate) from: ReplicaId,
@@ -536,6 +543,16 @@
     }
 }
 
+impl Handler<FindKey> for ControlActor {
+    type Return = Result<bool, ControlRefusal>;
+
+    async fn handle(&mut self, find: FindKey, _: &mut Context<Self>) -> Self::Return {
+        let now_ms = self.now_ms();
+        self.current_leader(now_ms)?;
+        Ok(self.state.has_once_record(&find.customer, &find.key))
+    }
+}
+
 impl Handler<TransferLeadership> for ControlActor {
     type Return = ();
 
--- a/crates/redwinglatch-server/src/control_client.rs
+++ b/crates/redwinglatch-server/src/control_client.rs
@@ -10,7 +10,7 @@
 use redwinglatch_metrics::Timing;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::control::{Propose, Proposed, ReadContracts, Renew};
+use crate::control::{FindKey, Propose, Proposed, ReadContracts, Renew};
 use crate::shared::Shared;
 
 /// Time for a renewal; a lost one is repeated with the next interval.
@@ -139,24 +139,47 @@
         query: &ContractQuery,
         until: Instant,
     ) -> Option<Vec<HistoryEntry>> {
+        let read = |leader, limit| async move {
+            if let Some(control) = self.local(leader) {
+                return control.send(ReadContracts(query.clone())).await.ok();
+            }
+            match self.call(leader, PeerMessage::ReadContracts(query.clone()), limit).await {
+                Some(PeerMessage::Contracts(reply)) => Some(reply),
+                _ => None,
+            }
+        };
+        self.read(until, read).await
+    }
+
+    /// Whether the leader has a record of an idempotency key; `None` when no leader answered.
+    pub(crate) async fn find_key(&self, find: &FindKey, until: Instant) -> Option<bool> {
+        let read = |leader, limit| async move {
+            if let Some(control) = self.local(leader) {
+                return control.send(find.clone()).await.ok();
+            }
+            let FindKey { customer, key } = find.clone();
+            match self.call(leader, PeerMessage::FindKey { customer, key }, limit).await {
+                Some(PeerMessage::KeyFound(reply)) => Some(reply),
+                _ => None,
+            }
+        };
+        self.read(until, read).await
+    }
+
+    /// Repeats a read at one presumed leader after the other until `until`.
+    async fn read<T, F: Future<Output = Option<Result<T, ControlRefusal>>>>(
+        &self,
+        until: Instant,
+        read: impl Fn(InstanceId, Duration) -> F,
+    ) -> Option<T> {
         loop {
             let leader = self.leader();
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return None;
             }
-            let reply = match self.local(leader) {
-                Some(control) => control.send(ReadContracts(query.clone())).await.ok(),
-                None => {
-                    let message = PeerMessage::ReadContracts(query.clone());
-                    match self.call(leader, message, COMMIT_LIMIT.min(left)).await {
-                        Some(PeerMessage::Contracts(reply)) => Some(reply),
-                        _ => None,
-                    }
-                }
-            };
-            match reply {
-                Some(Ok(contracts)) => return Some(contracts),
+            match read(leader, COMMIT_LIMIT.min(left)).await {
+                Some(Ok(value)) => return Some(value),
                 Some(Err(refusal)) => self.follow(leader, &refusal),
                 None => self.try_next(leader),
             }
--- a/crates/redwinglatch-server/src/once.rs
+++ b/crates/redwinglatch-server/src/once.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use redwinglatch_callers::CallHeaders;
 use redwinglatch_control::{Command, OnceOutcome, Outcome};
 use redwinglatch_core::prelude::*;
 use tokio::time::Instant;
 
 use crate::clock::wall_clock_s;
+use crate::control::FindKey;
 use crate::control_client::{Committed, ControlClient};
 use crate::shared::Shared;
 
@@ -15,6 +17,8 @@
 const FINISH_LIMIT: Duration = Duration::from_secs(2);
 /// How long it is tried after that; the serving lease ends sooner if control is out of reach.
 const FINISH_LATER_LIMIT: Duration = Duration::from_secs(30);
+/// How long a refused request with a key waits for the word of the control leader.
+const FIND_LIMIT: Duration = Duration::from_secs(1);
 /// Retry hint while the first request of a key runs.
 const STILL_RUNNING_RETRY_MS: u32 = 1_000;
 
@@ -103,6 +107,32 @@
     }
 }
 
+/// Makes a refusal true for the key and not only for this attempt.
+///
+/// An earlier attempt with the same key may have run through another instance, so "not run" is
+/// told only when the control leader has no record of the key.
+pub(crate) async fn qualify(
+    control: &ControlClient,
+    headers: &CallHeaders,
+    mut refusal: Refusal,
+) -> Refusal {
+    let Some(key) = &headers.idempotency_key else { return refusal };
+    // A request with the wrong secret learns nothing of keys, and a reused key was used by
+    // another request than this one.
+    let says_nothing =
+        matches!(refusal.reason, RefusalReason::Unauthenticated | RefusalReason::KeyReused);
+    if refusal.ran != Ran::NotRun || says_nothing {
+        return refusal;
+    }
+    let find = FindKey { customer: headers.customer.clone(), key: key.clone() };
+    if control.find_key(&find, Instant::now() + FIND_LIMIT).await != Some(false) {
+        refusal.ran = Ran::Unknown;
+        let detail = format!("{}; an earlier request with its key may have run", refusal.detail);
+        refusal.detail = detail.into();
+    }
+    refusal
+}
+
 /// Ends a claim whose outcome did not arrive in time.
 ///
 /// It may be committed later, and this process never sends the request. Without its end, retries
--- a/crates/redwinglatch-server/src/peers.rs
+++ b/crates/redwinglatch-server/src/peers.rs
@@ -6,7 +6,7 @@
 use redwinglatch_instances::{ControlRefusal, Incoming, PeerMessage};
 use tokio::sync::mpsc;
 
-use crate::control::{Propose, ReadContracts, Renew, Step};
+use crate::control::{FindKey, Propose, ReadContracts, Renew, Step};
 use crate::coordinator::{EndPin, Place, Withdraw};
 use crate::entry::ListPins;
 use crate::shared::Shared;
@@ -53,6 +53,10 @@
             Some(control) => control.send(ReadContracts(query)).await.ok()?,
             None => Err(ControlRefusal::NotLeader(None)),
         }),
+        PeerMessage::FindKey { customer, key } => PeerMessage::KeyFound(match &shared.control {
+            Some(control) => control.send(FindKey { customer, key }).await.ok()?,
+            None => Err(ControlRefusal::NotLeader(None)),
+        }),
         PeerMessage::Place { cell, request } => {
             let Some(coordinator) = shared.coordinators.get(&cell) else {
                 let refusal =
@@ -80,7 +84,6 @@
             shared.draining.send_replace(true);
             PeerMessage::Stopping
         }
-        PeerMessage::ReadStatus => return None,
         _ => return None,
     })
 }
--- a/crates/redwinglatch-server/src/service.rs
+++ b/crates/redwinglatch-server/src/service.rs
@@ -18,7 +18,7 @@
 use crate::attempts::failure_of;
 use crate::callers::{Caller, admit, refuse};
 use crate::entry::{Admit, ChooseReplica, CountAttempt, DecideNext, Leave, ReplicaEnded, Target};
-use crate::once::{Claim, ClaimRequest, Claimed, claim, finish};
+use crate::once::{Claim, ClaimRequest, Claimed, claim, finish, qualify};
 
 /// Runs a call of a plain service and answers the caller.
 pub(crate) async fn run(caller: &Caller, call: ServiceCall, reply: oneshot::Sender<CallerAnswer>) {
@@ -33,7 +33,10 @@
     };
     let admitted = match admit(caller, &call.headers, request).await {
         Ok(admitted) => admitted,
-        Err(refusal) => return refuse(shared, reply, refusal).await,
+        Err(refusal) => {
+            let refusal = qualify(&caller.control, &call.headers, refusal).await;
+            return refuse(shared, reply, refusal).await;
+        }
     };
     let deadline_ms = admitted.terms.deadline_ms;
     match answer(caller, &call, deadline_ms).await {
@@ -63,7 +66,12 @@
                 at_most_once: call.headers.at_most_once,
             };
             let until = shared.clock.at_ms(deadline_ms);
-            match claim(shared, &caller.control, request, until).await? {
+            let claimed = claim(shared, &caller.control, request, until).await;
+            let claimed = match claimed {
+                Ok(claimed) => claimed,
+                Err(refusal) => return Err(qualify(&caller.control, &call.headers, refusal).await),
+            };
+            match claimed {
                 Claimed::Granted(claim) => Some(claim),
                 Claimed::Answered { status, body } => {
                     shared.metrics.increment(Counter::AnswersFromRecord);
