--- a/crates/redwinglatchd/tests/failures.rs
+++ b/crates/redwinglatchd/tests/failures.rs
@@ -124,7 +124,8 @@
     let caller = cluster.caller(CUSTOMER);
     let old = completion("old-1", "first", 4, false);
     for position in 0..4 {
-        assert_eq!(caller.send(cluster.callers(position), &old).await.unwrap().status, 200);
+        let response = caller.send(cluster.callers(position), &old).await.unwrap();
+        assert_eq!(response.status, 200, "{}", response.body);
     }
 
     let mut revision = revision;
