Drop the reset of shares from renewal replies

Change: a process is admitted only after it applied a reply of this term, and gives up its shares when its lease has ended before that, so nothing is left to reset; the field and its bookkeeping are gone.

--- a/crates/redwinglatch-control/src/held_shares.rs
+++ b/crates/redwinglatch-control/src/held_shares.rs
@@ -123,10 +123,7 @@
         }
     }
 
-    pub(crate) fn apply(&mut self, reset: bool, grants: &[ShareGrant]) {
-        if reset {
-            self.clear();
-        }
+    pub(crate) fn apply(&mut self, grants: &[ShareGrant]) {
         for grant in grants {
             let held = self.customers.entry(grant.customer.clone()).or_default();
             held.granted = grant.share;
--- a/crates/redwinglatch-control/src/leader.rs
+++ b/crates/redwinglatch-control/src/leader.rs
@@ -54,7 +54,6 @@
             configuration: None,
             coordinators: None,
             cells: Vec::new(),
-            shares_reset: false,
             shares: Vec::new(),
             instances: None,
         };
@@ -69,7 +68,7 @@
         let applied_sequence = self.leases.applied_sequence(holder);
         if new {
             self.cells.adopt(holder, renewal);
-            self.shares.admit(now_ms, holder, renewal);
+            self.shares.admit(holder, renewal);
         }
         let cursor = ConfigurationCursor::complete(renewal.revision);
         reply.configuration = state.update_since(renewal.staged.unwrap_or(cursor));
@@ -78,8 +77,7 @@
         let settled = self.leases.settled(now_ms);
         self.shares.observe_contracts(state, settled);
         let caught_up = reply.configuration.as_ref().is_none_or(|update| update.to == reply.head);
-        (reply.shares_reset, reply.shares) =
-            self.shares.renew(now_ms, holder, renewal, applied_sequence, caught_up);
+        reply.shares = self.shares.renew(now_ms, holder, renewal, applied_sequence, caught_up);
         let known = if renewal.term == reply.term { renewal.instances_version } else { 0 };
         reply.instances = self.leases.list_update(now_ms, known);
         Some(reply)
--- a/crates/redwinglatch-control/src/message.rs
+++ b/crates/redwinglatch-control/src/message.rs
@@ -107,8 +107,6 @@
     pub coordinators: Option<CoordinatorUpdate>,
     /// All cells that the instance may coordinate.
     pub cells: Vec<CellGrant>,
-    /// Whether the instance must forget all shares that `shares` doesn't list.
-    pub shares_reset: bool,
     /// The shares that changed.
     pub shares: Vec<ShareGrant>,
     /// The live instances, when they changed.
--- a/crates/redwinglatch-control/src/renewal_client.rs
+++ b/crates/redwinglatch-control/src/renewal_client.rs
@@ -132,7 +132,7 @@
             let after = after.map_or(Share::NONE, |after| Share::whole(&after.contract));
             self.shares.contract_changed(customer, before, after);
         }
-        self.shares.apply(reply.shares_reset, &reply.shares);
+        self.shares.apply(&reply.shares);
         self.cells.clone_from(&reply.cells);
         if let Some(update) = &reply.coordinators
             && update.version >= self.coordinators_version
--- a/crates/redwinglatch-control/src/shares.rs
+++ b/crates/redwinglatch-control/src/shares.rs
@@ -41,12 +41,12 @@
 }
 
 impl Entry {
-    fn take_report(&mut self, report: &ShareReport, reset: bool) {
+    fn take_report(&mut self, report: &ShareReport) {
         self.demand = report.demand;
         let in_flight = report.held.concurrent_requests;
         self.in_flight_above =
             if in_flight > self.value.concurrent_requests { in_flight } else { 0 };
-        if self.acknowledged && !reset {
+        if self.acknowledged {
             // The instance scaled its share down with the contract.
             self.value = self.value.min(report.held);
         }
@@ -98,8 +98,6 @@
     waiting_until_ms: u64,
     customers: HashMap<Box<str>, CustomerShares>,
     by_holder: BTreeMap<LeaseHolder, BTreeSet<Box<str>>>,
-    /// Replies since this one told a process to forget all other shares.
-    resets: BTreeMap<LeaseHolder, u64>,
     totals: HashMap<Box<str>, Share>,
     /// Totals that some instances may still have in force, with the revision that ended them.
     former: BTreeMap<Box<str>, Vec<(Revision, Share)>>,
@@ -112,7 +110,6 @@
             waiting_until_ms,
             customers: HashMap::new(),
             by_holder: BTreeMap::new(),
-            resets: BTreeMap::new(),
             totals: HashMap::new(),
             former: BTreeMap::new(),
             observed: None,
@@ -175,14 +172,10 @@
         self.former.entry(customer.into()).or_default().push((revision, before));
     }
 
-    /// Registers a process that this leader didn't know. In the waiting period it keeps what it
-    /// holds; later its shares may have been given to others, so it starts from nothing.
-    pub(crate) fn admit(&mut self, now_ms: u64, holder: LeaseHolder, renewal: &Renewal) {
-        let adopt = now_ms < self.waiting_until_ms;
-        if !adopt {
-            self.resets.insert(holder, renewal.sequence);
-        }
-        for report in renewal.shares.iter().filter(|report| adopt && !report.held.is_none()) {
+    /// Registers a process that this leader didn't know, with what it holds from an earlier leader.
+    /// A process whose lease has ended holds nothing but requests in flight.
+    pub(crate) fn admit(&mut self, holder: LeaseHolder, renewal: &Renewal) {
+        for report in renewal.shares.iter().filter(|report| !report.held.is_none()) {
             let entry = Entry { reserved: report.held, value: report.held, ..Entry::default() };
             let shares = self.customers.entry(report.customer.clone()).or_default();
             shares.entries.insert(holder, entry);
@@ -192,7 +185,6 @@
     }
 
     pub(crate) fn lost(&mut self, holder: LeaseHolder) {
-        self.resets.remove(&holder);
         for customer in self.by_holder.remove(&holder).unwrap_or_default() {
             let Some(shares) = self.customers.get_mut(&customer) else { continue };
             shares.entries.remove(&holder);
@@ -204,7 +196,7 @@
         }
     }
 
-    /// The shares for the reply to `renewal`, and whether all others must be forgotten.
+    /// The shares for the reply to `renewal`.
     ///
     /// An instance that has not `caught_up` gets no more than it holds: it could not scale a share
     /// with a contract that it doesn't have in force yet.
@@ -215,17 +207,13 @@
         renewal: &Renewal,
         applied_sequence: u64,
         caught_up: bool,
-    ) -> (bool, Vec<ShareGrant>) {
-        if self.resets.get(&holder).is_some_and(|since| *since <= applied_sequence) {
-            self.resets.remove(&holder);
-        }
+    ) -> Vec<ShareGrant> {
         let round = Round {
             now_ms,
             holder,
             sequence: renewal.sequence,
             applied_sequence,
             caught_up,
-            reset: self.resets.contains_key(&holder),
             waiting: now_ms < self.waiting_until_ms,
         };
         let mut reports = BTreeMap::new();
@@ -259,7 +247,7 @@
         if !names.is_empty() {
             self.by_holder.insert(holder, names);
         }
-        (round.reset, grants)
+        grants
     }
 }
 
@@ -270,7 +258,6 @@
     sequence: u64,
     applied_sequence: u64,
     caught_up: bool,
-    reset: bool,
     waiting: bool,
 }
 
@@ -288,7 +275,7 @@
             entry.acknowledged = true;
         }
         if let Some(report) = report {
-            entry.take_report(report, round.reset);
+            entry.take_report(report);
         }
         entry.refresh_reserved();
         self.replace(before.reserved, entry.reserved);
