--- /dev/null
+++ b/crates/redwinglatch-control/tests/renewals.rs
@@ -0,0 +1,280 @@
+//! Renewals between one leader and a few instances, step by step.
+
+mod support;
+
+use redwinglatch_control::{
+    Command, ControlState, LeaderState, LeaseHolder, LeaseSettings, LeaseVerdict, ReplyResult,
+    Share, ShareGrant, StateLimits,
+};
+use redwinglatch_core::prelude::*;
+use support::{
+    accept, apply_contract, catch_up, client, concurrent, contract, demand, exchange,
+    remove_contract,
+};
+
+fn leader(term: u64, elected_at_ms: u64) -> LeaderState {
+    LeaderState::new(LeaseSettings::default(), term, elected_at_ms)
+}
+
+fn state_with(customer: &str, concurrent_requests: u32) -> ControlState {
+    let mut state = ControlState::new();
+    accept(&mut state, 1, &apply_contract("a", 0, contract(customer, concurrent_requests)));
+    state
+}
+
+/// Guards against an instance that follows a deposed leader or one that lags.
+#[test]
+fn replies_of_an_older_term_or_from_a_lagging_leader_are_ignored() {
+    let mut state = state_with("lakeshore", 10);
+    let mut first = leader(1, 0);
+    let mut second = leader(2, 0);
+    let mut instance = client(1, 7);
+    catch_up(10_000, &mut first, &state, &mut instance);
+    // The reply of the first leader answers a later renewal than that of the second one.
+    let asked = second.renew(10_100, &state, &instance.renewal(10_100)).unwrap();
+    let late = first.renew(10_101, &state, &instance.renewal(10_101)).unwrap();
+    assert_ne!(instance.apply_reply(&asked), ReplyResult::Ignored);
+    assert_eq!(instance.apply_reply(&late), ReplyResult::Ignored);
+
+    // The first leader must not answer a process that knows the second one.
+    assert_eq!(first.renew(10_300, &state, &instance.renewal(10_300)), None);
+
+    let lagging = state.clone();
+    accept(&mut state, 2, &apply_contract("b", 1, contract("lakeshore", 5)));
+    catch_up(10_400, &mut second, &state, &mut instance);
+    let reply = second.renew(14_000, &lagging, &instance.renewal(14_000)).unwrap();
+    assert_eq!(instance.apply_reply(&reply), ReplyResult::Ignored);
+    assert!(!instance.may_serve(14_361), "a leader that lags must not renew the lease");
+}
+
+/// Guards against a sum above a contract that is raised and then lowered while one instance lags
+/// and the leader changes: each instance scales its own share by the contract it has in force.
+#[test]
+fn a_raised_contract_counts_only_once_every_instance_has_it() {
+    let mut state = state_with("lakeshore", 100);
+    let mut first = leader(1, 0);
+    let (mut slow, mut quick) = (client(1, 1), client(2, 2));
+    demand(&mut slow, "lakeshore", 100);
+    for round in 0..20 {
+        catch_up(10_000 + round, &mut first, &state, &mut slow);
+    }
+    assert!(concurrent(&slow, 10_020, "lakeshore") > 90);
+    accept(&mut state, 2, &apply_contract("b", 1, contract("lakeshore", 200)));
+    demand(&mut quick, "lakeshore", 200);
+    for round in 0..20 {
+        catch_up(10_100 + round, &mut first, &state, &mut quick);
+    }
+    let held = concurrent(&quick, 10_120, "lakeshore");
+    assert!(held <= 10, "the slow instance still has the lower contract, but {held} were given");
+
+    accept(&mut state, 3, &apply_contract("c", 2, contract("lakeshore", 50)));
+    let mut second = leader(2, 10_130);
+    catch_up(10_140, &mut second, &state, &mut slow);
+    catch_up(10_140, &mut second, &state, &mut quick);
+    let sum = concurrent(&slow, 10_140, "lakeshore") + concurrent(&quick, 10_140, "lakeshore");
+    assert!(sum <= 50, "{sum} of 50 are in use");
+}
+
+/// Guards against shares that outlive a removal which was forgotten before the leader saw it.
+#[test]
+fn a_forgotten_removal_ends_the_shares() {
+    let limits = StateLimits { removed_customers: 0, ..StateLimits::default() };
+    let mut state = ControlState::with_limits(limits);
+    accept(&mut state, 1, &apply_contract("a", 0, contract("lakeshore", 10)));
+    accept(&mut state, 2, &apply_contract("b", 0, contract("third", 10)));
+    let mut leader = leader(1, 0);
+    let mut instance = client(1, 1);
+    demand(&mut instance, "lakeshore", 10);
+    for round in 0..10 {
+        catch_up(10_000 + round, &mut leader, &state, &mut instance);
+    }
+    assert!(concurrent(&instance, 10_010, "lakeshore") > 0);
+    accept(&mut state, 3, &remove_contract("c", "lakeshore", 1));
+    accept(&mut state, 4, &apply_contract("d", 2, contract("third", 20)));
+    for round in 0..10 {
+        catch_up(10_020 + round, &mut leader, &state, &mut instance);
+    }
+    assert_eq!(concurrent(&instance, 10_030, "lakeshore"), 0);
+    assert_eq!(leader.shares().total("lakeshore").concurrent_requests, 0);
+}
+
+/// Guards against a share for an instance that can't scale it, because it doesn't have the
+/// contract yet.
+#[test]
+fn an_instance_gets_no_share_before_it_has_caught_up() {
+    let limits = StateLimits { update_bytes: 1, ..StateLimits::default() };
+    let mut state = ControlState::with_limits(limits);
+    accept(&mut state, 1, &apply_contract("a", 0, contract("lakeshore", 10)));
+    accept(&mut state, 2, &apply_contract("b", 0, contract("third", 10)));
+    let mut leader = leader(1, 0);
+    let mut instance = client(1, 1);
+    demand(&mut instance, "lakeshore", 10);
+    assert_eq!(
+        exchange(10_000, &mut leader, &state, &mut instance).verdict,
+        LeaseVerdict::NeedFull
+    );
+    let part = exchange(10_001, &mut leader, &state, &mut instance);
+    assert!(part.configuration.unwrap().to < part.head);
+    assert!(part.shares.is_empty());
+    assert!(!instance.may_serve(10_002), "a part of the configuration is not enough to serve");
+    catch_up(10_003, &mut leader, &state, &mut instance);
+    catch_up(10_004, &mut leader, &state, &mut instance);
+    assert!(instance.may_serve(10_005));
+    assert!(concurrent(&instance, 10_005, "lakeshore") > 0);
+}
+
+/// Guards against a copy in many parts that begins again for ever, because removals are forgotten
+/// behind its cursor.
+#[test]
+fn a_full_copy_in_parts_ends_although_removals_are_forgotten() {
+    let limits = StateLimits { update_bytes: 1, removed_customers: 0, ..StateLimits::default() };
+    let mut state = ControlState::with_limits(limits);
+    for index in 1..=5 {
+        let name = format!("customer-{index}");
+        accept(&mut state, index, &apply_contract(&name, 0, contract(&name, 10)));
+    }
+    accept(&mut state, 6, &remove_contract("r", "customer-1", 1));
+    let mut leader = leader(1, 0);
+    let mut instance = client(1, 1);
+    catch_up(10_000, &mut leader, &state, &mut instance);
+    assert_eq!(instance.configuration().revision(), Revision(6));
+    assert_eq!(instance.configuration().contracts().count(), 4);
+
+    // A removal during the copy that is forgotten at once must not survive in the copy.
+    let mut late = client(2, 2);
+    for _ in 0..3 {
+        exchange(10_001, &mut leader, &state, &mut late);
+    }
+    assert_eq!(late.configuration().staged().unwrap().reached, Revision(3));
+    accept(&mut state, 7, &remove_contract("s", "customer-2", 2));
+    catch_up(10_002, &mut leader, &state, &mut late);
+    assert!(late.configuration().contract("customer-2").is_none());
+}
+
+/// Guards against a share that stays too small: the instance scaled it down, the leader set it
+/// anew, and the instance kept the smaller value without saying so again.
+#[test]
+fn a_share_below_the_granted_one_is_reported_again_after_each_grant() {
+    let mut state = state_with("lakeshore", 20);
+    let mut leader = leader(1, 0);
+    let mut instance = client(1, 1);
+    catch_up(10_000, &mut leader, &state, &mut instance);
+    let mut receive = |now_ms: u64, state: &ControlState, share: Option<(u64, bool)>| {
+        let renewal = instance.renewal(now_ms);
+        let mut reply = leader.renew(now_ms, state, &renewal).unwrap();
+        reply.shares.extend(share.map(|(concurrent_requests, exact)| ShareGrant {
+            customer: "lakeshore".into(),
+            share: Share { concurrent_requests, ..Share::NONE },
+            exact,
+        }));
+        assert_ne!(instance.apply_reply(&reply), ReplyResult::Ignored);
+        renewal.shares.first().map(|report| report.held.concurrent_requests)
+    };
+    assert_eq!(receive(10_100, &state, Some((10, true))), None);
+    accept(&mut state, 2, &apply_contract("b", 1, contract("lakeshore", 10)));
+    assert_eq!(receive(10_200, &state, None), None);
+    assert_eq!(receive(10_300, &state, None), Some(5), "the share was scaled down to 5");
+    assert_eq!(receive(10_400, &state, Some((8, false))), None, "the leader knows that");
+    assert_eq!(receive(10_500, &state, None), Some(5), "the leader counts on 8 again");
+}
+
+/// Guards against shares that don't follow a contract down and up again.
+#[test]
+fn shares_converge_to_a_changed_contract() {
+    let mut state = state_with("lakeshore", 40);
+    let mut leader = leader(1, 0);
+    let (mut one, mut two) = (client(1, 1), client(2, 2));
+    for client in [&mut one, &mut two] {
+        demand(client, "lakeshore", 40);
+    }
+    for (index, size) in [(2, 2), (3, 40), (4, 3), (5, 80)] {
+        let change = apply_contract(&format!("c{index}"), index - 1, contract("lakeshore", size));
+        accept(&mut state, index, &change);
+        let start_ms = 10_000 + index * 100;
+        for round in 0..30 {
+            catch_up(start_ms + round, &mut leader, &state, &mut one);
+            catch_up(start_ms + round, &mut leader, &state, &mut two);
+        }
+        let held = [&one, &two].map(|client| concurrent(client, start_ms + 30, "lakeshore"));
+        assert_eq!(held.iter().sum::<u64>(), u64::from(size), "{held:?}");
+        let reserved = leader.shares().reserved("lakeshore").concurrent_requests;
+        assert_eq!(reserved, u64::from(size));
+    }
+}
+
+/// Guards against a restarted instance whose former process still serves being treated as gone,
+/// and against two processes of one id that take turns.
+#[test]
+fn an_older_process_of_the_same_id_is_gone_only_when_its_lease_has_ended() {
+    let state = state_with("lakeshore", 10);
+    let mut leader = leader(1, 0);
+    let (mut older, mut newer) = (client(1, 1), client(1, 2));
+    let older_holder = LeaseHolder { instance: InstanceId(1), incarnation: Incarnation(1) };
+    catch_up(10_000, &mut leader, &state, &mut older);
+    catch_up(11_000, &mut leader, &state, &mut newer);
+    assert!(older.may_serve(13_959) && !older.may_serve(13_960));
+    for now_ms in [11_001, 13_960, 14_040] {
+        assert!(!leader.leases().surely_gone(now_ms, older_holder), "at {now_ms}");
+    }
+    assert!(!leader.leases().is_current(11_001, older_holder));
+    let reply = leader.renew(11_500, &state, &older.renewal(11_500)).unwrap();
+    assert_eq!(reply.verdict, LeaseVerdict::Superseded);
+    assert_eq!(older.apply_reply(&reply), ReplyResult::Superseded);
+    assert!(leader.leases().surely_gone(14_041, older_holder));
+}
+
+/// Guards against two coordinators at one moment when the log names a new one while the former
+/// one is alive, and against a former one that is never replaced.
+#[test]
+fn a_moved_cell_waits_for_the_former_coordinator_and_the_settle_time() {
+    let mut state = ControlState::new();
+    let mut leader = leader(1, 0);
+    let (mut from, mut to) = (client(1, 1), client(2, 2));
+    let cell = CellId(0);
+    let assign = |instance, incarnation, epoch| Command::AssignCoordinator {
+        cell,
+        instance: InstanceId(instance),
+        incarnation: Incarnation(incarnation),
+        expected_epoch: Epoch(epoch),
+    };
+    let _ = state.apply(1, &assign(1, 1, 0));
+    catch_up(10_000, &mut leader, &state, &mut from);
+    catch_up(10_000, &mut leader, &state, &mut to);
+    assert_eq!(from.may_order(10_001, cell), Some(Epoch(1)));
+    let _ = state.apply(2, &assign(2, 2, 1));
+    catch_up(10_100, &mut leader, &state, &mut to);
+    assert_eq!(to.may_order(10_101, cell), None, "the former coordinator still orders");
+    catch_up(10_200, &mut leader, &state, &mut from);
+    assert_eq!(from.may_order(10_201, cell), None);
+    // The next renewal acknowledges the loss; then the settle time runs.
+    catch_up(10_300, &mut leader, &state, &mut from);
+    catch_up(12_299, &mut leader, &state, &mut to);
+    assert_eq!(to.may_order(12_299, cell), None);
+    catch_up(12_300, &mut leader, &state, &mut to);
+    assert_eq!(to.may_order(12_300, cell), Some(Epoch(2)));
+}
+
+/// Guards against control traffic above the stated 3 KB/s for each daemon at 380 instances: an
+/// idle renewal and its reply, once a second, with 300 contracts.
+#[test]
+fn an_idle_renewal_stays_below_the_stated_traffic() {
+    let mut state = ControlState::new();
+    for index in 1..=300 {
+        let name = format!("customer-{index}");
+        accept(&mut state, index, &apply_contract(&name, 0, contract(&name, 10)));
+    }
+    let mut leader = leader(1, 0);
+    let mut clients: Vec<_> = (0..380).map(|id| client(id, u64::from(id) << 32)).collect();
+    for now_ms in [10_000, 11_000, 12_000] {
+        for client in &mut clients {
+            catch_up(now_ms, &mut leader, &state, client);
+        }
+    }
+    let renewal = clients[0].renewal(13_000);
+    let reply = leader.renew(13_000, &state, &renewal).unwrap();
+    let bytes = postcard::to_allocvec(&renewal).unwrap().len()
+        + postcard::to_allocvec(&reply).unwrap().len();
+    assert!(bytes <= 3_000, "{bytes} bytes");
+    let decoded = postcard::from_bytes(&postcard::to_allocvec(&reply).unwrap()).unwrap();
+    assert_eq!(reply, decoded, "the reply survives its encoding");
+}
