Count a request's demand when it is first decided about

Cause: the limiter counted demand only when the decision fell into the same millisecond as the arrival; under load the message came later, no demand was reported and the first request was refused as over its concurrency. A renewal under way at the arrival also counted as the leader's answer. Change: separate calls for a new and a waiting request; an answer counts only for demand that a renewal reported. Conclusion: no decision depends on two clock readings being equal.

--- a/crates/redwinglatch-admission/src/limiter.rs
+++ b/crates/redwinglatch-admission/src/limiter.rs
@@ -49,7 +49,9 @@
 #[derive(Debug, Default)]
 struct Customer {
     share: Share,
-    /// When the leader last answered; `None` before the first answer.
+    /// When the demand was last handed to a renewal.
+    reported_at_ms: Option<u64>,
+    /// When the demand was reported that the leader last answered; `None` before the first answer.
     answered_at_ms: Option<u64>,
     requests: TokenBucket,
     tokens: TokenBucket,
@@ -89,11 +91,14 @@
     }
 
     /// Sets the shares after a renewal was answered or a lease ended.
+    ///
+    /// A customer counts as answered only for the demand that [`Limiter::demands`] has reported: a
+    /// renewal that was under way when its first request arrived says nothing about it.
     pub fn set_shares(&mut self, now_ms: u64, share_of: impl Fn(&str) -> Share) {
         for (name, customer) in &mut self.customers {
             let share = share_of(name);
             customer.share = share;
-            customer.answered_at_ms = Some(now_ms);
+            customer.answered_at_ms = customer.reported_at_ms;
             customer.requests.set_rate(now_ms, share.request_rate_milli);
             customer.tokens.set_rate(now_ms, share.token_rate_per_s.saturating_mul(1_000));
         }
@@ -104,52 +109,27 @@
         });
     }
 
-    /// Decides about a request that arrived at `arrived_at_ms` and may generate `max_tokens`; 0 for
-    /// a plain service.
-    pub fn admit(
+    /// Decides about a request that arrives now and may generate `max_tokens`; 0 for a plain
+    /// service.
+    pub fn admit(&mut self, now_ms: u64, name: &str, max_tokens: u32) -> Admission {
+        let customer = self.customers.entry(name.into()).or_default();
+        customer.arrivals.add(now_ms, 1);
+        customer.wanted_tokens.add(now_ms, u64::from(max_tokens));
+        customer.wanted_concurrency.raise_to(now_ms, customer.in_flight + 1);
+        customer.decide(now_ms, now_ms, name, max_tokens)
+    }
+
+    /// Decides again about a request that waits for a share since `arrived_at_ms`. Its demand was
+    /// counted when it arrived.
+    pub fn admit_again(
         &mut self,
         now_ms: u64,
         arrived_at_ms: u64,
         name: &str,
         max_tokens: u32,
     ) -> Admission {
-        if !self.customers.contains_key(name) {
-            self.customers.insert(name.into(), Customer::default());
-        }
-        let Some(customer) = self.customers.get_mut(name) else {
-            return Admission::Refused(refusal(RefusalReason::RequestRate, name, None));
-        };
-        if now_ms == arrived_at_ms {
-            customer.arrivals.add(now_ms, 1);
-            customer.wanted_tokens.add(now_ms, u64::from(max_tokens));
-            customer.wanted_concurrency.raise_to(now_ms, customer.in_flight + 1);
-        }
-        if let Some(reason) = customer.missing_part(max_tokens) {
-            let answered = customer
-                .answered_at_ms
-                .is_some_and(|at_ms| at_ms >= arrived_at_ms || now_ms < at_ms + NO_SHARE_KEEP_MS);
-            let until_ms = arrived_at_ms + ASK_WAIT_MS;
-            if !answered && now_ms < until_ms {
-                return Admission::AskForShare { until_ms };
-            }
-            customer.note_refused(now_ms, reason);
-            return Admission::Refused(refusal(reason, name, Some(RENEWAL_MS)));
-        }
-        if customer.in_flight >= customer.share.concurrent_requests {
-            customer.note_refused(now_ms, RefusalReason::Concurrency);
-            return Admission::Refused(refusal(RefusalReason::Concurrency, name, Some(RENEWAL_MS)));
-        }
-        if let Err(wait_ms) = customer.requests.take(now_ms, 1) {
-            return Admission::Refused(refusal(RefusalReason::RequestRate, name, wait_ms));
-        }
-        if max_tokens > 0
-            && let Err(wait_ms) = customer.tokens.take_in_advance(now_ms, max_tokens)
-        {
-            customer.requests.give_back(1);
-            return Admission::Refused(refusal(RefusalReason::TokenRate, name, wait_ms));
-        }
-        customer.in_flight += 1;
-        Admission::Admitted(Permit { customer: name.into(), charged_tokens: max_tokens })
+        let customer = self.customers.entry(name.into()).or_default();
+        customer.decide(now_ms, arrived_at_ms, name, max_tokens)
     }
 
     /// Ends a request that generated `tokens`.
@@ -162,8 +142,12 @@
     /// The demand of every customer, for the next renewal.
     pub fn demands(&mut self, now_ms: u64) -> Vec<(Box<str>, Share)> {
         let customers = self.customers.iter_mut();
-        let mut demands: Vec<(Box<str>, Share)> =
-            customers.map(|(name, customer)| (name.clone(), customer.demand(now_ms))).collect();
+        let mut demands: Vec<(Box<str>, Share)> = customers
+            .map(|(name, customer)| {
+                customer.reported_at_ms = Some(now_ms);
+                (name.clone(), customer.demand(now_ms))
+            })
+            .collect();
         demands.sort_unstable_by(|a, b| a.0.cmp(&b.0));
         demands
     }
@@ -176,6 +160,41 @@
 }
 
 impl Customer {
+    fn decide(
+        &mut self,
+        now_ms: u64,
+        arrived_at_ms: u64,
+        name: &str,
+        max_tokens: u32,
+    ) -> Admission {
+        if let Some(reason) = self.missing_part(max_tokens) {
+            let answered = self
+                .answered_at_ms
+                .is_some_and(|at_ms| at_ms >= arrived_at_ms || now_ms < at_ms + NO_SHARE_KEEP_MS);
+            let until_ms = arrived_at_ms + ASK_WAIT_MS;
+            if !answered && now_ms < until_ms {
+                return Admission::AskForShare { until_ms };
+            }
+            self.note_refused(now_ms, reason);
+            return Admission::Refused(refusal(reason, name, Some(RENEWAL_MS)));
+        }
+        if self.in_flight >= self.share.concurrent_requests {
+            self.note_refused(now_ms, RefusalReason::Concurrency);
+            return Admission::Refused(refusal(RefusalReason::Concurrency, name, Some(RENEWAL_MS)));
+        }
+        if let Err(wait_ms) = self.requests.take(now_ms, 1) {
+            return Admission::Refused(refusal(RefusalReason::RequestRate, name, wait_ms));
+        }
+        if max_tokens > 0
+            && let Err(wait_ms) = self.tokens.take_in_advance(now_ms, max_tokens)
+        {
+            self.requests.give_back(1);
+            return Admission::Refused(refusal(RefusalReason::TokenRate, name, wait_ms));
+        }
+        self.in_flight += 1;
+        Admission::Admitted(Permit { customer: name.into(), charged_tokens: max_tokens })
+    }
+
     /// The part of the share that is missing altogether.
     fn missing_part(&self, max_tokens: u32) -> Option<RefusalReason> {
         if self.share.concurrent_requests == 0 {
--- a/crates/redwinglatch-server/src/callers.rs
+++ b/crates/redwinglatch-server/src/callers.rs
@@ -49,7 +49,7 @@
 pub(crate) async fn admit(
     caller: &Caller,
     headers: &CallHeaders,
-    request: Admit,
+    mut request: Admit,
 ) -> Result<Admitted, Refusal> {
     let bearer = headers.bearer.as_deref().unwrap_or_default();
     if !caller.secret.matches(bearer.as_bytes()) {
@@ -60,7 +60,8 @@
         match caller.shared.entry.send(request.clone()).await {
             Ok(Admission::Admitted(admitted)) => return Ok(admitted),
             Ok(Admission::Refused(refusal)) => return Err(refusal),
-            Ok(Admission::AskForShare { until_ms }) => {
+            Ok(Admission::AskForShare { waiting_since_ms, until_ms }) => {
+                request.waiting_since_ms = Some(waiting_since_ms);
                 let left_ms = until_ms.saturating_sub(caller.shared.now_ms()).max(1);
                 sleep(SHARE_PAUSE.min(Duration::from_millis(left_ms))).await;
             }
--- a/crates/redwinglatch-server/src/completion.rs
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -62,6 +62,7 @@
     let request = Admit {
         customer: call.headers.customer.clone(),
         target: Target::Adapter(call.adapter.clone()),
+        waiting_since_ms: None,
         arrived_at_ms: shared.now_ms(),
         deadline_ms: call.headers.deadline_ms,
         priority: call.headers.priority,
--- a/crates/redwinglatch-server/src/entry.rs
+++ b/crates/redwinglatch-server/src/entry.rs
@@ -128,7 +128,12 @@
         )?;
         let load_share_permille = contract.load_share_permille;
         let max_tokens = request.max_tokens;
-        match self.limiter.admit(now_ms, request.arrived_at_ms, customer, max_tokens) {
+        let waiting_since_ms = request.waiting_since_ms.unwrap_or(now_ms);
+        let admission = match request.waiting_since_ms {
+            None => self.limiter.admit(now_ms, customer, max_tokens),
+            Some(since_ms) => self.limiter.admit_again(now_ms, since_ms, customer, max_tokens),
+        };
+        match admission {
             redwinglatch_admission::Admission::Admitted(permit) => {
                 self.in_flight += 1;
                 self.parts.metrics.increment(Counter::RequestsAccepted);
@@ -136,7 +141,7 @@
                 Ok(Admission::Admitted(Admitted { terms, load_share_permille, permit }))
             }
             redwinglatch_admission::Admission::AskForShare { until_ms } => {
-                Ok(Admission::AskForShare { until_ms })
+                Ok(Admission::AskForShare { waiting_since_ms, until_ms })
             }
             redwinglatch_admission::Admission::Refused(refusal) => Err(refusal),
         }
--- a/crates/redwinglatch-server/src/entry/messages.rs
+++ b/crates/redwinglatch-server/src/entry/messages.rs
@@ -40,6 +40,8 @@
 pub(crate) struct Admit {
     pub(crate) customer: Box<str>,
     pub(crate) target: Target,
+    /// When the request was first decided about; `None` the first time.
+    pub(crate) waiting_since_ms: Option<u64>,
     pub(crate) arrived_at_ms: u64,
     pub(crate) deadline_ms: Option<u32>,
     pub(crate) priority: Option<u8>,
@@ -59,6 +61,7 @@
     Admitted(Admitted),
     /// The instance holds no share for the customer; ask again after a renewal.
     AskForShare {
+        waiting_since_ms: u64,
         until_ms: u64,
     },
     Refused(Refusal),
--- a/crates/redwinglatch-server/src/service.rs
+++ b/crates/redwinglatch-server/src/service.rs
@@ -26,6 +26,7 @@
     let request = Admit {
         customer: call.headers.customer.clone(),
         target: Target::Service(call.service.clone()),
+        waiting_since_ms: None,
         arrived_at_ms: shared.now_ms(),
         deadline_ms: call.headers.deadline_ms,
         priority: call.headers.priority,
