Test lost answers and silent connections of operators with real breaks

A caller whose body is refused could also lose the refusal when the connection was reset. Change: a connection that breaks after the request, a half request and a caller that stops reading are tested apart; the rest of a refused body is read for up to the read timeout and 4 MiB.

--- a/crates/redwinglatch-operators/src/server.rs
+++ b/crates/redwinglatch-operators/src/server.rs
@@ -33,7 +33,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// How much of the body of a refused request is read before the connection is closed.
 const MAX_DROPPED_BYTES: usize = 4 * 1024 * 1024;
-const DROP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Limits on what operators may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,8 +43,8 @@
     pub max_header_bytes: usize,
     /// How many connections are open at once at most.
     pub max_connections: usize,
-    /// How long headers may take to arrive, how long a body, and how long the caller may take to
-    /// read the answer.
+    /// How long headers may take to arrive, how long a body, and how long the rest of a body that
+    /// is not needed.
     pub read_timeout_ms: u64,
     /// How long the daemon may take to answer.
     pub answer_timeout_ms: u64,
@@ -65,7 +64,7 @@
 }
 
 impl OperatorLimits {
-    /// Headers, body, the daemon's answer and writing it: a silent connection ends after this.
+    /// Reading a request and answering it. A connection that is still open after this is silent.
     fn connection_timeout(&self) -> Duration {
         Duration::from_millis(3 * self.read_timeout_ms + self.answer_timeout_ms)
     }
@@ -193,8 +192,8 @@
         match self.handle(&head, &mut body).await {
             Ok(response) => response,
             Err(refusal) => {
-                // A refusal that needs no body is final even if the body never arrives.
-                let _ = timeout(DROP_TIMEOUT, drop_body(&mut body)).await;
+                let limit = Duration::from_millis(self.limits.read_timeout_ms);
+                let _ = timeout(limit, drop_body(&mut body)).await;
                 self.refuse(refusal)
             }
         }
--- a/crates/redwinglatch-operators/tests/api.rs
+++ b/crates/redwinglatch-operators/tests/api.rs
@@ -9,8 +9,9 @@
 use redwinglatch_core::{AdapterRule, Contract, InstanceId, Ran, Refusal, RefusalReason, Revision};
 use redwinglatch_metrics::{Counter, Metrics};
 use redwinglatch_operators::{
-    ChangeDocument, ClientError, ConflictDocument, ErrorKind, OperatorCall, OperatorClient,
-    OperatorLimits, OperatorReply, OperatorRequest, OperatorServer, SecretFile, StopDocument,
+    ChangeDocument, ClientError, ConflictDocument, ContractDocument, ContractListDocument,
+    ErrorKind, OperatorCall, OperatorClient, OperatorLimits, OperatorReply, OperatorRequest,
+    OperatorServer, SecretFile, StopDocument,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -86,14 +87,22 @@
     });
 }
 
-/// Sends `text` as it is and returns the whole answer.
-async fn exchange(address: SocketAddr, text: impl Into<String>) -> String {
-    let text: String = text.into();
-    let mut stream = TcpStream::connect(address).await.expect("the server listens");
-    stream.write_all(text.as_bytes()).await.expect("the server reads");
+/// Sends `text` as it is and returns whether all of it was taken, and the whole answer.
+async fn send(address: SocketAddr, text: &str) -> (bool, String) {
+    // A small buffer, so that the kernel does not take over bytes that the server never reads.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_send_buffer_size(4_096).expect("a socket");
+    let mut stream = socket.connect(address).await.expect("the server listens");
+    let is_sent = stream.write_all(text.as_bytes()).await.is_ok();
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer).await;
-    String::from_utf8(answer).expect("the answer is text")
+    (is_sent, String::from_utf8(answer).expect("the answer is text"))
+}
+
+async fn exchange(address: SocketAddr, text: impl Into<String>) -> String {
+    let (is_sent, answer) = send(address, &text.into()).await;
+    assert!(is_sent, "the server closed the connection before it had read the request");
+    answer
 }
 
 fn put(headers: &str, body: &str) -> String {
@@ -157,6 +166,11 @@
     assert!(!shown.contains("another-secret"), "{shown}");
 }
 
+/// Fails a test that would wait without end.
+async fn within<T>(future: impl Future<Output = T>) -> T {
+    tokio::time::timeout(Duration::from_secs(60), future).await.expect("the test waits in vain")
+}
+
 /// Moves the clock at a point where every task waits; sockets run on the real clock otherwise,
 /// because a paused clock would jump to the next timeout while bytes are on their way.
 async fn advance(duration: Duration) {
@@ -208,7 +222,7 @@
 async fn oversized_bodies_and_headers_are_refused() {
     let limits = OperatorLimits { max_body_bytes: 1_000, ..OperatorLimits::default() };
     let mut server = start(limits).await;
-    for size_bytes in [1_001, 300_000] {
+    for size_bytes in [1_001, 400_000] {
         let answer = exchange(server.address, put(&change_headers(), &"a".repeat(size_bytes)));
         let answer = answer.await;
         assert!(answer.starts_with("HTTP/1.1 413 "), "{size_bytes}: {answer}");
@@ -221,9 +235,15 @@
         "a".repeat(2_000)
     );
     assert!(exchange(server.address, chunked).await.starts_with("HTTP/1.1 413 "));
-    let answer = exchange(server.address, put(&format!("a: {}\r\n", "b".repeat(17_000)), "{}"));
-    assert!(answer.await.starts_with("HTTP/1.1 431 "));
-    assert_eq!(server.metrics.refusals(RefusalReason::TooLarge), 4);
+    let large_header = put(&format!("a: {}\r\n", "b".repeat(17_000)), "{}");
+    let (_, answer) = send(server.address, &large_header).await;
+    assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+    let mut large = contract("north");
+    large.adapters = vec![large.adapters[0].clone(); 50_000];
+    let client = OperatorClient::new([server.address], SECRET).rounds(1);
+    let error = client.apply_contract("c1", Revision(0), &large).await.expect_err("too large");
+    assert!(matches!(error.kind, ErrorKind::Refused { status: 413, .. }), "{error}");
+    assert_eq!(server.metrics.refusals(RefusalReason::TooLarge), 5);
     assert!(server.calls.try_recv().is_err());
 }
 
@@ -263,22 +283,34 @@
 /// make it twice.
 #[tokio::test]
 async fn lost_answer_is_asked_for_again_under_the_same_change_id() {
+    let broken = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+    let broken_address = broken.local_addr().expect("an address");
     let mut first = start(OperatorLimits::default()).await;
     let mut second = start(OperatorLimits::default()).await;
-    let client = OperatorClient::new([first.address, second.address], SECRET);
+    let client = OperatorClient::new([broken_address, first.address, second.address], SECRET);
     let change = tokio::spawn(async move {
         client.apply_contract("change-7", Revision(0), &contract("north")).await
     });
+    // One instance ends after it has read the request, with the answer unsent.
+    let (mut stream, _) = broken.accept().await.expect("the client connects");
+    let mut received = Vec::new();
+    while !received.ends_with(b"}") {
+        let count = stream.read_buf(&mut received).await.expect("the client sends its request");
+        assert_ne!(count, 0, "the client ended early");
+    }
+    let received = String::from_utf8(received).expect("the request is text");
+    assert!(received.contains("x-redwinglatch-change-id: change-7\r\n"), "{received}");
+    drop(stream);
+    // Another commits the change and drops the request before it answers.
     let expected = OperatorRequest::ApplyContract {
         change_id: "change-7".into(),
         expected_revision: Revision(0),
         contract: contract("north"),
     };
-    // The first instance commits the change and fails before it answers.
-    let call = first.calls.recv().await.expect("the first instance is asked");
+    let call = within(first.calls.recv()).await.expect("the first instance is asked");
     assert_eq!(call.request, expected);
     drop(call);
-    let call = second.calls.recv().await.expect("the second instance is asked");
+    let call = within(second.calls.recv()).await.expect("the second instance is asked");
     assert_eq!(call.request, expected);
     let document = ChangeDocument {
         customer: "north".into(),
@@ -368,8 +400,8 @@
     }
 }
 
-/// Guards against connections without a limit, and against a silent connection that keeps its
-/// place for ever.
+/// Guards against connections without a limit, and against one that sends half a request and then
+/// keeps its place for ever.
 #[tokio::test]
 async fn connections_are_limited_and_silent_ones_are_closed() {
     let limits = OperatorLimits { max_connections: 1, ..OperatorLimits::default() };
@@ -382,9 +414,10 @@
     assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
     assert_eq!(server.metrics.refusals(RefusalReason::TooManyConnections), 1);
 
-    advance(Duration::from_secs(45)).await;
+    advance(Duration::from_millis(limits.read_timeout_ms)).await;
     let mut rest = Vec::new();
-    let _ = silent.read_to_end(&mut rest).await;
+    let ended = tokio::time::timeout(Duration::from_secs(5), silent.read_to_end(&mut rest)).await;
+    assert!(ended.is_ok(), "the connection is still open");
     answer_calls(server.calls, |_| {
         OperatorReply::Refused(Refusal::not_run(RefusalReason::NotCurrent, "no lease"))
     });
@@ -392,3 +425,23 @@
     let error = client.status().await.expect_err("refused");
     assert!(matches!(error.kind, ErrorKind::Refused { status: 503, .. }), "{error}");
 }
+
+/// Guards against a caller that stops reading in the middle of an answer and keeps its place.
+#[tokio::test]
+async fn connection_of_a_caller_that_does_not_read_is_closed() {
+    let mut server = start(OperatorLimits::default()).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("the server listens");
+    let request =
+        format!("GET /v1/contracts HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {SECRET}\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.expect("the server reads");
+    let call = server.calls.recv().await.expect("the request arrives");
+    // Larger than the buffers of both sockets.
+    let entry = ContractDocument { revision: Revision(1), contract: contract("north") };
+    let contracts = vec![entry; 100_000];
+    let reply = OperatorReply::Contracts(ContractListDocument { contracts });
+    call.reply.send(reply).expect("the server waits");
+    stream.read_u8().await.expect("the answer begins");
+    assert_eq!(server.metrics.counter(Counter::SilentConnections), 0);
+    advance(Duration::from_secs(45)).await;
+    assert_eq!(server.metrics.counter(Counter::SilentConnections), 1);
+}
