Describe operation and terms

Cause: operators had no page on first start, contracts, stops, losses, counters and settings. Change: docs/OPERATING.md and docs/GLOSSARY.md; tests compare the page with every refusal and retry reason, every settings and contract key and the defaults.

--- a/crates/redwinglatch-metrics/tests/page.rs
+++ b/crates/redwinglatch-metrics/tests/page.rs
@@ -91,3 +91,13 @@
     metrics.record(Timing::LoadStall, Duration::ZERO);
     assert!(metrics.render().contains("\nredwinglatch_load_stall_seconds_count 2\n"));
 }
+
+/// Guards against a reason that operators find on the metrics page and nowhere explained.
+#[test]
+fn every_reason_is_explained_to_operators() {
+    let page = include_str!("../../../docs/OPERATING.md");
+    let refusals = RefusalReason::ALL.iter().map(|reason| reason.code());
+    for code in refusals.chain(RetryReason::ALL.iter().map(|reason| reason.code())) {
+        assert!(page.contains(&format!("\n| `{code}` | ")), "missing: {code}");
+    }
+}
--- a/crates/redwinglatch-settings/tests/examples.rs
+++ b/crates/redwinglatch-settings/tests/examples.rs
@@ -67,3 +67,43 @@
         }
     }
 }
+
+/// Guards against a setting or a contract key that docs/OPERATING.md lacks, or lists with another
+/// default.
+#[test]
+fn every_key_is_documented_with_its_default() {
+    let page = include_str!("../../../docs/OPERATING.md");
+    let rows: Vec<Vec<&str>> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .map(|line| line.trim_matches('|').split('|').map(str::trim).collect())
+        .collect();
+    let text = std::fs::read_to_string(folder("lakeshore").join("instance-1.ini"));
+    let text = text.expect("the example can be read");
+    let settings = Settings::from_str("example", &text).expect("the example is valid").to_string();
+    let contract = folder("lakeshore/contracts").join("north-shore.ini");
+    let contract = ContractFile::from_file(contract).expect("the example is valid").to_string();
+    let mut undocumented = Vec::new();
+    for (key, _) in
+        settings.lines().chain(contract.lines()).filter_map(|line| line.split_once(" = "))
+    {
+        let row = rows.iter().find(|row| row[0].ends_with(&format!("`{key}`")));
+        let Some(row) = row else {
+            undocumented.push(key.to_owned());
+            continue;
+        };
+        // Without its line, a key has its default in the parsed form.
+        let is_line = |line: &&str| line.split('=').next().map(str::trim) == Some(key);
+        let without: Vec<&str> = text.lines().filter(|line| !is_line(line)).collect();
+        let Ok(parsed) = Settings::from_str("example", &without.join("\n")) else {
+            continue;
+        };
+        let parsed = parsed.to_string();
+        let default = parsed.lines().find_map(|line| line.strip_prefix(&format!("{key} = ")));
+        if default.is_some_and(|default| default != row[2]) {
+            undocumented
+                .push(format!("{key}: the default is {default:?}, the page says {}", row[2]));
+        }
+    }
+    assert!(undocumented.is_empty(), "{undocumented:#?}");
+}
