Name every broken line of a settings file

Cause: a line without `=` was joined to the next one and hid its key, an open heading was reported at the end of the file, and the line number was one too high. Change: lines are checked before the INI parser sees them; all broken lines are listed with their number. A byte order mark is skipped. Conclusion: the test of broken lines fails without the check.

--- a/crates/redwinglatch-settings/src/document.rs
+++ b/crates/redwinglatch-settings/src/document.rs
@@ -5,6 +5,9 @@
 use crate::section::Section;
 use crate::{ErrorKind, Fault, SettingsError};
 
+const SYNTAX_REMEDY: &str = "write `[section]` headings and `key = value` lines; a comment has its \
+                             own line that starts with `;` or `#`";
+
 /// The sections of a file that were not read yet, and the faults found so far.
 pub(crate) struct Document<'a> {
     file: &'a str,
@@ -14,17 +17,17 @@
 
 impl<'a> Document<'a> {
     pub(crate) fn parse(file: &'a str, text: &str) -> Result<Document<'a>, SettingsError> {
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        let faults = syntax_faults(file, text);
+        if !faults.is_empty() {
+            return Err(SettingsError::new(file, faults));
+        }
         // Values are literal text: paths may hold backslashes and quotes.
         let option =
             ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
-            let fault = Fault::new(
-                ErrorKind::Syntax,
-                file,
-                format!("line {}, column {}: {}", error.line + 1, error.col + 1, error.msg),
-                "write `[section]` headings and `key = value` lines; a comment has its own line \
-                 that starts with `;` or `#`",
-            );
+            let problem = format!("line {}, column {}: {}", error.line, error.col, error.msg);
+            let fault = Fault::new(ErrorKind::Syntax, file, problem, SYNTAX_REMEDY);
             SettingsError::new(file, vec![fault])
         })?;
 
@@ -145,3 +148,24 @@
         Err(SettingsError::new(self.file, self.faults))
     }
 }
+
+/// Lines that are not INI. The parser joins some of them to the next line or reports only the end
+/// of the file.
+fn syntax_faults(file: &str, text: &str) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        let is_comment = line.is_empty() || line.starts_with([';', '#']);
+        let heading = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']'));
+        let is_heading = heading.is_some_and(|name| !name.contains(['[', ']']));
+        let is_entry = !line.starts_with('[')
+            && line.split_once('=').is_some_and(|(key, _)| !key.trim().is_empty());
+        if !(is_comment || is_heading || is_entry) {
+            let number = index + 1;
+            let problem =
+                format!("line {number}, `{line}`, is neither a heading nor a `key = value` line");
+            faults.push(Fault::new(ErrorKind::Syntax, file, problem, SYNTAX_REMEDY));
+        }
+    }
+    faults
+}
--- a/crates/redwinglatch-settings/tests/settings.rs
+++ b/crates/redwinglatch-settings/tests/settings.rs
@@ -175,6 +175,23 @@
     assert_eq!(error.faults[0].kind, ErrorKind::Unreadable);
 }
 
+/// Guards against a broken line that is joined to the next one, or is reported at another line.
+#[test]
+fn broken_lines_are_named_all_at_once() {
+    let text =
+        "\u{feff}; comment\n[control\nlease_ms 4000\n\n= 5\n[callers]\nkeep_for_s = 1\n[x]y]\n";
+    let messages: Vec<_> = faults_of(text).into_iter().map(|(_, message)| message).collect();
+    let expected = [
+        "small.ini: line 2, `[control`, is neither a heading nor a `key = value` line",
+        "small.ini: line 3, `lease_ms 4000`, is neither a heading nor a `key = value` line",
+        "small.ini: line 5, `= 5`, is neither a heading nor a `key = value` line",
+        "small.ini: line 8, `[x]y]`, is neither a heading nor a `key = value` line",
+    ];
+    assert_eq!(messages, expected);
+    let with_mark = format!("\u{feff}{SMALL}").replace('\n', "\r\n");
+    assert!(Settings::from_str("small.ini", &with_mark).is_ok());
+}
+
 /// A valid settings value, and a text made from it by a few random edits.
 #[derive(Debug, Clone)]
 struct Edited {
