Give a fitting remedy for an unknown instance

Cause: a trial of the command line against one daemon on loopback advised to use another path when an instance's number was unknown, and ended the difference of a conflict with an empty line. Change: the remedy names path and number; the empty line is gone.

--- a/crates/redwinglatch-operators/src/error_document.rs
+++ b/crates/redwinglatch-operators/src/error_document.rs
@@ -59,7 +59,7 @@
         RefusalReason::Unauthenticated => {
             "send `authorization: Bearer SECRET` with the secret of operators"
         }
-        RefusalReason::NotFound => "use one of the paths under /v1, or /metrics",
+        RefusalReason::NotFound => "check the path, or the number of the instance in it",
         RefusalReason::UnknownCustomer => "list the customers with `redwinglatch contract list`",
         RefusalReason::RevisionConflict => {
             "look at the current contract, and send the change with its revision"
--- a/crates/redwinglatch/src/contract.rs
+++ b/crates/redwinglatch/src/contract.rs
@@ -199,7 +199,7 @@
         format!(
             "the contract of {customer} is at revision {current}, not {expected}; nothing was \
              changed. Current (-) and wanted (+):\n{}",
-            diff.text()
+            diff.text().trim_end()
         ),
         format!(
             "take over what the other change needs, and send the change with --expected-revision \
