Replace lost log replicas by settings and refuse empty folders

Cause: nothing could replace a lost disk, and a replica with an empty folder would have voted again under its old id.

--- a/crates/redwinglatch-local/src/deployment.rs
+++ b/crates/redwinglatch-local/src/deployment.rs
@@ -7,7 +7,7 @@
 use redwinglatch_core::Contract;
 use redwinglatch_fakes::FakeCaller;
 use redwinglatch_operators::OperatorClient;
-use redwinglatch_server::{Instance, Listeners};
+use redwinglatch_server::{DataFolder, Instance, Listeners};
 use redwinglatch_settings::Settings;
 use tokio::net::TcpListener;
 
@@ -54,8 +54,9 @@
         let mut deployment = Deployment { fakes, layout, instances: Vec::new() };
         for (position, listeners) in listeners.into_iter().enumerate() {
             let settings = deployment.settings(position)?;
-            let instance =
-                Instance::start_on(settings, listeners).await.map_err(io::Error::other)?;
+            let instance = Instance::start_on(settings, DataFolder::MayBeNew, listeners)
+                .await
+                .map_err(io::Error::other)?;
             deployment.instances.push(Some(instance));
         }
         Ok(deployment)
--- a/crates/redwinglatch-local/src/layout.rs
+++ b/crates/redwinglatch-local/src/layout.rs
@@ -42,7 +42,8 @@
 pub struct Layout {
     dir: PathBuf,
     instances: Vec<InstanceAddresses>,
-    replicas: usize,
+    /// Id, position of the instance, and whether it joins an existing log.
+    replicas: Vec<(usize, usize, bool)>,
     timing: Timing,
     fakes: FakesOptions,
     platform: SocketAddr,
@@ -72,7 +73,7 @@
         Ok(Layout {
             dir,
             instances: addresses,
-            replicas,
+            replicas: (0..replicas).map(|position| (position + 1, position, false)).collect(),
             timing,
             fakes: options,
             platform: fakes.platform.address(),
@@ -99,10 +100,22 @@
         self.instances.len()
     }
 
-    /// The data folder of the instance at `position`.
+    /// The data folder of the replica `id`.
     #[must_use]
-    pub fn data_dir(&self, position: usize) -> PathBuf {
-        self.dir.join(format!("data-{}", position + 1))
+    pub fn data_dir(&self, id: usize) -> PathBuf {
+        self.dir.join(format!("data-{id}"))
+    }
+
+    /// Gives the replica of the instance at `position`, whose disk was lost, a new id, and returns
+    /// it.
+    pub fn replace_replica(&mut self, position: usize) -> usize {
+        let new_id = self.replicas.iter().map(|(id, ..)| id + 1).max().unwrap_or(1);
+        for (id, at, joins) in &mut self.replicas {
+            if *at == position {
+                (*id, *joins) = (new_id, true);
+            }
+        }
+        new_id
     }
 
     /// The settings of the instance at `position`, whose id is `position + 1`.
@@ -127,13 +140,13 @@
             let file = self.dir.join(format!("{name}.secret"));
             writeln!(text, "{name}_file = {}", file.display())?;
         }
-        if position < self.replicas {
+        if let Some((id, ..)) = self.replicas.iter().find(|(_, at, _)| *at == position) {
             writeln!(text, "\n[state]")?;
-            writeln!(text, "data_dir = {}", self.data_dir(position).display())?;
-            writeln!(text, "replica_id = {}", position + 1)?;
+            writeln!(text, "data_dir = {}", self.data_dir(*id).display())?;
+            writeln!(text, "replica_id = {id}")?;
         }
-        for replica in 1..=self.replicas {
-            writeln!(text, "\n[replica.{replica}]\ninstance = {replica}")?;
+        for (id, at, joins) in &self.replicas {
+            writeln!(text, "\n[replica.{id}]\ninstance = {}\njoins = {joins}", at + 1)?;
         }
         for (other, addresses) in self.instances.iter().enumerate() {
             writeln!(text, "\n[instance.{}]", other + 1)?;
--- a/crates/redwinglatch-log/src/storage.rs
+++ b/crates/redwinglatch-log/src/storage.rs
@@ -99,6 +99,15 @@
         Storage::open_with(dir, replica, FileOps::os())
     }
 
+    /// Whether a replica has been created in `dir`.
+    ///
+    /// A driver that expects a replica must not open an empty folder: a replica that forgot its
+    /// votes and entries could help to elect a leader that lacks committed entries.
+    #[must_use]
+    pub fn is_initialized(dir: &Path) -> bool {
+        dir.join(IDENTITY_FILE).exists()
+    }
+
     /// Like [`Storage::open`] with other file operations.
     ///
     /// # Errors
--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -11,8 +11,8 @@
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{ContractQuery, ControlRefusal, PeerMessage, Transport};
 use redwinglatch_log::{
-    Effects, Entry, EntryKind, Index, LogMessage, ProposeError, Replica, Role, Storage,
-    StorageError, Term, WriteId,
+    Effects, Entry, EntryKind, Index, LogMessage, MembershipChange, ProposeError, Replica, Role,
+    Storage, StorageError, Term, WriteId,
 };
 use redwinglatch_metrics::{Counter, Gauge, Metrics};
 use tokio::sync::oneshot;
@@ -385,6 +385,13 @@
                 self.own_proposals.insert(key, now_ms + OWN_PROPOSAL_TIMEOUT_MS);
             }
         }
+        if let Some(change) = self.membership_change() {
+            // A refused change, such as the promotion of a learner that still catches up, is asked
+            // for again with the next tick.
+            if self.parts.replica.propose_membership(change, now_ms).is_ok() {
+                log::info!("control: the members of the log change: {change:?}");
+            }
+        }
         if self.expire_at_ms <= now_ms {
             self.expire_at_ms = now_ms + EXPIRE_INTERVAL_MS;
             // A failed proposal is made again after the next interval.
@@ -392,6 +399,25 @@
         }
     }
 
+    /// The next step from the members of the log towards the replicas in the settings.
+    ///
+    /// Replica ids only grow, so a leader with old settings neither removes a newer replica nor
+    /// brings back an older one while new settings are rolled out.
+    fn membership_change(&self) -> Option<MembershipChange> {
+        let membership = self.parts.replica.membership();
+        if let Some(learner) = membership.learners().first() {
+            return Some(MembershipChange::Promote(*learner));
+        }
+        let listed = &self.parts.replica_instances;
+        let newest = membership.members().max()?;
+        if listed.len() < membership.voters().len() {
+            let replaced = membership.voters().iter().find(|id| !listed.contains_key(id))?;
+            let replacement = listed.keys().any(|id| replaced < id && membership.is_voter(*id));
+            return replacement.then_some(MembershipChange::Remove(*replaced));
+        }
+        listed.keys().filter(|id| newest < **id).min().copied().map(MembershipChange::AddLearner)
+    }
+
     /// A new coordinator for `cell`, if its current one is gone or draining.
     fn assignment(&self, now_ms: u64, leader: &LeaderState, cell: CellId) -> Option<Command> {
         let current = self.state.coordinator(cell);
--- a/crates/redwinglatch-server/src/coordinator.rs
+++ b/crates/redwinglatch-server/src/coordinator.rs
@@ -17,7 +17,7 @@
     LoadOrder, PlaceRequest, Placed, Release, Report, ReportedPin, RequestKey, SlotReport,
     TakeOver,
 };
-use redwinglatch_settings::{CellSettings, PoolSettings, Settings};
+use redwinglatch_settings::{CellSettings, EnginePool, PoolSettings, Settings};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use xtra::prelude::*;
@@ -176,7 +176,8 @@
 impl CoordinatorActor {
     pub(crate) fn spawn(mut parts: CoordinatorParts) -> Address<CoordinatorActor> {
         let cell = &parts.settings.cells[usize::from(parts.cell.0)];
-        let coordinator = Coordinator::new(placement_settings(cell), parts.rng.fork());
+        let settings = placement_settings(&parts.settings, cell);
+        let coordinator = Coordinator::new(settings, parts.rng.fork());
         let engines = configured_engines(&parts.settings, &cell.name);
         let mut actor = CoordinatorActor {
             parts,
@@ -511,7 +512,14 @@
     }
 }
 
-fn placement_settings(cell: &CellSettings) -> redwinglatch_placement::Settings {
+fn placement_settings(
+    settings: &Settings,
+    cell: &CellSettings,
+) -> redwinglatch_placement::Settings {
+    let pools = || settings.pools.iter().filter_map(PoolSettings::engine);
+    let slowest = |time_ms: fn(&EnginePool) -> u64| {
+        pools().filter(|pool| pool.cell == cell.name).map(time_ms).max()
+    };
     let base = if cell.stall_weight < cell.batch_weight {
         redwinglatch_placement::Settings::batches_first()
     } else {
@@ -523,6 +531,9 @@
         load_starvation_ms: cell.load_starvation_ms,
         stall_weight: cell.stall_weight as f32,
         batch_weight: cell.batch_weight as f32,
+        step_base_ms: slowest(|pool| pool.step_ms).unwrap_or(1) as f32,
+        // Orders of all pools stop early enough for the slowest one.
+        order_timeout_ms: slowest(|pool| pool.order_timeout_ms).unwrap_or(base.order_timeout_ms),
         ..base
     }
 }
--- a/crates/redwinglatch-server/src/instance.rs
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -68,6 +68,15 @@
     }
 }
 
+/// What the data folder of a log replica is expected to hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DataFolder {
+    /// A replica; an empty folder is refused, since a lost disk must not come back under its id.
+    Existing,
+    /// A replica or nothing yet.
+    MayBeNew,
+}
+
 /// A running instance.
 pub struct Instance {
     shared: Arc<Shared>,
@@ -83,9 +92,9 @@
     ///
     /// Fails when an address can't be bound, a secret can't be read or the data folder can't be
     /// opened.
-    pub async fn start(settings: Settings) -> Result<Instance, ServerError> {
+    pub async fn start(settings: Settings, folder: DataFolder) -> Result<Instance, ServerError> {
         let listeners = Listeners::bind(&settings.instance).await?;
-        Instance::start_on(settings, listeners).await
+        Instance::start_on(settings, folder, listeners).await
     }
 
     /// Starts the tasks of an instance on sockets that are open already.
@@ -95,6 +104,7 @@
     /// Fails when a secret can't be read or the data folder can't be opened.
     pub async fn start_on(
         settings: Settings,
+        folder: DataFolder,
         listeners: Listeners,
     ) -> Result<Instance, ServerError> {
         let mut rng = fastrand::Rng::new();
@@ -122,7 +132,7 @@
         });
         let control = match &settings.state {
             Some(state) => {
-                let opened = open_replica(&settings, state, clock, rng.fork()).await?;
+                let opened = open_replica(&settings, state, folder, clock, rng.fork()).await?;
                 let parts = ControlParts {
                     replica: opened.0,
                     lease_settings: lease_settings(&settings),
@@ -251,14 +261,14 @@
 /// # Errors
 ///
 /// Fails when the instance can't start.
-pub async fn run(settings: Settings) -> Result<(), ServerError> {
+pub async fn run(settings: Settings, folder: DataFolder) -> Result<(), ServerError> {
     use tokio::signal::unix::{SignalKind, signal};
 
     let signal_error =
         |error| ServerError::new(ServerErrorKind::Settings, "signals can't be received", error);
     let mut terminate = signal(SignalKind::terminate()).map_err(signal_error)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(signal_error)?;
-    let instance = Instance::start(settings).await?;
+    let instance = Instance::start(settings, folder).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -322,6 +332,7 @@
 async fn open_replica(
     settings: &Settings,
     state: &StateSettings,
+    folder: DataFolder,
     clock: Clock,
     rng: fastrand::Rng,
 ) -> Result<(Replica, Storage), ServerError> {
@@ -329,11 +340,27 @@
     let error = |error: &dyn std::fmt::Display| {
         ServerError::new(ServerErrorKind::Storage, context.clone(), error)
     };
+    if folder == DataFolder::Existing && !Storage::is_initialized(&state.data_dir) {
+        let detail = format!(
+            "the folder holds no replica. If replica id {} was never used, start once with --init; \
+             after the loss of a disk, take a new id with `joins = true`",
+            state.replica_id
+        );
+        return Err(error(&detail));
+    }
     let (dir, id) = (state.data_dir.clone(), state.replica_id);
     let opened = tokio::task::spawn_blocking(move || Storage::open(dir, id)).await;
     let (storage, durable) =
         opened.map_err(|cause| error(&cause))?.map_err(|cause| error(&cause))?;
-    let membership = Membership::new(settings.replicas.iter().map(|replica| replica.id));
+    let own = settings.replicas.iter().find(|replica| replica.id == state.replica_id);
+    // A replica that joins learns the members from the log.
+    let membership = match own {
+        Some(own) if own.joins => Membership::new([]),
+        _ => {
+            let first = settings.replicas.iter().filter(|replica| !replica.joins);
+            Membership::new(first.map(|replica| replica.id))
+        }
+    };
     let control = &settings.control;
     let config = ReplicaConfig {
         election_timeout_ms: control.election_timeout_ms,
--- a/crates/redwinglatch-server/src/lib.rs
+++ b/crates/redwinglatch-server/src/lib.rs
@@ -25,4 +25,4 @@
 mod status;
 
 pub use error::{ServerError, ServerErrorKind};
-pub use instance::{Instance, Listeners, run};
+pub use instance::{DataFolder, Instance, Listeners, run};
--- a/crates/redwinglatch-settings/src/instance.rs
+++ b/crates/redwinglatch-settings/src/instance.rs
@@ -94,12 +94,15 @@
     pub id: ReplicaId,
     /// The instance that holds it.
     pub instance: InstanceId,
+    /// Whether it joins a log that exists, in the place of one that was lost.
+    pub joins: bool,
 }
 
 impl ReplicaEntry {
     pub(crate) fn read(id: u32, section: &mut Section) -> ReplicaEntry {
         let instance = InstanceId(section.number("instance", None, 1..=u64::from(u32::MAX)));
-        ReplicaEntry { id: ReplicaId(id), instance }
+        let joins = section.choice("joins", Some(false), &[("true", true), ("false", false)]);
+        ReplicaEntry { id: ReplicaId(id), instance, joins: joins.unwrap_or(false) }
     }
 }
 
--- a/crates/redwinglatchd/src/main.rs
+++ b/crates/redwinglatchd/src/main.rs
@@ -8,6 +8,7 @@
 use bpaf::{Bpaf, ShellComp};
 use log::info;
 use miette::IntoDiagnostic;
+use redwinglatch_server::DataFolder;
 use redwinglatch_settings::Settings;
 
 /// The usual width of a terminal; help is wrapped to it.
@@ -35,6 +36,10 @@
     /// Check the settings and end
     #[bpaf(long)]
     check: bool,
+    /// Create the log replica if the data folder holds none; only for a replica id that was never
+    /// used
+    #[bpaf(long)]
+    init: bool,
 }
 
 fn main() -> ExitCode {
@@ -65,11 +70,12 @@
         return Ok(());
     }
     info!("daemon: instance {} starts with the settings in {file}", settings.instance.id);
-    run_server(settings)
+    let folder = if args.init { DataFolder::MayBeNew } else { DataFolder::Existing };
+    run_server(settings, folder)
 }
 
-fn run_server(settings: Settings) -> miette::Result<()> {
+fn run_server(settings: Settings, folder: DataFolder) -> miette::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.into_diagnostic()?;
-    runtime.block_on(redwinglatch_server::run(settings)).into_diagnostic()
+    runtime.block_on(redwinglatch_server::run(settings, folder)).into_diagnostic()
 }
--- a/crates/redwinglatchd/tests/support/mod.rs
+++ b/crates/redwinglatchd/tests/support/mod.rs
@@ -27,6 +27,7 @@
     children: Vec<Option<Child>>,
 }
 
+#[allow(dead_code, reason = "each test file uses a part of it")]
 impl Cluster {
     /// Starts `instances` daemons, the first `replicas` of them with a disk.
     pub(crate) async fn start(
@@ -42,19 +43,29 @@
         let mut cluster = Cluster { fakes, layout, children: Vec::new() };
         for position in 0..instances {
             cluster.children.push(None);
-            cluster.spawn(position);
+            cluster.spawn_new(position);
         }
         cluster
     }
 
-    /// Starts the daemon at `position`.
+    /// Starts the daemon at `position` on the folder that it has.
     pub(crate) fn spawn(&mut self, position: usize) {
+        self.spawn_with(position, &[]);
+    }
+
+    /// Starts the daemon at `position` and creates its log replica if it has none.
+    pub(crate) fn spawn_new(&mut self, position: usize) {
+        self.spawn_with(position, &["--init"]);
+    }
+
+    fn spawn_with(&mut self, position: usize, arguments: &[&str]) {
         let settings = self.file(position, "ini");
         std::fs::write(&settings, self.layout.settings_text(position)).unwrap();
         let log = File::options().create(true).append(true).open(self.file(position, "log"));
         let child = Command::new(env!("CARGO_BIN_EXE_redwinglatchd"))
             .arg("--config")
             .arg(&settings)
+            .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log.unwrap())
@@ -75,14 +86,28 @@
         }
     }
 
+    /// Whether the daemon at `position` has ended by itself, and how.
+    pub(crate) async fn ended(&mut self, position: usize) -> Option<i32> {
+        let child = self.children[position].as_mut().unwrap();
+        let give_up_at = Instant::now() + START_LIMIT;
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                self.children[position] = None;
+                return status.code();
+            }
+            if give_up_at < Instant::now() {
+                return None;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Stops a daemon's process without ending it; its connections stay open and silent.
-    #[allow(dead_code, reason = "not every test file freezes daemons")]
     pub(crate) fn freeze(&self, position: usize) {
         self.signal(position, "-STOP");
     }
 
     /// Lets a frozen daemon go on.
-    #[allow(dead_code, reason = "not every test file freezes daemons")]
     pub(crate) fn thaw(&self, position: usize) {
         self.signal(position, "-CONT");
     }
@@ -161,7 +186,6 @@
     }
 
     /// The position of the control leader.
-    #[allow(dead_code, reason = "not every test file looks for the leader")]
     pub(crate) async fn leader(&self, asked: usize) -> Option<usize> {
         let leader = self.status(asked).await?.leader?;
         Some(leader.instance.0 as usize - 1)
