--- a/crates/redwinglatch-log/src/entry.rs
+++ b/crates/redwinglatch-log/src/entry.rs
@@ -45,14 +45,21 @@
     /// The entry's approximate size in memory and in a message.
     #[must_use]
     pub fn size_bytes(&self) -> usize {
+        self.kind.size_bytes()
+    }
+}
+
+impl EntryKind {
+    /// The approximate size of an entry of this kind.
+    pub(crate) fn size_bytes(&self) -> usize {
         /// Covers the varints of index, term, kind and length.
         const OVERHEAD_BYTES: usize = 32;
-        OVERHEAD_BYTES
-            + match &self.kind {
-                EntryKind::Empty => 0,
-                EntryKind::Data(data) => data.len(),
-                EntryKind::Membership(membership) => membership.size_bytes(),
-            }
+        let data_bytes = match self {
+            EntryKind::Empty => 0,
+            EntryKind::Data(data) => data.len(),
+            EntryKind::Membership(membership) => membership.size_bytes(),
+        };
+        OVERHEAD_BYTES + data_bytes
     }
 }
 
--- a/crates/redwinglatch-log/src/replica/leader.rs
+++ b/crates/redwinglatch-log/src/replica/leader.rs
@@ -7,8 +7,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    AppendResult, EntryKind, Index, MAX_ENTRY_BYTES, MessageKind, ProposeError, Replica, Role,
-    Stamp,
+    AppendResult, Entry, EntryKind, Index, MAX_ENTRY_BYTES, MessageKind, ProposeError, Replica,
+    Role, Stamp,
     progress::{Progress, SendState},
 };
 
@@ -84,12 +84,13 @@
         if data.len() > MAX_ENTRY_BYTES {
             return Err(ProposeError::TooLarge { size_bytes: data.len() });
         }
-        let uncommitted_bytes = leading.uncommitted_bytes + data.len();
+        let kind = EntryKind::Data(data);
+        let uncommitted_bytes = leading.uncommitted_bytes + kind.size_bytes();
         if leading.uncommitted_bytes > 0 && uncommitted_bytes > self.config.max_uncommitted_bytes {
             return Err(ProposeError::Busy);
         }
         leading.uncommitted_bytes = uncommitted_bytes;
-        Ok(self.append_entry(EntryKind::Data(data)))
+        Ok(self.append_entry(kind))
     }
 
     /// Whether no other replica can lead at present.
@@ -262,13 +263,14 @@
         if index <= self.commit || self.log.term_at(index) != Some(self.term) {
             return;
         }
-        let newly = (self.commit + 1..=index).filter_map(|index| self.log.get(index));
-        let committed_bytes: usize = newly
-            .map(|entry| if let EntryKind::Data(data) = &entry.kind { data.len() } else { 0 })
-            .sum();
+        let first = self.commit + 1;
         self.commit = index;
         if let Some(leading) = &mut self.leading {
-            leading.uncommitted_bytes = leading.uncommitted_bytes.saturating_sub(committed_bytes);
+            // Entries of earlier leaders and membership changes were not counted.
+            let counted = (first.max(leading.first_index)..=index)
+                .filter_map(|index| self.log.get(index))
+                .filter(|entry| matches!(entry.kind, EntryKind::Data(_)));
+            leading.uncommitted_bytes -= counted.map(Entry::size_bytes).sum::<usize>();
         }
         self.confirm_reads();
         self.membership_committed();
--- a/crates/redwinglatch-log/tests/common/cluster.rs
+++ b/crates/redwinglatch-log/tests/common/cluster.rs
@@ -1,19 +1,25 @@
 //! Runs replicas over a faulty network and faulty disks and checks the invariants.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    ops::Range,
+};
 
 use redwinglatch_core::ReplicaId;
 use redwinglatch_log::{
-    Effects, Entry, EntryKind, Index, LogMessage, Membership, MembershipChange, ReadId, Replica,
-    ReplicaConfig, Storage, Term, encode_record,
+    Effects, Index, LogMessage, Membership, MembershipChange, ReadId, Replica, ReplicaConfig,
+    Storage, Term,
 };
 
-use super::disk::Disk;
+use super::{
+    disk::Disk,
+    history::{History, chain},
+};
 
 /// The largest lease that [`ReplicaConfig::check`] allows for this timeout and 1 % drift.
 const ELECTION_TIMEOUT_MS: u64 = 400;
 const LEADER_LEASE_MS: u64 = 390;
-const DRIFT_PERMILLE: i64 = 10;
+pub const DRIFT_PERMILLE: i64 = 10;
 
 fn config(
     id: ReplicaId,
@@ -51,7 +57,7 @@
     pub disk: Disk,
     initial_membership: Membership,
     clock_offset_ms: u64,
-    drift_permille: i64,
+    pub drift_permille: i64,
     paused_until_us: u64,
     pub process: Option<Process>,
 }
@@ -63,46 +69,26 @@
     replacement: ReplicaId,
 }
 
-/// A committed entry.
-#[derive(Default)]
-pub struct Committed {
-    term: Term,
-    digest: u32,
-    /// The hash of the log up to the entry.
-    hash: u32,
-    /// The term in which the commit was first seen; leaders of later terms have the entry.
-    seen_in: Term,
-}
-
 pub struct Cluster {
     pub rng: fastrand::Rng,
     pub nodes: Vec<Node>,
     pub faults: bool,
+    /// How far time advances in a step.
+    pub step_us: Range<u64>,
+    /// How long an ordinary message takes.
+    pub delay_us: Range<u64>,
     max_batch_entries: usize,
-    /// How often proposals are made and the leader is hit, which differs between schedules.
+    /// How often proposals are made, the leader is hit and partitions end in this schedule.
     proposals_per_256: u8,
     leader_faults_per_1000: u32,
+    heals_per_1000: u32,
     now_us: u64,
     next_message: u64,
     network: BTreeMap<(u64, u64), (ReplicaId, ReplicaId, Vec<u8>)>,
     blocked: HashSet<(ReplicaId, ReplicaId)>,
     repair: Option<Repair>,
     pub repairs: u32,
-    leaders: HashMap<Term, ReplicaId>,
-    /// Each entry seen in any log, with the term before it.
-    entries: HashMap<(Index, Term), (u32, Term)>,
-    pub committed: Vec<Committed>,
-    membership: (Index, Membership),
-}
-
-fn digest(entry: &Entry) -> u32 {
-    let mut record = Vec::new();
-    encode_record(entry, &mut record);
-    crc32fast::hash(&record)
-}
-
-fn chain(hash: u32, digest: u32) -> u32 {
-    crc32fast::hash(&[hash.to_le_bytes(), digest.to_le_bytes()].concat())
+    pub history: History,
 }
 
 impl Cluster {
@@ -113,7 +99,10 @@
             max_batch_entries: rng.usize(1..=8),
             proposals_per_256: rng.u8(5..120),
             leader_faults_per_1000: rng.u32(0..30),
+            heals_per_1000: rng.u32(3..40),
             rng,
+            step_us: 200..15_000,
+            delay_us: 200..12_000,
             nodes: Vec::new(),
             faults: true,
             now_us: 0,
@@ -122,10 +111,7 @@
             blocked: HashSet::new(),
             repair: None,
             repairs: 0,
-            leaders: HashMap::new(),
-            entries: HashMap::new(),
-            committed: vec![Committed::default()],
-            membership: (0, membership.clone()),
+            history: History::new(membership.clone()),
         };
         for _ in 0..size {
             cluster.add_node(membership.clone());
@@ -140,7 +126,8 @@
             disk: Disk::default(),
             initial_membership,
             clock_offset_ms: 0,
-            drift_permille: self.rng.i64(-DRIFT_PERMILLE..=DRIFT_PERMILLE),
+            // The extremes come closest to a wrong lease.
+            drift_permille: DRIFT_PERMILLE * self.rng.i64(-1..=1),
             paused_until_us: 0,
             process: None,
         });
@@ -156,8 +143,10 @@
         let (storage, durable) =
             Storage::open_with("/log", node.id, node.disk.files()).expect("the disk opens");
         let storage = storage.segment_bytes(512);
-        let applied =
-            durable.snapshot.as_ref().map_or((0, 0), |s| self.check_snapshot(s.index, &s.data));
+        let applied = durable
+            .snapshot
+            .as_ref()
+            .map_or((0, 0), |s| self.history.check_snapshot(s.index, &s.data));
         let node = &mut self.nodes[at];
         let config = config(node.id, node.initial_membership.clone(), self.max_batch_entries);
         let rng = fastrand::Rng::with_seed(self.rng.u64(..));
@@ -184,7 +173,7 @@
 
     /// Advances time a little and lets everything that is due happen.
     pub fn step(&mut self) {
-        self.now_us += self.rng.u64(200..15_000);
+        self.now_us += self.rng.u64(self.step_us.clone());
         self.deliver();
         if self.faults {
             self.inject_fault();
@@ -231,7 +220,7 @@
                 self.flush_disk(at);
                 continue;
             }
-            self.register(at, &effects);
+            self.history.register(&process.replica, &effects);
             for outgoing in &effects.messages {
                 self.send(self.nodes[at].id, outgoing.to, &outgoing.message);
             }
@@ -281,7 +270,8 @@
         };
         for _ in 0..copies {
             let slow = self.faults && self.rng.u8(0..100) < 4;
-            let delay_us = self.rng.u64(200..if slow { 1_500_000 } else { 12_000 });
+            let delay_us = if slow { 200..1_500_000 } else { self.delay_us.clone() };
+            let delay_us = self.rng.u64(delay_us);
             self.next_message += 1;
             let key = (self.now_us + delay_us, self.next_message);
             self.network.insert(key, (from, to, bytes.clone()));
@@ -298,6 +288,9 @@
             }
             return;
         }
+        if self.rng.u32(0..1000) < self.heals_per_1000 {
+            self.blocked.clear();
+        }
         if self.rng.u32(0..1000) < self.leader_faults_per_1000
             && let Some(leader) = self.leader()
         {
@@ -319,15 +312,18 @@
             0..6 => self.blocked.extend(others.iter().flat_map(|&o| [(id, o), (o, id)])),
             6..10 => self.blocked.extend(others.iter().map(|&o| (id, o))),
             10..14 => self.blocked.extend(others.iter().map(|&o| (o, id))),
-            14..18 => {
-                // The leader is cut off and goes on to believe that it leads.
-                if let Some(leader) = self.leader().map(|at| self.nodes[at].id) {
-                    self.blocked.extend(others.iter().map(|&o| (leader, o)));
-                    self.blocked.extend(others.iter().map(|&o| (o, leader)));
+            14..18 => self.cut_off_leader(),
+            18..22 => {
+                // Two replicas lose contact that others still have.
+                let other = others[self.rng.usize(0..others.len())];
+                self.blocked.extend([(id, other), (other, id)]);
+            }
+            45..52 => {
+                self.crash(at);
+                if self.rng.bool() {
+                    self.start(at);
                 }
             }
-            18..45 => self.blocked.clear(),
-            45..52 => self.crash(at),
             52..60 => {
                 let left = self.rng.u32(0..20);
                 self.nodes[at].disk.state().operations_left = Some(left);
@@ -342,6 +338,24 @@
         }
     }
 
+    /// Cuts the leader off, which goes on to believe that it leads.
+    pub fn cut_off_leader(&mut self) {
+        let Some(id) = self.leader().map(|at| self.nodes[at].id) else { return };
+        self.blocked.extend(self.nodes.iter().flat_map(|other| [(id, other.id), (other.id, id)]));
+    }
+
+    pub fn heal(&mut self) {
+        self.blocked.clear();
+    }
+
+    /// Steps for `duration_ms`.
+    pub fn run(&mut self, duration_ms: u64) {
+        let end_us = self.now_us + duration_ms * 1000;
+        while self.now_us < end_us {
+            self.step();
+        }
+    }
+
     /// Loses a disk; a replica with a new id takes its place. Only one is lost at a time.
     fn lose(&mut self, at: usize) {
         let lost = self.nodes[at].id;
@@ -353,13 +367,13 @@
 
     /// Whether the cluster can't settle without this replica.
     fn is_needed(&self, id: ReplicaId) -> bool {
-        self.membership.1.members().any(|member| member == id)
+        self.history.membership.members().any(|member| member == id)
             || self.repair.as_ref().is_some_and(|repair| repair.replacement == id)
     }
 
     fn continue_repair(&mut self) {
         let Some(Repair { lost, replacement }) = self.repair else { return };
-        let members = &self.membership.1;
+        let members = &self.history.membership;
         if members.is_voter(replacement) && !members.is_voter(lost) {
             self.repair = None;
             self.repairs += 1;
@@ -388,7 +402,7 @@
 
     /// Proposes, reads and hands over on each node that believes that it leads.
     fn use_leaders(&mut self) {
-        let highest = self.committed.len() as u64 - 1;
+        let highest = self.history.committed.len() as u64 - 1;
         for node in &mut self.nodes {
             let Some((process, now_ms)) = node.awake(self.now_us) else { continue };
             if process.replica.snapshot_due() {
@@ -420,96 +434,45 @@
         }
     }
 
-    /// Checks log matching for the entries that a node appends.
-    fn register(&mut self, at: usize, effects: &Effects) {
-        let Some(process) = &self.nodes[at].process else { return };
-        for entry in &effects.append {
-            let before = process.replica.entry(entry.index - 1).map(|entry| entry.term);
-            let Some(before) = before.or((entry.index == 1).then_some(0)) else { continue };
-            let new = (digest(entry), before);
-            let known = *self.entries.entry((entry.index, entry.term)).or_insert(new);
-            assert_eq!(known, new, "logs differ at index {} term {}", entry.index, entry.term);
-        }
-    }
-
     fn apply(&mut self, at: usize, effects: &Effects) {
         if let Some(snapshot) = &effects.restore {
-            let applied = self.check_snapshot(snapshot.index, &snapshot.data);
+            let applied = self.history.check_snapshot(snapshot.index, &snapshot.data);
             if let Some(process) = &mut self.nodes[at].process {
                 process.applied = applied;
             }
         }
         for entry in &effects.committed {
             let Some(process) = &mut self.nodes[at].process else { return };
-            let term = process.replica.term();
-            self.record_committed(entry, term);
-            let Some(process) = &mut self.nodes[at].process else { return };
+            self.history.record_committed(entry, process.replica.term());
             assert_eq!(entry.index, process.applied.0 + 1, "an entry is applied out of order");
-            process.applied = (entry.index, chain(process.applied.1, digest(entry)));
+            process.applied = (entry.index, chain(process.applied.1, entry));
         }
         let Some(process) = &mut self.nodes[at].process else { return };
         for read in &effects.reads {
             let earliest = process.reads.remove(&read.id).expect("each read ends once");
-            assert!(read.index.is_none_or(|index| index >= earliest), "a confirmed read is stale");
-        }
-    }
-
-    fn check_snapshot(&self, index: Index, data: &[u8]) -> (Index, u32) {
-        let hash = u32::from_le_bytes(data[..4].try_into().unwrap());
-        let expected = self.committed[usize::try_from(index).unwrap()].hash;
-        assert_eq!(hash, expected, "the snapshot at {index} differs from the committed entries");
-        (index, hash)
-    }
-
-    fn record_committed(&mut self, entry: &Entry, seen_in: Term) {
-        let (term, digest) = (entry.term, digest(entry));
-        let at = usize::try_from(entry.index).unwrap();
-        if let Some(known) = self.committed.get(at) {
-            assert_eq!((known.term, known.digest), (term, digest), "committed entry {at} changed");
-            return;
-        }
-        assert_eq!(at, self.committed.len(), "an entry was committed before its predecessor");
-        let hash = chain(self.committed[at - 1].hash, digest);
-        self.committed.push(Committed { term, digest, hash, seen_in });
-        if let EntryKind::Membership(membership) = &entry.kind {
-            self.membership = (entry.index, membership.clone());
+            let valid = earliest..=process.replica.commit_index();
+            let fits = read.index.is_none_or(|index| valid.contains(&index));
+            assert!(fits, "read at {:?} is outside {valid:?}", read.index);
         }
     }
 
     fn check_invariants(&mut self) {
         let mut lease: Option<(Term, ReplicaId)> = None;
         let mut newest_leader: Term = 0;
-        for at in 0..self.nodes.len() {
-            let Node { id, .. } = self.nodes[at];
-            let now_ms = self.nodes[at].clock_ms(self.now_us);
-            let Some(process) = &self.nodes[at].process else { continue };
-            let (term, commit) = (process.replica.term(), process.replica.commit_index());
-            let valid = process.replica.leader_lease_valid(now_ms);
-            if process.replica.is_leader() {
+        for node in &self.nodes {
+            let Some(Process { replica, .. }) = &node.process else { continue };
+            let (id, term) = (node.id, replica.term());
+            if replica.is_leader() {
                 newest_leader = newest_leader.max(term);
-                let leader = *self.leaders.entry(term).or_insert(id);
-                assert_eq!(leader, id, "term {term} has two leaders");
-                let last = process.replica.last_index();
-                for (index, known) in self.committed.iter().enumerate().skip(1) {
-                    let index = index as u64;
-                    let entry = process.replica.entry(index);
-                    // Entries before the snapshot are checked by its hash.
-                    let kept = entry.is_none_or(|entry| entry.term == known.term) && index <= last;
-                    assert!(
-                        kept || known.seen_in >= term,
-                        "leader {id} of term {term} lost committed entry {index}"
-                    );
-                }
+                self.history.check_leader(replica);
             }
-            if valid {
+            if replica.leader_lease_valid(node.clock_ms(self.now_us)) {
                 let (other_term, other) = *lease.get_or_insert((term, id));
                 assert_eq!(other_term, term, "replicas {id} and {other} both hold a lease");
             }
-            let first = self.committed.len() as u64;
-            let entries: Vec<_> =
-                (first..=commit).map_while(|index| process.replica.entry(index).cloned()).collect();
-            for entry in entries {
-                self.record_committed(&entry, term);
+            for index in self.history.committed.len() as u64..=replica.commit_index() {
+                let Some(entry) = replica.entry(index) else { break };
+                self.history.record_committed(entry, term);
             }
         }
         if let Some((term, id)) = lease {
@@ -533,13 +496,13 @@
                 self.start(at);
             }
         }
-        let before = self.committed.len();
+        let before = self.history.committed.len();
         let end_us = self.now_us + 60_000_000;
         while !self.is_settled(before) {
             assert!(
                 self.now_us < end_us,
                 "the cluster doesn't recover within 60 s: {:?}, repair {:?}, {:#?}",
-                self.membership,
+                self.history.membership,
                 self.repair,
                 self.nodes.iter().map(|node| (node.id, &node.process)).collect::<Vec<_>>()
             );
@@ -548,7 +511,7 @@
     }
 
     fn is_settled(&self, before: usize) -> bool {
-        let members = &self.membership.1;
+        let members = &self.history.membership;
         let applied = |node: &&Node| node.process.as_ref().map(|process| process.applied.0);
         let voters = self.nodes.iter().filter(|node| members.is_voter(node.id));
         self.repair.is_none()
--- a/crates/redwinglatch-log/tests/common/disk.rs
+++ b/crates/redwinglatch-log/tests/common/disk.rs
@@ -23,6 +23,8 @@
     /// Every operation fails after this many.
     pub operations_left: Option<u32>,
     pub sync_fails: bool,
+    /// Syncs seem to work, but do nothing.
+    pub sync_lies: bool,
     pub capacity_bytes: Option<usize>,
 }
 
@@ -58,6 +60,7 @@
             return Err(io::Error::other("injected sync failure"));
         }
         match inode {
+            _ if self.sync_lies => {}
             Some(inode) => self.inodes[inode].synced = self.inodes[inode].current.clone(),
             None => self.synced_names = self.names.clone(),
         }
--- a/crates/redwinglatch-log/tests/common/mod.rs
+++ b/crates/redwinglatch-log/tests/common/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod cluster;
 pub mod disk;
+pub mod history;
--- a/crates/redwinglatch-log/tests/replica.rs
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -2,8 +2,9 @@
 
 use redwinglatch_core::ReplicaId;
 use redwinglatch_log::{
-    ConfigError, DurableState, Effects, LogMessage, Membership, MembershipChange, MembershipError,
-    MessageKind, ProposeError, ReadOutcome, Replica, ReplicaConfig, Role, Stamp, TransferError,
+    AppendResult, ConfigError, DurableState, Effects, Entry, EntryKind, HardState, LogMessage,
+    Membership, MembershipChange, MembershipError, MessageKind, ProposeError, ReadOutcome, Replica,
+    ReplicaConfig, Role, Stamp, TransferError,
 };
 
 /// Replicas over a network without delay and disks that sync at once.
@@ -21,6 +22,10 @@
 }
 
 fn replica(id: u32, initial_membership: Membership) -> Replica {
+    replica_started_at(0, id, initial_membership)
+}
+
+fn replica_started_at(now_ms: u64, id: u32, initial_membership: Membership) -> Replica {
     let config = ReplicaConfig {
         max_batch_entries: 40,
         snapshot_chunk_bytes: 100,
@@ -28,7 +33,7 @@
         ..ReplicaConfig::new(ReplicaId(id), initial_membership)
     };
     let rng = fastrand::Rng::with_seed(u64::from(id));
-    Replica::new(config, DurableState::default(), 0, rng).unwrap()
+    Replica::new(config, DurableState::default(), now_ms, rng).unwrap()
 }
 
 fn take_synced(replica: &mut Replica) -> Effects {
@@ -106,22 +111,26 @@
     }
 }
 
-fn append(term: u64, sent_ms: u64) -> LogMessage {
-    let stamp = Stamp { round: 1, sent_ms };
-    let kind =
-        MessageKind::Append { prev_index: 0, prev_term: 0, entries: Vec::new(), commit: 0, stamp };
+fn matched(index: u64) -> MessageKind {
+    let result = AppendResult::Matched { index };
+    MessageKind::AppendReply { stamp: Stamp::default(), result }
+}
+
+fn append_after(prev: (u64, u64), entries: Vec<Entry>, commit: u64, term: u64) -> LogMessage {
+    let ((prev_index, prev_term), stamp) = (prev, Stamp::default());
+    let kind = MessageKind::Append { prev_index, prev_term, entries, commit, stamp };
     LogMessage { term, kind }
 }
 
 /// Guards against a lease that is extended by the stamp of an old term: the answer to an old
-/// message reaches its sender in the term that the sender leads by now (found by schedule 1980).
+/// message reaches its sender in the term that the sender leads by now.
 #[test]
 fn an_old_term_is_answered_without_its_stamp() {
     let mut replica = replica(1, ids(1..=3));
-    replica.step(ReplicaId(2), append(5, 100), 10);
+    replica.step(ReplicaId(2), append_after((0, 0), Vec::new(), 0, 5), 10);
     let _ = take_synced(&mut replica);
     let _ = take_synced(&mut replica);
-    replica.step(ReplicaId(3), append(4, 9000), 11);
+    replica.step(ReplicaId(3), append_after((0, 0), Vec::new(), 0, 4), 11);
     let messages = take_synced(&mut replica).messages;
     assert_eq!(messages.len(), 1);
     assert_eq!(messages[0].message, LogMessage { term: 5, kind: MessageKind::OldTerm });
@@ -140,8 +149,12 @@
     let message = voter.take_effects().messages.pop().unwrap().message;
     assert_eq!(message.kind, MessageKind::VoteReply { granted: true });
 
+    // The sync of an earlier write says nothing about the candidate's vote for itself.
     let mut single = replica(1, ids(1..=1));
+    single.step(ReplicaId(2), LogMessage { term: 5, kind: MessageKind::OldTerm }, 0);
+    let earlier = single.take_effects().write.unwrap();
     single.tick(2000);
+    single.persisted(earlier);
     let effects = single.take_effects();
     assert_eq!(single.role(), Role::Candidate);
     single.persisted(effects.write.unwrap());
@@ -152,6 +165,96 @@
     assert_eq!(single.take_effects().committed.len(), 1);
 }
 
+/// Guards against a vote against a leader whose lease the voter prolonged just before it restarted.
+#[test]
+fn a_restarted_voter_refuses_votes_for_an_election_timeout() {
+    let mut voter = replica_started_at(5000, 1, ids(1..=3));
+    let ask = |voter: &mut Replica, now_ms| {
+        let pre_vote = MessageKind::PreVote { last_index: 0, last_term: 0 };
+        let vote = MessageKind::Vote { last_index: 0, last_term: 0, transfer: false };
+        for kind in [pre_vote, vote] {
+            voter.step(ReplicaId(2), LogMessage { term: 1, kind }, now_ms);
+        }
+        let mut messages = take_synced(voter).messages;
+        messages.extend(take_synced(voter).messages);
+        messages.into_iter().map(|outgoing| outgoing.message.kind).collect::<Vec<_>>()
+    };
+    assert_eq!(ask(&mut voter, 5799), [MessageKind::PreVoteReply { granted: false }]);
+    let granted =
+        [MessageKind::PreVoteReply { granted: true }, MessageKind::VoteReply { granted: true }];
+    assert_eq!(ask(&mut voter, 5800), granted);
+}
+
+/// Guards against a committed entry that a later leader replaces: a majority that has an entry of
+/// an earlier term may still elect a leader without it.
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_itself() {
+    let entries = vec![Entry { index: 1, term: 1, kind: EntryKind::Empty }];
+    let hard_state = HardState { term: 2, voted_for: None };
+    let durable = DurableState { hard_state, snapshot: None, entries };
+    let config = ReplicaConfig::new(ReplicaId(1), ids(1..=3));
+    let mut replica = Replica::new(config, durable, 0, fastrand::Rng::with_seed(1)).unwrap();
+    replica.tick(1600);
+    let replies = [
+        MessageKind::PreVoteReply { granted: true },
+        MessageKind::VoteReply { granted: true },
+        matched(1),
+    ];
+    for kind in replies {
+        replica.step(ReplicaId(2), LogMessage { term: 3, kind }, 1600);
+        let _ = take_synced(&mut replica);
+    }
+    assert_eq!((replica.role(), replica.last_index()), (Role::Leader, 2));
+    assert_eq!(replica.commit_index(), 0);
+    // Another leader may have changed the same members in another way.
+    let change = MembershipChange::AddLearner(ReplicaId(4));
+    assert_eq!(replica.propose_membership(change, 1600), Err(MembershipError::NotReady));
+    replica.step(ReplicaId(2), LogMessage { term: 3, kind: matched(2) }, 1600);
+    assert_eq!(replica.commit_index(), 2);
+}
+
+/// Guards against proposals without bound while the majority is out of reach.
+#[test]
+fn uncommitted_proposals_are_limited() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    group.isolate(1);
+    let now_ms = group.now_ms;
+    let data = vec![0; 1 << 20];
+    let accepted = (0..100).take_while(|_| group.get(1).propose(data.clone(), now_ms).is_ok());
+    assert_eq!(accepted.count(), 15);
+    assert_eq!(group.get(1).propose(data, now_ms), Err(ProposeError::Busy));
+    group.cut.clear();
+    group.run(300);
+    group.propose(1);
+}
+
+/// Guards against entries of an earlier leader that are acknowledged or committed as the current
+/// leader's, and against entries that are applied before they are synced.
+#[test]
+fn a_follower_answers_only_for_what_the_message_covered() {
+    let mut follower = replica(1, ids(1..=3));
+    let entries = [1, 1, 2].into_iter().zip(1..);
+    let entries: Vec<_> =
+        entries.map(|(term, index)| Entry { index, term, kind: EntryKind::Empty }).collect();
+    follower.step(ReplicaId(2), append_after((0, 0), entries, 0, 2), 10);
+    let _ = take_synced(&mut follower);
+    let _ = take_synced(&mut follower);
+    // The leader of term 3 has other entries after index 2 and has committed them.
+    follower.step(ReplicaId(3), append_after((2, 1), Vec::new(), 3, 3), 20);
+    let _ = take_synced(&mut follower);
+    let effects = take_synced(&mut follower);
+    assert_eq!(effects.messages[0].message.kind, matched(2));
+    assert_eq!((follower.commit_index(), follower.applied_index()), (2, 2));
+    let replaced = vec![Entry { index: 3, term: 3, kind: EntryKind::Empty }];
+    follower.step(ReplicaId(3), append_after((2, 1), replaced, 3, 3), 30);
+    let effects = follower.take_effects();
+    assert_eq!((effects.truncate, effects.append.len()), (Some(3), 1));
+    assert_eq!((follower.commit_index(), effects.committed.len()), (3, 0));
+    follower.persisted(effects.write.unwrap());
+    assert_eq!(follower.take_effects().committed.len(), 1);
+}
+
 /// Guards against a learner that votes before it has the entries that were committed when its
 /// promotion was asked for.
 #[test]
@@ -289,7 +392,7 @@
     let effects = group.get(1).take_effects();
     assert_eq!(effects.reads.iter().map(|read| read.index).collect::<Vec<_>>(), [None]);
     assert!(effects.messages.is_empty() && !group.get(1).leader_lease_valid(now_ms));
-    group.get(1).step(ReplicaId(2), append(9, 0), now_ms + 1);
+    group.get(1).step(ReplicaId(2), append_after((0, 0), Vec::new(), 0, 9), now_ms + 1);
     group.get(1).tick(now_ms + 9000);
     assert!(group.get(1).take_effects().is_empty());
     assert_eq!(group.get(1).role(), Role::Halted);
