--- a/crates/redwinglatch-log/src/replica/leader.rs
+++ b/crates/redwinglatch-log/src/replica/leader.rs
@@ -7,8 +7,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    AppendResult, EntryKind, Index, MAX_ENTRY_BYTES, MessageKind, ProposeError, Replica, Role,
-    Stamp,
+    AppendResult, Entry, EntryKind, Index, MAX_ENTRY_BYTES, MessageKind, ProposeError, Replica,
+    Role, Stamp,
     progress::{Progress, SendState},
 };
 
@@ -84,12 +84,13 @@
         if data.len() > MAX_ENTRY_BYTES {
             return Err(ProposeError::TooLarge { size_bytes: data.len() });
         }
-        let uncommitted_bytes = leading.uncommitted_bytes + data.len();
+        let kind = EntryKind::Data(data);
+        let uncommitted_bytes = leading.uncommitted_bytes + kind.size_bytes();
         if leading.uncommitted_bytes > 0 && uncommitted_bytes > self.config.max_uncommitted_bytes {
             return Err(ProposeError::Busy);
         }
         leading.uncommitted_bytes = uncommitted_bytes;
-        Ok(self.append_entry(EntryKind::Data(data)))
+        Ok(self.append_entry(kind))
     }
 
     /// Whether no other replica can lead at present.
@@ -165,10 +166,13 @@
             log::info!("log: sends the snapshot at {} to replica {to}", snapshot.index);
             progress.state = SendState::Snapshot { snapshot, offset: 0, waiting: false };
         }
+        let in_contact = self.is_in_contact(progress);
         let last_index = self.log.last_index();
         let max_bytes = self.config.max_batch_bytes;
         match &mut progress.state {
             SendState::Probe { waiting } => {
+                // The entries went out before; a replica that is down gets them only once.
+                let max_bytes = if *waiting { 0 } else { max_bytes };
                 if contact_due || !*waiting {
                     *waiting = true;
                     self.send_append(to, progress.next_index, max_bytes, stamp);
@@ -190,8 +194,10 @@
             }
             SendState::Snapshot { snapshot, offset, waiting } => {
                 if contact_due || !*waiting {
+                    // A replica that is down gets the chunk again once it answers.
+                    let repeat = *waiting && !in_contact;
+                    let chunk_bytes = if repeat { 0 } else { self.config.snapshot_chunk_bytes };
                     *waiting = true;
-                    let chunk_bytes = self.config.snapshot_chunk_bytes;
                     let kind =
                         super::snapshot::chunk_message(snapshot, *offset, chunk_bytes, stamp);
                     self.send_now(to, kind);
@@ -262,13 +268,14 @@
         if index <= self.commit || self.log.term_at(index) != Some(self.term) {
             return;
         }
-        let newly = (self.commit + 1..=index).filter_map(|index| self.log.get(index));
-        let committed_bytes: usize = newly
-            .map(|entry| if let EntryKind::Data(data) = &entry.kind { data.len() } else { 0 })
-            .sum();
+        let first = self.commit + 1;
         self.commit = index;
         if let Some(leading) = &mut self.leading {
-            leading.uncommitted_bytes = leading.uncommitted_bytes.saturating_sub(committed_bytes);
+            // Entries of earlier leaders and membership changes were not counted.
+            let counted = (first.max(leading.first_index)..=index)
+                .filter_map(|index| self.log.get(index))
+                .filter(|entry| matches!(entry.kind, EntryKind::Data(_)));
+            leading.uncommitted_bytes -= counted.map(Entry::size_bytes).sum::<usize>();
         }
         self.confirm_reads();
         self.membership_committed();
--- a/crates/redwinglatch-log/tests/replica.rs
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -2,8 +2,9 @@
 
 use redwinglatch_core::ReplicaId;
 use redwinglatch_log::{
-    ConfigError, DurableState, Effects, LogMessage, Membership, MembershipChange, MembershipError,
-    MessageKind, ProposeError, ReadOutcome, Replica, ReplicaConfig, Role, Stamp, TransferError,
+    AppendResult, ConfigError, DurableState, Effects, Entry, EntryKind, HardState, LogMessage,
+    Membership, MembershipChange, MembershipError, MessageKind, Outgoing, ProposeError,
+    ReadOutcome, Replica, ReplicaConfig, Role, Stamp, TransferError,
 };
 
 /// Replicas over a network without delay and disks that sync at once.
@@ -12,7 +13,7 @@
     now_ms: u64,
     /// Links (from, to) that lose everything.
     cut: Vec<(u32, u32)>,
-    messages: Vec<LogMessage>,
+    messages: Vec<Outgoing>,
     reads: Vec<ReadOutcome>,
 }
 
@@ -21,14 +22,19 @@
 }
 
 fn replica(id: u32, initial_membership: Membership) -> Replica {
+    replica_started_at(0, id, initial_membership)
+}
+
+fn replica_started_at(now_ms: u64, id: u32, initial_membership: Membership) -> Replica {
     let config = ReplicaConfig {
         max_batch_entries: 40,
+        max_uncommitted_bytes: 1 << 20,
         snapshot_chunk_bytes: 100,
         retained_entries: 0,
         ..ReplicaConfig::new(ReplicaId(id), initial_membership)
     };
     let rng = fastrand::Rng::with_seed(u64::from(id));
-    Replica::new(config, DurableState::default(), 0, rng).unwrap()
+    Replica::new(config, DurableState::default(), now_ms, rng).unwrap()
 }
 
 fn take_synced(replica: &mut Replica) -> Effects {
@@ -83,7 +89,7 @@
             busy |= !effects.is_empty();
             self.reads.extend(effects.reads);
             for outgoing in effects.messages {
-                self.messages.push(outgoing.message.clone());
+                self.messages.push(outgoing.clone());
                 let now_ms = self.now_ms;
                 if !self.cut.contains(&(from, outgoing.to.0)) {
                     self.get(outgoing.to.0).step(ReplicaId(from), outgoing.message, now_ms);
@@ -106,22 +112,26 @@
     }
 }
 
-fn append(term: u64, sent_ms: u64) -> LogMessage {
-    let stamp = Stamp { round: 1, sent_ms };
-    let kind =
-        MessageKind::Append { prev_index: 0, prev_term: 0, entries: Vec::new(), commit: 0, stamp };
+fn matched(index: u64) -> MessageKind {
+    let result = AppendResult::Matched { index };
+    MessageKind::AppendReply { stamp: Stamp::default(), result }
+}
+
+fn append_after(prev: (u64, u64), entries: Vec<Entry>, commit: u64, term: u64) -> LogMessage {
+    let ((prev_index, prev_term), stamp) = (prev, Stamp::default());
+    let kind = MessageKind::Append { prev_index, prev_term, entries, commit, stamp };
     LogMessage { term, kind }
 }
 
 /// Guards against a lease that is extended by the stamp of an old term: the answer to an old
-/// message reaches its sender in the term that the sender leads by now (found by schedule 1980).
+/// message reaches its sender in the term that the sender leads by now.
 #[test]
 fn an_old_term_is_answered_without_its_stamp() {
     let mut replica = replica(1, ids(1..=3));
-    replica.step(ReplicaId(2), append(5, 100), 10);
+    replica.step(ReplicaId(2), append_after((0, 0), Vec::new(), 0, 5), 10);
     let _ = take_synced(&mut replica);
     let _ = take_synced(&mut replica);
-    replica.step(ReplicaId(3), append(4, 9000), 11);
+    replica.step(ReplicaId(3), append_after((0, 0), Vec::new(), 0, 4), 11);
     let messages = take_synced(&mut replica).messages;
     assert_eq!(messages.len(), 1);
     assert_eq!(messages[0].message, LogMessage { term: 5, kind: MessageKind::OldTerm });
@@ -140,8 +150,12 @@
     let message = voter.take_effects().messages.pop().unwrap().message;
     assert_eq!(message.kind, MessageKind::VoteReply { granted: true });
 
+    // The sync of an earlier write says nothing about the candidate's vote for itself.
     let mut single = replica(1, ids(1..=1));
+    single.step(ReplicaId(2), LogMessage { term: 5, kind: MessageKind::OldTerm }, 0);
+    let earlier = single.take_effects().write.unwrap();
     single.tick(2000);
+    single.persisted(earlier);
     let effects = single.take_effects();
     assert_eq!(single.role(), Role::Candidate);
     single.persisted(effects.write.unwrap());
@@ -152,6 +166,101 @@
     assert_eq!(single.take_effects().committed.len(), 1);
 }
 
+/// Guards against a vote against a leader whose lease the voter prolonged just before it restarted.
+#[test]
+fn a_restarted_voter_refuses_votes_for_an_election_timeout() {
+    let mut voter = replica_started_at(5000, 1, ids(1..=3));
+    let ask = |voter: &mut Replica, now_ms| {
+        let pre_vote = MessageKind::PreVote { last_index: 0, last_term: 0 };
+        let vote = MessageKind::Vote { last_index: 0, last_term: 0, transfer: false };
+        for kind in [pre_vote, vote] {
+            voter.step(ReplicaId(2), LogMessage { term: 1, kind }, now_ms);
+        }
+        let mut messages = take_synced(voter).messages;
+        messages.extend(take_synced(voter).messages);
+        messages.into_iter().map(|outgoing| outgoing.message.kind).collect::<Vec<_>>()
+    };
+    assert_eq!(ask(&mut voter, 5799), [MessageKind::PreVoteReply { granted: false }]);
+    let granted =
+        [MessageKind::PreVoteReply { granted: true }, MessageKind::VoteReply { granted: true }];
+    assert_eq!(ask(&mut voter, 5800), granted);
+}
+
+/// Guards against a committed entry that a later leader replaces: a majority that has an entry of
+/// an earlier term may still elect a leader without it.
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_itself() {
+    let entries = vec![Entry { index: 1, term: 1, kind: EntryKind::Empty }];
+    let hard_state = HardState { term: 2, voted_for: None };
+    let durable = DurableState { hard_state, snapshot: None, entries };
+    let config = ReplicaConfig::new(ReplicaId(1), ids(1..=3));
+    let mut replica = Replica::new(config, durable, 0, fastrand::Rng::with_seed(1)).unwrap();
+    replica.tick(1600);
+    let replies = [
+        MessageKind::PreVoteReply { granted: true },
+        MessageKind::VoteReply { granted: true },
+        matched(1),
+    ];
+    for kind in replies {
+        replica.step(ReplicaId(2), LogMessage { term: 3, kind }, 1600);
+        let _ = take_synced(&mut replica);
+    }
+    assert_eq!((replica.role(), replica.last_index()), (Role::Leader, 2));
+    assert_eq!(replica.commit_index(), 0);
+    // Another leader may have changed the same members in another way.
+    let change = MembershipChange::AddLearner(ReplicaId(4));
+    assert_eq!(replica.propose_membership(change, 1600), Err(MembershipError::NotReady));
+    replica.step(ReplicaId(2), LogMessage { term: 3, kind: matched(2) }, 1600);
+    assert_eq!(replica.commit_index(), 2);
+}
+
+/// Guards against proposals without bound while the majority is out of reach.
+#[test]
+fn uncommitted_proposals_are_limited() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    group.isolate(1);
+    let now_ms = group.now_ms;
+    let mut accepted = |data: &[u8]| {
+        let mut propose = || group.get(1).propose(data.to_vec(), now_ms);
+        let count = (0..100_000).take_while(|_| propose().is_ok()).count();
+        assert_eq!(propose(), Err(ProposeError::Busy));
+        count
+    };
+    assert_eq!(accepted(&[0; 64 << 10]), 15);
+    // Entries without data take memory as well.
+    assert!(accepted(&[]) < 1 << 15);
+    group.cut.clear();
+    group.run(300);
+    group.propose(1);
+}
+
+/// Guards against entries of an earlier leader that are acknowledged or committed as the current
+/// leader's, and against entries that are applied before they are synced.
+#[test]
+fn a_follower_answers_only_for_what_the_message_covered() {
+    let mut follower = replica(1, ids(1..=3));
+    let entries = [1, 1, 2].into_iter().zip(1..);
+    let entries: Vec<_> =
+        entries.map(|(term, index)| Entry { index, term, kind: EntryKind::Empty }).collect();
+    follower.step(ReplicaId(2), append_after((0, 0), entries, 0, 2), 10);
+    let _ = take_synced(&mut follower);
+    let _ = take_synced(&mut follower);
+    // The leader of term 3 has other entries after index 2 and has committed them.
+    follower.step(ReplicaId(3), append_after((2, 1), Vec::new(), 3, 3), 20);
+    let _ = take_synced(&mut follower);
+    let effects = take_synced(&mut follower);
+    assert_eq!(effects.messages[0].message.kind, matched(2));
+    assert_eq!((follower.commit_index(), follower.applied_index()), (2, 2));
+    let replaced = vec![Entry { index: 3, term: 3, kind: EntryKind::Empty }];
+    follower.step(ReplicaId(3), append_after((2, 1), replaced, 3, 3), 30);
+    let effects = follower.take_effects();
+    assert_eq!((effects.truncate, effects.append.len()), (Some(3), 1));
+    assert_eq!((follower.commit_index(), effects.committed.len()), (3, 0));
+    follower.persisted(effects.write.unwrap());
+    assert_eq!(follower.take_effects().committed.len(), 1);
+}
+
 /// Guards against a learner that votes before it has the entries that were committed when its
 /// promotion was asked for.
 #[test]
@@ -289,12 +398,80 @@
     let effects = group.get(1).take_effects();
     assert_eq!(effects.reads.iter().map(|read| read.index).collect::<Vec<_>>(), [None]);
     assert!(effects.messages.is_empty() && !group.get(1).leader_lease_valid(now_ms));
-    group.get(1).step(ReplicaId(2), append(9, 0), now_ms + 1);
+    group.get(1).step(ReplicaId(2), append_after((0, 0), Vec::new(), 0, 9), now_ms + 1);
     group.get(1).tick(now_ms + 9000);
     assert!(group.get(1).take_effects().is_empty());
     assert_eq!(group.get(1).role(), Role::Halted);
 }
 
+fn count(kind: &MessageKind) -> usize {
+    if let MessageKind::Append { entries, .. } = kind { entries.len() } else { 0 }
+}
+
+/// Guards against a leader that sends the same entries or chunks to a dead replica for ever.
+#[test]
+fn a_replica_that_is_down_gets_data_only_once() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    group.isolate(3);
+    group.propose(100);
+    group.run(100);
+    // Replica 2 takes over and has to find out what replica 3 has.
+    let now_ms = group.now_ms;
+    group.get(1).transfer_leadership(Some(ReplicaId(2)), now_ms).unwrap();
+    group.run(100);
+    group.messages.clear();
+    group.run(5000);
+    let sent_to_3: usize = group
+        .messages
+        .iter()
+        .filter(|sent| sent.to == ReplicaId(3))
+        .map(|sent| count(&sent.message.kind))
+        .sum();
+    assert_eq!(sent_to_3, 0);
+    group.cut.clear();
+    group.run(500);
+    assert_eq!(group.get(3).applied_index(), group.get(2).applied_index());
+
+    // Replica 3 asks for entries that only the snapshot has, and is down again.
+    group.isolate(3);
+    let now_ms = group.now_ms;
+    let prev_index = group.get(2).propose(&b"data"[..], now_ms).unwrap();
+    group.run(50);
+    assert!(group.get(2).compact(prev_index, vec![5; 1000]));
+    group.run(2000);
+    let term = group.get(2).term();
+    let result = AppendResult::Conflict { prev_index, term: None, first_index: 1 };
+    let kind = MessageKind::AppendReply { stamp: Stamp::default(), result };
+    let now_ms = group.now_ms;
+    group.get(2).step(ReplicaId(3), LogMessage { term, kind }, now_ms);
+    group.messages.clear();
+    group.run(5000);
+    let chunks = group.messages.iter().filter_map(|sent| match &sent.message.kind {
+        MessageKind::SnapshotChunk { data, .. } => Some(data.len()),
+        _ => None,
+    });
+    let sizes: Vec<_> = chunks.collect();
+    assert!(sizes.len() > 20, "contact must go on");
+    assert_eq!(sizes.iter().sum::<usize>(), 100);
+    group.cut.clear();
+    group.run(500);
+    assert_eq!(group.get(3).applied_index(), prev_index);
+}
+
+/// Guards against settings that are edited after the start and give replicas different members.
+#[test]
+fn the_log_keeps_the_initial_members() {
+    let mut group = Group::led_by_1(3);
+    group.run(100);
+    let entries: Vec<_> =
+        (1..=group.get(2).last_index()).map(|i| group.get(2).entry(i).unwrap().clone()).collect();
+    let durable = DurableState { entries, ..DurableState::default() };
+    let config = ReplicaConfig::new(ReplicaId(2), ids(1..=7));
+    let restarted = Replica::new(config, durable, 0, fastrand::Rng::with_seed(1)).unwrap();
+    assert_eq!(restarted.membership(), &ids(1..=3));
+}
+
 /// Guards against messages that grow with the snapshot, and a message for each proposal.
 #[test]
 fn snapshots_and_entries_are_sent_in_bounded_parts() {
@@ -304,12 +481,8 @@
     group.messages.clear();
     group.propose(100);
     group.run(0);
-    let count = |kind: &MessageKind| match kind {
-        MessageKind::Append { entries, .. } => entries.len(),
-        _ => 0,
-    };
     let batches: Vec<_> =
-        group.messages.iter().map(|message| count(&message.kind)).filter(|&n| n > 0).collect();
+        group.messages.iter().map(|sent| count(&sent.message.kind)).filter(|&n| n > 0).collect();
     // The leader doesn't know yet that replica 3 is cut off.
     assert_eq!(batches, [[40, 40, 20]; 2].concat());
     let index = group.get(1).applied_index();
@@ -318,7 +491,7 @@
     group.cut.clear();
     group.messages.clear();
     group.run(500);
-    let chunks = group.messages.iter().filter_map(|message| match &message.kind {
+    let chunks = group.messages.iter().filter_map(|sent| match &sent.message.kind {
         MessageKind::SnapshotChunk { data, .. } => Some(data.len()),
         _ => None,
     });
