--- a/crates/redwinglatch-placement/src/coordinator/engines.rs
+++ b/crates/redwinglatch-placement/src/coordinator/engines.rs
@@ -4,19 +4,31 @@
 
 use super::{Coordinator, Model};
 use crate::{
-    Effect, EngineInfo, LoadFailure,
+    Effect, EngineInfo, Fencing, LoadFailure, ReportedPin,
     engine::{Engine, SlotState},
-    keys::{AdapterKey, DataCentreKey, EngineKey, ModelKey, PinKey},
+    keys::{AdapterKey, DataCentreKey, EngineKey, ModelKey},
+    pin::Orphan,
 };
 
+/// How long after its placement an instance may send a request.
+const SEND_MS: u64 = 1_000;
+
 impl Coordinator {
     /// Adds an engine and returns its id; an engine with a known address keeps its id.
     ///
     /// The engine gets work after its first report.
-    pub fn engine_added(&mut self, _now_ms: u64, info: EngineInfo) -> EngineId {
+    pub fn engine_added(&mut self, now_ms: u64, info: EngineInfo) -> EngineId {
+        let data_centre = self.find_data_centre(&info.data_centre).unwrap_or_else(|| {
+            self.data_centres.push(info.data_centre.clone());
+            DataCentreKey((self.data_centres.len() - 1) as u16)
+        });
         if let Some(key) = self.engine_addresses.get(&info.address) {
             let engine = &mut self.engines[*key];
-            engine.removed = false;
+            engine.data_centre = data_centre;
+            engine.fencing = info.fencing;
+            if std::mem::replace(&mut engine.removed, false) {
+                engine.listed_ms = now_ms;
+            }
             engine.leaving = false;
             engine.refused_connections = 0;
             return engine.id;
@@ -37,11 +49,7 @@
                 ModelKey(at as u16)
             }
         };
-        let data_centre = self.find_data_centre(&info.data_centre).unwrap_or_else(|| {
-            self.data_centres.push(info.data_centre.clone());
-            DataCentreKey((self.data_centres.len() - 1) as u16)
-        });
-        let engine = Engine::new(id, &info, model, data_centre, &self.settings);
+        let engine = Engine::new(id, &info, model, data_centre, &self.settings, now_ms);
         let key = self.engines.insert(engine);
         self.engine_ids.insert(id, key);
         self.engine_addresses.insert(info.address, key);
@@ -52,6 +60,21 @@
         id
     }
 
+    /// Adds an engine that the platform's list lacks and that an instance reports a pin on: the
+    /// request still runs there, or is on its way, if the engine comes back.
+    pub(super) fn add_unlisted(&mut self, now_ms: u64, pin: &ReportedPin) -> EngineKey {
+        let info = EngineInfo {
+            address: pin.engine,
+            model: pin.model.clone(),
+            data_centre: "".into(),
+            fencing: Fencing::Ignored,
+        };
+        let id = self.engine_added(now_ms, info);
+        let key = self.engine_ids[&id];
+        self.engines[key].removed = true;
+        key
+    }
+
     /// Removes an engine that left the platform's list. Its pins stay until they are released,
     /// since requests may still run there.
     pub fn engine_removed(&mut self, now_ms: u64, engine: EngineId) {
@@ -123,12 +146,14 @@
         self.engines.remove(key);
     }
 
-    /// Voids the pins of an engine that restarted: its requests no longer run.
+    /// Voids the pins of an engine that restarted. A request that was placed shortly before may
+    /// still reach the new boot, so its pin ends only when a later report doesn't list it.
     pub(super) fn void_pins(&mut self, now_ms: u64, key: EngineKey) {
-        let pins: Vec<PinKey> =
-            self.pins.iter().filter(|(_, pin)| pin.engine == key).map(|(pin, _)| pin).collect();
-        for pin in pins {
-            self.remove_pin(now_ms, pin);
+        for (pin_key, pin) in &mut self.pins {
+            if pin.engine == key && pin.orphan == Orphan::No {
+                pin.orphan = Orphan::Unconfirmed { since_ms: now_ms + SEND_MS };
+                self.orphans.push(pin_key);
+            }
         }
     }
 
--- a/crates/redwinglatch-placement/src/coordinator/pinning.rs
+++ b/crates/redwinglatch-placement/src/coordinator/pinning.rs
@@ -189,12 +189,25 @@
         let grace_ms = self.settings.pin_grace_ms;
         for (key, pin) in &mut self.pins {
             if pin.orphan == Orphan::No && now_ms >= pin.deadline_ms + grace_ms {
-                pin.orphan = Orphan::Overdue { since_ms: now_ms };
+                pin.orphan = Orphan::Unconfirmed { since_ms: now_ms };
                 self.orphans.push(key);
             }
         }
         for key in self.orphans.clone() {
             let Some(pin) = self.pins.get(key).copied() else { continue };
+            let removed = self.engines.get(pin.engine).is_none_or(|it| it.removed);
+            let ends_ms = match pin.orphan {
+                Orphan::No => continue,
+                // The instance still has to release the pin, unless it never got its placement.
+                Orphan::Unconfirmed { since_ms } => since_ms + self.settings.max_budget_ms,
+                Orphan::InstanceLost { .. } => pin.deadline_ms + grace_ms,
+            };
+            if removed && now_ms >= ends_ms {
+                // No report will tell. If the engine comes back, its first report protects what
+                // still runs.
+                self.remove_pin(now_ms, key);
+                continue;
+            }
             let Orphan::InstanceLost { cancelled_ms, acknowledged, .. } = pin.orphan else {
                 continue;
             };
@@ -244,10 +257,8 @@
             if self.pin_ids.contains_key(&reported.pin) {
                 continue;
             }
-            let Some(engine) = self.engine_addresses.get(&reported.engine).copied() else {
-                // The engine is gone, so nothing on it can be evicted.
-                continue;
-            };
+            let engine = self.engine_addresses.get(&reported.engine).copied();
+            let engine = engine.unwrap_or_else(|| self.add_unlisted(now_ms, &reported));
             let model = self.engines[engine].model;
             let Some(adapter) = self.adapters.intern(model, &reported.adapter, now_ms) else {
                 continue;
--- a/crates/redwinglatch-placement/src/coordinator/placing.rs
+++ b/crates/redwinglatch-placement/src/coordinator/placing.rs
@@ -53,7 +53,8 @@
         }
     }
 
-    /// Withdraws a request that waits for its placement; it gets no answer.
+    /// Withdraws a request that waits for its placement; it gets no answer. A placement that was
+    /// answered before has to be released instead.
     pub fn withdraw(&mut self, now_ms: u64, request: RequestKey) {
         if let Some(RequestState::Waiting(wait)) = self.requests.get(&request).copied() {
             self.remove_waiting(now_ms, wait);
--- a/crates/redwinglatch-placement/src/coordinator/reporting.rs
+++ b/crates/redwinglatch-placement/src/coordinator/reporting.rs
@@ -24,7 +24,15 @@
     /// Takes an engine's report.
     pub fn engine_report(&mut self, now_ms: u64, engine: EngineId, report: Report) {
         let Some(key) = self.engine_ids.get(&engine).copied() else { return };
+        let stale_ms = self.settings.report_stale_ms;
         let engine = &mut self.engines[key];
+        // A report that was overtaken, or that is older than the engine's listing, proves nothing,
+        // whatever boot it is from; one that is too old counts as unknown.
+        if report.asked_ms < engine.asked_ms.max(engine.listed_ms)
+            || report.asked_ms + stale_ms < now_ms
+        {
+            return;
+        }
         let restarted = engine.boot_id.as_ref().is_some_and(|it| *it != report.boot_id);
         if !restarted && engine.boot_id.is_some() && report.sequence < engine.sequence {
             return;
@@ -35,8 +43,13 @@
         let engine = &mut self.engines[key];
         engine.boot_id = Some(report.boot_id.clone());
         engine.sequence = report.sequence;
-        engine.asked_ms = engine.asked_ms.max(report.asked_ms);
+        engine.asked_ms = report.asked_ms;
         engine.max_batch = report.max_batch;
+        if engine.removed {
+            // Late reports only tell which requests ended.
+            self.end_orphans(now_ms, key, &report);
+            return;
+        }
         let first = !engine.read_back;
         // Before the former coordinator's orders have settled, a report proves nothing.
         if first && !(self.settled && report.asked_ms >= self.settled_ms) {
@@ -64,7 +77,6 @@
         self.clear_slots(now_ms, key);
         let Some(engine) = self.engines.get_mut(key) else { return };
         engine.read_back = false;
-        engine.asked_ms = 0;
         engine.foreign = 0;
         engine.strays = 0;
         engine.unmatched.clear();
@@ -222,7 +234,7 @@
             let ended = self.pins.get(pin_key).is_some_and(|pin| {
                 let since_ms = match pin.orphan {
                     Orphan::No => return false,
-                    Orphan::Overdue { since_ms } | Orphan::InstanceLost { since_ms, .. } => {
+                    Orphan::Unconfirmed { since_ms } | Orphan::InstanceLost { since_ms, .. } => {
                         since_ms
                     }
                 };
--- a/crates/redwinglatch-placement/src/engine.rs
+++ b/crates/redwinglatch-placement/src/engine.rs
@@ -62,6 +62,8 @@
     pub(crate) removed: bool,
     pub(crate) boot_id: Option<Box<str>>,
     pub(crate) sequence: u64,
+    /// When the platform listed the engine, the last time.
+    pub(crate) listed_ms: u64,
     /// When the last report was asked for.
     pub(crate) asked_ms: u64,
     /// Whether the slots were read back in this epoch.
@@ -91,6 +93,7 @@
         model: ModelKey,
         data_centre: DataCentreKey,
         settings: &Settings,
+        now_ms: u64,
     ) -> Engine {
         Engine {
             id,
@@ -102,6 +105,7 @@
             removed: false,
             boot_id: None,
             sequence: 0,
+            listed_ms: now_ms,
             asked_ms: 0,
             read_back: false,
             max_batch: 0,
--- a/crates/redwinglatch-placement/src/pin.rs
+++ b/crates/redwinglatch-placement/src/pin.rs
@@ -12,8 +12,9 @@
 pub(crate) enum Orphan {
     /// The instance is expected to release the pin.
     No,
-    /// The deadline passed long ago.
-    Overdue { since_ms: u64 },
+    /// The deadline passed long ago, or the engine restarted: the pin ends unless a report that is
+    /// asked for later lists the request.
+    Unconfirmed { since_ms: u64 },
     /// The instance was lost, and the request is to be cancelled.
     InstanceLost { since_ms: u64, cancelled_ms: Option<u64>, acknowledged: bool },
 }
--- /dev/null
+++ b/crates/redwinglatch-placement/tests/properties.rs
@@ -0,0 +1,105 @@
+//! Properties over random inputs.
+
+mod support;
+
+use std::collections::HashSet;
+
+use quickcheck::{Gen, QuickCheck, Testable};
+use redwinglatch_core::{Incarnation, InstanceId, RequestId};
+use redwinglatch_placement::{
+    CacheEvent, CacheEventKind, CacheEvents, PlaceRequest, Release, RequestKey,
+};
+use support::{address, cell, done, request, settings};
+
+/// Checks a property with a fixed seed, so that each run has the same verdict.
+fn check(property: impl Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 1)).tests(300).quickcheck(property);
+}
+
+/// Guards against engine reports that can't be matched to pins.
+#[test]
+fn a_request_key_survives_its_text_form() {
+    fn property(instance: u32, incarnation: u64, request: u64) -> bool {
+        let key = RequestKey {
+            instance: InstanceId(instance),
+            incarnation: Incarnation(incarnation),
+            request: RequestId(request),
+        };
+        key.to_string().parse() == Ok(key)
+    }
+    check(property as fn(u32, u64, u64) -> bool);
+}
+
+/// Guards against a panic on foreign request ids, and against taking them for ours.
+#[test]
+fn only_the_text_form_of_a_key_is_a_key() {
+    fn property(text: String) -> bool {
+        text.parse::<RequestKey>().map_or(true, |it| it.to_string() == text)
+    }
+    check(property as fn(String) -> bool);
+}
+
+/// Guards against a prefix index that differs from the engine's cache after a full read: the
+/// request goes to the engine that has its prefix, wherever the events end.
+#[test]
+fn the_prefix_index_follows_the_events() {
+    fn property(changes: Vec<(bool, u8)>, wanted: u8) -> bool {
+        let (mut it, ids) = cell(settings(), &[&[1], &[1]]);
+        let mut cached = HashSet::new();
+        let mut events = Vec::new();
+        for (at, (stored, hash)) in changes.iter().enumerate() {
+            let hash = u64::from(hash % 8);
+            if *stored {
+                cached.insert(hash)
+            } else {
+                cached.remove(&hash)
+            };
+            let kind =
+                if *stored { CacheEventKind::PrefixStored } else { CacheEventKind::PrefixEvicted };
+            events.push(CacheEvent { sequence: at as u64 + 1, kind, prefix_hash: hash });
+        }
+        // The second read repeats the end of the first one.
+        let half = events.len() / 2;
+        for (after, part) in
+            [(0, &events[..half]), (half.saturating_sub(1), &events[half.saturating_sub(1)..])]
+        {
+            it.cache_events(
+                1,
+                ids[1],
+                CacheEvents {
+                    after: after as u64,
+                    boot_id: "boot-1".into(),
+                    next: part.last().map_or(after as u64, |it| it.sequence),
+                    events: part.to_vec(),
+                },
+            );
+        }
+        let wanted = u64::from(wanted % 8);
+        it.place(2, PlaceRequest { prefix_hashes: vec![wanted].into(), ..request(1, 1, 1_000) });
+        (done(&mut it).placed[0].1.engine == address(1)) == cached.contains(&wanted)
+    }
+    check(property as fn(Vec<(bool, u8)>, u8) -> bool);
+}
+
+/// Guards against pins that leak, whatever the order of releases.
+#[test]
+fn pins_are_balanced() {
+    fn property(adapters: Vec<u8>, order: Vec<u8>) -> bool {
+        let (mut it, _) = cell(settings(), &[&[0, 1], &[2, 3]]);
+        let mut pins = Vec::new();
+        for (number, adapter) in adapters.iter().enumerate() {
+            it.place(10, request(number as u64, usize::from(adapter % 4), 1_000));
+            pins.extend(done(&mut it).placed);
+        }
+        let mut order = order.into_iter().cycle();
+        while !pins.is_empty() {
+            let at = usize::from(order.next().unwrap_or(0)) % pins.len();
+            let (_, placed) = pins.swap_remove(at);
+            it.release(20, placed.pin, Release::Finished);
+            it.release(20, placed.pin, Release::Finished);
+            pins.extend(done(&mut it).placed);
+        }
+        it.pins() == 0 && it.waiting_requests() == 0
+    }
+    check(property as fn(Vec<u8>, Vec<u8>) -> bool);
+}
--- a/crates/redwinglatch-placement/tests/rules.rs
+++ b/crates/redwinglatch-placement/tests/rules.rs
@@ -385,3 +385,89 @@
     assert_eq!(now.refused[0].1.reason, RefusalReason::NoCoordinator);
     assert_eq!(it.epoch(), None);
 }
+
+/// Guards against copies on an engine that is gone: a late report filled its slots again, and the
+/// next decision used the engine after it was dropped.
+#[test]
+fn a_late_report_of_a_removed_engine_is_not_used() {
+    let (mut it, ids) = cell(settings(), &[&[1], &[]]);
+    it.place(10, request(1, 1, 10_000));
+    let placed = done(&mut it).placed[0].1;
+    it.engine_removed(20, ids[0]);
+    it.engine_report(30, ids[0], report(30, &[(1, 1)]));
+    it.release(40, placed.pin, Release::Finished);
+    it.place(50, request(2, 1, 10_000));
+    let now = done(&mut it);
+    assert!(now.placed.is_empty());
+    assert_eq!(now.loads[0].engine, ids[1]);
+}
+
+/// Guards against eviction under a request that was placed before the coordinator knew of a
+/// restart and reached the new boot, where its adapter was loaded again.
+#[test]
+fn a_pin_outlives_a_restart_until_a_later_report_lacks_its_request() {
+    let (mut it, ids) = cell(settings(), &[&[1]]);
+    let rebooted = |now_ms, slots: &[(usize, u32)], requests| Report {
+        boot_id: "boot-2".into(),
+        requests,
+        ..report(now_ms, slots)
+    };
+    it.place(10, request(1, 1, 10_000));
+    it.engine_report(20, ids[0], rebooted(20, &[], Vec::new()));
+    assert_eq!(it.pins(), 1);
+    it.engine_report(900, ids[0], rebooted(900, &[], Vec::new()));
+    assert_eq!(it.pins(), 1);
+    it.engine_report(1_500, ids[0], rebooted(1_500, &[(1, 1)], vec![key(1, 1)]));
+    assert_eq!(it.pins(), 1);
+    it.engine_report(2_000, ids[0], rebooted(2_000, &[(1, 0)], Vec::new()));
+    assert_eq!(it.pins(), 0);
+}
+
+/// Guards against eviction under a request on an engine that was missing from the platform's list
+/// while its instance reported the pin.
+#[test]
+fn a_pin_reported_for_an_unlisted_engine_counts_when_the_engine_comes_back() {
+    let (mut it, _) = cell(settings(), &[]);
+    let pin = ReportedPin {
+        pin: PinId(77),
+        request: RequestId(9),
+        engine: address(0),
+        model: "base".into(),
+        adapter: adapter(1),
+        budget_ms: 5_000,
+    };
+    it.pins_reported(10, InstanceId(1), Incarnation(1), vec![pin]);
+    let id = it.engine_added(20, info(0, Fencing::Honoured));
+    it.engine_report(30, id, report(30, &[(1, 0), (2, 0)]));
+    it.place(40, request(1, 3, 10_000));
+    assert_eq!(done(&mut it).loads[0].evict, Some(adapter(2)));
+}
+
+/// Guards against pins and engines that are kept for ever after engine and instance are gone.
+#[test]
+fn the_pin_of_a_lost_instance_on_a_removed_engine_ends_after_its_deadline() {
+    let (mut it, engine) = lost_instance();
+    it.engine_removed(2_000, engine);
+    it.tick(14_000);
+    assert_eq!(it.pins(), 1);
+    it.tick(15_100);
+    assert_eq!(it.pins(), 0);
+}
+
+/// Guards against a report from before the engine was listed again, which lacks the requests that
+/// were sent since.
+#[test]
+fn reports_from_before_the_listing_or_out_of_order_are_ignored() {
+    let (mut it, ids) = cell(settings(), &[&[1]]);
+    it.engine_removed(100, ids[0]);
+    let id = it.engine_added(200, info(0, Fencing::Honoured));
+    it.engine_report(210, id, report(150, &[(1, 0), (2, 0)]));
+    it.place(220, request(1, 1, 10_000));
+    assert!(done(&mut it).placed.is_empty());
+    it.engine_report(230, id, report(225, &[(1, 0), (2, 0)]));
+    assert_eq!(done(&mut it).placed.len(), 1);
+    let older_boot = Report { boot_id: "boot-0".into(), ..report(222, &[]) };
+    it.engine_report(240, id, older_boot);
+    it.place(250, request(2, 2, 10_000));
+    assert_eq!(done(&mut it).placed.len(), 1);
+}
