Start loads for most waiting requests only while none would be late

Cause: loads that many requests wait for passed others until those could not be served in time any more, and were refused after seconds of waiting. For an adapter that is being loaded, the wait for a place was computed without any engine, and requests were refused although the load was about to end. Change: loads start by least slack unless all queued ones have two load times to spare; then those with the most waiting requests start first. The admission of new requests uses the order by slack. An adapter without copies waits for a place on any engine.

--- a/crates/redwinglatch-placement/src/coordinator/loading.rs
+++ b/crates/redwinglatch-placement/src/coordinator/loading.rs
@@ -71,8 +71,8 @@
         if !self.queue.demands.iter().any(|it| it.wants_load) {
             return false;
         }
-        let schedule = self.queue.schedule(now_ms, &self.customers);
-        for scheduled in schedule.into_iter().take(START_ATTEMPTS) {
+        let order = self.queue.start_order(now_ms, &self.customers);
+        for scheduled in order.into_iter().take(START_ATTEMPTS) {
             let demand = self.queue.demands[scheduled.at];
             if demand.not_before_ms > now_ms || self.queue.is_loading(demand.adapter).is_some() {
                 continue;
--- a/crates/redwinglatch-placement/src/coordinator/placing.rs
+++ b/crates/redwinglatch-placement/src/coordinator/placing.rs
@@ -278,14 +278,15 @@
     pub(super) fn capacity_wait_ms(&self, demand: &Demand) -> u64 {
         let Some(adapter) = self.adapters.get(demand.adapter) else { return 0 };
         let model = &self.models[usize::from(adapter.model.0)];
-        let (places, waiting) = if demand.wants_load {
+        let copies = adapter.active.iter().flat_map(|it| it.copies.iter());
+        let places: u32 = copies.map(|it| self.engines[*it].max_batch).sum();
+        let (places, waiting) = if demand.wants_load || places == 0 {
             if model.free_places > 0 {
                 return 0;
             }
             (model.places, model.waiting)
         } else {
-            let copies = adapter.active.iter().flat_map(|it| it.copies.iter());
-            (copies.map(|it| self.engines[*it].max_batch).sum(), demand.waiters)
+            (places, demand.waiters)
         };
         (self.run_ms * waiting as f32 / places.max(1) as f32) as u64
     }
--- a/crates/redwinglatch-placement/src/queue.rs
+++ b/crates/redwinglatch-placement/src/queue.rs
@@ -13,6 +13,10 @@
 /// How much a measured load changes the estimate of the next one.
 const LOAD_TIME_GAIN: f32 = 0.2;
 
+/// Loads that must fit before each demand's latest moment for loads to start in another order
+/// than by slack: the one that starts, and one for the error of the estimate.
+const SPARE_LOADS: u64 = 2;
+
 /// An adapter with waiting requests.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Demand {
@@ -126,9 +130,9 @@
         (in_flight.started_ms + self.load_ms as u64).max(now_ms)
     }
 
-    /// The demands that want a load, in the order in which the loads start: customers within their
-    /// share first, then least slack, most waiting requests, largest share. No demand is passed
-    /// over for longer than the starvation limit, since its slack counts from there.
+    /// The demands that want a load with the expected ends of their loads, if those with the least
+    /// slack start first; customers above their share come last. No demand is passed over for
+    /// longer than the starvation limit, since its slack counts from there.
     pub(crate) fn schedule(&self, now_ms: u64, customers: &CustomerTable) -> Vec<Scheduled> {
         let load_ms = self.load_ms.max(1.0) as u64;
         let contended = self.demands.iter().filter(|it| it.wants_load).nth(1).is_some();
@@ -141,9 +145,13 @@
                 let over_share =
                     contended && starving_ms > now_ms && customers.is_over_share(it.customer);
                 let share = customers.share_permille(it.customer);
-                let urgency = (due_ms.saturating_sub(now_ms) / load_ms + 1).ilog2();
-                let key =
-                    (over_share, urgency, Reverse(it.waiters), Reverse(share), it.enqueued_ms);
+                let key = (
+                    over_share,
+                    due_ms / load_ms,
+                    Reverse(it.waiters),
+                    Reverse(share),
+                    it.enqueued_ms,
+                );
                 (key, at)
             })
             .collect();
@@ -167,4 +175,24 @@
             })
             .collect()
     }
+
+    /// The order in which to start loads now. As long as all would be in time with one load more
+    /// before them, those with the most waiting requests come first; otherwise the least slack.
+    pub(crate) fn start_order(&self, now_ms: u64, customers: &CustomerTable) -> Vec<Scheduled> {
+        let load_ms = self.load_ms.max(1.0) as u64;
+        let mut order = self.schedule(now_ms, customers);
+        let relaxed = order.iter().all(|it| {
+            let demand = &self.demands[it.at];
+            let starving_ms = demand.enqueued_ms + self.load_starvation_ms + load_ms;
+            it.ready_ms + SPARE_LOADS * load_ms <= demand.latest_ready_ms.min(starving_ms)
+        });
+        if relaxed {
+            order.sort_by_key(|it| {
+                let demand = &self.demands[it.at];
+                let share = customers.share_permille(demand.customer);
+                (it.over_share, Reverse(demand.waiters), Reverse(share))
+            });
+        }
+        order
+    }
 }
