Shed less at the limit of the store and learn shifts faster

Cause: customers with equal use were at times counted as above their share by chance, and their requests were put last and refused. Loads passed others only if all queued ones had time to spare. The methods of loading are split into targets, preloading and refusing.

--- a/crates/redwinglatch-placement/src/coordinator.rs
+++ b/crates/redwinglatch-placement/src/coordinator.rs
@@ -4,8 +4,11 @@
 mod loading;
 mod pinning;
 mod placing;
+mod preloading;
+mod refusing;
 mod reporting;
 mod taking_over;
+mod targets;
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
--- a/crates/redwinglatch-placement/src/customers.rs
+++ b/crates/redwinglatch-placement/src/customers.rs
@@ -8,6 +8,9 @@
 
 /// Time in which the record of past loads halves.
 const HALF_LIFE_MS: u32 = 20_000;
+/// Loads, and part of the share, by which a customer may exceed its share by chance.
+const SPARE_LOADS: f32 = 2.0;
+const SPARE_PART: f32 = 1.2;
 /// Customers remembered; idle ones are forgotten beyond it.
 const LIMIT: usize = 4_096;
 /// Decayed loads below which a customer counts as idle.
@@ -103,8 +106,7 @@
         }
         for customer in self.customers.values_mut() {
             let share = f32::from(customer.share_permille.max(1)) / shares;
-            // One load more or less decides nothing, so a customer may be one above its share.
-            customer.over_share = customer.used(now_ms) > 1.0 + total * share;
+            customer.over_share = customer.used(now_ms) > SPARE_LOADS + SPARE_PART * total * share;
         }
     }
 
--- a/crates/redwinglatch-placement/src/popularity.rs
+++ b/crates/redwinglatch-placement/src/popularity.rs
@@ -13,7 +13,7 @@
 /// Long count from which a miss would have been avoided by keeping frequent adapters.
 const FREQUENT: f32 = 1.0;
 /// How much one request moves the weight of recency.
-const LESSON: f32 = 0.02;
+const LESSON: f32 = 0.1;
 
 /// Two decayed counts; they take 12 bytes.
 ///
--- a/crates/redwinglatch-placement/src/queue.rs
+++ b/crates/redwinglatch-placement/src/queue.rs
@@ -13,8 +13,8 @@
 /// How much a measured load changes the estimate of the next one.
 const LOAD_TIME_GAIN: f32 = 0.2;
 
-/// Loads that must fit before each demand's latest moment for loads to start in another order
-/// than by slack: the one that starts, and one for the error of the estimate.
+/// Loads that must fit between the expected end of a load and its latest moment for another
+/// demand to pass it.
 const SPARE_LOADS: u64 = 2;
 
 /// An adapter with waiting requests.
@@ -176,23 +176,26 @@
             .collect()
     }
 
-    /// The order in which to start loads now. As long as all would be in time with one load more
-    /// before them, those with the most waiting requests come first; otherwise the least slack.
+    /// The order in which to start loads now. A demand goes before those with less slack as long
+    /// as all of these would be in time with one load more before them; among the demands for
+    /// which that holds, those with the most waiting requests come first.
     pub(crate) fn start_order(&self, now_ms: u64, customers: &CustomerTable) -> Vec<Scheduled> {
         let load_ms = self.load_ms.max(1.0) as u64;
-        let mut order = self.schedule(now_ms, customers);
-        let relaxed = order.iter().all(|it| {
-            let demand = &self.demands[it.at];
-            let starving_ms = demand.enqueued_ms + self.load_starvation_ms + load_ms;
-            it.ready_ms + SPARE_LOADS * load_ms <= demand.latest_ready_ms.min(starving_ms)
-        });
-        if relaxed {
-            order.sort_by_key(|it| {
+        let order = self.schedule(now_ms, customers);
+        let mut all_before_have_spare = true;
+        let mut keyed: Vec<_> = order
+            .into_iter()
+            .map(|it| {
                 let demand = &self.demands[it.at];
-                let share = customers.share_permille(demand.customer);
-                (it.over_share, Reverse(demand.waiters), Reverse(share))
-            });
-        }
-        order
+                let waiters = if all_before_have_spare { demand.waiters } else { 0 };
+                let starving_ms = demand.enqueued_ms + self.load_starvation_ms + load_ms;
+                let latest_ms = demand.latest_ready_ms.min(starving_ms);
+                all_before_have_spare &= it.ready_ms + SPARE_LOADS * load_ms <= latest_ms;
+                ((it.over_share, Reverse(waiters)), it)
+            })
+            .collect();
+        // The sort is stable, so the order by slack stays among equals.
+        keyed.sort_by_key(|(key, _)| *key);
+        keyed.into_iter().map(|(_, it)| it).collect()
     }
 }
