--- a/crates/redwinglatch-backends/src/event_parser.rs
+++ b/crates/redwinglatch-backends/src/event_parser.rs
@@ -70,14 +70,21 @@
             if self.line.len() + part.len() > self.limit_bytes {
                 return Err(self.fail(bytes));
             }
-            self.line.extend_from_slice(part);
             let Some(end) = end else {
+                self.line.extend_from_slice(part);
                 *bytes = &[];
                 break;
             };
             self.after_carriage_return = bytes[end] == b'\r';
             *bytes = &bytes[end + 1..];
-            match self.end_line() {
+            let ended = if self.line.is_empty() {
+                self.end_line(part)
+            } else {
+                let mut line = std::mem::take(&mut self.line);
+                line.extend_from_slice(part);
+                self.end_line(&line)
+            };
+            match ended {
                 Ok(None) => {}
                 Ok(Some(event)) => return Ok(Some(event)),
                 Err(()) => return Err(self.fail(bytes)),
@@ -86,10 +93,9 @@
         Ok(None)
     }
 
-    /// Handles one complete line and leaves the line buffer empty.
-    fn end_line(&mut self) -> Result<Option<ParsedEvent>, ()> {
+    /// Handles one complete line.
+    fn end_line(&mut self, mut line: &[u8]) -> Result<Option<ParsedEvent>, ()> {
         const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
-        let mut line = self.line.as_slice();
         if std::mem::take(&mut self.at_start) {
             line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
         }
@@ -113,7 +119,6 @@
             }
             None
         };
-        self.line.clear();
         Ok(event)
     }
 
--- a/crates/redwinglatch-backends/src/resuming_stream.rs
+++ b/crates/redwinglatch-backends/src/resuming_stream.rs
@@ -35,6 +35,7 @@
     opening: Option<Opening>,
     reason: RetryReason,
     failed_attempts: u32,
+    last_failure: Option<BackendError>,
     resumes: u32,
     boot_id: Option<Box<str>>,
     next_index: u64,
@@ -64,6 +65,7 @@
             opening: None,
             reason: RetryReason::StreamResumed,
             failed_attempts: 0,
+            last_failure: None,
             resumes: 0,
             boot_id: None,
             next_index: from,
@@ -155,25 +157,27 @@
             let stall = Duration::from_millis(self.pool.settings.stall_ms);
             let gap_until = self.gap_since.map(|since| since + stall);
             let until = gap_until.map_or(self.deadline, |gap| gap.min(self.deadline));
-            match timeout_at(until, current.next(&self.adapter, self.version)).await {
-                Ok(Ok(StreamEvent::KeepAlive)) => {}
-                Ok(Ok(StreamEvent::Token(token))) => {
+            match current.next(&self.adapter, self.version, until).await {
+                Ok(StreamEvent::KeepAlive) => {}
+                Ok(StreamEvent::Token(token)) => {
                     if let Some(token) = self.take_token(token)? {
                         return Ok(Some(token));
                     }
                 }
-                Ok(Ok(StreamEvent::Finish(finish))) => self.take_finish(finish)?,
-                Ok(Err(StreamBreak::Silent)) => {
+                Ok(StreamEvent::Finish(finish)) => self.take_finish(finish)?,
+                Err(StreamBreak::Silent) => {
                     self.pool.drop_suspects(self.address);
                     self.leave_current(RetryReason::StreamResumed);
                 }
-                Ok(Err(StreamBreak::Lost(detail))) => {
+                Err(StreamBreak::Lost(detail)) => {
                     log::debug!("backends: stream {} broke: {detail}", self.request_id);
                     self.leave_current(RetryReason::ConnectionLost);
                 }
-                Ok(Err(StreamBreak::Fatal(error))) => return Err(error),
-                Err(_) if Instant::now() >= self.deadline => return Err(self.deadline_passed()),
-                Err(_) => self.leave_current(RetryReason::StreamResumed),
+                Err(StreamBreak::Fatal(error)) => return Err(error),
+                Err(StreamBreak::TimeUp) if Instant::now() >= self.deadline => {
+                    return Err(self.deadline_passed());
+                }
+                Err(StreamBreak::TimeUp) => self.leave_current(RetryReason::StreamResumed),
             }
         }
     }
@@ -211,13 +215,9 @@
             let detail = format!("{} tokens counted, {held} received", finish.tokens);
             return Err(BackendError::unknown(BackendErrorKind::Malformed, detail));
         }
-        let missing = finish.tokens > self.next_index;
         self.finish = Some(finish);
-        if missing {
-            self.leave_current(RetryReason::StreamResumed);
-        } else {
-            self.current = None;
-        }
+        // If a token is still missing, the next round resumes for it.
+        self.leave_current(RetryReason::StreamResumed);
         Ok(())
     }
 
@@ -231,11 +231,16 @@
     async fn reopen(&mut self) -> Result<(), BackendError> {
         let settings = &self.pool.settings;
         if self.failed_attempts >= settings.resume_attempts {
+            let last = self.last_failure.as_ref();
             let detail = format!(
-                "stream {} gave no token in {} attempts to resume it",
-                self.request_id, self.failed_attempts
+                "stream {} gave no token in {} attempts to resume it; last: {}",
+                self.request_id,
+                self.failed_attempts,
+                last.map_or("opened, but without a token".to_owned(), ToString::to_string)
             );
-            return Err(BackendError::unknown(BackendErrorKind::StreamLost, detail));
+            let leaving = last.is_some_and(|error| error.leaving);
+            let error = BackendError::unknown(BackendErrorKind::StreamLost, detail);
+            return Err(BackendError { leaving, ..error });
         }
         let opening = match &mut self.opening {
             Some(opening) => opening,
@@ -268,13 +273,10 @@
                     return Err(BackendError::unknown(BackendErrorKind::StreamLost, detail));
                 }
                 self.resumes += 1;
+                self.last_failure = None;
                 self.attach(stream);
                 Ok(())
             }
-            Err(error) if error.kind == BackendErrorKind::ConnectRefused => {
-                self.reason = RetryReason::ConnectRefused;
-                Ok(())
-            }
             Err(error) => match error.kind {
                 BackendErrorKind::StreamLost
                 | BackendErrorKind::Malformed
@@ -282,7 +284,13 @@
                     // What a resume says about itself is not what became of the request.
                     Err(BackendError { ran: Ran::Unknown, ..error })
                 }
-                _ => Ok(()),
+                kind => {
+                    if kind == BackendErrorKind::ConnectRefused {
+                        self.reason = RetryReason::ConnectRefused;
+                    }
+                    self.last_failure = Some(error);
+                    Ok(())
+                }
             },
         }
     }
--- a/crates/redwinglatch-backends/src/stream_event.rs
+++ b/crates/redwinglatch-backends/src/stream_event.rs
@@ -1,5 +1,7 @@
 //! The events of a token stream.
 
+use std::borrow::Cow;
+
 use serde::Deserialize;
 
 use crate::{BackendError, BackendErrorKind};
@@ -34,10 +36,11 @@
 }
 
 #[derive(Deserialize)]
-struct WireEvent {
+struct WireEvent<'a> {
     index: Option<u64>,
     text: Option<Box<str>>,
-    adapter: Option<Box<str>>,
+    #[serde(borrow)]
+    adapter: Option<Cow<'a, str>>,
     version: Option<u32>,
     #[serde(default)]
     done: bool,
@@ -53,7 +56,7 @@
         version: u32,
     ) -> Result<StreamEvent, BackendError> {
         let malformed = |detail: String| BackendError::unknown(BackendErrorKind::Malformed, detail);
-        let event: WireEvent =
+        let event: WireEvent<'_> =
             serde_json::from_slice(data).map_err(|error| malformed(error.to_string()))?;
         let (Some(event_adapter), Some(event_version)) = (event.adapter, event.version) else {
             return Err(malformed("the event names no adapter and version".to_owned()));
--- a/crates/redwinglatch-backends/src/token_stream.rs
+++ b/crates/redwinglatch-backends/src/token_stream.rs
@@ -22,6 +22,8 @@
 pub(crate) enum StreamBreak {
     /// No byte came for the stall time.
     Silent,
+    /// The caller's time passed first.
+    TimeUp,
     /// The connection broke or the body ended before the last event.
     Lost(String),
     /// The stream can't be used.
@@ -65,13 +67,14 @@
         &self.boot_id
     }
 
-    /// Returns the next event, which must name `adapter` and `version`.
+    /// Returns the next event before `until`, which must name `adapter` and `version`.
     ///
     /// Cancelling the call loses nothing: the time of silence counts on from the first call.
     pub(crate) async fn next(
         &mut self,
         adapter: &str,
         version: u32,
+        until: Instant,
     ) -> Result<StreamEvent, StreamBreak> {
         loop {
             let mut rest = &self.unread[..];
@@ -88,7 +91,7 @@
                     }
                     return Ok(event);
                 }
-                Ok(None) => self.read().await?,
+                Ok(None) => self.read(until).await?,
                 Err(error) => {
                     let kind = BackendErrorKind::TooLarge;
                     let error = BackendError::unknown(kind, error.to_string());
@@ -98,7 +101,7 @@
         }
     }
 
-    async fn read(&mut self) -> Result<(), StreamBreak> {
+    async fn read(&mut self, until: Instant) -> Result<(), StreamBreak> {
         let Some(body) = &mut self.body else {
             return Err(StreamBreak::Lost("the stream has ended".to_owned()));
         };
@@ -107,8 +110,9 @@
         // hyper's bodies take no part in the runtime's task budget, so a fast engine could
         // otherwise keep other tasks from running.
         tokio::task::coop::consume_budget().await;
-        let frame = match timeout_at(silent_at, body.frame()).await {
-            Err(_) => return Err(StreamBreak::Silent),
+        let frame = match timeout_at(silent_at.min(until), body.frame()).await {
+            Err(_) if silent_at <= until => return Err(StreamBreak::Silent),
+            Err(_) => return Err(StreamBreak::TimeUp),
             Ok(None) => {
                 return Err(StreamBreak::Lost("the body ended before the last event".to_owned()));
             }
--- a/crates/redwinglatch-backends/tests/end_to_end.rs
+++ b/crates/redwinglatch-backends/tests/end_to_end.rs
@@ -66,6 +66,7 @@
     for _ in 0..3 {
         stream.next().await.unwrap().unwrap();
     }
+    assert_eq!((engine.runs()[0].tokens_generated, engine.runs()[0].ended), (3, None));
     let outcome = client.cancel(engine.address(), "r-1", Epoch(1)).await.unwrap();
     assert!(outcome.cancelled);
     assert_eq!(outcome.tokens, 3);
--- a/crates/redwinglatch-backends/tests/hostile_bytes.rs
+++ b/crates/redwinglatch-backends/tests/hostile_bytes.rs
@@ -8,11 +8,12 @@
 use quickcheck::{Gen, QuickCheck, TestResult};
 use redwinglatch_backends::{
     BackendClient, BackendErrorKind, BackendSettings, EventParser, EventParserError, ParsedEvent,
+    ServiceRequest,
 };
 use redwinglatch_core::Ran;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpListener,
+    net::{TcpListener, TcpSocket},
 };
 
 const LIMIT_BYTES: usize = 24;
@@ -102,13 +103,15 @@
     assert_eq!(parse(lines.as_bytes(), &[1]), (vec![], too_large));
 }
 
-/// Answers each connection with `answer` after its request, and then keeps it open.
-async fn server(answer: Vec<u8>) -> SocketAddr {
+/// Gives each connection the next of `answers` after its request, and the last one from then on;
+/// connections are kept open and get no second answer.
+async fn server(answers: Vec<Vec<u8>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
-        while let Ok((mut socket, _)) = listener.accept().await {
-            let answer = answer.clone();
+        for number in 0.. {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let answer = answers[usize::min(number, answers.len() - 1)].clone();
             tokio::spawn(async move {
                 let mut request = [0; 4096];
                 let _ = socket.read(&mut request).await;
@@ -124,6 +127,24 @@
     format!("HTTP/1.1 {head}\r\n\r\n{body}").into_bytes()
 }
 
+/// A whole event stream whose last part is the body's end.
+fn event_stream(events: &[String]) -> Vec<u8> {
+    let body: String = events.iter().map(|event| format!("data: {event}\n\n")).collect();
+    let size = body.len();
+    let head = "content-type: text/event-stream\r\nx-engine-boot-id: b\r\ncontent-length: ";
+    http(&format!("200 OK\r\n{head}{size}"), &body)
+}
+
+fn token(index: u32) -> String {
+    format!(r#"{{"index":{index},"text":"{index}","adapter":"scope","version":1}}"#)
+}
+
+fn done(tokens: u32) -> String {
+    format!(
+        r#"{{"done":true,"finish_reason":"stop","tokens":{tokens},"adapter":"scope","version":1}}"#
+    )
+}
+
 /// Guards against panics, endless waits and "not run" on answers that are not in the form.
 #[tokio::test]
 async fn malformed_answers_are_unknown() {
@@ -142,7 +163,7 @@
         http(&format!("{stream_head}\r\ncontent-length: 9999999"), &"y".repeat(1 << 20)),
     ];
     for (number, answer) in cases.into_iter().enumerate() {
-        let address = server(answer).await;
+        let address = server(vec![answer]).await;
         let settings = BackendSettings { resume_attempts: 2, ..quick() };
         let client = BackendClient::new(settings);
         let error = match client.complete(address, request("r-1", 5)).await {
@@ -157,7 +178,7 @@
 #[tokio::test]
 async fn a_body_above_the_limit_is_not_read() {
     for head in ["200 OK\r\ncontent-length: 99999999999", "200 OK\r\nconnection: close"] {
-        let address = server(http(head, &" ".repeat((1 << 20) + 1))).await;
+        let address = server(vec![http(head, &" ".repeat((1 << 20) + 1))]).await;
         let error = quick_client().report(address).await.unwrap_err();
         assert_eq!((error.kind, error.ran), (BackendErrorKind::TooLarge, Ran::Unknown));
     }
@@ -168,8 +189,88 @@
 async fn a_report_in_another_form_is_malformed() {
     for body in ["", "[]", "{\"boot_id\":1}", "{\"boot_id\":\"b\"}", &"[".repeat(10_000)] {
         let address =
-            server(http(&format!("200 OK\r\ncontent-length: {}", body.len()), body)).await;
+            server(vec![http(&format!("200 OK\r\ncontent-length: {}", body.len()), body)]).await;
         let error = quick_client().report(address).await.unwrap_err();
         assert_eq!(error.kind, BackendErrorKind::Malformed);
     }
 }
+
+/// Guards against repeated tokens that fill the buffer for tokens that came early.
+#[tokio::test]
+async fn tokens_repeated_many_times_are_dropped() {
+    let mut events: Vec<String> = (0..100).chain(0..100).map(token).collect();
+    events.extend([token(100), done(101)]);
+    let address = server(vec![event_stream(&events)]).await;
+    let client = quick_client();
+    let mut stream = client.complete(address, request("r-1", 101)).await.unwrap();
+    assert_eq!(
+        read_all(&mut stream).await.unwrap(),
+        (0..=100).map(|n| n.to_string()).collect::<String>()
+    );
+    assert!(client.take_retries().is_empty());
+}
+
+/// Guards against tokens that never end, and against a count above what was asked for.
+#[tokio::test]
+async fn more_tokens_than_asked_for_are_malformed() {
+    for events in [vec![token(0), token(1), token(2), done(2)], vec![token(0), token(1), done(3)]] {
+        let address = server(vec![event_stream(&events)]).await;
+        let mut stream = quick_client().complete(address, request("r-1", 2)).await.unwrap();
+        let error = read_all(&mut stream).await.unwrap_err();
+        assert_eq!((error.kind, error.ran), (BackendErrorKind::Malformed, Ran::Unknown));
+        assert_eq!(stream.next_index(), 2, "no token above the limit is passed on");
+    }
+}
+
+/// Guards against taking "not run" in the refusal of a resume for the request's own fate.
+#[tokio::test]
+async fn a_refused_resume_does_not_make_a_started_request_not_run() {
+    let body = r#"{"error":{"code":"unknown_stream","message":"r-1"}}"#;
+    let head = format!("404 Not Found\r\nx-not-run: true\r\ncontent-length: {}", body.len());
+    let address = server(vec![event_stream(&[token(0)]), http(&head, body)]).await;
+    let mut stream = quick_client().complete(address, request("r-1", 5)).await.unwrap();
+    let error = read_all(&mut stream).await.unwrap_err();
+    assert_eq!((error.kind, error.ran), (BackendErrorKind::StreamLost, Ran::Unknown));
+}
+
+/// Guards against reusing a connection on which bytes followed the last event.
+#[tokio::test]
+async fn a_connection_with_bytes_after_the_end_is_not_reused() {
+    let address = server(vec![event_stream(&[token(0), done(1), token(0)])]).await;
+    let client = quick_client();
+    for id in ["r-1", "r-2", "r-3"] {
+        let mut stream = client.complete(address, request(id, 5)).await.unwrap();
+        assert_eq!(read_all(&mut stream).await.unwrap(), "0");
+        // Lets the task that would hand the connection back run.
+        tokio::task::yield_now().await;
+    }
+    assert!(client.take_retries().is_empty());
+}
+
+/// Guards against tasks and sockets that are left behind when a peer answers in part and takes no
+/// more bytes.
+#[tokio::test]
+async fn a_call_to_a_peer_that_stops_reading_leaves_no_task() {
+    // More than the kernel buffers for one connection.
+    const SIZE_BYTES: usize = 32 << 20;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(16).unwrap();
+    let address = listener.local_addr().unwrap();
+    let call =
+        ServiceRequest::new(hyper::Method::POST, "/").body(vec![0; SIZE_BYTES]).timeout_ms(300);
+    let client = BackendClient::new(BackendSettings { body_limit_bytes: SIZE_BYTES, ..quick() });
+    let (result, held) = tokio::join!(client.call_service(address, call), async {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        socket.write_all(&http("200 OK\r\ncontent-length: 9", "half")).await.unwrap();
+        socket
+    });
+    let error = result.unwrap_err();
+    assert_eq!((error.kind, error.ran), (BackendErrorKind::Silent, Ran::Unknown));
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(tokio::runtime::Handle::current().metrics().num_alive_tasks(), 0);
+    drop(held);
+}
--- a/crates/redwinglatch-backends/tests/stream_failures.rs
+++ b/crates/redwinglatch-backends/tests/stream_failures.rs
@@ -38,6 +38,21 @@
     }
 }
 
+/// Guards against using idle connections after a stream to the same engine went silent.
+#[tokio::test]
+async fn a_silent_stream_drops_the_idle_connections_of_its_engine() {
+    let engine = engine();
+    engine.hold_at(Some(2));
+    let client = BackendClient::new(BackendSettings { order_timeout_ms: 400, ..quick() });
+    let mut stream = client.complete(engine.address(), request("r-1", 9)).await.unwrap();
+    read_tokens(&mut stream, 2).await;
+    client.report(engine.address()).await.unwrap();
+    engine.go_silent();
+    engine.hold_at(None);
+    read_all(&mut stream).await.unwrap();
+    client.report(engine.address()).await.unwrap();
+}
+
 /// Guards against losing or repeating tokens when a connection is reset or its body ends early.
 #[tokio::test]
 async fn a_stream_that_breaks_is_resumed() {
@@ -47,6 +62,16 @@
     assert!(retries.get(RetryReason::ConnectionLost) >= 3);
 }
 
+/// Guards against giving up a long stream whose connections break often but always bring tokens.
+#[tokio::test]
+async fn attempts_are_counted_from_the_last_token() {
+    let faults: Vec<_> = (1..10).map(|number| (number * 10, StreamFault::EndEarly)).collect();
+    let settings = BackendSettings { resume_attempts: 2, ..quick() };
+    let (answer, retries) = answer_with(&faults, settings).await;
+    assert_eq!(answer, expected(TOKENS));
+    assert_eq!(retries.get(RetryReason::ConnectionLost), 9);
+}
+
 /// Guards against passing tokens on twice or out of order when events arrive so.
 #[tokio::test]
 async fn duplicated_and_late_tokens_are_put_in_order() {
@@ -145,6 +170,7 @@
     engine.reset_connections();
     let error = stream.next().await.unwrap_err();
     assert_eq!((error.kind, error.ran), (BackendErrorKind::StreamLost, Ran::Unknown));
+    assert!(error.detail.contains("connection refused"), "{error}");
     let retries = client.take_retries();
     assert_eq!(retries.get(RetryReason::ConnectionLost), 1);
     assert_eq!(retries.get(RetryReason::ConnectRefused), 2);
--- a/crates/redwinglatch-fakes/src/engine_state.rs
+++ b/crates/redwinglatch-fakes/src/engine_state.rs
@@ -382,6 +382,7 @@
             if generated < run.max_tokens {
                 advanced += 1;
                 run.progress.send_modify(|progress| progress.generated += 1);
+                self.records[run.record].tokens_generated += 1;
             }
             if generated + 1 >= run.max_tokens {
                 finished.push(id.clone());
@@ -423,7 +424,6 @@
         let record = &mut self.records[run.record];
         record.end = Some(now);
         record.ended = Some(end);
-        record.tokens_generated = run.progress.borrow().generated;
     }
 
     fn forget_finished(&mut self) {
--- a/crates/redwinglatch-fakes/src/record.rs
+++ b/crates/redwinglatch-fakes/src/record.rs
@@ -15,7 +15,7 @@
     Evicted,
 }
 
-/// One run of one request.
+/// One run of one request, from its acceptance into the queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRecord {
     /// The request's id.
@@ -32,7 +32,7 @@
     pub end: Option<Instant>,
     /// How the run ended; `None` while it is active.
     pub ended: Option<RunEnd>,
-    /// How many tokens were generated.
+    /// How many tokens were generated so far.
     pub tokens_generated: u32,
     /// The highest token index written to a connection, plus one.
     pub tokens_delivered: u32,
@@ -40,6 +40,14 @@
     pub resumes: u32,
 }
 
+impl RunRecord {
+    /// Whether any token was generated; a request cancelled in the queue did not run.
+    #[must_use]
+    pub fn ran(&self) -> bool {
+        self.tokens_generated > 0
+    }
+}
+
 /// One unload of an adapter, or an attempt at one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Eviction {
