Bound the tests' waits and make their timeouts robust on a busy machine

Cause: a wait for a condition that never comes hung its test, and short timeouts in tests without silence could expire on a busy machine. Change: the fakes' waits fail after 60 s with the name of the condition; tests without a silent connection use long stall and probe times.

--- a/crates/redwinglatch-backends/tests/common/mod.rs
+++ b/crates/redwinglatch-backends/tests/common/mod.rs
@@ -21,6 +21,12 @@
     }
 }
 
+/// Settings for tests in which no connection is silent, so that a busy machine can't make one seem
+/// so.
+pub(crate) fn patient() -> BackendSettings {
+    BackendSettings { stall_ms: 30_000, probe_timeout_ms: 30_000, ..quick() }
+}
+
 pub(crate) fn quick_client() -> BackendClient {
     BackendClient::new(quick())
 }
--- a/crates/redwinglatch-fakes/src/lib.rs
+++ b/crates/redwinglatch-fakes/src/lib.rs
@@ -36,6 +36,7 @@
 mod server;
 mod service;
 mod text;
+mod wait;
 mod weight_store;
 
 pub use engine::FakeEngine;
