--- a/crates/redwinglatch-fakes/src/lib.rs
+++ b/crates/redwinglatch-fakes/src/lib.rs
@@ -37,6 +37,7 @@
 mod server;
 mod service;
 mod text;
+mod wait;
 mod weight_store;
 
 pub use caller::{CallerRequest, CallerResponse, CallerStream, FakeCaller};
