Test requests, refusals and keys over real sockets

Cause: bad input and limits had no test through the whole path. Change: tests for malformed requests, wrong names and secrets, reused keys, limits and loads that come too late, each with its counter. Order settling now counts only for engines that ignore fencing tokens. Conclusion: the request path answers bad input clearly.

--- /dev/null
+++ b/crates/redwinglatch-local/tests/requests.rs
@@ -0,0 +1,193 @@
+//! Requests over real sockets: whole answers, refusals of bad input, and their counters.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use hyper::Method;
+use redwinglatch_core::{RefusalReason, Revision};
+use redwinglatch_fakes::{CallerRequest, CallerResponse, FakeCaller, expected_text};
+use redwinglatch_local::{CALLERS_SECRET, Deployment, Fakes, FakesOptions, Timing};
+use tokio::time::{Instant, sleep};
+
+const CUSTOMER: &str = "lakeshore";
+
+/// A deployment whose folder is removed at the end of the test.
+struct Local {
+    deployment: Deployment,
+    dir: PathBuf,
+}
+
+impl Drop for Local {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Local {
+    async fn start(name: &str, options: FakesOptions) -> Local {
+        let dir = std::env::temp_dir().join(format!("redwinglatch-{name}-{}", std::process::id()));
+        let timing = Timing {
+            renew_interval_ms: 200,
+            lease_ms: 1_500,
+            keep_for_s: 1,
+            order_settle_ms: 1_000,
+        };
+        let deployment = Deployment::start(&dir, 1, 1, timing, options).await.unwrap();
+        for number in 0..8 {
+            deployment.fakes.weight_store.add(format!("wall-{number}"), 1);
+        }
+        let contract = Deployment::contract(CUSTOMER, "wall-");
+        let operator = deployment.operator();
+        let give_up_at = Instant::now() + Duration::from_secs(20);
+        while let Err(error) = operator.apply_contract("first", Revision(0), &contract).await {
+            assert!(Instant::now() < give_up_at, "no contract: {error}");
+            sleep(Duration::from_millis(100)).await;
+        }
+        Local { deployment, dir }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.deployment.callers_address(0)
+    }
+
+    async fn send(&self, request: CallerRequest) -> CallerResponse {
+        self.deployment.caller(CUSTOMER).send(self.address(), &request).await.unwrap()
+    }
+
+    fn refusals(&self, reason: RefusalReason) -> u64 {
+        self.deployment.instance(0).unwrap().metrics().refusals(reason)
+    }
+
+    /// Sends a request that must be refused for `reason` before it runs, and looks at the counter.
+    async fn refused(&self, request: CallerRequest, status: u16, reason: RefusalReason) {
+        let before = self.refusals(reason);
+        let response = self.send(request).await;
+        let error = &response.body["error"];
+        assert_eq!(response.status, status, "{}", response.body);
+        assert_eq!(error["code"], reason.code());
+        assert_eq!(error["ran"], "not_run");
+        assert_ne!(error["remedy"].as_str().unwrap_or_default(), "");
+        assert_eq!(self.refusals(reason), before + 1);
+    }
+}
+
+fn completion(adapter: &str, prompt: &str, tokens: u32, stream: bool) -> CallerRequest {
+    CallerRequest::completion(Fakes::MODEL, adapter, 1, prompt, tokens, stream)
+}
+
+fn raw(body: impl Into<bytes::Bytes>) -> CallerRequest {
+    CallerRequest::new(Method::POST, "/v1/completions", body)
+}
+
+/// Guards against bad input that ends the process, disturbs another stream, or is refused without
+/// a clear error and a counter.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_is_refused_and_counted_while_a_stream_goes_on() {
+    let options = FakesOptions { step_ms: 20, ..FakesOptions::default() };
+    let local = Local::start("bad-input", options).await;
+    let caller = local.deployment.caller(CUSTOMER);
+    let long = completion("wall-1", "long", 100, true);
+    let mut stream = caller.stream(local.address(), &long).await.unwrap();
+    let reading = tokio::spawn(async move { stream.text().await.unwrap() });
+
+    let good = || completion("wall-2", "x", 1, false);
+    local.refused(raw("{"), 400, RefusalReason::MalformedRequest).await;
+    local.refused(raw("{\"model\": 5}"), 400, RefusalReason::MalformedRequest).await;
+    let unknown_field = r#"{"model":"m","adapter":"a","version":1,"prompt":"p","colour":"red"}"#;
+    local.refused(raw(unknown_field), 400, RefusalReason::MalformedRequest).await;
+    let version_0 = r#"{"model":"m","adapter":"a","version":0,"prompt":"p"}"#;
+    local.refused(raw(version_0), 400, RefusalReason::MalformedRequest).await;
+    for (name, value) in [
+        ("x-redwinglatch-deadline-ms", "soon"),
+        ("x-redwinglatch-deadline-ms", "-1"),
+        ("x-redwinglatch-priority", "10"),
+        ("x-redwinglatch-once", "maybe"),
+        ("idempotency-key", ""),
+    ] {
+        let request = good().header(name, value);
+        local.refused(request, 400, RefusalReason::MalformedRequest).await;
+    }
+    let past = good().header("x-redwinglatch-deadline-ms", "0");
+    local.refused(past, 504, RefusalReason::DeadlinePassed).await;
+    let large = raw(vec![b' '; 2 << 20]);
+    local.refused(large, 413, RefusalReason::TooLarge).await;
+    let path = CallerRequest::new(Method::GET, "/v2/nothing", "");
+    local.refused(path, 404, RefusalReason::NotFound).await;
+    let adapter = completion("roof-1", "x", 1, false);
+    local.refused(adapter, 403, RefusalReason::AdapterNotAllowed).await;
+    let model = CallerRequest::completion("no-base", "wall-1", 1, "x", 1, false);
+    local.refused(model, 404, RefusalReason::UnknownModel).await;
+    let missing = completion("wall-99", "x", 1, false);
+    local.refused(missing, 404, RefusalReason::UnknownAdapter).await;
+    let service = CallerRequest::new(Method::GET, "/v1/services/payroll/x", "");
+    local.refused(service, 403, RefusalReason::ServiceNotAllowed).await;
+
+    let stranger = FakeCaller::new("nobody", CALLERS_SECRET);
+    let response = stranger.send(local.address(), &good()).await.unwrap();
+    assert_eq!(response.body["error"]["code"], RefusalReason::UnknownCustomer.code());
+    let forger = FakeCaller::new(CUSTOMER, "another-secret-altogether");
+    let response = forger.send(local.address(), &good()).await.unwrap();
+    assert_eq!(
+        (response.status, &response.body["error"]["code"]),
+        (401, &"unauthenticated".into())
+    );
+
+    assert_eq!(reading.await.unwrap(), expected_text("long", "wall-1", 1, 100));
+    let response = local.send(good()).await;
+    assert_eq!(response.body["text"], expected_text("x", "wall-2", 1, 1), "{}", response.body);
+}
+
+/// Guards against a key that runs twice, a stored answer that differs, and a key that is used for
+/// two requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_gets_its_first_answer_again() {
+    let local = Local::start("keys", FakesOptions::default()).await;
+    let key = |request: CallerRequest| request.header("idempotency-key", "report-1");
+    let first = local.send(key(completion("wall-1", "one", 6, false))).await;
+    assert_eq!(first.status, 200, "{}", first.body);
+    assert_eq!((first.adapter.as_deref(), first.version), (Some("wall-1"), Some(1)));
+    let second = local.send(key(completion("wall-1", "one", 6, false))).await;
+    assert_eq!((second.status, second.bytes), (200, first.bytes));
+    local.refused(key(completion("wall-1", "two", 6, false)), 422, RefusalReason::KeyReused).await;
+    let runs: usize = local.deployment.fakes.engines.iter().map(|it| it.runs().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+/// Guards against limits of a contract that are not enforced, or refuse without a time to retry.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn limits_of_a_contract_refuse_with_a_time_to_retry() {
+    let options = FakesOptions { step_ms: 50, ..FakesOptions::default() };
+    let local = Local::start("limits", options).await;
+    let operator = local.deployment.operator();
+    let current = operator.contract(CUSTOMER).await.unwrap().unwrap();
+    let mut narrow = current.contract.clone();
+    narrow.concurrent_requests = 1;
+    operator.apply_contract("narrow", current.revision, &narrow).await.unwrap();
+
+    let caller = local.deployment.caller(CUSTOMER);
+    let running = completion("wall-1", "running", 40, true);
+    let mut stream = caller.stream(local.address(), &running).await.unwrap();
+    assert!(stream.next().await.unwrap().is_some());
+    let response = local.send(completion("wall-1", "second", 1, false)).await;
+    assert_eq!(response.status, 429, "{}", response.body);
+    assert_eq!(response.body["error"]["code"], RefusalReason::Concurrency.code());
+    assert!(response.body["error"]["retry_after_ms"].as_u64().is_some());
+    while stream.next().await.unwrap().is_some() {}
+    let response = local.send(completion("wall-1", "third", 1, false)).await;
+    assert_eq!(response.status, 200, "{}", response.body);
+}
+
+/// Guards against a request that waits for its deadline although its load can't be in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_load_that_comes_too_late_is_refused_at_once() {
+    let options = FakesOptions { loads_per_s: 1.0, ..FakesOptions::default() };
+    let local = Local::start("late", options).await;
+    // The coordinator knows its engines after their first reports.
+    let ready = local.send(completion("wall-0", "ready", 1, false)).await;
+    assert_eq!(ready.status, 200, "{}", ready.body);
+    let asked_at = Instant::now();
+    let request = completion("wall-1", "x", 1, false).header("x-redwinglatch-deadline-ms", "600");
+    local.refused(request, 503, RefusalReason::LoadTooLate).await;
+    assert!(asked_at.elapsed() < Duration::from_millis(400), "{:?}", asked_at.elapsed());
+}
--- a/crates/redwinglatch-server/src/shared.rs
+++ b/crates/redwinglatch-server/src/shared.rs
@@ -9,7 +9,7 @@
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{PeerMessage, Transport};
 use redwinglatch_metrics::Metrics;
-use redwinglatch_settings::{EnginePool, PoolSettings, Settings};
+use redwinglatch_settings::{EnginePool, Fencing, PoolSettings, Settings};
 use tokio::sync::{Notify, watch};
 use xtra::Address;
 
@@ -71,10 +71,12 @@
 
 /// The lease settings that follow from the control settings.
 pub(crate) fn lease_settings(settings: &Settings) -> LeaseSettings {
+    // Engines that refuse old fencing tokens need no time for old orders to settle.
     let order_settle_ms = settings
         .pools
         .iter()
         .filter_map(PoolSettings::engine)
+        .filter(|engine| engine.fencing == Fencing::Ignored)
         .map(|engine| engine.order_settle_ms)
         .max();
     LeaseSettings {
