Settle disagreements about shares between leader and instances

Change: reports are believed only when no grant is under way, and otherwise lead to another grant; requests in flight above a share have a field of their own; nothing is raised while a holder has an unknown contract; an instance renews at once after it put a change in force; Limiter::decide_again replaces the guess from equal times; the schedule test is split into files.

--- a/crates/redwinglatch-admission/src/lib.rs
+++ b/crates/redwinglatch-admission/src/lib.rs
@@ -13,14 +13,14 @@
 //!
 //! let mut limiter = Limiter::new();
 //! // No share yet: renew at once with the demand, then decide again.
-//! let Admission::AskForShare { until_ms } = limiter.admit(1_000, 1_000, "lakeshore", 64) else {
+//! let Admission::AskForShare { until_ms } = limiter.admit(1_000, "lakeshore", 64) else {
 //!     panic!("a customer without a share must ask");
 //! };
 //! assert_eq!(until_ms, 1_200);
 //! let share =
 //!     Share { request_rate_milli: 5_000, concurrent_requests: 2, token_rate_per_s: 1_000 };
 //! limiter.set_shares(1_010, |_customer| share);
-//! let Admission::Admitted(permit) = limiter.admit(1_010, 1_000, "lakeshore", 64) else {
+//! let Admission::Admitted(permit) = limiter.decide_again(1_010, 1_000, "lakeshore", 64) else {
 //!     panic!("the share allows the request");
 //! };
 //!
--- a/crates/redwinglatch-admission/src/limiter.rs
+++ b/crates/redwinglatch-admission/src/limiter.rs
@@ -104,26 +104,32 @@
         });
     }
 
-    /// Decides about a request that arrived at `arrived_at_ms` and may generate `max_tokens`; 0 for
-    /// a plain service.
-    pub fn admit(
+    /// Decides about a request that has just arrived and may generate `max_tokens`; 0 for a plain
+    /// service.
+    pub fn admit(&mut self, now_ms: u64, name: &str, max_tokens: u32) -> Admission {
+        if !self.customers.contains_key(name) {
+            self.customers.insert(name.into(), Customer::default());
+        }
+        if let Some(customer) = self.customers.get_mut(name) {
+            customer.arrivals.add(now_ms, 1);
+            customer.wanted_tokens.add(now_ms, u64::from(max_tokens));
+            customer.wanted_concurrency.raise_to(now_ms, customer.in_flight + 1);
+        }
+        self.decide_again(now_ms, now_ms, name, max_tokens)
+    }
+
+    /// Decides again about a request that arrived at `arrived_at_ms` and was told to wait for a
+    /// share.
+    pub fn decide_again(
         &mut self,
         now_ms: u64,
         arrived_at_ms: u64,
         name: &str,
         max_tokens: u32,
     ) -> Admission {
-        if !self.customers.contains_key(name) {
-            self.customers.insert(name.into(), Customer::default());
-        }
         let Some(customer) = self.customers.get_mut(name) else {
             return Admission::Refused(refusal(RefusalReason::RequestRate, name, None));
         };
-        if now_ms == arrived_at_ms {
-            customer.arrivals.add(now_ms, 1);
-            customer.wanted_tokens.add(now_ms, u64::from(max_tokens));
-            customer.wanted_concurrency.raise_to(now_ms, customer.in_flight + 1);
-        }
         if let Some(reason) = customer.missing_part(max_tokens) {
             let answered = customer
                 .answered_at_ms
--- a/crates/redwinglatch-admission/tests/limits.rs
+++ b/crates/redwinglatch-admission/tests/limits.rs
@@ -12,7 +12,7 @@
 
 fn limiter(now_ms: u64, share: Share) -> Limiter {
     let mut limiter = Limiter::new();
-    let _ask = limiter.admit(now_ms, now_ms, "lakeshore", 10);
+    let _ask = limiter.admit(now_ms, "lakeshore", 10);
     limiter.set_shares(now_ms, |_| share);
     limiter
 }
@@ -68,20 +68,20 @@
 fn concurrent_requests_never_exceed_the_share() {
     let mut limiter = limiter(1_000, SHARE);
     let mut permits: Vec<Permit> =
-        (0..3).map(|at| permit(limiter.admit(2_000 + at, 2_000 + at, "lakeshore", 10))).collect();
-    let fourth = limiter.admit(2_003, 2_003, "lakeshore", 10);
+        (0..3).map(|at| permit(limiter.admit(2_000 + at, "lakeshore", 10))).collect();
+    let fourth = limiter.admit(2_003, "lakeshore", 10);
     assert_eq!(reason(fourth), RefusalReason::Concurrency);
     limiter.finish(permits.pop().unwrap(), 10);
-    permits.push(permit(limiter.admit(2_004, 2_004, "lakeshore", 10)));
+    permits.push(permit(limiter.admit(2_004, "lakeshore", 10)));
     // The share shrinks below what is in flight: nothing new runs until enough have ended.
     limiter.set_shares(2_010, |_| Share { concurrent_requests: 1, ..SHARE });
     for running in (1..=3).rev() {
         assert_eq!(limiter.in_flight("lakeshore"), running);
-        let next = limiter.admit(2_020, 2_020, "lakeshore", 10);
+        let next = limiter.admit(2_020, "lakeshore", 10);
         assert_eq!(reason(next), RefusalReason::Concurrency);
         limiter.finish(permits.pop().unwrap(), 10);
     }
-    let _last = permit(limiter.admit(2_030, 2_030, "lakeshore", 10));
+    let _last = permit(limiter.admit(2_030, "lakeshore", 10));
 }
 
 /// Guards against a customer without a share that is refused without asking, waits longer than
@@ -89,18 +89,21 @@
 #[test]
 fn a_customer_without_a_share_asks_once_and_waits_at_most_200_ms() {
     let mut limiter = Limiter::new();
-    let ask = limiter.admit(1_000, 1_000, "lakeshore", 10);
+    let ask = limiter.admit(1_000, "lakeshore", 10);
     assert_eq!(ask, Admission::AskForShare { until_ms: 1_200 });
     let demand = limiter.demands(1_001);
     assert_eq!(demand.len(), 1);
     assert_eq!(demand[0].1.concurrent_requests, 1);
-    assert_eq!(reason(limiter.admit(1_200, 1_000, "lakeshore", 10)), RefusalReason::Concurrency);
+    assert_eq!(
+        reason(limiter.decide_again(1_200, 1_000, "lakeshore", 10)),
+        RefusalReason::Concurrency
+    );
     limiter.set_shares(1_210, |_| Share::NONE);
-    assert_eq!(reason(limiter.admit(1_211, 1_211, "lakeshore", 10)), RefusalReason::Concurrency);
-    let later = limiter.admit(2_300, 2_300, "lakeshore", 10);
+    assert_eq!(reason(limiter.admit(1_211, "lakeshore", 10)), RefusalReason::Concurrency);
+    let later = limiter.admit(2_300, "lakeshore", 10);
     assert_eq!(later, Admission::AskForShare { until_ms: 2_500 });
     limiter.set_shares(2_310, |_| SHARE);
-    let _permit = permit(limiter.admit(2_310, 2_300, "lakeshore", 10));
+    let _permit = permit(limiter.decide_again(2_310, 2_300, "lakeshore", 10));
 }
 
 /// Guards against a token rate that large answers exceed for long, and against requests larger
@@ -108,11 +111,11 @@
 #[test]
 fn tokens_are_charged_in_advance_and_given_back() {
     let mut limiter = limiter(1_000, Share { request_rate_milli: 1_000_000, ..SHARE });
-    let large = permit(limiter.admit(2_000, 2_000, "lakeshore", 5_000));
-    let next = limiter.admit(3_000, 3_000, "lakeshore", 10);
+    let large = permit(limiter.admit(2_000, "lakeshore", 5_000));
+    let next = limiter.admit(3_000, "lakeshore", 10);
     assert_eq!(reason(next), RefusalReason::TokenRate);
     limiter.finish(large, 1_000);
-    let _permit = permit(limiter.admit(4_100, 4_100, "lakeshore", 10));
+    let _permit = permit(limiter.admit(4_100, "lakeshore", 10));
 }
 
 /// Guards against deadlines and priorities above the contract, and late answers.
--- a/crates/redwinglatch-control/src/held_shares.rs
+++ b/crates/redwinglatch-control/src/held_shares.rs
@@ -23,18 +23,17 @@
 struct Note {
     demand: Share,
     differs: Option<Share>,
+    in_flight_above: u64,
 }
 
 impl Held {
-    /// Requests in flight above the share still count as held until they end.
-    fn held(&self) -> Share {
-        let concurrent_requests = self.limit.concurrent_requests.max(self.in_use);
-        Share { concurrent_requests, ..self.limit }
-    }
-
     fn note(&self) -> Note {
-        let held = self.held();
-        Note { demand: self.demand, differs: (held != self.granted).then_some(held) }
+        let above = self.in_use > self.limit.concurrent_requests;
+        Note {
+            demand: self.demand,
+            differs: (self.limit != self.granted).then_some(self.limit),
+            in_flight_above: if above { self.in_use } else { 0 },
+        }
     }
 }
 
@@ -90,8 +89,12 @@
             // the values are back to what the leader knew before.
             if full || held.sent.is_some() || note != held.known {
                 held.sent = Some((sequence, note));
-                let demand = held.demand;
-                reports.push(ShareReport { customer: customer.clone(), demand, held: held.held() });
+                reports.push(ShareReport {
+                    customer: customer.clone(),
+                    demand: held.demand,
+                    held: held.limit,
+                    in_flight_above: note.in_flight_above,
+                });
             }
         }
         reports.sort_by(|a, b| a.customer.cmp(&b.customer));
--- a/crates/redwinglatch-control/src/message.rs
+++ b/crates/redwinglatch-control/src/message.rs
@@ -84,8 +84,10 @@
     pub customer: Box<str>,
     /// What the instance could use now.
     pub demand: Share,
-    /// What the instance holds, with requests in flight above its share of concurrent requests.
+    /// What the instance holds.
     pub held: Share,
+    /// The requests in flight, if they are more than the held share allows; otherwise 0.
+    pub in_flight_above: u64,
 }
 
 /// The control leader's answer to a renewal.
--- a/crates/redwinglatch-control/src/renewal_client.rs
+++ b/crates/redwinglatch-control/src/renewal_client.rs
@@ -19,7 +19,8 @@
     /// The reply was applied.
     Applied {
         /// Whether to send the next renewal now instead of after `renew_interval_ms`: the leader
-        /// needs a full renewal, or more parts of the configuration follow.
+        /// needs a full renewal, more parts of the configuration follow, or a change was put in
+        /// force, which the leader can report as accepted once it knows.
         renew_now: bool,
         /// The customers whose contract changed.
         changed_customers: Vec<Box<str>>,
@@ -144,8 +145,10 @@
             self.update_instances(update);
         }
         self.lease.replied(reply, caught_up);
-        let changed_customers = changed.into_iter().map(|changed| changed.customer).collect();
-        ReplyResult::Applied { renew_now: !caught_up, changed_customers }
+        let changed_customers: Vec<Box<str>> =
+            changed.into_iter().map(|changed| changed.customer).collect();
+        let renew_now = !caught_up || !changed_customers.is_empty();
+        ReplyResult::Applied { renew_now, changed_customers }
     }
 
     fn enter_term(&mut self, term: u64) {
--- a/crates/redwinglatch-control/src/shares.rs
+++ b/crates/redwinglatch-control/src/shares.rs
@@ -21,6 +21,9 @@
     value: Share,
     /// The reply that first carried `value`; `None` until one did.
     value_sequence: Option<u64>,
+    /// The latest reply that carried a value. It may still be under way after an earlier one with
+    /// the same value was applied.
+    last_sequence: u64,
     acknowledged: bool,
     /// Requests in flight above the share, as last reported.
     in_flight_above: u64,
@@ -34,6 +37,7 @@
             reserved: Share::NONE,
             value: Share::NONE,
             value_sequence: Some(0),
+            last_sequence: 0,
             acknowledged: true,
             in_flight_above: 0,
         }
@@ -41,14 +45,20 @@
 }
 
 impl Entry {
-    fn take_report(&mut self, report: &ShareReport) {
+    fn take_report(&mut self, report: &ShareReport, applied_sequence: u64) {
         self.demand = report.demand;
-        let in_flight = report.held.concurrent_requests;
-        self.in_flight_above =
-            if in_flight > self.value.concurrent_requests { in_flight } else { 0 };
-        if self.acknowledged {
-            // The instance scaled its share down with the contract.
+        self.in_flight_above = report.in_flight_above;
+        if !self.acknowledged || self.value.fits(&report.held) {
+            return;
+        }
+        // The instance scaled its share down with the contract.
+        if self.last_sequence <= applied_sequence {
             self.value = self.value.min(report.held);
+        } else {
+            // A grant that is still under way could undo that, so it is sent once more; the report
+            // after it will be exact.
+            self.acknowledged = false;
+            self.value_sequence = None;
         }
     }
 
@@ -102,6 +112,11 @@
     /// Totals that some instances may still have in force, with the revision that ended them.
     former: BTreeMap<Box<str>, Vec<(Revision, Share)>>,
     observed: Option<Revision>,
+    /// The configuration of this leader's first renewal.
+    first_revision: Revision,
+    /// Processes that hold shares under an older configuration, which this leader doesn't know.
+    /// Nothing is raised meanwhile: their shares scale from a contract that may be lower.
+    behind: BTreeSet<LeaseHolder>,
 }
 
 impl Shares {
@@ -113,6 +128,8 @@
             totals: HashMap::new(),
             former: BTreeMap::new(),
             observed: None,
+            first_revision: Revision(0),
+            behind: BTreeSet::new(),
         }
     }
 
@@ -140,7 +157,7 @@
             });
         }
         let Some(observed) = self.observed.replace(state.revision()) else {
-            // The waiting period outlasts every older configuration, so there are no former ones.
+            self.first_revision = state.revision();
             self.totals = state
                 .contracts()
                 .map(|(_, contract)| (contract.customer.clone(), Share::whole(contract)))
@@ -176,6 +193,7 @@
     /// A process whose lease has ended holds nothing but requests in flight.
     pub(crate) fn admit(&mut self, holder: LeaseHolder, renewal: &Renewal) {
         for report in renewal.shares.iter().filter(|report| !report.held.is_none()) {
+            self.behind.insert(holder);
             let entry = Entry { reserved: report.held, value: report.held, ..Entry::default() };
             let shares = self.customers.entry(report.customer.clone()).or_default();
             shares.entries.insert(holder, entry);
@@ -185,6 +203,7 @@
     }
 
     pub(crate) fn lost(&mut self, holder: LeaseHolder) {
+        self.behind.remove(&holder);
         for customer in self.by_holder.remove(&holder).unwrap_or_default() {
             let Some(shares) = self.customers.get_mut(&customer) else { continue };
             shares.entries.remove(&holder);
@@ -208,18 +227,22 @@
         applied_sequence: u64,
         caught_up: bool,
     ) -> Vec<ShareGrant> {
+        if renewal.revision >= self.first_revision {
+            self.behind.remove(&holder);
+        }
         let round = Round {
             now_ms,
             holder,
             sequence: renewal.sequence,
             applied_sequence,
             caught_up,
-            waiting: now_ms < self.waiting_until_ms,
+            frozen: now_ms < self.waiting_until_ms || !self.behind.is_empty(),
         };
         let mut reports = BTreeMap::new();
         for report in &renewal.shares {
             reports.insert(&*report.customer, report);
-            if !report.demand.is_none() || !report.held.is_none() {
+            let in_flight = report.in_flight_above > 0;
+            if in_flight || !report.demand.is_none() || !report.held.is_none() {
                 let names = self.by_holder.entry(holder).or_default();
                 if !names.contains(&report.customer) {
                     names.insert(report.customer.clone());
@@ -258,7 +281,7 @@
     sequence: u64,
     applied_sequence: u64,
     caught_up: bool,
-    waiting: bool,
+    frozen: bool,
 }
 
 impl CustomerShares {
@@ -275,7 +298,7 @@
             entry.acknowledged = true;
         }
         if let Some(report) = report {
-            entry.take_report(report);
+            entry.take_report(report, round.applied_sequence);
         }
         entry.refresh_reserved();
         self.replace(before.reserved, entry.reserved);
@@ -283,7 +306,7 @@
             self.split = None;
         }
         self.entries.insert(round.holder, entry);
-        if !round.waiting && round.caught_up && entry.acknowledged {
+        if !round.frozen && round.caught_up && entry.acknowledged {
             let target = self.target(round, total, entry.demand);
             let free = total.minus(self.reserved);
             let next = next_part(&entry.value, &target, &entry.demand, &free, &total);
@@ -297,6 +320,7 @@
         let grant = (!entry.acknowledged).then_some((entry.value, exact));
         if grant.is_some() {
             entry.value_sequence.get_or_insert(round.sequence);
+            entry.last_sequence = round.sequence;
         }
         let keep = !entry.acknowledged || !entry.reserved.is_none() || !entry.demand.is_none();
         if keep {
--- a/crates/redwinglatch-control/tests/renewals.rs
+++ b/crates/redwinglatch-control/tests/renewals.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use redwinglatch_control::{
-    Command, ControlState, LeaderState, LeaseHolder, LeaseSettings, LeaseVerdict, ReplyResult,
-    Share, ShareGrant, StateLimits,
+    Command, ControlState, LeaderState, LeaseHolder, LeaseSettings, LeaseVerdict, Renewal,
+    RenewalClient, ReplyResult, Share, ShareGrant, ShareReport, StateLimits,
 };
 use redwinglatch_core::prelude::*;
 use support::{
@@ -16,6 +16,17 @@
     LeaderState::new(LeaseSettings::default(), term, elected_at_ms)
 }
 
+fn renew_often(
+    now_ms: u64,
+    leader: &mut LeaderState,
+    state: &ControlState,
+    client: &mut RenewalClient,
+) {
+    for round in 0..20 {
+        catch_up(now_ms + round, leader, state, client);
+    }
+}
+
 fn state_with(customer: &str, concurrent_requests: u32) -> ControlState {
     let mut state = ControlState::new();
     accept(&mut state, 1, &apply_contract("a", 0, contract(customer, concurrent_requests)));
@@ -178,6 +189,133 @@
     assert_eq!(receive(10_500, &state, None), Some(5), "the leader counts on 8 again");
 }
 
+/// Guards against a share that the leader takes for smaller than it is, because the instance
+/// reports the smaller value while an exact grant is still under way.
+#[test]
+fn a_smaller_share_is_believed_only_when_no_grant_is_under_way() {
+    let mut state = state_with("lakeshore", 100);
+    let mut leader = leader(1, 0);
+    let (mut one, mut two) = (client(1, 1), client(2, 2));
+    demand(&mut one, "lakeshore", 50);
+    demand(&mut two, "lakeshore", 50);
+    for now_ms in [10_000, 10_100] {
+        renew_often(now_ms, &mut leader, &state, &mut one);
+        renew_often(now_ms, &mut leader, &state, &mut two);
+    }
+    demand(&mut two, "lakeshore", 28);
+    let _lost = leader.renew(10_200, &state, &two.renewal(10_200));
+    accept(&mut state, 2, &apply_contract("b", 1, contract("lakeshore", 60)));
+    let (earlier, later) = (two.renewal(10_201), two.renewal(10_202));
+    let inexact = leader.renew(10_203, &state, &earlier).unwrap();
+    assert!(!inexact.shares[0].exact);
+    demand(&mut one, "lakeshore", 1);
+    renew_often(10_210, &mut leader, &state, &mut one);
+    let exact = leader.renew(10_300, &state, &later).unwrap();
+    assert!(exact.shares[0].exact);
+    let _applied = two.apply_reply(&inexact);
+    let scaled = concurrent(&two, 10_300, "lakeshore");
+    let _answer = leader.renew(10_301, &state, &two.renewal(10_301)).unwrap();
+    let _applied = two.apply_reply(&exact);
+    let held = [&one, &two].map(|client| concurrent(client, 10_302, "lakeshore"));
+    assert!(held[1] > scaled, "the late grant raised the share again");
+    let reserved = leader.shares().reserved("lakeshore").concurrent_requests;
+    assert!(held.iter().sum::<u64>() <= reserved, "{held:?} of {reserved}");
+}
+
+/// Guards against a share that the leader takes for larger than it is for ever: it can't believe a
+/// report while a grant is under way, and the instance doesn't repeat a report by itself.
+#[test]
+fn a_report_that_could_not_be_believed_leads_to_another_grant() {
+    let state = state_with("lakeshore", 100);
+    let mut leader = leader(1, 0);
+    let mut instance = client(1, 1);
+    demand(&mut instance, "lakeshore", 8);
+    renew_often(10_000, &mut leader, &state, &mut instance);
+    // The new target is reached in one step, so nothing but the report leads to another grant.
+    demand(&mut instance, "lakeshore", 10);
+    let first = instance.renewal(10_100);
+    let granted = leader.renew(10_100, &state, &first).unwrap().shares[0].share;
+    let second = Renewal { sequence: first.sequence + 1, shares: Vec::new(), ..first.clone() };
+    assert_eq!(leader.renew(10_101, &state, &second).unwrap().shares.len(), 1, "it is sent again");
+    // The instance applied the first reply, but holds less; the second one may be under way.
+    let held = granted.scaled(Share::whole(&contract("", 100)), Share::whole(&contract("", 50)));
+    let report = ShareReport { held, ..first.shares[0].clone() };
+    let mut next = Renewal {
+        sequence: first.sequence + 2,
+        applied_sequence: first.sequence,
+        shares: vec![report],
+        ..first.clone()
+    };
+    assert_eq!(leader.renew(10_102, &state, &next).unwrap().shares.len(), 1);
+    assert!(granted.fits(&leader.shares().reserved("lakeshore")));
+    next.applied_sequence = next.sequence;
+    next.sequence += 1;
+    let answer = leader.renew(10_103, &state, &next).unwrap();
+    assert!(!answer.shares[0].share.fits(&held), "the instance gets what it lacks");
+}
+
+/// Guards against requests in flight above a reduced share that are given away while they run, or
+/// that stay reserved after they ended.
+#[test]
+fn requests_in_flight_above_a_share_stay_reserved_until_they_end() {
+    let mut state = state_with("lakeshore", 40);
+    let mut leader = leader(1, 0);
+    let mut instance = client(1, 1);
+    demand(&mut instance, "lakeshore", 40);
+    renew_often(10_000, &mut leader, &state, &mut instance);
+    instance.shares_mut().set_in_use("lakeshore", 30);
+    accept(&mut state, 2, &apply_contract("b", 1, contract("lakeshore", 10)));
+    renew_often(10_100, &mut leader, &state, &mut instance);
+    assert!(concurrent(&instance, 10_120, "lakeshore") <= 10);
+    assert_eq!(leader.shares().reserved("lakeshore").concurrent_requests, 30);
+    // The end is reported while a smaller share is under way, and later reports say nothing new.
+    demand(&mut instance, "lakeshore", 2);
+    accept(&mut state, 3, &apply_contract("c", 2, contract("lakeshore", 4)));
+    let smaller = leader.renew(10_200, &state, &instance.renewal(10_200)).unwrap();
+    instance.shares_mut().set_in_use("lakeshore", 0);
+    demand(&mut instance, "lakeshore", 1);
+    let _lost = leader.renew(10_201, &state, &instance.renewal(10_201)).unwrap();
+    assert_ne!(instance.apply_reply(&smaller), ReplyResult::Ignored);
+    renew_often(10_300, &mut leader, &state, &mut instance);
+    let reserved = leader.shares().reserved("lakeshore").concurrent_requests;
+    assert_eq!(reserved, concurrent(&instance, 10_320, "lakeshore"));
+}
+
+/// Guards against a sum above the contract when a new leader doesn't know under which contract an
+/// instance holds its share, because the instance has received only a part of the configuration.
+#[test]
+fn nothing_is_raised_while_a_holder_has_an_unknown_contract() {
+    let limits = StateLimits { update_bytes: 1, ..StateLimits::default() };
+    let mut state = ControlState::with_limits(limits);
+    accept(&mut state, 1, &apply_contract("a", 0, contract("lakeshore", 50)));
+    let mut first = leader(1, 0);
+    let (mut slow, mut quick) = (client(1, 1), client(2, 2));
+    demand(&mut slow, "lakeshore", 50);
+    for round in 0..30 {
+        catch_up(10_000 + round, &mut first, &state, &mut slow);
+    }
+    accept(&mut state, 2, &apply_contract("b", 0, contract("third", 80)));
+    accept(&mut state, 3, &apply_contract("c", 1, contract("lakeshore", 80)));
+    let mut second = leader(2, 10_100);
+    exchange(10_200, &mut second, &state, &mut slow);
+    // One part arrives; all later replies are lost, so the first contract stays in force.
+    exchange(10_201, &mut second, &state, &mut slow);
+    assert_eq!(slow.configuration().revision(), Revision(1));
+    for now_ms in [12_000, 14_000, 16_000] {
+        let _lost = second.renew(now_ms, &state, &slow.renewal(now_ms));
+    }
+    demand(&mut quick, "lakeshore", 50);
+    for round in 0..20 {
+        catch_up(16_100 + round, &mut second, &state, &mut quick);
+    }
+    accept(&mut state, 4, &apply_contract("d", 3, contract("lakeshore", 40)));
+    exchange(16_200, &mut second, &state, &mut quick);
+    exchange(16_200, &mut second, &state, &mut slow);
+    assert_eq!(slow.configuration().revision(), Revision(4));
+    let held = [&slow, &quick].map(|client| concurrent(client, 16_201, "lakeshore"));
+    assert!(held[0] > 0 && held.iter().sum::<u64>() <= 40, "{held:?} of 40");
+}
+
 /// Guards against shares that don't follow a contract down and up again.
 #[test]
 fn shares_converge_to_a_changed_contract() {
--- a/crates/redwinglatch-control/tests/schedules/main.rs
+++ b/crates/redwinglatch-control/tests/schedules/main.rs
@@ -2,6 +2,8 @@
 //!
 //! `REDWINGLATCH_SCHEDULES` sets the number of schedules and `REDWINGLATCH_SEED` runs one seed.
 
+mod coverage;
+mod invariants;
 mod network;
 mod once;
 mod world;
@@ -32,7 +34,7 @@
         Some(seed) => seed..seed + 1,
         None => 0..number("REDWINGLATCH_SCHEDULES").unwrap_or(2_000),
     };
-    let mut totals = world::Coverage::default();
+    let mut totals = coverage::Coverage::default();
     let many = seeds.end - seeds.start >= 100;
     for seed in seeds {
         let _guard = SeedOnFailure(seed);
--- a/crates/redwinglatch-control/tests/schedules/world.rs
+++ b/crates/redwinglatch-control/tests/schedules/world.rs
@@ -5,77 +5,16 @@
 use redwinglatch_control::{
     Command, ControlState, InstanceProfile, LeaderState, LeaseHolder, LeaseSettings, Outcome,
     Renewal, RenewalClient, ReplyResult, Share, StateLimits,
-    history::{ContractServed, ContractWrite, OnceEvent, WriteResult, check_contracts, check_once},
+    history::{ContractServed, ContractWrite, OnceEvent, WriteResult},
 };
 use redwinglatch_core::prelude::*;
 
-use crate::network::{CUSTOMERS, Clock, Event, Process};
-
-const CELLS: u16 = 2;
-
-/// How often the interesting cases occurred, so that a schedule generator that has become too
-/// tame is noticed.
-#[derive(Debug, Default)]
-pub(crate) struct Coverage {
-    pub(crate) granted: u64,
-    pub(crate) stored_answers: u64,
-    pub(crate) unknown_answers: u64,
-    leaders: u64,
-    reported: u64,
-    conflicts: u64,
-    superseded: u64,
-    full_copies: u64,
-    staged: u64,
-    coordinators: u64,
-    shares_in_use: u64,
-    ended_leases: u64,
-}
-
-impl Coverage {
-    pub(crate) fn add(&mut self, other: &Coverage) {
-        for (total, part) in self.fields().into_iter().zip(other.values()) {
-            *total += part;
-        }
-    }
-
-    pub(crate) fn check(&self) {
-        assert!(self.values().iter().all(|count| *count > 0), "a case never occurred: {self:?}");
-    }
+use crate::{
+    coverage::Coverage,
+    network::{CUSTOMERS, Clock, Event, Process},
+};
 
-    fn fields(&mut self) -> [&mut u64; 12] {
-        [
-            &mut self.granted,
-            &mut self.stored_answers,
-            &mut self.unknown_answers,
-            &mut self.leaders,
-            &mut self.reported,
-            &mut self.conflicts,
-            &mut self.superseded,
-            &mut self.full_copies,
-            &mut self.staged,
-            &mut self.coordinators,
-            &mut self.shares_in_use,
-            &mut self.ended_leases,
-        ]
-    }
-
-    fn values(&self) -> [u64; 12] {
-        [
-            self.granted,
-            self.stored_answers,
-            self.unknown_answers,
-            self.leaders,
-            self.reported,
-            self.conflicts,
-            self.superseded,
-            self.full_copies,
-            self.staged,
-            self.coordinators,
-            self.shares_in_use,
-            self.ended_leases,
-        ]
-    }
-}
+pub(crate) const CELLS: u16 = 2;
 
 /// How rough a schedule is.
 struct Roughness {
@@ -85,9 +24,9 @@
     leader_every_ms: u64,
 }
 
-struct Leader {
-    clock: Clock,
-    state: LeaderState,
+pub(crate) struct Leader {
+    pub(crate) clock: Clock,
+    pub(crate) state: LeaderState,
 }
 
 pub(crate) struct World {
@@ -100,18 +39,18 @@
     rough: Roughness,
     /// The committed log, applied by two replicas of which one restarts from snapshots.
     index: u64,
-    control: ControlState,
-    replica: ControlState,
+    pub(crate) control: ControlState,
+    pub(crate) replica: ControlState,
     limits: StateLimits,
     term: u64,
-    leader: Option<Leader>,
+    pub(crate) leader: Option<Leader>,
     pub(crate) processes: Vec<Process>,
-    writes: Vec<ContractWrite>,
+    pub(crate) writes: Vec<ContractWrite>,
     change_of: Vec<Command>,
-    reported: [Revision; CUSTOMERS.len()],
-    totals: [Vec<(Revision, Share)>; CUSTOMERS.len()],
-    served: Vec<ContractServed>,
-    orderers: BTreeMap<(u16, Epoch), LeaseHolder>,
+    pub(crate) reported: [Revision; CUSTOMERS.len()],
+    pub(crate) totals: [Vec<(Revision, Share)>; CUSTOMERS.len()],
+    pub(crate) served: Vec<ContractServed>,
+    pub(crate) orderers: BTreeMap<(u16, Epoch), LeaseHolder>,
     pub(crate) once: Vec<OnceEvent>,
     pub(crate) next_attempt: u64,
     pub(crate) coverage: Coverage,
@@ -575,103 +514,6 @@
         }
         self.report();
     }
-
-    fn check_invariants(&mut self) {
-        let now_ms = self.now_ms;
-        let mut sums = [Share::NONE; CUSTOMERS.len()];
-        let mut orderers = [None; CELLS as usize];
-        for process in self.processes.iter_mut().filter(|process| process.alive) {
-            let local_ms = process.clock.at(now_ms);
-            let view = process.client.configuration();
-            assert!(view.revision() >= process.last_revision, "a view went back at {now_ms}");
-            process.last_revision = view.revision();
-            let serves = process.client.may_serve(local_ms);
-            let holder =
-                LeaseHolder { instance: process.instance, incarnation: process.incarnation };
-            let gone = self.leader.as_ref().is_some_and(|leader| {
-                leader.state.leases().surely_gone(leader.clock.at(now_ms), holder)
-            });
-            assert!(!(serves && gone), "{holder:?} counts as gone but serves at {now_ms}");
-            for (customer, name) in CUSTOMERS.iter().enumerate() {
-                let revision = view.contract(name).map(|contract| contract.revision);
-                let last = &mut process.last_contracts[customer];
-                assert!(revision.is_none_or(|revision| revision >= *last), "{name} went back");
-                *last = revision.unwrap_or(*last);
-                let reported = self.reported[customer];
-                assert!(
-                    !serves || view.revision() >= reported,
-                    "{name} is served at {} after {reported} was reported, at {now_ms}",
-                    view.revision()
-                );
-                let usable = process.client.usable_share(local_ms, name);
-                sums[customer] = sums[customer].plus(usable);
-            }
-            for cell in 0..CELLS {
-                let Some(epoch) = process.client.may_order(local_ms, CellId(cell)) else {
-                    continue;
-                };
-                let other = orderers[cell as usize].replace(holder);
-                assert_eq!(other, None, "two coordinators of cell {cell} at {now_ms}");
-                let first = *self.orderers.entry((cell, epoch)).or_insert(holder);
-                assert_eq!(first, holder, "two coordinators in epoch {epoch} of cell {cell}");
-            }
-        }
-        for (customer, sum) in sums.iter().enumerate() {
-            // A change binds from its report on; until then an older contract may be in force.
-            let reported = self.reported[customer];
-            let from = self.totals[customer].partition_point(|(revision, _)| *revision < reported);
-            let allowed = self.totals[customer][from..].iter();
-            let allowed = allowed.fold(Share::NONE, |most, (_, total)| most.max(*total));
-            assert!(
-                sum.fits(&allowed),
-                "shares of {} sum to {sum:?} of {allowed:?} at {now_ms}",
-                CUSTOMERS[customer]
-            );
-        }
-    }
-
-    /// Checks the histories, and that everything settles once the faults end.
-    pub(crate) fn check_settled(&mut self) {
-        check_contracts(&self.writes, &self.served).unwrap();
-        check_once(&self.once).unwrap();
-        assert_eq!(self.replica, self.control, "replicas differ");
-        let open: Vec<_> = self.writes.iter().filter(|write| write.end.is_none()).collect();
-        assert!(open.is_empty(), "changes were never answered: {open:?}");
-        for process in self.processes.iter().filter(|process| process.alive) {
-            let now_ms = process.clock.at(self.now_ms);
-            assert!(process.client.may_serve(now_ms), "{} does not serve", process.instance);
-            assert_eq!(process.client.configuration().revision(), self.control.revision());
-            for (customer, name) in CUSTOMERS.iter().enumerate() {
-                let total = self.control.contract(name).map(|(_, contract)| Share::whole(contract));
-                let enough = total.is_some_and(|total| {
-                    total.concurrent_requests >= 2 * self.processes.len() as u64
-                });
-                let usable = process.client.usable_share(now_ms, name);
-                assert!(
-                    !enough || process.demand[customer] == 0 || usable.concurrent_requests > 0,
-                    "{} has demand for {name} but no share",
-                    process.instance
-                );
-            }
-        }
-        for cell in (0..CELLS).map(CellId) {
-            let orders = |process: &&Process| {
-                process.alive
-                    && process.client.may_order(process.clock.at(self.now_ms), cell).is_some()
-            };
-            assert_eq!(
-                self.processes.iter().filter(orders).count(),
-                1,
-                "{cell} has no coordinator"
-            );
-        }
-        for (instance, incarnation) in self.control.claimants() {
-            let alive = self.processes.iter().any(|process| {
-                process.alive && (process.instance, process.incarnation) == (instance, incarnation)
-            });
-            assert!(alive, "a claim of a lost process of {instance} still runs");
-        }
-    }
 }
 
 impl Process {
