Test marked requests and changing rates more strictly

Cause: three hand-made mutants of the admission decisions survived. Change: marked requests that may have run are tried with attempts left; the rate of a bucket changes every few requests.

--- a/crates/redwinglatch-admission/tests/failures.rs
+++ b/crates/redwinglatch-admission/tests/failures.rs
@@ -57,7 +57,11 @@
             let mut attempt = attempt(kind, once);
             let step = next(failure, &attempt);
             assert!(matches!(step, NextStep::Retry { reason, .. } if reason == expected));
+            attempt.may_have_run = true;
+            let again = matches!(next(failure, &attempt), NextStep::Retry { .. });
+            assert_eq!(again, !once, "a marked request that may have run is not sent again");
             attempt.failed_attempts = 3;
+            attempt.may_have_run = false;
             assert_eq!(refused(next(failure, &attempt)).1, Ran::NotRun);
             attempt.may_have_run = true;
             assert_eq!(refused(next(failure, &attempt)).1, Ran::Unknown, "an earlier one may have");
@@ -95,6 +99,9 @@
     assert_eq!(refused(next(Failure::CancelFailed, &open)).1, Ran::Unknown);
     let once = Attempt { at_most_once: true, ..open };
     assert_eq!(refused(next(Failure::Cancelled { tokens: 0 }, &once)).1, Ran::Unknown);
+    // A marked request is not sent again even if nobody noted that it may have run.
+    let once = Attempt { may_have_run: false, ..once };
+    assert_eq!(refused(next(Failure::Cancelled { tokens: 0 }, &once)).1, Ran::Unknown);
     let begun = Attempt { passed_on: 2, ..open };
     let broken = Failure::StreamBroken { next_index: 2 };
     assert_eq!(refused(next(broken, &begun)), (RefusalReason::BackendFailed, Ran::Ran));
--- a/crates/redwinglatch-admission/tests/limits.rs
+++ b/crates/redwinglatch-admission/tests/limits.rs
@@ -39,15 +39,15 @@
 /// the order of requests and changes of the share.
 #[test]
 fn the_request_rate_stays_within_the_share_and_one_bucket() {
-    for seed in 0..200 {
+    for seed in 0..100 {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let rates: Vec<u64> = (0..4).map(|_| rng.u64(1..30) * 1_000).collect();
+        let rates: Vec<u64> = (0..60).map(|_| rng.u64(1..30) * 1_000).collect();
         let most = *rates.iter().max().unwrap();
         let mut bucket = TokenBucket::default();
         let (mut now_ms, mut taken) = (1_000, Vec::new());
         for rate_milli in rates {
             bucket.set_rate(now_ms, rate_milli);
-            for _ in 0..200 {
+            for _ in 0..12 {
                 now_ms += rng.u64(0..20);
                 if bucket.take(now_ms, 1).is_ok() {
                     taken.push(now_ms);
