--- a/crates/redwinglatch-admission/src/lib.rs
+++ b/crates/redwinglatch-admission/src/lib.rs
@@ -20,7 +20,7 @@
 //! let share =
 //!     Share { request_rate_milli: 5_000, concurrent_requests: 2, token_rate_per_s: 1_000 };
 //! limiter.set_shares(1_010, |_customer| share);
-//! let Admission::Admitted(permit) = limiter.admit_again(1_010, 1_000, "lakeshore", 64) else {
+//! let Admission::Admitted(permit) = limiter.decide_again(1_010, 1_000, "lakeshore", 64) else {
 //!     panic!("the share allows the request");
 //! };
 //!
--- a/crates/redwinglatch-admission/src/limiter.rs
+++ b/crates/redwinglatch-admission/src/limiter.rs
@@ -109,27 +109,58 @@
         });
     }
 
-    /// Decides about a request that arrives now and may generate `max_tokens`; 0 for a plain
+    /// Decides about a request that has just arrived and may generate `max_tokens`; 0 for a plain
     /// service.
     pub fn admit(&mut self, now_ms: u64, name: &str, max_tokens: u32) -> Admission {
-        let customer = self.customers.entry(name.into()).or_default();
-        customer.arrivals.add(now_ms, 1);
-        customer.wanted_tokens.add(now_ms, u64::from(max_tokens));
-        customer.wanted_concurrency.raise_to(now_ms, customer.in_flight + 1);
-        customer.decide(now_ms, now_ms, name, max_tokens)
+        if !self.customers.contains_key(name) {
+            self.customers.insert(name.into(), Customer::default());
+        }
+        if let Some(customer) = self.customers.get_mut(name) {
+            customer.arrivals.add(now_ms, 1);
+            customer.wanted_tokens.add(now_ms, u64::from(max_tokens));
+            customer.wanted_concurrency.raise_to(now_ms, customer.in_flight + 1);
+        }
+        self.decide_again(now_ms, now_ms, name, max_tokens)
     }
 
-    /// Decides again about a request that waits for a share since `arrived_at_ms`. Its demand was
-    /// counted when it arrived.
-    pub fn admit_again(
+    /// Decides again about a request that arrived at `arrived_at_ms` and was told to wait for a
+    /// share.
+    pub fn decide_again(
         &mut self,
         now_ms: u64,
         arrived_at_ms: u64,
         name: &str,
         max_tokens: u32,
     ) -> Admission {
-        let customer = self.customers.entry(name.into()).or_default();
-        customer.decide(now_ms, arrived_at_ms, name, max_tokens)
+        let Some(customer) = self.customers.get_mut(name) else {
+            return Admission::Refused(refusal(RefusalReason::RequestRate, name, None));
+        };
+        if let Some(reason) = customer.missing_part(max_tokens) {
+            let answered = customer
+                .answered_at_ms
+                .is_some_and(|at_ms| at_ms >= arrived_at_ms || now_ms < at_ms + NO_SHARE_KEEP_MS);
+            let until_ms = arrived_at_ms + ASK_WAIT_MS;
+            if !answered && now_ms < until_ms {
+                return Admission::AskForShare { until_ms };
+            }
+            customer.note_refused(now_ms, reason);
+            return Admission::Refused(refusal(reason, name, Some(RENEWAL_MS)));
+        }
+        if customer.in_flight >= customer.share.concurrent_requests {
+            customer.note_refused(now_ms, RefusalReason::Concurrency);
+            return Admission::Refused(refusal(RefusalReason::Concurrency, name, Some(RENEWAL_MS)));
+        }
+        if let Err(wait_ms) = customer.requests.take(now_ms, 1) {
+            return Admission::Refused(refusal(RefusalReason::RequestRate, name, wait_ms));
+        }
+        if max_tokens > 0
+            && let Err(wait_ms) = customer.tokens.take_in_advance(now_ms, max_tokens)
+        {
+            customer.requests.give_back(1);
+            return Admission::Refused(refusal(RefusalReason::TokenRate, name, wait_ms));
+        }
+        customer.in_flight += 1;
+        Admission::Admitted(Permit { customer: name.into(), charged_tokens: max_tokens })
     }
 
     /// Ends a request that generated `tokens`.
@@ -160,41 +191,6 @@
 }
 
 impl Customer {
-    fn decide(
-        &mut self,
-        now_ms: u64,
-        arrived_at_ms: u64,
-        name: &str,
-        max_tokens: u32,
-    ) -> Admission {
-        if let Some(reason) = self.missing_part(max_tokens) {
-            let answered = self
-                .answered_at_ms
-                .is_some_and(|at_ms| at_ms >= arrived_at_ms || now_ms < at_ms + NO_SHARE_KEEP_MS);
-            let until_ms = arrived_at_ms + ASK_WAIT_MS;
-            if !answered && now_ms < until_ms {
-                return Admission::AskForShare { until_ms };
-            }
-            self.note_refused(now_ms, reason);
-            return Admission::Refused(refusal(reason, name, Some(RENEWAL_MS)));
-        }
-        if self.in_flight >= self.share.concurrent_requests {
-            self.note_refused(now_ms, RefusalReason::Concurrency);
-            return Admission::Refused(refusal(RefusalReason::Concurrency, name, Some(RENEWAL_MS)));
-        }
-        if let Err(wait_ms) = self.requests.take(now_ms, 1) {
-            return Admission::Refused(refusal(RefusalReason::RequestRate, name, wait_ms));
-        }
-        if max_tokens > 0
-            && let Err(wait_ms) = self.tokens.take_in_advance(now_ms, max_tokens)
-        {
-            self.requests.give_back(1);
-            return Admission::Refused(refusal(RefusalReason::TokenRate, name, wait_ms));
-        }
-        self.in_flight += 1;
-        Admission::Admitted(Permit { customer: name.into(), charged_tokens: max_tokens })
-    }
-
     /// The part of the share that is missing altogether.
     fn missing_part(&self, max_tokens: u32) -> Option<RefusalReason> {
         if self.share.concurrent_requests == 0 {
--- a/crates/redwinglatch-admission/tests/limits.rs
+++ b/crates/redwinglatch-admission/tests/limits.rs
@@ -39,15 +39,15 @@
 /// the order of requests and changes of the share.
 #[test]
 fn the_request_rate_stays_within_the_share_and_one_bucket() {
-    for seed in 0..200 {
+    for seed in 0..100 {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let rates: Vec<u64> = (0..4).map(|_| rng.u64(1..30) * 1_000).collect();
+        let rates: Vec<u64> = (0..60).map(|_| rng.u64(1..30) * 1_000).collect();
         let most = *rates.iter().max().unwrap();
         let mut bucket = TokenBucket::default();
         let (mut now_ms, mut taken) = (1_000, Vec::new());
         for rate_milli in rates {
             bucket.set_rate(now_ms, rate_milli);
-            for _ in 0..200 {
+            for _ in 0..12 {
                 now_ms += rng.u64(0..20);
                 if bucket.take(now_ms, 1).is_ok() {
                     taken.push(now_ms);
@@ -95,7 +95,7 @@
     assert_eq!(demand.len(), 1);
     assert_eq!(demand[0].1.concurrent_requests, 1);
     assert_eq!(
-        reason(limiter.admit_again(1_200, 1_000, "lakeshore", 10)),
+        reason(limiter.decide_again(1_200, 1_000, "lakeshore", 10)),
         RefusalReason::Concurrency
     );
     limiter.set_shares(1_210, |_| Share::NONE);
@@ -103,7 +103,7 @@
     let later = limiter.admit(2_300, "lakeshore", 10);
     assert_eq!(later, Admission::AskForShare { until_ms: 2_500 });
     limiter.set_shares(2_310, |_| SHARE);
-    let _permit = permit(limiter.admit_again(2_310, 2_300, "lakeshore", 10));
+    let _permit = permit(limiter.decide_again(2_310, 2_300, "lakeshore", 10));
 }
 
 /// Guards against a first request that is refused because a renewal, made before it arrived, was
@@ -115,11 +115,11 @@
     let ask = limiter.admit(1_000, "lakeshore", 10);
     assert_eq!(ask, Admission::AskForShare { until_ms: 1_200 });
     limiter.set_shares(1_005, |_| Share::NONE);
-    let ask = limiter.admit_again(1_010, 1_000, "lakeshore", 10);
+    let ask = limiter.decide_again(1_010, 1_000, "lakeshore", 10);
     assert_eq!(ask, Admission::AskForShare { until_ms: 1_200 });
     assert_eq!(limiter.demands(1_011).len(), 1);
     limiter.set_shares(1_020, |_| SHARE);
-    let _permit = permit(limiter.admit_again(1_021, 1_000, "lakeshore", 10));
+    let _permit = permit(limiter.decide_again(1_021, 1_000, "lakeshore", 10));
 }
 
 /// Guards against a token rate that large answers exceed for long, and against requests larger
