Remove settings that the daemon never read

Cause: `slots` and `max_batch` of a pool and `loads_per_s` of a cell had to be written, were checked, and had no effect: engines report slots and batch themselves, and `load_ms` with `parallel_loads` describes the store. The tests that used them for a bad number, a missing value and a bad decimal use `order_settle_ms`, `step_ms` and `stall_weight`. Conclusion: a file that still has one of the keys is refused as having an unknown key. `order_timeout_ms` and `step_ms` stay; the coordinator does not use them yet.

--- a/crates/redwinglatch-local/src/layout.rs
+++ b/crates/redwinglatch-local/src/layout.rs
@@ -155,13 +155,11 @@
         writeln!(text, "parallel_loads = {}", fakes.parallel_loads)?;
         let load_ms = 1_000.0 * fakes.parallel_loads as f64 / fakes.loads_per_s;
         writeln!(text, "load_ms = {}", load_ms.ceil() as u64)?;
-        writeln!(text, "loads_per_s = {}", fakes.loads_per_s)?;
         writeln!(text, "\n[pool.{}]", Fakes::ENGINE_POOL)?;
         writeln!(text, "kind = engine\ncell = main\nmodel = {}", Fakes::MODEL)?;
         let fencing = if fakes.fencing { "enforced" } else { "ignored" };
         writeln!(text, "fencing = {fencing}")?;
         writeln!(text, "order_settle_ms = {}", self.timing.order_settle_ms)?;
-        writeln!(text, "max_batch = {}\nslots = {}", fakes.max_batch, fakes.slots)?;
         writeln!(text, "step_ms = {}\nreport_ms = 200", fakes.step_ms.max(1))?;
         writeln!(text, "backends = {}", join(&self.engines))?;
         writeln!(text, "\n[pool.{}]\nkind = service", Fakes::SERVICE)?;
--- a/crates/redwinglatch-settings/src/cell.rs
+++ b/crates/redwinglatch-settings/src/cell.rs
@@ -11,8 +11,6 @@
     pub parallel_loads: u32,
     /// How long one load takes while the store is not over its limit.
     pub load_ms: u64,
-    /// How many loads the weight store serves in a second.
-    pub loads_per_s: f64,
     /// How long a load may wait behind loads of more popular adapters.
     pub load_starvation_ms: u64,
     /// The weight of load stall in the cost of a placement.
@@ -27,10 +25,9 @@
             name,
             parallel_loads: section.number("parallel_loads", None, 1..=64),
             load_ms: section.number("load_ms", None, 1..=600_000),
-            loads_per_s: section.decimal("loads_per_s", None, 0.001..=10_000.0),
             load_starvation_ms: section.number("load_starvation_ms", Some(10_000), 1..=600_000),
-            stall_weight: section.decimal("stall_weight", Some(1.0), 0.0..=1_000.0),
-            batch_weight: section.decimal("batch_weight", Some(0.25), 0.0..=1_000.0),
+            stall_weight: section.decimal("stall_weight", 1.0, 0.0..=1_000.0),
+            batch_weight: section.decimal("batch_weight", 0.25, 0.0..=1_000.0),
         }
     }
 }
--- a/crates/redwinglatch-settings/src/pool.rs
+++ b/crates/redwinglatch-settings/src/pool.rs
@@ -27,10 +27,6 @@
     pub order_timeout_ms: u64,
     /// How long a new coordinator waits for orders of the old one to arrive.
     pub order_settle_ms: u64,
-    /// How many requests an engine's step serves at most.
-    pub max_batch: u32,
-    /// How many adapters an engine holds at once.
-    pub slots: u32,
     /// How long a step takes with a batch of one.
     pub step_ms: u64,
 }
@@ -59,16 +55,8 @@
     pub backends: Vec<SocketAddr>,
 }
 
-const ENGINE_KEYS: [&str; 8] = [
-    "cell",
-    "model",
-    "fencing",
-    "order_timeout_ms",
-    "order_settle_ms",
-    "max_batch",
-    "slots",
-    "step_ms",
-];
+const ENGINE_KEYS: [&str; 6] =
+    ["cell", "model", "fencing", "order_timeout_ms", "order_settle_ms", "step_ms"];
 
 impl PoolSettings {
     pub(crate) fn read(name: Box<str>, section: &mut Section) -> PoolSettings {
@@ -118,8 +106,6 @@
             fencing: fencing.unwrap_or(Fencing::Ignored),
             order_timeout_ms: section.number("order_timeout_ms", Some(1_000), 10..=60_000),
             order_settle_ms: section.number("order_settle_ms", Some(2_000), 10..=60_000),
-            max_batch: section.number("max_batch", None, 1..=100_000),
-            slots: section.number("slots", None, 1..=100_000),
             step_ms: section.number("step_ms", None, 1..=60_000),
         }
     }
--- a/crates/redwinglatch-settings/src/section.rs
+++ b/crates/redwinglatch-settings/src/section.rs
@@ -178,21 +178,16 @@
         }
     }
 
-    /// Takes a decimal number above or at `least`. Without a default, the key must be present.
+    /// Takes a decimal number, or `default` when the key is missing.
     pub(crate) fn decimal(
         &mut self,
         key: &'static str,
-        default: Option<f64>,
+        default: f64,
         range: RangeInclusive<f64>,
     ) -> f64 {
         let (start, end) = (*range.start(), *range.end());
-        let fallback = default.unwrap_or(start);
-        let text = match default {
-            Some(_) => self.optional_text(key),
-            None => self.text(key, "1.0"),
-        };
-        let Some(text) = text else {
-            return fallback;
+        let Some(text) = self.optional_text(key) else {
+            return default;
         };
         match text.parse::<f64>() {
             Ok(number) if range.contains(&number) => number,
@@ -204,7 +199,7 @@
                     "the value is not a decimal number in its range",
                     format!("write a decimal number from {start} to {end}"),
                 );
-                fallback
+                default
             }
         }
     }
--- a/crates/redwinglatch-settings/src/settings.rs
+++ b/crates/redwinglatch-settings/src/settings.rs
@@ -249,7 +249,6 @@
     writeln!(f, "\n[cell.{}]", cell.name)?;
     writeln!(f, "parallel_loads = {}", cell.parallel_loads)?;
     writeln!(f, "load_ms = {}", cell.load_ms)?;
-    writeln!(f, "loads_per_s = {}", cell.loads_per_s)?;
     writeln!(f, "load_starvation_ms = {}", cell.load_starvation_ms)?;
     writeln!(f, "stall_weight = {}", cell.stall_weight)?;
     writeln!(f, "batch_weight = {}", cell.batch_weight)
@@ -269,8 +268,6 @@
             writeln!(f, "fencing = {fencing}")?;
             writeln!(f, "order_timeout_ms = {}", engine.order_timeout_ms)?;
             writeln!(f, "order_settle_ms = {}", engine.order_settle_ms)?;
-            writeln!(f, "max_batch = {}", engine.max_batch)?;
-            writeln!(f, "slots = {}", engine.slots)?;
             writeln!(f, "step_ms = {}", engine.step_ms)?;
         }
         PoolKind::Service => writeln!(f, "kind = service")?,
--- a/crates/redwinglatch-settings/tests/settings.rs
+++ b/crates/redwinglatch-settings/tests/settings.rs
@@ -40,14 +40,12 @@
 [cell.scope-writer]
 parallel_loads = 1
 load_ms = 333
-loads_per_s = 3
+stall_weight = 3
 
 [pool.scope-writer]
 kind = engine
 cell = scope-writer
 model = scope-writer
-max_batch = 16
-slots = 8
 step_ms = 30
 
 [pool.dispatch-desk]
@@ -103,8 +101,10 @@
         .replace("192.0.2.1:7002\n\n[secrets]", "lakeshore:7002\nmax_connections =\n\n[secrets]")
         .replace("list_address = 198.51.100.1:8000", "list_address = 198.51.100.1")
         .replace("parallel_loads = 1", "parallel_loads = 1\nparallel_loads = 2")
-        .replace("slots = 8", "slots = many")
-        .replace("step_ms = 30", "step_ms = 30 ms\nstall_s = 1\ncolour = red")
+        .replace(
+            "step_ms = 30",
+            "order_settle_ms = many\nstep_ms = 30 ms\nstall_s = 1\ncolour = red",
+        )
         + "[control]\nlease_ms = 4s\nrenew_interval_ms = 0\n[extra]\na = 1\n[extra]\n";
     let error = Settings::from_str("small.ini", &text).expect_err("the text has faults");
     let expected = include_str!("all_faults.txt");
@@ -130,9 +130,12 @@
         (SMALL.replace("[replica.1]\ninstance = 1", "[replica.1]\ninstance = 7"), "no `[instance"),
         (SMALL.replace("cell = scope-writer", "cell = other"), "no `[cell.other]` exists"),
         (SMALL.replace("kind = engine", "kind = service"), "only pools of kind = engine"),
-        (SMALL.replace("slots = 8", "slots = 8\norder_settle_ms = 999"), "longer than a new"),
-        (SMALL.replace("slots = 8", "slots = 8\norder_timeout_ms = 3960"), "a lease lasts 3960"),
-        (format!("{SMALL}[cell.spare]\nparallel_loads=1\nload_ms=1\nloads_per_s=1\n"), "no pool"),
+        (SMALL.replace("step_ms = 30", "step_ms = 30\norder_settle_ms = 999"), "longer than a new"),
+        (
+            SMALL.replace("step_ms = 30", "step_ms = 30\norder_timeout_ms = 3960"),
+            "a lease lasts 3960",
+        ),
+        (format!("{SMALL}[cell.spare]\nparallel_loads=1\nload_ms=1\n"), "no pool"),
     ];
     for (text, expected) in cases {
         let faults = faults_of(&text);
@@ -159,10 +162,10 @@
         (format!("{SMALL}[instance.1]\n"), ErrorKind::Duplicate),
         (SMALL.replace("9000, ", "9000, 198.51.100.9:9000, "), ErrorKind::Duplicate),
         (SMALL.replace("[platform]\n", "[x]\n"), ErrorKind::MissingSection),
-        (SMALL.replace("slots = 8\n", ""), ErrorKind::MissingValue),
+        (SMALL.replace("step_ms = 30\n", ""), ErrorKind::MissingValue),
         (SMALL.replace("load_ms = 333", "load_s = 1"), ErrorKind::BadUnit),
         (SMALL.replace("load_ms = 333", "load_ms = 0.3"), ErrorKind::BadUnit),
-        (SMALL.replace("loads_per_s = 3", "loads_per_s = NaN"), ErrorKind::BadValue),
+        (SMALL.replace("stall_weight = 3", "stall_weight = NaN"), ErrorKind::BadValue),
         (SMALL.replace("kind = service", "kind = plain"), ErrorKind::BadValue),
         (SMALL.replace("198.51.100.1:8000", "0.0.0.0:8000"), ErrorKind::BadAddress),
         (SMALL.replace("198.51.100.1:8000", "198.51.100.1:0"), ErrorKind::BadAddress),
@@ -205,10 +208,12 @@
         let lease_ms = number(2_000, 6_000);
         let valid = SMALL
             .replace("load_ms = 333", &format!("load_ms = {}", number(1, 600_000)))
-            .replace("s = 3\n", &format!("s = {}\n", number(1, 10_000_000) as f64 / 1_000.0))
-            .replace("slots = 8", &format!("slots = {}\nstall_ms = 300", number(1, 100_000)))
+            .replace(
+                "weight = 3\n",
+                &format!("weight = {}\n", number(0, 1_000_000) as f64 / 1_000.0),
+            )
             .replace("region = great-lakes", &format!("region = kraj-č{}", number(0, 99)))
-            .replace("step_ms = 30", &format!("step_ms = {}", number(1, 60_000)))
+            .replace("step_ms = 30", &format!("step_ms = {}\nstall_ms = 300", number(1, 60_000)))
             + &format!("[control]\nlease_ms = {lease_ms}\nrenew_interval_ms = {}", lease_ms / 4);
         let mut characters: Vec<char> = valid.chars().collect();
         for _ in 0..number(1, 8) {
