--- a/crates/redwinglatch-log/tests/common/disk.rs
+++ b/crates/redwinglatch-log/tests/common/disk.rs
@@ -23,6 +23,8 @@
     /// Every operation fails after this many.
     pub operations_left: Option<u32>,
     pub sync_fails: bool,
+    /// Syncs seem to work, but do nothing.
+    pub sync_lies: bool,
     pub capacity_bytes: Option<usize>,
 }
 
@@ -58,6 +60,7 @@
             return Err(io::Error::other("injected sync failure"));
         }
         match inode {
+            _ if self.sync_lies => {}
             Some(inode) => self.inodes[inode].synced = self.inodes[inode].current.clone(),
             None => self.synced_names = self.names.clone(),
         }
@@ -86,7 +89,9 @@
             if current.starts_with(synced) {
                 current.truncate(rng.usize(synced.len()..=current.len()));
             } else if rng.bool() {
-                *current = synced.clone();
+                // Writes after a truncation that is not synced may mix with the old content.
+                current.truncate(rng.usize(0..=current.len()));
+                current.extend_from_slice(synced.get(current.len()..).unwrap_or_default());
             }
             *synced = current.clone();
         }
