Count the bytes between instances in the transport

Change: Transport::start_with_events reports refused connections and the bytes written and read, handshakes and pings included. Transport::start keeps its form. A test compares the counts of both sides of a call. Conclusion: a daemon that passes the events to its metrics shows its control traffic; redwinglatch-server does not do so yet.

--- a/crates/redwinglatch-instances/src/connection.rs
+++ b/crates/redwinglatch-instances/src/connection.rs
@@ -8,7 +8,9 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::TransportEvent;
 use crate::frame::{FrameDecoder, encode_frame};
+use crate::transport_event::OnEvent;
 
 /// Time without a frame after which a connection counts as half-open.
 pub(crate) const SILENCE_LIMIT: Duration = Duration::from_secs(3);
@@ -23,12 +25,18 @@
     /// Kept over cancelled reads: a timeout that started anew with each read would never fire
     /// beside a ping timer with a shorter period.
     last_read_at: Instant,
+    on_event: OnEvent,
 }
 
 impl FrameReader {
     /// Starts reading; the silence limit counts from now.
-    pub(crate) fn new() -> FrameReader {
-        FrameReader { decoder: FrameDecoder::default(), last_read_at: Instant::now() }
+    pub(crate) fn new(on_event: OnEvent) -> FrameReader {
+        FrameReader { decoder: FrameDecoder::default(), last_read_at: Instant::now(), on_event }
+    }
+
+    /// Counts the bytes of the connection.
+    pub(crate) fn on_event(&self) -> &OnEvent {
+        &self.on_event
     }
 
     /// Reads the next frame.
@@ -44,7 +52,10 @@
             let read = stream.read_buf(self.decoder.buffer_mut());
             match timeout_at(silence_ends_at, read).await {
                 Ok(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(Ok(_)) => self.last_read_at = Instant::now(),
+                Ok(Ok(length)) => {
+                    self.last_read_at = Instant::now();
+                    (self.on_event)(TransportEvent::Received(length));
+                }
                 Ok(Err(error)) => return Err(error),
                 Err(_) => return Err(io::ErrorKind::TimedOut.into()),
             }
@@ -56,18 +67,24 @@
 pub(crate) async fn write_frame(
     stream: &mut (impl AsyncWrite + Unpin),
     body: &impl Serialize,
+    on_event: &OnEvent,
 ) -> io::Result<()> {
     let frame = encode_frame(body)?;
-    write_bytes(stream, &frame).await
+    write_bytes(stream, &frame, on_event).await
 }
 
 /// Writes encoded frames within the time limit.
 pub(crate) async fn write_bytes(
     stream: &mut (impl AsyncWrite + Unpin),
     frames: &[u8],
+    on_event: &OnEvent,
 ) -> io::Result<()> {
     match timeout(WRITE_LIMIT, stream.write_all(frames)).await {
-        Ok(result) => result,
+        Ok(result) => {
+            result?;
+            on_event(TransportEvent::Sent(frames.len()));
+            Ok(())
+        }
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
 }
--- a/crates/redwinglatch-instances/src/handshake.rs
+++ b/crates/redwinglatch-instances/src/handshake.rs
@@ -95,7 +95,7 @@
     };
     let proof = transcript.mac(secret, b"connect").finalize().into_bytes().into();
     let nonce = transcript.connector_nonce;
-    write_frame(stream, &Hello { instance, incarnation, nonce, proof }).await?;
+    write_frame(stream, &Hello { instance, incarnation, nonce, proof }, reader.on_event()).await?;
     let welcome: Welcome = reader.read(stream).await?;
     transcript
         .mac(secret, b"accept")
@@ -110,7 +110,7 @@
     secret: &SharedSecret,
 ) -> io::Result<(InstanceId, Incarnation)> {
     let acceptor_nonce = fresh_nonce();
-    write_frame(stream, &Challenge { nonce: acceptor_nonce }).await?;
+    write_frame(stream, &Challenge { nonce: acceptor_nonce }, reader.on_event()).await?;
     let hello: Hello = reader.read(stream).await?;
     let transcript = Transcript {
         acceptor_nonce,
@@ -124,7 +124,7 @@
         .verify_slice(&hello.proof)
         .map_err(|_| refused("the connecting process has another secret"))?;
     let proof = transcript.mac(secret, b"accept").finalize().into_bytes().into();
-    write_frame(stream, &Welcome { proof }).await?;
+    write_frame(stream, &Welcome { proof }, reader.on_event()).await?;
     Ok((hello.instance, hello.incarnation))
 }
 
--- a/crates/redwinglatch-instances/src/lib.rs
+++ b/crates/redwinglatch-instances/src/lib.rs
@@ -11,9 +11,11 @@
 mod handshake;
 mod message;
 mod transport;
+mod transport_event;
 
 pub use error::{TransportError, TransportErrorKind};
 pub use frame::{FRAME_LIMIT_BYTES, FrameDecoder, encode_frame};
 pub use handshake::SharedSecret;
 pub use message::{ContractQuery, ControlRefusal, PeerMessage};
 pub use transport::{Incoming, Transport, TransportSettings};
+pub use transport_event::TransportEvent;
--- a/crates/redwinglatch-instances/src/transport.rs
+++ b/crates/redwinglatch-instances/src/transport.rs
@@ -16,7 +16,8 @@
 use crate::connection::{FrameReader, PING_INTERVAL, write_bytes};
 use crate::frame::encode_frame;
 use crate::handshake::{SharedSecret, accept_handshake, connect_handshake};
-use crate::{TransportError, TransportErrorKind};
+use crate::transport_event::OnEvent;
+use crate::{TransportError, TransportErrorKind, TransportEvent};
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
@@ -89,19 +90,40 @@
         listener: TcpListener,
         incoming: mpsc::Sender<Incoming<M>>,
         count: impl Fn(RefusalReason) + Send + Sync + 'static,
+    ) -> Transport<M> {
+        Transport::start_with_events(settings, listener, incoming, move |event| {
+            if let TransportEvent::Refused(reason) = event {
+                count(reason);
+            }
+        })
+    }
+
+    /// Like [`Transport::start`]; `on_event` is also called for the bytes on all connections.
+    pub fn start_with_events(
+        settings: TransportSettings,
+        listener: TcpListener,
+        incoming: mpsc::Sender<Incoming<M>>,
+        on_event: impl Fn(TransportEvent) + Send + Sync + 'static,
     ) -> Transport<M> {
         let settings = Arc::new(settings);
+        let on_event: OnEvent = Arc::new(on_event);
         let peers = settings
             .addresses
             .iter()
             .filter(|(instance, _)| **instance != settings.instance)
             .map(|(&instance, &address)| {
                 let (sender, queue) = mpsc::channel(QUEUE_MESSAGES);
-                tokio::spawn(run_peer(settings.clone(), instance, address, queue));
+                tokio::spawn(run_peer(
+                    settings.clone(),
+                    instance,
+                    address,
+                    queue,
+                    on_event.clone(),
+                ));
                 (instance, sender)
             })
             .collect();
-        tokio::spawn(accept_connections(settings, listener, incoming, Arc::new(count)));
+        tokio::spawn(accept_connections(settings, listener, incoming, on_event));
         Transport { peers: Arc::new(peers) }
     }
 
@@ -146,6 +168,7 @@
     instance: InstanceId,
     address: SocketAddr,
     mut queue: mpsc::Receiver<Outgoing<M>>,
+    on_event: OnEvent,
 ) {
     let mut failed_at: Option<Instant> = None;
     while let Some(first) = queue.recv().await {
@@ -153,7 +176,7 @@
             fail(first, TransportErrorKind::NotConnected);
             continue;
         }
-        match open_connection(&settings, address).await {
+        match open_connection(&settings, address, &on_event).await {
             Ok((stream, reader)) => {
                 failed_at = None;
                 let ended = exchange(stream, reader, first, &mut queue).await;
@@ -171,10 +194,11 @@
 async fn open_connection(
     settings: &TransportSettings,
     address: SocketAddr,
+    on_event: &OnEvent,
 ) -> io::Result<(TcpStream, FrameReader)> {
     let mut stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    let mut reader = FrameReader::new();
+    let mut reader = FrameReader::new(on_event.clone());
     let handshake = connect_handshake(
         &mut reader,
         &mut stream,
@@ -205,7 +229,7 @@
             next = if frames.len() < WRITE_BATCH_BYTES { queue.try_recv().ok() } else { None };
         }
         if !frames.is_empty() {
-            if let Err(error) = write_bytes(&mut write_half, &frames).await {
+            if let Err(error) = write_bytes(&mut write_half, &frames, reader.on_event()).await {
                 return error;
             }
             frames.clear();
@@ -269,7 +293,7 @@
     settings: Arc<TransportSettings>,
     listener: TcpListener,
     incoming: mpsc::Sender<Incoming<M>>,
-    count: Arc<dyn Fn(RefusalReason) + Send + Sync>,
+    on_event: OnEvent,
 ) {
     let permits = Arc::new(Semaphore::new(settings.max_connections));
     while !incoming.is_closed() {
@@ -283,14 +307,14 @@
             continue;
         };
         let Ok(permit) = permits.clone().try_acquire_owned() else {
-            count(RefusalReason::TooManyConnections);
+            on_event(TransportEvent::Refused(RefusalReason::TooManyConnections));
             continue;
         };
         let settings = settings.clone();
         let incoming = incoming.clone();
-        let count = count.clone();
+        let on_event = on_event.clone();
         tokio::spawn(async move {
-            let ended = serve_connection(&settings, stream, incoming, &*count).await;
+            let ended = serve_connection(&settings, stream, incoming, &on_event).await;
             log::debug!("instances: connection from {peer} ended: {ended}");
             drop(permit);
         });
@@ -301,19 +325,19 @@
     settings: &TransportSettings,
     mut stream: TcpStream,
     incoming: mpsc::Sender<Incoming<M>>,
-    count: &(dyn Fn(RefusalReason) + Send + Sync),
+    on_event: &OnEvent,
 ) -> io::Error {
     let _ = stream.set_nodelay(true);
-    let mut reader = FrameReader::new();
+    let mut reader = FrameReader::new(on_event.clone());
     let handshake = accept_handshake(&mut reader, &mut stream, &settings.secret);
     let (from, incarnation) = match timeout(HANDSHAKE_LIMIT, handshake).await {
         Ok(Ok(identity)) => identity,
         Ok(Err(error)) => {
-            count(RefusalReason::Unauthenticated);
+            on_event(TransportEvent::Refused(RefusalReason::Unauthenticated));
             return error;
         }
         Err(_) => {
-            count(RefusalReason::Unauthenticated);
+            on_event(TransportEvent::Refused(RefusalReason::Unauthenticated));
             return io::ErrorKind::TimedOut.into();
         }
     };
@@ -338,7 +362,7 @@
             Some(frames) = reply_queue.recv() => frames,
             _ = pings.tick() => encode_frame(&Envelope::<M>::Ping).unwrap_or_default(),
         };
-        if let Err(error) = write_bytes(&mut write_half, &frames).await {
+        if let Err(error) = write_bytes(&mut write_half, &frames, reader.on_event()).await {
             return error;
         }
     }
--- a/crates/redwinglatch-instances/tests/transport.rs
+++ b/crates/redwinglatch-instances/tests/transport.rs
@@ -8,7 +8,7 @@
 
 use redwinglatch_core::{Incarnation, InstanceId};
 use redwinglatch_instances::{
-    Incoming, SharedSecret, Transport, TransportErrorKind, TransportSettings,
+    Incoming, SharedSecret, Transport, TransportErrorKind, TransportEvent, TransportSettings,
 };
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
@@ -21,6 +21,8 @@
     transport: Transport<String>,
     incoming: mpsc::Receiver<Incoming<String>>,
     refused: Arc<AtomicUsize>,
+    sent_bytes: Arc<AtomicUsize>,
+    received_bytes: Arc<AtomicUsize>,
     address: SocketAddr,
 }
 
@@ -29,7 +31,9 @@
     let address = listener.local_addr().unwrap();
     let (sender, incoming) = mpsc::channel(16);
     let refused = Arc::new(AtomicUsize::new(0));
-    let counter = refused.clone();
+    let (sent_bytes, received_bytes) = (Arc::default(), Arc::default());
+    let counters: [Arc<AtomicUsize>; 3] =
+        [refused.clone(), Arc::clone(&sent_bytes), Arc::clone(&received_bytes)];
     let settings = TransportSettings {
         instance: InstanceId(instance),
         incarnation: Incarnation(7),
@@ -40,10 +44,15 @@
         secret: SharedSecret::new(secret.as_bytes()),
         max_connections: 8,
     };
-    let transport = Transport::start(settings, listener, sender, move |_| {
-        counter.fetch_add(1, Ordering::Relaxed);
+    let transport = Transport::start_with_events(settings, listener, sender, move |event| {
+        let (counter, amount) = match event {
+            TransportEvent::Refused(_) => (&counters[0], 1),
+            TransportEvent::Sent(bytes) => (&counters[1], bytes),
+            TransportEvent::Received(bytes) => (&counters[2], bytes),
+        };
+        counter.fetch_add(amount, Ordering::Relaxed);
     });
-    Node { transport, incoming, refused, address }
+    Node { transport, incoming, refused, sent_bytes, received_bytes, address }
 }
 
 #[tokio::test]
@@ -59,6 +68,32 @@
     assert_eq!(call.await.unwrap().unwrap(), "pong");
 }
 
+/// Guards against bytes that are left out of the control traffic or counted twice.
+#[tokio::test]
+async fn both_sides_count_the_same_bytes() {
+    let mut server = start(1, None, "secret").await;
+    let client = start(2, Some((1, server.address)), "secret").await;
+    let call = tokio::spawn({
+        let transport = client.transport.clone();
+        async move { transport.call(InstanceId(1), "x".repeat(5_000), CALL_LIMIT).await }
+    });
+    server.incoming.recv().await.unwrap().reply.unwrap().send("y".repeat(3_000)).unwrap();
+    call.await.unwrap().unwrap();
+    let read = |counter: &AtomicUsize| counter.load(Ordering::Relaxed);
+    // Both have read what the call needs; a ping may be under way, so an exact moment is awaited.
+    let deadline = Instant::now() + CALL_LIMIT;
+    while read(&client.sent_bytes) != read(&server.received_bytes)
+        || read(&server.sent_bytes) != read(&client.received_bytes)
+    {
+        assert!(Instant::now() < deadline, "the counts differ");
+        tokio::task::yield_now().await;
+    }
+    // A message, its header and envelope, and a handshake of less than 200 bytes.
+    let sent = read(&client.sent_bytes);
+    assert!((5_008..5_300).contains(&sent), "{sent}");
+    assert!((3_008..3_300).contains(&read(&client.received_bytes)));
+}
+
 #[tokio::test]
 async fn another_secret_is_refused_and_counted() {
     let mut server = start(1, None, "secret").await;
