--- a/crates/redwinglatch-instances/src/lib.rs
+++ b/crates/redwinglatch-instances/src/lib.rs
@@ -13,6 +13,7 @@
 mod handshake;
 mod message;
 mod transport;
+mod transport_event;
 
 pub use datagrams::{DATAGRAM_LIMIT_BYTES, Datagrams};
 pub use error::{TransportError, TransportErrorKind};
@@ -20,3 +21,4 @@
 pub use handshake::SharedSecret;
 pub use message::{ContractQuery, ControlRefusal, PeerMessage};
 pub use transport::{Incoming, Transport, TransportSettings};
+pub use transport_event::TransportEvent;
