Sync a new folder in its parent and hand over when the leader is removed

Change: each new level of the folder is synced in its parent, and the parent again before the identity is written. A leader that committed its own removal tells a voter with its whole log to stand for election.

--- a/crates/redwinglatch-log/src/replica/leader.rs
+++ b/crates/redwinglatch-log/src/replica/leader.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     AppendResult, Entry, EntryKind, Index, MAX_ENTRY_BYTES, MessageKind, ProposeError, Replica,
-    Role, Stamp,
+    Stamp,
     progress::{Progress, SendState},
 };
 
@@ -96,7 +96,8 @@
     /// Whether no other replica can lead at present.
     ///
     /// This holds while a majority of voters, the leader included, acknowledged messages sent
-    /// within `leader_lease_ms`; those voters refuse other candidates for longer than that.
+    /// within `leader_lease_ms`; those voters refuse other candidates for longer than that. Read
+    /// the clock for each call: with an earlier time, an expired lease looks valid.
     #[must_use]
     pub fn leader_lease_valid(&self, now_ms: u64) -> bool {
         let Some(leading) = &self.leading else { return false };
@@ -280,8 +281,4 @@
         self.confirm_reads();
         self.membership_committed();
     }
-
-    pub(super) fn is_leading(&self) -> bool {
-        self.role == Role::Leader
-    }
 }
--- a/crates/redwinglatch-log/src/replica/membership.rs
+++ b/crates/redwinglatch-log/src/replica/membership.rs
@@ -100,11 +100,24 @@
     }
 
     /// Lets a leader step down that its committed membership no longer contains.
+    ///
+    /// It hands over at once, so that the others need not wait for an election timeout.
     pub(super) fn membership_committed(&mut self) {
-        let is_voter = self.log.membership().is_voter(self.config.id);
-        if self.is_leading() && !is_voter && self.log.membership_index() <= self.commit {
-            log::info!("log: replica {} is no voter any more", self.config.id);
-            self.become_follower(self.term, None);
+        let membership = self.log.membership();
+        let is_over = self.log.membership_index() <= self.commit;
+        let Some(leading) = &self.leading else { return };
+        if membership.is_voter(self.config.id) || !is_over {
+            return;
+        }
+        log::info!("log: replica {} is no voter any more", self.config.id);
+        let last_index = self.log.last_index();
+        let successor = leading.progress.iter().find(|(other, progress)| {
+            membership.is_voter(*other) && progress.match_index == last_index
+        });
+        let successor = successor.map(|(other, _)| *other);
+        self.become_follower(self.term, None);
+        if let Some(to) = successor {
+            self.send_now(to, MessageKind::TimeoutNow);
         }
     }
 
--- a/crates/redwinglatch-log/src/storage/files.rs
+++ b/crates/redwinglatch-log/src/storage/files.rs
@@ -52,18 +52,37 @@
     #[must_use]
     pub fn os() -> FileOps {
         FileOps {
-            create_dir: Box::new(|path| fs::create_dir_all(path)),
+            create_dir: Box::new(create_dir),
             lock_dir: Box::new(lock_dir),
             list: Box::new(list),
             read: Box::new(|path| fs::read(path)),
             open: Box::new(open),
             rename: Box::new(|from, to| fs::rename(from, to)),
             remove: Box::new(|path| fs::remove_file(path)),
-            sync_dir: Box::new(|path| File::open(path)?.sync_all()),
+            sync_dir: Box::new(sync_dir),
         }
     }
 }
 
+/// Creates a folder; each new level is synced in its parent.
+fn create_dir(path: &Path) -> io::Result<()> {
+    if path.is_dir() {
+        return Ok(());
+    }
+    let parent = path.parent().unwrap_or(Path::new(""));
+    if !parent.as_os_str().is_empty() {
+        create_dir(parent)?;
+    }
+    fs::create_dir(path)?;
+    sync_dir(parent)
+}
+
+/// Syncs a folder; the empty path is the current folder.
+fn sync_dir(path: &Path) -> io::Result<()> {
+    let path = if path.as_os_str().is_empty() { Path::new(".") } else { path };
+    File::open(path)?.sync_all()
+}
+
 fn lock_dir(path: &Path) -> io::Result<Option<FolderLock>> {
     let file =
         OpenOptions::new().create(true).truncate(false).write(true).open(path.join("lock"))?;
--- a/crates/redwinglatch-log/src/storage/open.rs
+++ b/crates/redwinglatch-log/src/storage/open.rs
@@ -64,6 +64,12 @@
             if let Some(name) = names.iter().find(is_log) {
                 return Err(self.damaged(name, 0, "the folder has a log but no identity file"));
             }
+            // Without its name in the parent, a power loss would remove the folder with the votes.
+            if let Some(parent) = self.dir.parent() {
+                let parent = parent.to_owned();
+                let result = (self.files.sync_dir)(&parent);
+                self.check_sync(&parent, result)?;
+            }
             // The identity comes last: a folder that has one also has a hard state.
             self.write_hard_state(&HardState::default())?;
             self.replace_file(IDENTITY_FILE, &replica, &[])?;
