--- a/crates/redwinglatchd/tests/support/mod.rs
+++ b/crates/redwinglatchd/tests/support/mod.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Asks a daemon to stop gracefully.
+    pub(crate) fn terminate(&self, position: usize) {
+        self.signal(position, "-TERM");
+    }
+
     /// Stops a daemon's process without ending it; its connections stay open and silent.
     pub(crate) fn freeze(&self, position: usize) {
         self.signal(position, "-STOP");
