Say how to compare runs of stream_cost

Cause: concluded from one run against two that tokens in chunks of their own cost less; further runs did not bear that out. Change: the example says that single rows vary on a shared machine.

--- a/crates/redwinglatch-backends/examples/stream_cost.rs
+++ b/crates/redwinglatch-backends/examples/stream_cost.rs
@@ -4,6 +4,9 @@
 //! busy, so the fake engine's work does not count. Each row is run with short and long answers; the
 //! difference gives the cost of a token, the rest the cost of a request.
 //!
+//! Busy time includes preemption by other processes, so on a shared machine single rows vary by a
+//! factor of two; compare the means of several runs.
+//!
 //! Run with `cargo run --release -p redwinglatch-backends --example stream_cost`.
 
 use std::{net::SocketAddr, thread};
