Refuse stamps, terms and indexes that no replica can have sent

Cause: the decoder tests gave their messages to a follower only. Given to a leader, a reply with a stamp from the future kept the lease valid, and numbers near the end of their range overflowed. Change: a leader ignores stamps and refused indexes that it never sent, and every replica ignores terms beyond a quarter of the range. The tests give each message to a follower and a leader, insert long numbers and check that the lease ends. Conclusion: a broken reply can't extend a lease or stop the process.

--- a/crates/redwinglatch-log/src/lib.rs
+++ b/crates/redwinglatch-log/src/lib.rs
@@ -61,7 +61,7 @@
 //! - When [`Replica::snapshot_due`] is true, pass the state machine's state after the last applied
 //!   entry to [`Replica::compact`].
 //! - A proposal is accepted once the entry with its index appears in [`Effects::committed`] with
-//!   the term in which it was proposed. With another term, or after a loss of leadership, its
+//!   the term in which it was proposed ([`Replica::term`] right after the call). With another term, or after a loss of leadership, its
 //!   outcome is unknown until then.
 
 mod config;
--- a/crates/redwinglatch-log/src/progress.rs
+++ b/crates/redwinglatch-log/src/progress.rs
@@ -60,7 +60,12 @@
         }
     }
 
-    pub(crate) fn acknowledged(&mut self, stamp: Stamp) {
+    /// Records an answer to a message with `stamp`; `newest` is the stamp of a message sent now.
+    pub(crate) fn acknowledged(&mut self, stamp: Stamp, newest: Stamp) {
+        // Such a stamp was never sent and would extend the lease.
+        if stamp.sent_ms > newest.sent_ms || stamp.round > newest.round {
+            return;
+        }
         self.acked_sent_ms = self.acked_sent_ms.max(Some(stamp.sent_ms));
         self.acked_round = self.acked_round.max(stamp.round);
     }
@@ -91,11 +96,11 @@
     /// `next_index` on.
     pub(crate) fn conflicted(&mut self, prev_index: Index, next_index: Index) {
         let outdated = match self.state {
-            SendState::Probe { .. } => prev_index + 1 != self.next_index,
-            SendState::Pipeline { .. } => false,
+            SendState::Probe { .. } => prev_index != self.next_index - 1,
+            SendState::Pipeline { .. } => prev_index >= self.next_index,
             SendState::Snapshot { .. } => true,
         };
-        // A replica never loses what it has acknowledged, so such an answer is old as well.
+        // A replica never loses what it has acknowledged, so such an answer is outdated as well.
         if outdated || prev_index <= self.match_index {
             return;
         }
--- a/crates/redwinglatch-log/src/replica.rs
+++ b/crates/redwinglatch-log/src/replica.rs
@@ -157,6 +157,10 @@
             return;
         }
         let LogMessage { term, kind } = message;
+        if term > follower::MAX_NUMBER {
+            log::warn!("log: replica {from} sent the impossible term {term}; it is ignored");
+            return;
+        }
         match kind {
             MessageKind::PreVote { last_index, last_term } => {
                 self.handle_pre_vote(from, term, last_index, last_term);
--- a/crates/redwinglatch-log/src/replica/follower.rs
+++ b/crates/redwinglatch-log/src/replica/follower.rs
@@ -4,8 +4,8 @@
 
 use crate::{AppendResult, Entry, Index, MessageKind, Replica, Role, Stamp, Term};
 
-/// The largest index accepted from a message, so that index arithmetic can't overflow.
-pub(super) const MAX_INDEX: Index = u64::MAX / 4;
+/// The largest index or term accepted from a message, so that arithmetic can't overflow.
+pub(super) const MAX_NUMBER: u64 = u64::MAX / 4;
 
 impl Replica {
     /// Follows `from`, which sent a message that only the leader of the current term sends.
@@ -59,13 +59,13 @@
         let mut index = prev_index;
         let mut term = prev_term;
         for entry in entries {
-            if index >= MAX_INDEX || entry.index != index + 1 || entry.term < term {
+            if index >= MAX_NUMBER || entry.index != index + 1 || entry.term < term {
                 return false;
             }
             index = entry.index;
             term = entry.term;
         }
-        index <= MAX_INDEX && term <= self.term
+        index <= MAX_NUMBER && term <= self.term
     }
 
     fn append_after(
--- a/crates/redwinglatch-log/src/replica/leader.rs
+++ b/crates/redwinglatch-log/src/replica/leader.rs
@@ -232,10 +232,8 @@
         result: AppendResult,
     ) {
         let last_index = self.log.last_index();
-        let Some(progress) = self.leading.as_mut().and_then(|l| l.progress_mut(from)) else {
-            return;
-        };
-        progress.acknowledged(stamp);
+        let next_index = self.next_after(result);
+        let Some(progress) = self.acknowledged_progress(from, stamp) else { return };
         match result {
             AppendResult::Matched { index } if index <= last_index => {
                 progress.matched(index);
@@ -245,20 +243,38 @@
             AppendResult::Matched { .. } => {
                 log::warn!("log: replica {from} acknowledged entries that were never sent");
             }
-            AppendResult::Conflict { prev_index, term, first_index } => {
-                let next_index = match term {
-                    Some(term) => {
-                        let last = self.log.last_not_after_term(prev_index.min(last_index), term);
-                        if self.log.term_at(last) == Some(term) { last + 1 } else { first_index }
-                    }
-                    None => first_index,
-                };
+            AppendResult::Conflict { prev_index, .. } => {
                 progress.conflicted(prev_index, next_index);
             }
         }
         self.confirm_reads();
     }
 
+    /// The first index that a replica with this answer may need.
+    fn next_after(&self, result: AppendResult) -> Index {
+        match result {
+            AppendResult::Matched { index } => index.saturating_add(1),
+            AppendResult::Conflict { term: None, first_index, .. } => first_index,
+            AppendResult::Conflict { prev_index, term: Some(term), first_index } => {
+                let last = self.log.last_not_after_term(prev_index, term);
+                if self.log.term_at(last) == Some(term) { last + 1 } else { first_index }
+            }
+        }
+    }
+
+    /// Records that `from` answered a message with `stamp`; returns its progress.
+    pub(super) fn acknowledged_progress(
+        &mut self,
+        from: ReplicaId,
+        stamp: Stamp,
+    ) -> Option<&mut Progress> {
+        let leading = self.leading.as_mut()?;
+        let newest = Stamp { round: leading.round, sent_ms: self.now_ms };
+        let progress = leading.progress_mut(from)?;
+        progress.acknowledged(stamp, newest);
+        Some(progress)
+    }
+
     /// Commits what a majority has synced, if it is of the current term.
     ///
     /// An entry of an earlier term may be replaced by a later leader even when a majority has it;
--- a/crates/redwinglatch-log/src/replica/snapshot.rs
+++ b/crates/redwinglatch-log/src/replica/snapshot.rs
@@ -10,7 +10,7 @@
     progress::SendState, write_queue::SnapshotWrite,
 };
 
-use super::follower::MAX_INDEX;
+use super::follower::MAX_NUMBER;
 
 /// A snapshot of which some chunks have arrived.
 #[derive(Debug)]
@@ -101,7 +101,7 @@
             self.send_after_sync(from, MessageKind::AppendReply { stamp, result });
             return;
         }
-        if total_bytes > self.config.max_snapshot_bytes || index > MAX_INDEX || term > self.term {
+        if total_bytes > self.config.max_snapshot_bytes || index > MAX_NUMBER || term > self.term {
             log::error!("log: the snapshot of {total_bytes} bytes from replica {from} is refused");
             return;
         }
@@ -147,10 +147,7 @@
         index: Index,
         next_offset: u64,
     ) {
-        let Some(progress) = self.leading.as_mut().and_then(|l| l.progress_mut(from)) else {
-            return;
-        };
-        progress.acknowledged(stamp);
+        let Some(progress) = self.acknowledged_progress(from, stamp) else { return };
         if let SendState::Snapshot { snapshot, offset, waiting } = &mut progress.state
             && snapshot.index == index
             && *offset != next_offset
--- a/crates/redwinglatch-log/tests/decoders.rs
+++ b/crates/redwinglatch-log/tests/decoders.rs
@@ -5,8 +5,9 @@
 use quickcheck::{Gen, QuickCheck, TestResult};
 use redwinglatch_core::ReplicaId;
 use redwinglatch_log::{
-    DurableState, Entry, EntryKind, LogMessage, MAX_MESSAGE_BYTES, Membership, MessageError,
-    MessageKind, RecordError, Replica, ReplicaConfig, Stamp, decode_record, encode_record,
+    AppendResult, DurableState, Entry, EntryKind, LogMessage, MAX_MESSAGE_BYTES, Membership,
+    MessageError, MessageKind, RecordError, Replica, ReplicaConfig, Stamp, decode_record,
+    encode_record,
 };
 
 /// Entries keep at most this many bytes for each byte of input: an empty entry takes 3 bytes in a
@@ -19,7 +20,7 @@
 }
 
 fn entry(index: u64, kind: EntryKind) -> Entry {
-    Entry { index, term: 3, kind }
+    Entry { index, term: 1, kind }
 }
 
 fn sample_entries() -> Vec<Entry> {
@@ -42,22 +43,34 @@
     };
     let chunk = MessageKind::SnapshotChunk {
         index: 9,
-        snapshot_term: 3,
+        snapshot_term: 1,
         membership: Membership::new([1, 2].map(ReplicaId)),
         total_bytes: 12,
         offset: 0,
         data: Bytes::from_static(b"chunk"),
         stamp,
     };
-    let kinds = [append(4, 2, sample_entries()), append(0, 0, Vec::new()), chunk];
-    kinds.into_iter().map(|kind| LogMessage { term: 3, kind }).collect()
+    let conflict = AppendResult::Conflict { prev_index: 0, term: Some(1), first_index: 1 };
+    let kinds = [
+        append(4, 1, sample_entries()),
+        append(0, 0, Vec::new()),
+        chunk,
+        MessageKind::AppendReply { stamp, result: AppendResult::Matched { index: 1 } },
+        MessageKind::AppendReply { stamp, result: conflict },
+        MessageKind::SnapshotReply { stamp, index: 1, next_offset: 4 },
+        MessageKind::Vote { last_index: 1, last_term: 1, transfer: true },
+    ];
+    kinds.into_iter().map(|kind| LogMessage { term: 1, kind }).collect()
 }
 
-/// Replaces some bytes, so that most of the input stays valid.
+/// Replaces some bytes, so that most of the input stays valid; inserts some for long numbers.
 fn corrupt(mut bytes: Vec<u8>, changes: &[(u16, u8)]) -> Vec<u8> {
     for &(at, byte) in changes.iter().take(3) {
         let at = usize::from(at) % bytes.len();
-        bytes[at] = byte;
+        match byte {
+            0 => drop(bytes.splice(at..=at, [0xff; 9].into_iter().chain([1]))),
+            _ => bytes[at] = byte,
+        }
     }
     bytes
 }
@@ -67,7 +80,30 @@
     entries.capacity() * size_of::<Entry>() + entries.iter().map(data).sum::<usize>()
 }
 
-/// Decodes `bytes`, checks the bound and gives the message to a replica.
+fn replica() -> Replica {
+    let config = ReplicaConfig::new(ReplicaId(1), Membership::new([1, 2, 3].map(ReplicaId)));
+    Replica::new(config, DurableState::default(), 0, fastrand::Rng::with_seed(1)).unwrap()
+}
+
+fn take_synced(replica: &mut Replica) {
+    if let Some(write) = replica.take_effects().write {
+        replica.persisted(write);
+    }
+}
+
+/// Makes the replica lead term 1.
+fn lead(replica: &mut Replica) {
+    replica.tick(1600);
+    let replies =
+        [MessageKind::PreVoteReply { granted: true }, MessageKind::VoteReply { granted: true }];
+    for kind in replies {
+        replica.step(ReplicaId(2), LogMessage { term: 1, kind }, 1600);
+        take_synced(replica);
+    }
+    assert!(replica.is_leader());
+}
+
+/// Decodes `bytes`, checks the bound and gives the message to a follower and a leader.
 fn check_message(bytes: &[u8]) -> bool {
     let Ok(message) = LogMessage::decode(bytes) else { return true };
     let bounded = match &message.kind {
@@ -77,15 +113,17 @@
         MessageKind::SnapshotChunk { data, .. } => data.len() <= bytes.len(),
         _ => true,
     };
-    let config = ReplicaConfig::new(ReplicaId(1), Membership::new([1, 2, 3].map(ReplicaId)));
-    let rng = fastrand::Rng::with_seed(1);
-    let mut replica = Replica::new(config, DurableState::default(), 0, rng).unwrap();
-    for _ in 0..2 {
-        replica.step(ReplicaId(2), message.clone(), 10);
-        let effects = replica.take_effects();
-        if let Some(write) = effects.write {
-            replica.persisted(write);
+    let mut replicas = [replica(), replica()];
+    lead(&mut replicas[1]);
+    for replica in &mut replicas {
+        for _ in 0..2 {
+            replica.step(ReplicaId(2), message.clone(), 1700);
+            take_synced(replica);
         }
+        // Whatever the message said, the lease ends without further contact.
+        assert!(!replica.leader_lease_valid(9000));
+        replica.tick(9000);
+        take_synced(replica);
     }
     bounded
 }
@@ -120,7 +158,7 @@
 #[test]
 fn announced_lengths_reserve_nothing() {
     let huge = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f];
-    // Term 3, then an append whose list of entries is huge, or a chunk whose voters are.
+    // A term, then an append whose list of entries is huge, or a chunk whose voters are.
     for head in [&[3, 4, 0, 0][..], &[3, 6, 9, 3]] {
         let bytes = [head, &huge, &[0; 64]].concat();
         assert!(matches!(LogMessage::decode(&bytes), Err(MessageError::Malformed(_))));
