Test that a vote alone survives a crash

Cause: without the sync of the folder after a rename, a save that holds only a vote could be lost; only the random schedules noticed that planted fault, and not in each run of 1,000. Change: the test of a crash at each operation also saves a vote alone. The driver's rules say how a proposal's outcome is recognized. Conclusion: the fault is noticed by a test without random schedules.

--- a/crates/redwinglatch-log/src/lib.rs
+++ b/crates/redwinglatch-log/src/lib.rs
@@ -61,8 +61,9 @@
 //! - When [`Replica::snapshot_due`] is true, pass the state machine's state after the last applied
 //!   entry to [`Replica::compact`].
 //! - A proposal is accepted once the entry with its index appears in [`Effects::committed`] with
-//!   the term in which it was proposed ([`Replica::term`] right after the call). With another term, or after a loss of leadership, its
-//!   outcome is unknown until then.
+//!   the term in which it was proposed ([`Replica::term`] right after the call). Until then its
+//!   outcome is unknown, also after a loss of leadership; an entry of another term at that index
+//!   means that the proposal is lost.
 
 mod config;
 mod effects;
--- a/crates/redwinglatch-log/tests/storage.rs
+++ b/crates/redwinglatch-log/tests/storage.rs
@@ -190,6 +190,8 @@
 #[test]
 fn a_crash_at_any_operation_leaves_the_old_or_the_new_state() {
     let cases = [
+        // A vote alone.
+        Effects { hard_state: Some(hard_state(2)), ..Effects::default() },
         // A vote and entries that replace a part of the log.
         Effects {
             hard_state: Some(hard_state(2)),
