Number the sessions between leader and instance

The instance went on in the belief that its earlier reports and shares counted, so it lacked shares, and with other timing would have held more than the leader knew. Also, an instance whose renewals arrived but that received no replies held back the report of changes without end. Change: a process is admitted only in answer to an offer made since its lease ended, and renewals and replies of other sessions change nothing; a reply renews the lease only if it brings the instance up to date and replies are arriving. Conclusion: both cases have a test in tests/renewals.rs.

--- a/crates/redwinglatch-control/src/leader.rs
+++ b/crates/redwinglatch-control/src/leader.rs
@@ -14,7 +14,6 @@
 /// leader could grant leases without knowing of committed changes.
 #[derive(Debug)]
 pub struct LeaderState {
-    settings: LeaseSettings,
     leases: Leases,
     shares: Shares,
     cells: CellGrants,
@@ -28,7 +27,6 @@
         let leases = Leases::new(settings, term, elected_at_ms);
         let waiting_until_ms = leases.waiting_until_ms();
         LeaderState {
-            settings,
             leases,
             shares: Shares::new(waiting_until_ms),
             cells: CellGrants::new(settings, waiting_until_ms),
@@ -45,44 +43,50 @@
     ) -> Option<RenewalReply> {
         self.advance(now_ms);
         let holder = LeaseHolder { instance: renewal.instance, incarnation: renewal.incarnation };
-        let mut reply = RenewalReply {
-            term: self.leases.term(),
-            incarnation: renewal.incarnation,
-            sequence: renewal.sequence,
-            verdict: LeaseVerdict::Granted { lease_ms: self.settings.lease_ms },
-            head: state.revision(),
-            configuration: None,
-            coordinators: None,
-            cells: Vec::new(),
-            shares: Vec::new(),
-            instances: None,
-        };
-        let new = match self.leases.renew(now_ms, renewal) {
+        let cursor = ConfigurationCursor::complete(renewal.revision);
+        let configuration = state.update_since(renewal.staged.unwrap_or(cursor));
+        let head = state.revision();
+        let caught_up = configuration.as_ref().is_none_or(|update| update.to == head);
+        let (new, verdict) = match self.leases.renew(now_ms, renewal, caught_up) {
             Renewed::Ignored => return None,
-            Renewed::Refused(verdict) => {
-                reply.verdict = verdict;
-                return Some(reply);
-            }
-            Renewed::Granted { new } => new,
+            Renewed::Refused(verdict) => return Some(self.reply(renewal, head, verdict)),
+            Renewed::Known { new, verdict } => (new, verdict),
         };
+        let mut reply = self.reply(renewal, head, verdict);
         let applied_sequence = self.leases.applied_sequence(holder);
         if new {
             self.cells.adopt(holder, renewal);
             self.shares.admit(holder, renewal);
         }
-        let cursor = ConfigurationCursor::complete(renewal.revision);
-        reply.configuration = state.update_since(renewal.staged.unwrap_or(cursor));
+        reply.configuration = configuration;
         reply.coordinators = coordinators(state, renewal);
         reply.cells = self.cells.renew(now_ms, state, holder, renewal, applied_sequence);
         let settled = self.leases.settled(now_ms);
         self.shares.observe_contracts(state, settled);
-        let caught_up = reply.configuration.as_ref().is_none_or(|update| update.to == reply.head);
         reply.shares = self.shares.renew(now_ms, holder, renewal, applied_sequence, caught_up);
         let known = if renewal.term == reply.term { renewal.instances_version } else { 0 };
         reply.instances = self.leases.list_update(now_ms, known);
         Some(reply)
     }
 
+    /// A reply with nothing but the verdict.
+    fn reply(&mut self, renewal: &Renewal, head: Revision, verdict: LeaseVerdict) -> RenewalReply {
+        let holder = LeaseHolder { instance: renewal.instance, incarnation: renewal.incarnation };
+        RenewalReply {
+            term: self.leases.term(),
+            incarnation: renewal.incarnation,
+            session: self.leases.session(holder),
+            sequence: renewal.sequence,
+            verdict,
+            head,
+            configuration: None,
+            coordinators: None,
+            cells: Vec::new(),
+            shares: Vec::new(),
+            instances: None,
+        }
+    }
+
     /// Ends the leases that have surely run out, with their shares and grants.
     pub fn advance(&mut self, now_ms: u64) {
         for holder in self.leases.expire(now_ms) {
--- a/crates/redwinglatch-control/src/leases.rs
+++ b/crates/redwinglatch-control/src/leases.rs
@@ -12,6 +12,12 @@
 /// Processes that were superseded and stay refused. At 1,000 restarts a day this is four days.
 const SUPERSEDED_KEPT: usize = 4_096;
 
+/// Renewals remembered for each process, to learn when the applied one had arrived.
+const RECEIVED_KEPT: usize = 16;
+
+/// Offered sessions that are remembered; a process whose offer is forgotten gets another one.
+const OFFERED_KEPT: usize = 1_024;
+
 /// A process that may hold a serving lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LeaseHolder {
@@ -23,10 +29,27 @@
 
 #[derive(Debug)]
 struct Lease {
+    session: u64,
     expires_at_ms: u64,
     sequence: u64,
     applied_sequence: u64,
     revision: Revision,
+    /// Renewals since the one whose reply was applied last, with their times of arrival.
+    received: VecDeque<(u64, u64)>,
+}
+
+impl Lease {
+    /// Notes a renewal and says when the one whose reply was applied last had arrived.
+    fn receive(&mut self, now_ms: u64, sequence: u64) -> u64 {
+        self.received.push_back((sequence, now_ms));
+        while self.received.get(1).is_some_and(|(next, _)| *next <= self.applied_sequence) {
+            self.received.pop_front();
+        }
+        if self.received.len() > RECEIVED_KEPT {
+            self.received.remove(1);
+        }
+        self.received.front().map_or(now_ms, |(_, at_ms)| *at_ms)
+    }
 }
 
 /// What the table made of a renewal.
@@ -36,8 +59,8 @@
     Ignored,
     /// It is answered without a lease.
     Refused(LeaseVerdict),
-    /// The lease is renewed; `new` when this leader didn't know the process.
-    Granted { new: bool },
+    /// The process is known; `new` when it was not known before.
+    Known { new: bool, verdict: LeaseVerdict },
 }
 
 /// The serving leases that may be valid, on the leader's clock.
@@ -55,6 +78,9 @@
     /// renewal of an ended process can't displace its successor.
     current: BTreeMap<InstanceId, Incarnation>,
     superseded: VecDeque<LeaseHolder>,
+    /// The sessions offered to processes that are not known, or no longer.
+    offered: BTreeMap<LeaseHolder, u64>,
+    next_session: u64,
     list: InstanceList,
     earliest_expiry_ms: u64,
 }
@@ -70,6 +96,8 @@
             leases: BTreeMap::new(),
             current: BTreeMap::new(),
             superseded: VecDeque::new(),
+            offered: BTreeMap::new(),
+            next_session: 1,
             list: InstanceList::default(),
             earliest_expiry_ms: u64::MAX,
         }
@@ -154,7 +182,27 @@
         ended
     }
 
-    pub(crate) fn renew(&mut self, now_ms: u64, renewal: &Renewal) -> Renewed {
+    /// The session of a process, offered anew if it has none.
+    pub(crate) fn session(&mut self, holder: LeaseHolder) -> u64 {
+        if let Some(lease) = self.leases.get(&holder) {
+            return lease.session;
+        }
+        if self.offered.len() >= OFFERED_KEPT && !self.offered.contains_key(&holder) {
+            let oldest = self.offered.iter().min_by_key(|(_, session)| **session);
+            let oldest = oldest.map(|(holder, _)| *holder);
+            oldest.map(|oldest| self.offered.remove(&oldest));
+        }
+        *self.offered.entry(holder).or_insert_with(|| {
+            self.next_session += 1;
+            self.next_session
+        })
+    }
+
+    /// Renews the lease of a process, if it has `caught_up` with the reply and receives replies.
+    ///
+    /// Otherwise it could not use the lease, but would hold back the report of changes and keep
+    /// its shares for as long as its renewals arrive.
+    pub(crate) fn renew(&mut self, now_ms: u64, renewal: &Renewal, caught_up: bool) -> Renewed {
         let holder = LeaseHolder { instance: renewal.instance, incarnation: renewal.incarnation };
         if self.superseded.contains(&holder) {
             return Renewed::Refused(LeaseVerdict::Superseded);
@@ -168,14 +216,16 @@
             return Renewed::Ignored;
         }
         let new = known.is_none();
-        // Only a process that has received a reply in this term is admitted, so a renewal that
-        // was delayed for long can't register a process that has ended.
-        let complete = renewal.full && renewal.term == self.term;
-        let profile = renewal.profile.as_ref().filter(|_| complete);
-        if new && profile.is_none() {
+        // A process is admitted only in answer to an offer made since its lease ended. Otherwise
+        // a delayed renewal could register it with shares that it no longer holds.
+        let session = self.session(holder);
+        let agreed = renewal.term == self.term && renewal.session == session;
+        let profile = renewal.profile.as_ref().filter(|_| renewal.full);
+        if !agreed || (new && profile.is_none()) {
             return Renewed::Refused(LeaseVerdict::NeedFull);
         }
         if new {
+            self.offered.remove(&holder);
             self.admit(holder);
         }
         if let Some(profile) = profile {
@@ -189,17 +239,26 @@
         } else {
             self.list.set_draining(holder, renewal.draining);
         }
-        let expires_at_ms = now_ms + self.settings.leader_lease_ms();
-        let applied_sequence = if renewal.term == self.term { renewal.applied_sequence } else { 0 };
-        let lease = Lease {
-            expires_at_ms,
-            sequence: renewal.sequence,
-            applied_sequence,
-            revision: renewal.revision,
-        };
-        self.leases.insert(holder, lease);
-        self.earliest_expiry_ms = self.earliest_expiry_ms.min(expires_at_ms);
-        Renewed::Granted { new }
+        let end_ms = now_ms + self.settings.leader_lease_ms();
+        let lease = self.leases.entry(holder).or_insert_with(|| Lease {
+            session,
+            expires_at_ms: end_ms,
+            sequence: 0,
+            applied_sequence: 0,
+            revision: Revision(0),
+            received: VecDeque::new(),
+        });
+        lease.sequence = renewal.sequence;
+        lease.applied_sequence = renewal.applied_sequence;
+        lease.revision = renewal.revision;
+        let applied_at_ms = lease.receive(now_ms, renewal.sequence);
+        if !caught_up || now_ms - applied_at_ms > self.settings.lease_ms / 2 {
+            return Renewed::Known { new, verdict: LeaseVerdict::Withheld };
+        }
+        lease.expires_at_ms = end_ms;
+        self.earliest_expiry_ms = self.earliest_expiry_ms.min(end_ms);
+        let verdict = LeaseVerdict::Granted { lease_ms: self.settings.lease_ms };
+        Renewed::Known { new, verdict }
     }
 
     fn admit(&mut self, holder: LeaseHolder) {
--- a/crates/redwinglatch-control/src/message.rs
+++ b/crates/redwinglatch-control/src/message.rs
@@ -16,6 +16,8 @@
     pub incarnation: Incarnation,
     /// The term of the leader whose reply was applied last; 0 before the first.
     pub term: u64,
+    /// The session that the leader of `term` opened with its last `NeedFull`.
+    pub session: u64,
     /// Numbers the renewals of this process from 1.
     pub sequence: u64,
     /// The sequence of the latest renewal whose reply was applied.
@@ -97,6 +99,9 @@
     pub term: u64,
     /// The process that the reply is for.
     pub incarnation: Incarnation,
+    /// The session that the reply belongs to. Leader and instance agree on shares and grants only
+    /// within one session; replies and renewals of an earlier one change nothing.
+    pub session: u64,
     /// The sequence of the renewal that is answered.
     pub sequence: u64,
     /// Whether the lease was renewed.
@@ -123,6 +128,9 @@
         /// For how long, before the allowance for clock drift.
         lease_ms: u64,
     },
+    /// The lease is not renewed by this reply, but the rest of it holds: the instance has not yet
+    /// caught up, or has received no reply for long. Renew again at once.
+    Withheld,
     /// The leader doesn't know this process yet; send a full renewal at once.
     NeedFull,
     /// Another process with the same instance id has taken over. Give this instance another id in
--- a/crates/redwinglatch-control/src/renewal_client.rs
+++ b/crates/redwinglatch-control/src/renewal_client.rs
@@ -19,8 +19,8 @@
     /// The reply was applied.
     Applied {
         /// Whether to send the next renewal now instead of after `renew_interval_ms`: the leader
-        /// needs a full renewal, more parts of the configuration follow, or a change was put in
-        /// force, which the leader can report as accepted once it knows.
+        /// needs a full renewal or a proof that its replies arrive, more parts of the configuration
+        /// follow, or a change was put in force, which the leader can report once it knows.
         renew_now: bool,
         /// The customers whose contract changed.
         changed_customers: Vec<Box<str>>,
@@ -87,6 +87,7 @@
             instance: self.instance,
             incarnation: self.incarnation,
             term: self.lease.term(),
+            session: self.lease.session(),
             sequence,
             applied_sequence: self.lease.applied_sequence(),
             full,
@@ -107,7 +108,7 @@
             return ReplyResult::Ignored;
         }
         match reply.verdict {
-            LeaseVerdict::Granted { .. } => self.granted(reply),
+            LeaseVerdict::Granted { .. } | LeaseVerdict::Withheld => self.known(reply),
             LeaseVerdict::NeedFull => {
                 self.enter_term(reply.term);
                 self.need_full = true;
@@ -118,7 +119,7 @@
         }
     }
 
-    fn granted(&mut self, reply: &RenewalReply) -> ReplyResult {
+    fn known(&mut self, reply: &RenewalReply) -> ReplyResult {
         let update = reply.configuration.as_ref();
         let Ok(changed) = self.configuration.apply(reply.head, update) else {
             return ReplyResult::Ignored;
@@ -147,7 +148,8 @@
         self.lease.replied(reply, caught_up);
         let changed_customers: Vec<Box<str>> =
             changed.into_iter().map(|changed| changed.customer).collect();
-        let renew_now = !caught_up || !changed_customers.is_empty();
+        let withheld = reply.verdict == LeaseVerdict::Withheld;
+        let renew_now = withheld || !caught_up || !changed_customers.is_empty();
         ReplyResult::Applied { renew_now, changed_customers }
     }
 
--- a/crates/redwinglatch-control/src/serving_lease.rs
+++ b/crates/redwinglatch-control/src/serving_lease.rs
@@ -18,6 +18,7 @@
     settings: LeaseSettings,
     incarnation: Incarnation,
     term: u64,
+    session: u64,
     sequence: u64,
     applied_sequence: u64,
     sent: VecDeque<(u64, u64)>,
@@ -32,6 +33,7 @@
             settings,
             incarnation,
             term: 0,
+            session: 0,
             sequence: 0,
             applied_sequence: 0,
             sent: VecDeque::new(),
@@ -49,20 +51,24 @@
         self.sequence
     }
 
-    /// Whether a reply may be applied: it is for this process, not from an older term, and answers
-    /// a newer renewal than the last applied reply did.
+    /// Whether a reply may be applied: it is for this process, not from an older term, answers a
+    /// newer renewal than the last applied reply did, and opens a session or belongs to the
+    /// current one.
     #[must_use]
     pub fn accepts(&self, reply: &RenewalReply) -> bool {
         reply.incarnation == self.incarnation
             && reply.term >= self.term
             && reply.sequence > self.applied_sequence
             && reply.sequence <= self.sequence
+            && (matches!(reply.verdict, LeaseVerdict::NeedFull | LeaseVerdict::Superseded)
+                || (reply.term, reply.session) == (self.term, self.session))
     }
 
     /// Applies a reply that [`ServingLease::accepts`] allowed. The lease is renewed only if the
     /// instance has caught up with the leader's configuration.
     pub fn replied(&mut self, reply: &RenewalReply, caught_up: bool) {
         self.term = reply.term;
+        self.session = reply.session;
         self.applied_sequence = reply.sequence;
         let sent = self.sent.iter().find(|(sequence, _)| *sequence == reply.sequence);
         let sent_at_ms = sent.map(|(_, sent_at_ms)| *sent_at_ms);
@@ -93,6 +99,12 @@
         self.term
     }
 
+    /// The session with the leader of that term.
+    #[must_use]
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
     /// The sequence of the renewal whose reply was applied last.
     #[must_use]
     pub fn applied_sequence(&self) -> u64 {
--- a/crates/redwinglatch-control/tests/renewals.rs
+++ b/crates/redwinglatch-control/tests/renewals.rs
@@ -289,30 +289,35 @@
     let mut state = ControlState::with_limits(limits);
     accept(&mut state, 1, &apply_contract("a", 0, contract("lakeshore", 50)));
     let mut first = leader(1, 0);
-    let (mut slow, mut quick) = (client(1, 1), client(2, 2));
-    demand(&mut slow, "lakeshore", 50);
-    for round in 0..30 {
-        catch_up(10_000 + round, &mut first, &state, &mut slow);
+    let mut slow = [client(1, 1), client(3, 3)];
+    let mut quick = client(2, 2);
+    for now_ms in [10_000, 10_030] {
+        for client in &mut slow {
+            demand(client, "lakeshore", 25);
+            renew_often(now_ms, &mut first, &state, client);
+        }
     }
     accept(&mut state, 2, &apply_contract("b", 0, contract("third", 80)));
     accept(&mut state, 3, &apply_contract("c", 1, contract("lakeshore", 80)));
     let mut second = leader(2, 10_100);
-    exchange(10_200, &mut second, &state, &mut slow);
-    // One part arrives; all later replies are lost, so the first contract stays in force.
-    exchange(10_201, &mut second, &state, &mut slow);
-    assert_eq!(slow.configuration().revision(), Revision(1));
-    for now_ms in [12_000, 14_000, 16_000] {
-        let _lost = second.renew(now_ms, &state, &slow.renewal(now_ms));
+    for client in &mut slow {
+        exchange(10_200, &mut second, &state, client);
+        // One part arrives; later replies are lost, so the first contract stays in force.
+        exchange(10_201, &mut second, &state, client);
+        assert_eq!(client.configuration().revision(), Revision(1));
+        let _lost = second.renew(12_000, &state, &client.renewal(12_000));
     }
+    // The waiting period has just ended, and the slow instances may still hold their shares.
     demand(&mut quick, "lakeshore", 50);
-    for round in 0..20 {
-        catch_up(16_100 + round, &mut second, &state, &mut quick);
-    }
+    renew_often(14_150, &mut second, &state, &mut quick);
     accept(&mut state, 4, &apply_contract("d", 3, contract("lakeshore", 40)));
-    exchange(16_200, &mut second, &state, &mut quick);
-    exchange(16_200, &mut second, &state, &mut slow);
-    assert_eq!(slow.configuration().revision(), Revision(4));
-    let held = [&slow, &quick].map(|client| concurrent(client, 16_201, "lakeshore"));
+    exchange(14_200, &mut second, &state, &mut quick);
+    for client in &mut slow {
+        exchange(14_200, &mut second, &state, client);
+        exchange(14_201, &mut second, &state, client);
+        assert_eq!(client.configuration().revision(), Revision(4));
+    }
+    let held = [&slow[0], &slow[1], &quick].map(|client| concurrent(client, 14_202, "lakeshore"));
     assert!(held[0] > 0 && held.iter().sum::<u64>() <= 40, "{held:?} of 40");
 }
 
@@ -340,6 +345,60 @@
     }
 }
 
+/// Guards against changes that are never reported and shares that never return, because the
+/// renewals of an instance arrive but the replies to it don't.
+#[test]
+fn an_instance_that_receives_no_replies_loses_its_lease() {
+    let mut state = state_with("lakeshore", 10);
+    let mut leader = leader(1, 0);
+    let (mut deaf, mut other) = (client(1, 1), client(2, 2));
+    demand(&mut deaf, "lakeshore", 10);
+    renew_often(10_000, &mut leader, &state, &mut deaf);
+    accept(&mut state, 2, &apply_contract("b", 1, contract("lakeshore", 20)));
+    leader.pending_mut().add(Revision(2), 7);
+    let mut reported_ms = None;
+    for now_ms in (10_100..30_000).step_by(100) {
+        if now_ms % 1_000 == 0 {
+            let _lost = leader.renew(now_ms, &state, &deaf.renewal(now_ms));
+            catch_up(now_ms, &mut leader, &state, &mut other);
+        }
+        if !leader.take_reportable(now_ms).is_empty() {
+            reported_ms = Some(now_ms);
+            assert!(!deaf.may_serve(now_ms), "the instance still serves the older contract");
+        }
+    }
+    assert!(reported_ms.is_some_and(|at_ms| at_ms <= 20_000), "reported at {reported_ms:?}");
+    assert_eq!(leader.shares().reserved("lakeshore").concurrent_requests, 0);
+    // It serves again as soon as replies arrive.
+    catch_up(30_000, &mut leader, &state, &mut deaf);
+    assert!(deaf.may_serve(30_001));
+}
+
+/// Guards against a delayed renewal that registers a process again after its lease ended, with
+/// shares that it no longer holds, while it still has others from before.
+#[test]
+fn a_delayed_renewal_does_not_register_a_process_again() {
+    let state = state_with("lakeshore", 40);
+    let mut leader = leader(1, 0);
+    let (mut one, mut two) = (client(1, 1), client(2, 2));
+    exchange(10_000, &mut leader, &state, &mut one);
+    let delayed = one.renewal(10_001);
+    assert!(delayed.full);
+    demand(&mut one, "lakeshore", 40);
+    renew_often(10_002, &mut leader, &state, &mut one);
+    assert!(concurrent(&one, 10_022, "lakeshore") > 30);
+    // The lease ends, the shares go to another instance, and the delayed renewal arrives.
+    demand(&mut two, "lakeshore", 40);
+    renew_often(15_000, &mut leader, &state, &mut two);
+    assert!(concurrent(&two, 15_020, "lakeshore") > 30);
+    let answer = leader.renew(15_100, &state, &delayed).unwrap();
+    assert_eq!(answer.verdict, LeaseVerdict::NeedFull);
+    exchange(15_200, &mut leader, &state, &mut one);
+    exchange(15_201, &mut leader, &state, &mut one);
+    let held = [&one, &two].map(|client| concurrent(client, 15_202, "lakeshore"));
+    assert!(one.may_serve(15_202) && held.iter().sum::<u64>() <= 40, "{held:?} of 40");
+}
+
 /// Guards against a restarted instance whose former process still serves being treated as gone,
 /// and against two processes of one id that take turns.
 #[test]
