Test that replies of a former session are ignored

Cause: a hand-made mutant that accepts them survived the step-by-step tests. Change: a test with the delayed reply that would bring shares back. Conclusion: the mutant now fails.

--- a/crates/redwinglatch-control/tests/renewals.rs
+++ b/crates/redwinglatch-control/tests/renewals.rs
@@ -399,6 +399,31 @@
     assert!(one.may_serve(15_202) && held.iter().sum::<u64>() <= 40, "{held:?} of 40");
 }
 
+/// Guards against a delayed reply of a former session that brings shares which the leader has
+/// given to others since.
+#[test]
+fn a_delayed_reply_of_a_former_session_is_ignored() {
+    let state = state_with("lakeshore", 40);
+    let mut leader = leader(1, 0);
+    let mut instance = client(1, 1);
+    renew_often(10_000, &mut leader, &state, &mut instance);
+    demand(&mut instance, "lakeshore", 40);
+    let earlier = instance.renewal(10_100);
+    let delayed = leader.renew(10_102, &state, &instance.renewal(10_101)).unwrap();
+    assert!(!delayed.shares.is_empty());
+    // The lease ends; the earlier renewal arrives only now and opens a new session.
+    leader.advance(15_000);
+    let offer = leader.renew(15_000, &state, &earlier).unwrap();
+    assert_eq!(offer.verdict, LeaseVerdict::NeedFull);
+    let _applied = instance.apply_reply(&offer);
+    let full = instance.renewal(15_001);
+    assert_eq!(instance.apply_reply(&delayed), ReplyResult::Ignored);
+    let answer = leader.renew(15_002, &state, &full).unwrap();
+    assert_ne!(instance.apply_reply(&answer), ReplyResult::Ignored);
+    let reserved = leader.shares().reserved("lakeshore").concurrent_requests;
+    assert!(concurrent(&instance, 15_003, "lakeshore") <= reserved);
+}
+
 /// Guards against a restarted instance whose former process still serves being treated as gone,
 /// and against two processes of one id that take turns.
 #[test]
