Test joined loads and single late loads, and bound reported numbers

Change: two rule tests; batch limits, budgets of reported pins and prefixes are clamped; the crate docs say what the coordinator expects from its caller.

--- a/crates/redwinglatch-placement/src/coordinator/pinning.rs
+++ b/crates/redwinglatch-placement/src/coordinator/pinning.rs
@@ -273,7 +273,7 @@
                 engine,
                 adapter,
                 granted_ms: now_ms,
-                deadline_ms: now_ms + reported.budget_ms,
+                deadline_ms: now_ms + reported.budget_ms.min(self.settings.max_budget_ms),
                 max_tokens: 0,
                 stall_ms: 0,
                 orphan: Orphan::No,
--- a/crates/redwinglatch-placement/src/coordinator/placing.rs
+++ b/crates/redwinglatch-placement/src/coordinator/placing.rs
@@ -16,6 +16,8 @@
 const PREFIX_BONUS_MS: f32 = 20.0;
 /// Cost of an engine whose reports are late.
 const STALE_COST_MS: f32 = 50.0;
+/// Prefixes of a prompt that are looked up.
+const MAX_PREFIXES: usize = 32;
 /// Bits of a pin's id below the epoch's.
 const PIN_BITS: u32 = 40;
 
@@ -103,7 +105,7 @@
             max_tokens: request.max_tokens,
             priority: request.priority,
             data_centre: self.find_data_centre(&request.data_centre),
-            prefix_hashes: request.prefix_hashes.clone(),
+            prefix_hashes: request.prefix_hashes.iter().take(MAX_PREFIXES).copied().collect(),
             excluded: excluded.filter_map(|it| self.engine_addresses.get(it).copied()).collect(),
         })
     }
--- a/crates/redwinglatch-placement/src/coordinator/reporting.rs
+++ b/crates/redwinglatch-placement/src/coordinator/reporting.rs
@@ -17,6 +17,9 @@
 /// How long after a slot became unknown a report tells its content.
 const READ_BACK_MS: u64 = 250;
 
+/// Batch limit above which a report is a mistake.
+const MAX_BATCH: u32 = 65_536;
+
 /// An adapter in a report with its running requests.
 type Reported = SmallVec<[(AdapterKey, u32); 8]>;
 
@@ -44,7 +47,7 @@
         engine.boot_id = Some(report.boot_id.clone());
         engine.sequence = report.sequence;
         engine.asked_ms = report.asked_ms;
-        engine.max_batch = report.max_batch;
+        engine.max_batch = report.max_batch.min(MAX_BATCH);
         if engine.removed {
             // Late reports only tell which requests ended.
             self.end_orphans(now_ms, key, &report);
--- a/crates/redwinglatch-placement/src/lib.rs
+++ b/crates/redwinglatch-placement/src/lib.rs
@@ -62,6 +62,16 @@
 //! coordinator.release(2_000, placed.pin, Release::Finished);
 //! ```
 //!
+//! What the coordinator expects from its caller:
+//!
+//! - Each load order ends with [`Coordinator::load_finished`], at the latest after a timeout.
+//! - An instance sends a request within a second of its placement, or releases the pin as
+//!   [`Release::NotSent`].
+//! - An instance that reported its pins to a new epoch ignores placements of older epochs. Pins
+//!   that it reported keep their ids.
+//! - [`Coordinator::instance_lost`] is called only when the instance's serving lease has certainly
+//!   expired.
+//!
 //! Decisions that follow from the design:
 //!
 //! - A request waits only while it can still be served in time. A new request is refused if the
--- a/crates/redwinglatch-placement/tests/rules.rs
+++ b/crates/redwinglatch-placement/tests/rules.rs
@@ -487,3 +487,31 @@
     it.load_finished(400, second.load, Ok(()));
     assert_eq!(done(&mut it).placed.len(), 1);
 }
+
+/// Guards against refusing requests whose adapter is about to be ready: the wait for a place was
+/// computed from its copies, of which there are none before the load ends.
+#[test]
+fn requests_that_join_a_load_in_flight_are_not_refused() {
+    let (mut it, _) = cell(settings(), &[&[], &[]]);
+    for number in 0..4 {
+        it.place(number * 100, request(number, 1, 1_000));
+    }
+    assert_eq!(it.waiting_requests(), 4);
+    assert!(done(&mut it).refused.is_empty());
+}
+
+/// Guards against refusing all queued requests for the lateness of one load: when the first of
+/// them drops out, the others are in time again.
+#[test]
+fn a_late_load_costs_no_more_requests_than_needed() {
+    let (mut it, _) = cell(settings(), &[&[], &[], &[]]);
+    for (number, budget_ms) in [600, 870, 1_203, 1_536].into_iter().enumerate() {
+        it.place(0, request(number as u64, number, budget_ms));
+    }
+    assert!(done(&mut it).refused.is_empty());
+    // The first load should have ended at 333 ms.
+    it.tick(450);
+    let now = done(&mut it);
+    assert_eq!(now.refused.len(), 1);
+    assert_eq!(now.refused[0].0, key(1, 1));
+}
