Make two rule tests fail without their rules

The test of draining slots passed without it, since the rare adapter was loaded before the others were in use, and no test needed the backoff of an engine after its slot was read back. Change: the first test asks for the rare adapter when all slots are in use; a test of the backoff.

--- a/crates/redwinglatch-placement/tests/rules.rs
+++ b/crates/redwinglatch-placement/tests/rules.rs
@@ -76,18 +76,21 @@
 fn a_rare_adapter_gets_a_slot_of_adapters_always_in_use() {
     let (mut it, _) = cell(settings(), &[&[1, 2]]);
     let mut pins = Vec::new();
-    let mut number = 100;
-    it.place(0, request(1, 3, 20_000));
     let mut load = None;
-    for now_ms in (0..10_000).step_by(50) {
+    for round in 0..200 {
+        let now_ms = round * 50;
         it.tick(now_ms);
-        number += 1;
-        it.place(now_ms, request(number, 1 + number as usize % 2, 1_000));
+        it.place(now_ms, request(100 + round, 1 + round as usize % 2, 1_000));
+        pins.extend(done(&mut it).placed);
+        if round == 2 {
+            it.place(now_ms, request(1, 3, 20_000));
+        }
         if pins.len() > 2 {
-            it.release(now_ms, pins.remove(0), Release::Finished);
+            // The other adapter has a pin at this moment, and this one gets its next one first.
+            it.release(now_ms, pins.remove(0).1.pin, Release::Finished);
         }
         let now = done(&mut it);
-        pins.extend(now.placed.iter().map(|(_, placed)| placed.pin));
+        pins.extend(now.placed);
         load = load.or(now.loads.into_iter().find(|order| order.adapter == adapter(3)));
     }
     assert!(load.is_some(), "no slot within the starvation limit");
@@ -515,3 +518,20 @@
     assert_eq!(now.refused.len(), 1);
     assert_eq!(now.refused[0].0, key(1, 1));
 }
+
+/// Guards against the next attempt on an engine before its backoff is over.
+#[test]
+fn an_engine_is_not_asked_again_for_a_failed_adapter_before_its_backoff_is_over() {
+    let (mut it, ids) = cell(settings(), &[&[]]);
+    it.place(0, request(1, 1, 60_000));
+    let first = done(&mut it).loads.remove(0);
+    it.load_finished(100, first.load, Err(LoadFailure::Failed));
+    it.engine_report(400, ids[0], report(400, &[]));
+    let second = done(&mut it).loads.remove(0);
+    it.load_finished(1_000, second.load, Err(LoadFailure::Failed));
+    // The slot is read back, but the second backoff lasts at least 375 ms.
+    it.engine_report(1_260, ids[0], report(1_260, &[]));
+    assert!(done(&mut it).loads.is_empty());
+    it.tick(1_600);
+    assert_eq!(done(&mut it).loads.len(), 1);
+}
