Run every benchmark with `redwinglatch bench`

Cause: the command only said that the benchmarks are not linked in; control traffic, recovery and streams had no benchmark. It writes result.json, report.html and the charts, compares with an earlier result and fails past a counted bound, a violation or a regression.

--- /dev/null
+++ b/crates/redwinglatch/src/bench/placement.rs
@@ -0,0 +1,234 @@
+//! The placement and decision benchmarks of redwinglatch-bench.
+
+use redwinglatch_bench::{BoundRow, DecisionRow, Options, PlacementRow};
+use redwinglatch_report::{Bound, Chart, ChartKind, Figure, Section, Series, Table, format_number};
+
+use super::run::Run;
+use super::{BenchArgs, Benchmark};
+
+/// The policy whose figures are compared with earlier runs; the others stand beside it.
+const OWN_POLICY: &str = "coordinated";
+
+/// Runs both benchmarks, or the one that `args` names.
+pub(crate) fn run(args: &BenchArgs, run: &mut Run) {
+    let with_placement = args.includes(Benchmark::Placement);
+    let with_decisions = args.includes(Benchmark::Decisions);
+    if !with_placement && !with_decisions {
+        return;
+    }
+    let options = if args.short { Options::short() } else { Options::full() };
+    let options = Options { decisions: with_decisions, ..options.seed(args.seed) };
+    // The library always runs the placement part.
+    let measured = redwinglatch_bench::run(&options, |step| eprintln!("{step}"));
+    let is_about_placement = |bound: &BoundRow| !bound.workload.is_empty();
+    for bound in &measured.bounds {
+        let is_wanted = if is_about_placement(bound) { with_placement } else { with_decisions };
+        if is_wanted {
+            run.report.bounds.push(convert(bound, args.short));
+        }
+    }
+    if with_placement {
+        add_placement(run, &measured.placement);
+    }
+    if with_decisions {
+        add_decisions(run, &measured.decisions);
+    }
+}
+
+fn convert(bound: &BoundRow, short: bool) -> Bound {
+    let parts = [&*bound.settings, &*bound.workload, &*bound.name];
+    let parts: Vec<&str> = parts.into_iter().filter(|part| !part.is_empty()).collect();
+    Bound {
+        name: parts.join(", "),
+        measured: bound.measured,
+        relation: bound.relation.clone(),
+        limit: bound.limit,
+        held: bound.held,
+        counts: !(bound.timed && short),
+    }
+}
+
+fn add_placement(run: &mut Run, rows: &[PlacementRow]) {
+    for row in rows {
+        let place = format!("{}, {}, {}", row.settings, row.workload, row.policy);
+        if 0 < row.violations {
+            let first = row.first_violation.as_deref().unwrap_or("not described");
+            let text = format!("{place}: {} violations, the first: {first}", row.violations);
+            run.report.violations.push(text);
+        }
+        if row.policy == OWN_POLICY {
+            let name =
+                |figure: &str| format!("placement, {}, {}: {figure}", row.settings, row.workload);
+            run.report.figures.extend([
+                Figure::lower(name("load stall"), row.stall_total_ms as f64, "ms"),
+                Figure::lower(name("first token p99"), row.first_token_p99_ms as f64, "ms"),
+                Figure::higher(name("batch efficiency"), row.batch_efficiency, ""),
+                Figure::higher(name("goodput"), row.goodput_per_s, "1/s"),
+                Figure::lower(name("loads"), row.loads_per_1000, "for 1000 requests"),
+            ]);
+        }
+    }
+    run.keep("placement", &rows);
+    let mut settings: Vec<&str> = rows.iter().map(|row| &*row.settings).collect();
+    settings.dedup();
+    for settings in settings {
+        let rows: Vec<&PlacementRow> = rows.iter().filter(|it| it.settings == settings).collect();
+        run.sections.push(placement_section(settings, &rows));
+    }
+}
+
+fn placement_section(settings: &str, rows: &[&PlacementRow]) -> Section {
+    let mut table = Table::new(&[
+        "workload",
+        "policy",
+        "requests",
+        "in time",
+        "refused",
+        "load stall s",
+        "first token p95 ms",
+        "first token p99 ms",
+        "batch efficiency",
+        "goodput 1/s",
+        "loads for 1000 requests",
+    ]);
+    for row in rows {
+        table.push([
+            row.workload.clone(),
+            row.policy.clone(),
+            row.requests.to_string(),
+            row.in_time.to_string(),
+            row.refused_total().to_string(),
+            format_number(row.stall_total_ms as f64 / 1e3),
+            row.first_token_p95_ms.to_string(),
+            row.first_token_p99_ms.to_string(),
+            format!("{:.4}", row.batch_efficiency),
+            format_number(row.goodput_per_s),
+            format_number(row.loads_per_1000),
+        ]);
+    }
+    let chart = |file: &str, title: &str, unit: &str, value: &dyn Fn(&PlacementRow) -> f64| {
+        bars(&format!("{file}-{settings}"), &format!("{title}, {settings}"), unit, rows, value)
+    };
+    Section {
+        title: format!("Placement with the settings of {settings}"),
+        note: "Virtual time, the same requests for each policy. Load stall is the time that \
+               requests waited until their adapter was ready."
+            .to_owned(),
+        charts: vec![
+            chart("stall", "Load stall", "s", &|row| row.stall_total_ms as f64 / 1e3),
+            chart("batch", "Batch efficiency", "share of a step", &|row| row.batch_efficiency),
+            chart("goodput", "Goodput", "requests/s in time", &|row| row.goodput_per_s),
+        ],
+        table,
+    }
+}
+
+fn bars(
+    file: &str,
+    title: &str,
+    unit: &str,
+    rows: &[&PlacementRow],
+    value: &dyn Fn(&PlacementRow) -> f64,
+) -> Chart {
+    let mut workloads: Vec<&str> = rows.iter().map(|row| &*row.workload).collect();
+    workloads.dedup();
+    let mut policies: Vec<&str> = Vec::new();
+    for row in rows {
+        if !policies.contains(&&*row.policy) {
+            policies.push(&row.policy);
+        }
+    }
+    let find = |workload: &str, policy: &str| {
+        let row = rows.iter().find(|it| it.workload == workload && it.policy == policy)?;
+        Some(value(row))
+    };
+    let series = policies.iter().map(|policy| Series {
+        name: (*policy).to_owned(),
+        values: workloads.iter().map(|workload| find(workload, policy)).collect(),
+    });
+    Chart {
+        file: file.to_owned(),
+        title: title.to_owned(),
+        unit: unit.to_owned(),
+        kind: ChartKind::Bars,
+        series: series.collect(),
+        positions: workloads.into_iter().map(str::to_owned).collect(),
+        limit: None,
+    }
+}
+
+fn add_decisions(run: &mut Run, rows: &[DecisionRow]) {
+    let mut table = Table::new(&[
+        "cells",
+        "engines",
+        "adapters",
+        "p50 us",
+        "p99 us",
+        "decisions/s",
+        "placed at once",
+        "bytes for each idle adapter",
+    ]);
+    for (index, row) in rows.iter().enumerate() {
+        table.push([
+            row.cells.to_string(),
+            row.engines.to_string(),
+            row.adapters.to_string(),
+            format_number(row.p50_us),
+            format_number(row.p99_us),
+            format_number(row.decisions_per_s),
+            format!("{:.3}", row.placed_share),
+            format_number(row.bytes_per_idle_adapter),
+        ]);
+        // Two rows may have the same size and differ in their requests, so the index tells them
+        // apart.
+        let size = format!("{} engines, {} adapters", row.engines, row.adapters);
+        let name = |figure: &str| format!("decisions, row {}, {size}: {figure}", index + 1);
+        run.report.figures.extend([
+            Figure::lower(name("p99"), row.p99_us, "us").timed(),
+            Figure::higher(name("rate"), row.decisions_per_s, "1/s").timed(),
+            Figure::lower(name("bytes for each idle adapter"), row.bytes_per_idle_adapter, "B"),
+        ]);
+    }
+    run.keep("decisions", &rows);
+    // The slope is over rows of one size of cell; the others have other numbers of engines.
+    let engines = rows.first().map_or(0, |row| row.engines);
+    let slope: Vec<&DecisionRow> =
+        rows.iter().filter(|row| row.cells == 1 && row.engines == engines).collect();
+    let series = |name: &str, value: fn(&DecisionRow) -> f64| Series {
+        name: name.to_owned(),
+        values: slope.iter().map(|row| Some(value(row))).collect(),
+    };
+    let chart = |file: &str, title: &str, unit: &str, series, limit| Chart {
+        file: file.to_owned(),
+        title: title.to_owned(),
+        unit: unit.to_owned(),
+        kind: ChartKind::Lines,
+        positions: slope.iter().map(|row| row.adapters.to_string()).collect(),
+        series,
+        limit,
+    };
+    run.sections.push(Section {
+        title: "Routing decisions".to_owned(),
+        note: format!(
+            "Wall-clock time of one decision on one core; load average of the machine {}.",
+            super::process::load_average()
+        ),
+        charts: vec![
+            chart(
+                "decision-time",
+                "Time of a decision over the number of adapters",
+                "us",
+                vec![series("p50", |row| row.p50_us), series("p99", |row| row.p99_us)],
+                None,
+            ),
+            chart(
+                "adapter-bytes",
+                "State for each idle adapter over the number of adapters",
+                "bytes",
+                vec![series("bytes", |row| row.bytes_per_idle_adapter)],
+                Some(200.0),
+            ),
+        ],
+        table,
+    });
+}
--- /dev/null
+++ b/crates/redwinglatch/src/bench/recovery.rs
@@ -0,0 +1,207 @@
+//! Recovery of a control replica and the rate of synced appends.
+
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+use redwinglatch_control::{Command, ControlState, Outcome};
+use redwinglatch_core::{ReplicaId, Revision};
+use redwinglatch_local::Deployment;
+use redwinglatch_log::{Entry, EntryKind, Membership, Replica, ReplicaConfig, Storage};
+use redwinglatch_report::{Figure, Section, Table, format_number};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use super::durations::milliseconds;
+use super::run::Run;
+
+const ID: ReplicaId = ReplicaId(1);
+/// More than any batch, because a second change of a customer needs the revision of the first.
+const CUSTOMERS: u64 = 1_000;
+/// Changes that share one sync while the log is filled.
+const FILL_BATCH: u64 = 500;
+
+#[derive(Debug, Clone, Serialize)]
+struct RecoveryRow {
+    changes: u64,
+    /// Whether snapshots are taken at the default interval, as the daemon does.
+    with_snapshots: bool,
+    recovery_ms: f64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct AppendRow {
+    batch: u64,
+    appends_per_s: f64,
+    sync_ms: f64,
+}
+
+/// Measures both in folders below `work`.
+pub(crate) fn run(work: &Path, run: &mut Run) -> io::Result<()> {
+    let mut recoveries = Vec::new();
+    for (changes, with_snapshots) in
+        [(1_000, true), (100_000, true), (1_000, false), (100_000, false)]
+    {
+        run.progress(&format!("recovery: {changes} changes, snapshots {with_snapshots}"));
+        let dir = work.join(format!("recovery-{changes}-{with_snapshots}"));
+        let mut node = Node::open(&dir, with_snapshots)?;
+        for first in (0..changes).step_by(FILL_BATCH as usize) {
+            node.append((first..changes.min(first + FILL_BATCH)).map(change))?;
+        }
+        let state = std::mem::take(&mut node.state);
+        drop(node);
+        let started_at = Instant::now();
+        let recovered = Node::open(&dir, with_snapshots)?;
+        let recovery_ms = milliseconds(started_at.elapsed());
+        // The recovered leader added an entry of its own term, so the applied indices differ.
+        if recovered.state.revision() != state.revision()
+            || recovered.state.contract(&customer(0)) != state.contract(&customer(0))
+        {
+            let text = format!("the state after {changes} changes was not recovered");
+            run.report.violations.push(text);
+        }
+        recoveries.push(RecoveryRow { changes, with_snapshots, recovery_ms });
+    }
+    let measure_for =
+        if run.report.short { Duration::from_millis(500) } else { Duration::from_secs(3) };
+    let mut appends = Vec::new();
+    for batch in [1, 16, 256] {
+        run.progress(&format!("appends: {batch} for each sync"));
+        let mut node = Node::open(&work.join(format!("appends-{batch}")), true)?;
+        let (started_at, mut syncs) = (Instant::now(), 0);
+        while started_at.elapsed() < measure_for {
+            node.append((syncs * batch..(syncs + 1) * batch).map(change))?;
+            syncs += 1;
+        }
+        let elapsed_s = started_at.elapsed().as_secs_f64();
+        let appends_per_s = (syncs * batch) as f64 / elapsed_s;
+        let sync_ms = elapsed_s * 1e3 / syncs as f64;
+        appends.push(AppendRow { batch, appends_per_s, sync_ms });
+    }
+    add_section(run, &recoveries, &appends);
+    Ok(())
+}
+
+fn add_section(run: &mut Run, recoveries: &[RecoveryRow], appends: &[AppendRow]) {
+    let mut table = Table::new(&["measurement", "value", "unit"]);
+    for row in recoveries {
+        let with = if row.with_snapshots { "with" } else { "without" };
+        let name = format!("recovery after {} changes, {with} snapshots", row.changes);
+        table.push([name.clone(), format_number(row.recovery_ms), "ms".to_owned()]);
+        run.report.figures.push(Figure::lower(name, row.recovery_ms, "ms").timed());
+    }
+    for row in appends {
+        let name = format!("changes applied, {} for each sync", row.batch);
+        let value = format!(
+            "{} ({} ms for each batch)",
+            format_number(row.appends_per_s),
+            format_number(row.sync_ms)
+        );
+        table.push([name.clone(), value, "1/s".to_owned()]);
+        run.report.figures.push(Figure::higher(name, row.appends_per_s, "1/s").timed());
+    }
+    run.keep("recovery", &recoveries);
+    run.keep("appends", &appends);
+    run.sections.push(Section {
+        title: "Control log".to_owned(),
+        note: format!(
+            "One replica that is its only voter, with real syncs. Recovery lasts from opening the \
+             folder until all changes are applied to the control state; the timer of the election \
+             is not waited for. Load average of the machine {}.",
+            super::process::load_average()
+        ),
+        charts: Vec::new(),
+        table,
+    });
+}
+
+fn customer(number: u64) -> String {
+    format!("customer-{}", number % CUSTOMERS)
+}
+
+/// The change with this number; each customer's changes follow one another.
+fn change(number: u64) -> impl FnOnce(&ControlState) -> Command {
+    move |state| {
+        let customer = customer(number);
+        let revision = state.contract(&customer).map_or(Revision(0), |(revision, _)| revision);
+        let contract = Deployment::contract(&customer, "district-");
+        Command::ApplyContract {
+            change_id: format!("change-{number}").into(),
+            customer: customer.into(),
+            expected_revision: revision,
+            contract,
+            now_wall_s: 1,
+        }
+    }
+}
+
+/// A replica that is its only voter, with the control state that its log produces.
+struct Node {
+    storage: Storage,
+    replica: Replica,
+    state: ControlState,
+    with_snapshots: bool,
+}
+
+impl Node {
+    /// Opens the folder and applies everything in its log.
+    fn open(dir: &Path, with_snapshots: bool) -> io::Result<Node> {
+        let (storage, durable) = Storage::open(dir, ID).map_err(io::Error::other)?;
+        let state = match &durable.snapshot {
+            Some(snapshot) => ControlState::restore(&snapshot.data).map_err(io::Error::other)?,
+            None => ControlState::new(),
+        };
+        let config = ReplicaConfig::new(ID, Membership::new([ID]));
+        let replica = Replica::new(config, durable, 0, fastrand::Rng::with_seed(1));
+        let replica = replica.map_err(io::Error::other)?;
+        let mut node = Node { storage, replica, state, with_snapshots };
+        // The only voter elects itself at the end of its timeout.
+        node.replica.tick(node.replica.next_tick_ms());
+        node.drive()?;
+        Ok(node)
+    }
+
+    /// Proposes changes of different customers together and waits for their sync.
+    fn append<F: FnOnce(&ControlState) -> Command>(
+        &mut self,
+        changes: impl Iterator<Item = F>,
+    ) -> io::Result<()> {
+        for change in changes {
+            let command = change(&self.state);
+            let data = postcard::to_allocvec(&command).map_err(io::Error::other)?;
+            self.replica.propose(data, 0).map_err(io::Error::other)?;
+        }
+        self.drive()
+    }
+
+    fn drive(&mut self) -> io::Result<()> {
+        loop {
+            let effects = self.replica.take_effects();
+            if effects.is_empty() {
+                return Ok(());
+            }
+            if let Some(write) = effects.write {
+                self.storage.save(&effects).map_err(io::Error::other)?;
+                self.replica.persisted(write);
+            }
+            for entry in &effects.committed {
+                self.apply(entry)?;
+            }
+            if self.with_snapshots && self.replica.snapshot_due() {
+                let index = self.replica.applied_index();
+                self.replica.compact(index, self.state.snapshot());
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) -> io::Result<()> {
+        if let EntryKind::Data(data) = &entry.kind {
+            let command: Command = postcard::from_bytes(data).map_err(io::Error::other)?;
+            let outcome = self.state.apply(entry.index, &command);
+            if !matches!(outcome, Outcome::Accepted { .. }) {
+                return Err(io::Error::other(format!("a change was not made: {outcome:?}")));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch/src/bench/verdict.rs
@@ -0,0 +1,77 @@
+//! The verdict of a run in words.
+
+use std::fmt::Write as _;
+use std::path::Path;
+
+use redwinglatch_report::{Better, Comparison, Report, format_number};
+
+/// Bounds, ratios to the earlier run, and where the page is.
+pub(crate) fn summary(report: &Report, comparison: Option<&Comparison>, out: &Path) -> String {
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    let _ = write_summary(&mut text, report, comparison, out);
+    text
+}
+
+fn write_summary(
+    text: &mut String,
+    report: &Report,
+    comparison: Option<&Comparison>,
+    out: &Path,
+) -> std::fmt::Result {
+    for bound in &report.bounds {
+        let result = match (bound.held, bound.counts) {
+            (true, _) => "held",
+            (false, true) => "MISSED",
+            (false, false) => "missed, not counted",
+        };
+        writeln!(
+            text,
+            "bound {result}: {}: {} {} {}",
+            bound.name,
+            format_number(bound.measured),
+            bound.relation,
+            format_number(bound.limit)
+        )?;
+    }
+    if let Some(comparison) = comparison {
+        for change in &comparison.changes {
+            let mark = if change.is_regression { "  REGRESSION" } else { "" };
+            let better = match change.figure.better {
+                Better::Lower => "lower",
+                Better::Higher => "higher",
+            };
+            writeln!(
+                text,
+                "ratio {:.3}: {}: {} -> {} {} ({better} is better){mark}",
+                change.ratio,
+                change.figure.name,
+                format_number(change.before),
+                format_number(change.figure.value),
+                change.figure.unit
+            )?;
+        }
+        writeln!(
+            text,
+            "{} figures compared, {} only in the earlier run, {} only in this run",
+            comparison.changes.len(),
+            comparison.missing.len(),
+            comparison.added.len()
+        )?;
+    }
+    for violation in &report.violations {
+        writeln!(text, "VIOLATION: {violation}")?;
+    }
+    writeln!(text, "report: {}", out.join("report.html").display())
+}
+
+/// Says why the run fails, if it does.
+pub(crate) fn judge(report: &Report, comparison: Option<&Comparison>) -> Result<(), String> {
+    let missed = report.bounds.iter().filter(|it| it.fails()).count();
+    let regressions = comparison.map_or(0, |it| it.regressions().count());
+    let violations = report.violations.len();
+    if report.passed() && regressions == 0 {
+        return Ok(());
+    }
+    Err(format!("{violations} violations, {missed} missed bounds, {regressions} regressions"))
+}
