--- a/crates/redwinglatch-instances/src/handshake.rs
+++ b/crates/redwinglatch-instances/src/handshake.rs
@@ -1,6 +1,7 @@
 //! Mutual authentication of a connection with a shared secret.
 
 use std::io;
+use std::sync::{Arc, PoisonError, RwLock};
 
 use hmac::{Hmac, KeyInit, Mac};
 use redwinglatch_core::{Incarnation, InstanceId};
@@ -13,27 +14,53 @@
 /// The size of a proof: an HMAC with SHA-256.
 pub(crate) const PROOF_BYTES: usize = 32;
 
-/// The secret that the instances of one deployment share.
+/// The secrets that the instances of one deployment share; clones follow each replacement.
+///
+/// Each secret is accepted, and the first one proves this instance to others. A new secret is
+/// added at the end everywhere, then moved to the front, before the old one is removed.
 #[derive(Clone)]
-pub struct SharedSecret(Box<[u8]>);
+pub struct SharedSecret {
+    secrets: Arc<RwLock<Arc<[Secret]>>>,
+}
+
+#[derive(Clone)]
+struct Secret(Box<[u8]>);
 
 impl SharedSecret {
-    /// Wraps the secret's bytes.
+    /// Wraps one secret's bytes.
     #[must_use]
     pub fn new(secret: impl Into<Box<[u8]>>) -> SharedSecret {
-        SharedSecret(secret.into())
+        let secrets: Arc<[Secret]> = Arc::new([Secret(secret.into())]);
+        SharedSecret { secrets: Arc::new(RwLock::new(secrets)) }
+    }
+
+    /// Replaces the secrets. An empty list is ignored, since nothing could connect any more.
+    pub fn replace(&self, secrets: impl IntoIterator<Item = Box<[u8]>>) {
+        let secrets: Arc<[Secret]> = secrets.into_iter().map(Secret).collect();
+        if !secrets.is_empty() {
+            *self.secrets.write().unwrap_or_else(PoisonError::into_inner) = secrets;
+        }
+    }
+
+    fn current(&self) -> Arc<[Secret]> {
+        self.secrets.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// The proof that a datagram with `body` comes from a holder of the secret.
     pub(crate) fn proof_of(&self, body: &[u8]) -> [u8; PROOF_BYTES] {
-        self.mac(b"datagram", &[body]).finalize().into_bytes().into()
+        self.current()[0].mac(b"datagram", &[body]).finalize().into_bytes().into()
     }
 
     /// Whether `proof` proves `body`; takes the same time for every proof.
     pub(crate) fn verifies(&self, body: &[u8], proof: &[u8; PROOF_BYTES]) -> bool {
-        self.mac(b"datagram", &[body]).verify_slice(proof).is_ok()
+        let secrets = self.current();
+        let verified =
+            |secret: &Secret| secret.mac(b"datagram", &[body]).verify_slice(proof).is_ok();
+        secrets.iter().fold(false, |found, secret| found | verified(secret))
     }
+}
 
+impl Secret {
     fn mac(&self, role: &[u8], parts: &[&[u8]]) -> Hmac<Sha256> {
         let mut mac =
             Hmac::<Sha256>::new_from_slice(&self.0).expect("HMAC takes keys of any length");
@@ -78,7 +105,7 @@
 }
 
 impl Transcript {
-    fn mac(&self, secret: &SharedSecret, role: &[u8]) -> Hmac<Sha256> {
+    fn mac(&self, secret: &Secret, role: &[u8]) -> Hmac<Sha256> {
         secret.mac(
             role,
             &[
@@ -106,6 +133,9 @@
         instance,
         incarnation,
     };
+    // Both proofs use the same secret, also when the secrets are replaced meanwhile.
+    let secrets = secret.current();
+    let secret = &secrets[0];
     let proof = transcript.mac(secret, b"connect").finalize().into_bytes().into();
     let nonce = transcript.connector_nonce;
     write_frame(stream, &Hello { instance, incarnation, nonce, proof }, reader.on_event()).await?;
@@ -131,11 +161,14 @@
         instance: hello.instance,
         incarnation: hello.incarnation,
     };
+    let secrets = secret.current();
     // `verify_slice` compares in constant time.
-    transcript
-        .mac(secret, b"connect")
-        .verify_slice(&hello.proof)
-        .map_err(|_| refused("the connecting process has another secret"))?;
+    let verified =
+        |secret: &&Secret| transcript.mac(secret, b"connect").verify_slice(&hello.proof).is_ok();
+    let secret = secrets
+        .iter()
+        .find(verified)
+        .ok_or_else(|| refused("the connecting process has another secret"))?;
     let proof = transcript.mac(secret, b"accept").finalize().into_bytes().into();
     write_frame(stream, &Welcome { proof }, reader.on_event()).await?;
     Ok((hello.instance, hello.incarnation))
--- a/crates/redwinglatch-instances/tests/transport.rs
+++ b/crates/redwinglatch-instances/tests/transport.rs
@@ -21,6 +21,7 @@
     transport: Transport<String>,
     incoming: mpsc::Receiver<Incoming<String>>,
     refused: Arc<AtomicUsize>,
+    secret: SharedSecret,
     sent_bytes: Arc<AtomicUsize>,
     received_bytes: Arc<AtomicUsize>,
     address: SocketAddr,
@@ -34,6 +35,7 @@
     let (sent_bytes, received_bytes) = (Arc::default(), Arc::default());
     let counters: [Arc<AtomicUsize>; 3] =
         [refused.clone(), Arc::clone(&sent_bytes), Arc::clone(&received_bytes)];
+    let secret = SharedSecret::new(secret.as_bytes());
     let settings = TransportSettings {
         instance: InstanceId(instance),
         incarnation: Incarnation(7),
@@ -41,7 +43,7 @@
             .map(|(instance, address)| (InstanceId(instance), address))
             .into_iter()
             .collect::<HashMap<_, _>>(),
-        secret: SharedSecret::new(secret.as_bytes()),
+        secret: secret.clone(),
         max_connections: 8,
     };
     let transport = Transport::start_with_events(settings, listener, sender, move |event| {
@@ -52,7 +54,7 @@
         };
         counter.fetch_add(amount, Ordering::Relaxed);
     });
-    Node { transport, incoming, refused, sent_bytes, received_bytes, address }
+    Node { transport, incoming, refused, secret, sent_bytes, received_bytes, address }
 }
 
 #[tokio::test]
@@ -108,6 +110,22 @@
     assert!(server.incoming.try_recv().is_err());
 }
 
+/// Guards against a replacement of the secret that needs all instances to restart at once.
+#[tokio::test]
+async fn a_secret_is_replaced_step_by_step_without_a_restart() {
+    let mut server = start(1, None, "old").await;
+    let client = start(2, Some((1, server.address)), "new").await;
+    let call = || client.transport.call(InstanceId(1), "ping".to_owned(), CALL_LIMIT);
+    assert_eq!(call().await.unwrap_err().kind, TransportErrorKind::NotConnected);
+    server.secret.replace([b"old".as_slice().into(), b"new".as_slice().into()]);
+    // Attempts right after a failed one fail at once.
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let (answer, ()) = tokio::join!(call(), async {
+        server.incoming.recv().await.unwrap().reply.unwrap().send("pong".to_owned()).unwrap();
+    });
+    assert_eq!(answer.unwrap(), "pong");
+}
+
 /// Guards against a silence limit that each ping restarts: the connection stayed open for good.
 #[tokio::test]
 async fn a_connection_that_goes_silent_is_closed_within_the_bound() {
--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -47,6 +47,9 @@
     /// `None` while a write is under way; the proposals that arrive meanwhile share the next sync.
     storage: Option<Storage>,
     state: ControlState,
+    last_snapshot_bytes: usize,
+    /// Bytes of entries applied since the last snapshot.
+    applied_bytes: usize,
     /// The term of the last applied entry. A leader is current once it applied one of its own term.
     applied_term: Term,
     leader: Option<LeaderState>,
@@ -126,6 +129,8 @@
             parts,
             storage: Some(storage),
             state: ControlState::new(),
+            last_snapshot_bytes: 0,
+            applied_bytes: 0,
             applied_term: 0,
             leader: None,
             proposals: BTreeMap::new(),
@@ -218,6 +223,7 @@
 
     fn apply(&mut self, entry: &Entry) {
         self.applied_term = entry.term;
+        self.applied_bytes += entry.size_bytes();
         let outcome = match &entry.kind {
             EntryKind::Data(data) => match postcard::from_bytes::<Command>(data) {
                 Ok(command) => Some(self.apply_command(entry.index, &command)),
@@ -322,10 +328,17 @@
         }
     }
 
+    /// Takes a snapshot when one is due and the log has grown by half of the last snapshot, so that
+    /// a large state is not written again for each thousand small entries.
     fn compact(&mut self) {
-        if self.parts.replica.snapshot_due() {
+        let grown = self.last_snapshot_bytes <= 2 * self.applied_bytes;
+        if self.parts.replica.snapshot_due() && grown {
             let index = self.parts.replica.applied_index();
-            if self.parts.replica.compact(index, self.state.snapshot()) {
+            let snapshot = self.state.snapshot();
+            let size_bytes = snapshot.len();
+            if self.parts.replica.compact(index, snapshot) {
+                self.last_snapshot_bytes = size_bytes;
+                self.applied_bytes = 0;
                 self.parts.metrics.increment(Counter::Snapshots);
             }
         }
--- a/crates/redwinglatch-server/src/instance.rs
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -31,7 +30,7 @@
 use crate::operators::serve_operators;
 use crate::peers::serve_peers;
 use crate::renewing::renew_forever;
-use crate::secrets::read_secret;
+use crate::secrets::{open_secrets, open_shared_secret, watch_shared_secret};
 use crate::shared::{Shared, backend_settings, lease_settings};
 use crate::{ServerError, ServerErrorKind};
 
@@ -122,11 +121,12 @@
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new());
         let renew_now = Arc::new(Notify::new());
-        let secret = read_secret(&settings.secrets.instances_file)?;
+        let secret = open_shared_secret(&settings.secrets.instances_file)?;
 
         let (peer_sender, incoming) = mpsc::channel(PEER_QUEUE);
-        let transport_settings =
-            transport_settings(&settings, incarnation, SharedSecret::new(secret));
+        let transport_settings = transport_settings(&settings, incarnation, secret.clone());
+        let secret_path = settings.secrets.instances_file.clone().into_boxed_path();
+        let watched = watch_shared_secret(secret_path, secret, metrics.clone());
         let counted = metrics.clone();
         let datagrams = Datagrams::start(
             &transport_settings,
@@ -193,12 +193,14 @@
             draining: watch::Sender::new(false),
             next_request: AtomicU64::new(1),
         });
-        let callers_secret = open_secret(&shared.settings.secrets.callers_file)?;
-        let operators_secret = open_secret(&shared.settings.secrets.operators_file)?;
+        let callers_secret = open_secrets(&shared.settings.secrets.callers_file)?;
+        let operators_secret = open_secrets(&shared.settings.secrets.operators_file)?;
         let control = ControlClient::new(shared.clone());
         let caller = Caller { shared, control, secret: callers_secret };
         let (callers, operators) = (listeners.callers, listeners.operators);
-        Ok(Instance::serve(caller, callers, operators, operators_secret, incoming))
+        let mut instance = Instance::serve(caller, callers, operators, operators_secret, incoming);
+        instance.tasks.push(tokio::spawn(watched));
+        Ok(instance)
     }
 
     fn serve(
@@ -303,13 +305,6 @@
     })
 }
 
-fn open_secret(path: &Path) -> Result<Arc<SecretFile>, ServerError> {
-    SecretFile::open(path).map(Arc::new).map_err(|error| {
-        let context = format!("secret file {}", path.display());
-        ServerError::new(ServerErrorKind::Secret, context, error)
-    })
-}
-
 async fn watch_callers_secret(caller: Caller) {
     caller.secret.watch(&caller.shared.metrics).await;
 }
