Count the bytes between instances on the metrics page

Cause: control_bytes_sent and control_bytes_received stayed at 0. Change: both transports report bytes to the metrics.

--- a/crates/redwinglatch-instances/src/datagrams.rs
+++ b/crates/redwinglatch-instances/src/datagrams.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::handshake::{PROOF_BYTES, SharedSecret};
-use crate::{Incoming, TransportError, TransportErrorKind, TransportSettings};
+use crate::{Incoming, TransportError, TransportErrorKind, TransportEvent, TransportSettings};
 
 /// The largest datagram; it fits into one packet on every usual path.
 pub const DATAGRAM_LIMIT_BYTES: usize = 1_200;
@@ -67,13 +67,13 @@
 impl<M: Serialize + DeserializeOwned + Send + 'static> Datagrams<M> {
     /// Starts the task that owns `socket`.
     ///
-    /// Calls of other instances go to `incoming`; `count` is called for each datagram that is
-    /// refused.
+    /// Calls of other instances go to `incoming`; `on_event` is told of refused datagrams and of the
+    /// bytes that are sent and received.
     pub fn start(
         settings: &TransportSettings,
         socket: UdpSocket,
         incoming: mpsc::Sender<Incoming<M>>,
-        count: impl Fn(RefusalReason) + Send + Sync + 'static,
+        on_event: impl Fn(TransportEvent) + Send + Sync + 'static,
     ) -> Datagrams<M> {
         let (queue, outgoing) = mpsc::channel(QUEUE_MESSAGES);
         let (replies, reply_queue) = mpsc::channel(QUEUE_MESSAGES);
@@ -84,7 +84,7 @@
             secret: settings.secret.clone(),
             incoming,
             replies,
-            count: Box::new(count),
+            on_event: Box::new(on_event),
             pending: HashMap::new(),
             // A reply to a call of an earlier process must not match a call of this one.
             next_request_id: fastrand::u64(..),
@@ -133,7 +133,7 @@
     secret: SharedSecret,
     incoming: mpsc::Sender<Incoming<M>>,
     replies: mpsc::Sender<Reply<M>>,
-    count: Box<dyn Fn(RefusalReason) + Send + Sync>,
+    on_event: Box<dyn Fn(TransportEvent) + Send + Sync>,
     pending: HashMap<u64, Answer<M>>,
     next_request_id: u64,
 }
@@ -159,8 +159,9 @@
     }
 
     fn received(&mut self, from: SocketAddr, datagram: &[u8]) {
+        (self.on_event)(TransportEvent::Received(datagram.len()));
         let Some(packet) = self.open::<Packet<M>>(datagram) else {
-            (self.count)(RefusalReason::Unauthenticated);
+            (self.on_event)(TransportEvent::Refused(RefusalReason::Unauthenticated));
             return;
         };
         let request_id = packet.request_id;
@@ -237,6 +238,7 @@
         let packet = Packet { from, incarnation, request_id, kind };
         let datagram = self.seal(&packet).map_err(|_| TransportErrorKind::TooLarge)?;
         let sent = self.socket.send_to(&datagram, to).await;
+        (self.on_event)(TransportEvent::Sent(datagram.len()));
         sent.map(drop).map_err(|_| TransportErrorKind::NotConnected)
     }
 
--- a/crates/redwinglatch-instances/tests/datagrams.rs
+++ b/crates/redwinglatch-instances/tests/datagrams.rs
@@ -8,7 +8,8 @@
 
 use redwinglatch_core::{Incarnation, InstanceId};
 use redwinglatch_instances::{
-    DATAGRAM_LIMIT_BYTES, Datagrams, Incoming, SharedSecret, TransportErrorKind, TransportSettings,
+    DATAGRAM_LIMIT_BYTES, Datagrams, Incoming, SharedSecret, TransportErrorKind, TransportEvent,
+    TransportSettings,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -35,8 +36,10 @@
         secret: SharedSecret::new(secret.as_bytes()),
         max_connections: 8,
     };
-    let datagrams = Datagrams::start(&settings, socket, sender, move |_| {
-        counter.fetch_add(1, Ordering::Relaxed);
+    let datagrams = Datagrams::start(&settings, socket, sender, move |event| {
+        if matches!(event, TransportEvent::Refused(_)) {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
     });
     Node { datagrams, incoming, refused, address }
 }
--- a/crates/redwinglatch-server/src/instance.rs
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -9,10 +9,10 @@
 use redwinglatch_backends::BackendClient;
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{
-    Datagrams, Incoming, PeerMessage, SharedSecret, Transport, TransportSettings,
+    Datagrams, Incoming, PeerMessage, SharedSecret, Transport, TransportEvent, TransportSettings,
 };
 use redwinglatch_log::{Membership, Replica, ReplicaConfig, Storage};
-use redwinglatch_metrics::Metrics;
+use redwinglatch_metrics::{Counter, Metrics};
 use redwinglatch_operators::{OperatorServer, SecretFile};
 use redwinglatch_settings::{InstanceSettings, Settings, StateSettings};
 use tokio::net::{TcpListener, UdpSocket};
@@ -127,18 +127,18 @@
         let transport_settings = transport_settings(&settings, incarnation, secret.clone());
         let secret_path = settings.secrets.instances_file.clone().into_boxed_path();
         let watched = watch_shared_secret(secret_path, secret, metrics.clone());
-        let counted = metrics.clone();
         let datagrams = Datagrams::start(
             &transport_settings,
             listeners.datagrams,
             peer_sender.clone(),
-            move |reason| counted.refused(reason),
+            count_events(metrics.clone()),
+        );
+        let transport = Transport::start_with_events(
+            transport_settings,
+            listeners.instances,
+            peer_sender,
+            count_events(metrics.clone()),
         );
-        let counted = metrics.clone();
-        let transport =
-            Transport::start(transport_settings, listeners.instances, peer_sender, move |reason| {
-                counted.refused(reason);
-            });
         let entry = EntryActor::spawn(EntryParts {
             settings: settings.clone(),
             incarnation,
@@ -305,6 +305,15 @@
     })
 }
 
+fn count_events(metrics: Arc<Metrics>) -> impl Fn(TransportEvent) + Send + Sync + 'static {
+    let bytes = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+    move |event| match event {
+        TransportEvent::Refused(reason) => metrics.refused(reason),
+        TransportEvent::Sent(count) => metrics.add(Counter::ControlBytesSent, bytes(count)),
+        TransportEvent::Received(count) => metrics.add(Counter::ControlBytesReceived, bytes(count)),
+    }
+}
+
 async fn watch_callers_secret(caller: Caller) {
     caller.secret.watch(&caller.shared.metrics).await;
 }
