--- a/crates/redwinglatch-log/tests/replica.rs
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -186,6 +186,24 @@
     assert_eq!(ask(&mut voter, 5800), granted);
 }
 
+/// Guards against a leader that lacks committed entries.
+#[test]
+fn a_candidate_with_a_shorter_or_older_log_gets_no_vote() {
+    let mut voter = replica(1, ids(1..=3));
+    let entry = |index, term| Entry { index, term, kind: EntryKind::Empty };
+    voter.step(ReplicaId(2), append_after((0, 0), vec![entry(1, 1), entry(2, 2)], 0, 2), 10);
+    let _ = take_synced(&mut voter);
+    for (term, (last_index, last_term), granted) in
+        [(3, (1, 2), false), (4, (9, 1), false), (5, (2, 2), true)]
+    {
+        let vote = MessageKind::Vote { last_index, last_term, transfer: false };
+        voter.step(ReplicaId(3), LogMessage { term, kind: vote }, 2000);
+        let _ = take_synced(&mut voter);
+        let reply = take_synced(&mut voter).messages.pop().unwrap();
+        assert_eq!(reply.message.kind, MessageKind::VoteReply { granted });
+    }
+}
+
 /// Guards against a committed entry that a later leader replaces: a majority that has an entry of
 /// an earlier term may still elect a leader without it.
 #[test]
