Read back the slot of an abandoned load that ended well

Cause: the order to abandon a preload may reach the engine after the load's end, and would unload an adapter that requests were already sent to. Change: the slot of such a load is unknown until it is read back; a test that fails without the change.

--- a/crates/redwinglatch-placement/src/coordinator/loading.rs
+++ b/crates/redwinglatch-placement/src/coordinator/loading.rs
@@ -201,6 +201,9 @@
             self.start_loads(now_ms);
             return;
         }
+        // The order to unload may reach the engine after the load's end.
+        let abandoned = in_flight.abandoned && result.is_ok();
+        let result = if abandoned { Err(LoadFailure::Abandoned) } else { result };
         self.end_loading(now_ms, engine, adapter, result);
         match result {
             Ok(()) => {
--- a/crates/redwinglatch-placement/tests/rules.rs
+++ b/crates/redwinglatch-placement/tests/rules.rs
@@ -205,6 +205,26 @@
     assert_eq!(done(&mut it).loads[0].adapter, adapter(9));
 }
 
+/// Guards against pins on an adapter that an order to abandon its load is about to unload.
+#[test]
+fn an_abandoned_load_that_ended_well_is_read_back_first() {
+    let (mut it, ids) = cell(Settings::stalls_first(), &[&[1], &[]]);
+    for number in 0..8 {
+        it.place(10, request(number, 1, 10_000));
+        for (_, placed) in done(&mut it).placed {
+            it.release(20, placed.pin, Release::Finished);
+        }
+    }
+    it.engine_report(1_000, ids[0], Report { boot_id: "boot-2".into(), ..report(1_000, &[]) });
+    it.tick(1_001);
+    let preload = done(&mut it).loads.remove(0);
+    it.place(1_010, request(50, 9, 10_000));
+    assert_eq!(done(&mut it).unloads, [adapter(1)]);
+    it.load_finished(1_020, preload.load, Ok(()));
+    it.place(1_030, request(51, 1, 10_000));
+    assert!(done(&mut it).placed.is_empty());
+}
+
 /// Guards against orders of a coordinator whose lease is about to end, where fencing is ignored.
 #[test]
 fn engines_that_ignore_fencing_get_no_order_at_the_end_of_the_lease() {
