Test the refusal of votes after contact and long numbers in replies

Cause: in runs of 1,000 random schedules, two planted faults went unnoticed: a voter that doesn't record its contact with the leader, and an overflow in a refused index. Change: a test asks a voter for votes just before and just after an election timeout without contact; the decoder tests insert long numbers more often.

--- a/crates/redwinglatch-log/tests/decoders.rs
+++ b/crates/redwinglatch-log/tests/decoders.rs
@@ -68,7 +68,7 @@
     for &(at, byte) in changes.iter().take(3) {
         let at = usize::from(at) % bytes.len();
         match byte {
-            0 => drop(bytes.splice(at..=at, [0xff; 9].into_iter().chain([1]))),
+            0..32 => drop(bytes.splice(at..=at, [0xff; 9].into_iter().chain([1]))),
             _ => bytes[at] = byte,
         }
     }
--- a/crates/redwinglatch-log/tests/replica.rs
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -166,24 +166,29 @@
     assert_eq!(single.take_effects().committed.len(), 1);
 }
 
-/// Guards against a vote against a leader whose lease the voter prolonged just before it restarted.
+/// Guards against a vote against a leader whose lease the voter has just prolonged,
+/// perhaps before it restarted.
 #[test]
-fn a_restarted_voter_refuses_votes_for_an_election_timeout() {
+fn votes_are_refused_for_an_election_timeout_after_a_start_and_after_contact() {
     let mut voter = replica_started_at(5000, 1, ids(1..=3));
-    let ask = |voter: &mut Replica, now_ms| {
+    let ask = |voter: &mut Replica, term, now_ms| {
         let pre_vote = MessageKind::PreVote { last_index: 0, last_term: 0 };
         let vote = MessageKind::Vote { last_index: 0, last_term: 0, transfer: false };
         for kind in [pre_vote, vote] {
-            voter.step(ReplicaId(2), LogMessage { term: 1, kind }, now_ms);
+            voter.step(ReplicaId(2), LogMessage { term, kind }, now_ms);
         }
         let mut messages = take_synced(voter).messages;
         messages.extend(take_synced(voter).messages);
         messages.into_iter().map(|outgoing| outgoing.message.kind).collect::<Vec<_>>()
     };
-    assert_eq!(ask(&mut voter, 5799), [MessageKind::PreVoteReply { granted: false }]);
+    assert_eq!(ask(&mut voter, 1, 5799), [MessageKind::PreVoteReply { granted: false }]);
     let granted =
         [MessageKind::PreVoteReply { granted: true }, MessageKind::VoteReply { granted: true }];
-    assert_eq!(ask(&mut voter, 5800), granted);
+    assert_eq!(ask(&mut voter, 1, 5800), granted);
+    voter.step(ReplicaId(2), append_after((0, 0), Vec::new(), 0, 1), 9000);
+    let _ = take_synced(&mut voter);
+    assert_eq!(ask(&mut voter, 2, 9799), [MessageKind::PreVoteReply { granted: false }]);
+    assert_eq!(ask(&mut voter, 2, 9800), granted);
 }
 
 /// Guards against a leader that lacks committed entries.
