Halve heartbeats and shorten datagram proofs

Cause: the leader of 12 instances and 5 log replicas sent and received 3,872 bytes/s, above the 3,000 that a daemon may spend on control; each follower took 430 of them, and proofs were a third of a renewal. Change: five heartbeats in an election timeout instead of ten a second, and datagram proofs of 128 bits. Conclusion: the bound stays at 3,000.

--- a/crates/redwinglatch-instances/src/handshake.rs
+++ b/crates/redwinglatch-instances/src/handshake.rs
@@ -11,8 +11,9 @@
 
 use crate::connection::{FrameReader, write_frame};
 
-/// The size of a proof: an HMAC with SHA-256.
-pub(crate) const PROOF_BYTES: usize = 32;
+/// The size of a datagram's proof: an HMAC with SHA-256, cut to 128 bits as RFC 2104 allows, since
+/// proofs were a third of the bytes of a renewal.
+pub(crate) const PROOF_BYTES: usize = 16;
 
 /// The secrets that the instances of one deployment share; clones follow each replacement.
 ///
@@ -48,14 +49,17 @@
 
     /// The proof that a datagram with `body` comes from a holder of the secret.
     pub(crate) fn proof_of(&self, body: &[u8]) -> [u8; PROOF_BYTES] {
-        self.current()[0].mac(b"datagram", &[body]).finalize().into_bytes().into()
+        let mac = self.current()[0].mac(b"datagram", &[body]).finalize().into_bytes();
+        let mut proof = [0; PROOF_BYTES];
+        proof.copy_from_slice(&mac[..PROOF_BYTES]);
+        proof
     }
 
     /// Whether `proof` proves `body`; takes the same time for every proof.
     pub(crate) fn verifies(&self, body: &[u8], proof: &[u8; PROOF_BYTES]) -> bool {
         let secrets = self.current();
         let verified =
-            |secret: &Secret| secret.mac(b"datagram", &[body]).verify_slice(proof).is_ok();
+            |secret: &Secret| secret.mac(b"datagram", &[body]).verify_truncated_left(proof).is_ok();
         secrets.iter().fold(false, |found, secret| found | verified(secret))
     }
 }
--- a/crates/redwinglatch-server/src/instance.rs
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -41,6 +41,9 @@
 const MAX_PEER_CONNECTIONS: usize = 1024;
 /// Added to the time for which callers may keep an old list of entries.
 const KEEP_MARGIN: Duration = Duration::from_secs(5);
+/// Fewer would risk an election after two lost ones; more cost the leader bytes: ten a second to
+/// each of four followers were 1.7 KB/s of its 3 KB/s for control.
+const HEARTBEATS_PER_ELECTION_TIMEOUT: u64 = 5;
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
 /// The listening sockets of an instance.
@@ -385,6 +388,7 @@
     };
     let control = &settings.control;
     let config = ReplicaConfig {
+        heartbeat_interval_ms: control.election_timeout_ms / HEARTBEATS_PER_ELECTION_TIMEOUT,
         election_timeout_ms: control.election_timeout_ms,
         leader_lease_ms: control.leader_lease_ms,
         clock_drift_permille: control.clock_drift_permille,
