Start the restart test with a UDP socket

Cause: Listeners have a socket for datagrams since renewals go over UDP. Change: the test binds one.

--- a/crates/redwinglatch/tests/restart.rs
+++ b/crates/redwinglatch/tests/restart.rs
@@ -11,7 +11,7 @@
 use redwinglatch_operators::{ContractListDocument, OperatorClient};
 use redwinglatch_server::{DataFolder, Instance, Listeners};
 use redwinglatch_settings::Settings;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep};
 
 const LIMIT: Duration = Duration::from_secs(30);
@@ -23,9 +23,12 @@
     let options = FakesOptions { engines: 1, services: 1, ..FakesOptions::default() };
     let fakes = Fakes::start(&options).expect("loopback ports are free");
     let bind = || async { TcpListener::bind("127.0.0.1:0").await.expect("a port is free") };
-    let listeners =
-        Listeners { callers: bind().await, instances: bind().await, operators: bind().await };
     let address = |listener: &TcpListener| listener.local_addr().expect("an address");
+    let instances = bind().await;
+    // No other instance is there to send to it, so the port may differ from that of TCP.
+    let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("a port is free");
+    let (callers, operators) = (bind().await, bind().await);
+    let listeners = Listeners { callers, instances, datagrams, operators };
     let addresses = InstanceAddresses {
         callers: address(&listeners.callers),
         instances: address(&listeners.instances),
