Count repeated loads and retries of refused requests

Cause: load_retried was counted nowhere. Retries that the backend client makes by itself (stale_connection, stream_resumed, connection_lost) reached the metrics page only when a later completion was answered, so calls of plain services and refused requests showed none. A wrong adapter in mid-stream was told as "unknown", before the first token as "ran".

Change: the coordinator's task counts a load order whose adapter failed to load before. The client's retries are moved to the page before each answer or refusal and with each renewal of the lease.

Conclusion: the reasons of engine, load and service faults have their counters.

--- a/crates/redwinglatch-local/tests/requests.rs
+++ b/crates/redwinglatch-local/tests/requests.rs
@@ -1,80 +1,16 @@
 //! Requests over real sockets: whole answers, refusals of bad input, and their counters.
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
+mod support;
+
 use std::time::Duration;
 
 use hyper::Method;
-use redwinglatch_core::{RefusalReason, Revision};
-use redwinglatch_fakes::{CallerRequest, CallerResponse, FakeCaller, expected_text};
-use redwinglatch_local::{CALLERS_SECRET, Deployment, Fakes, FakesOptions, Timing};
-use tokio::time::{Instant, sleep};
-
-const CUSTOMER: &str = "lakeshore";
-
-/// A deployment whose folder is removed at the end of the test.
-struct Local {
-    deployment: Deployment,
-    dir: PathBuf,
-}
-
-impl Drop for Local {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.dir);
-    }
-}
+use redwinglatch_core::RefusalReason;
+use redwinglatch_fakes::{CallerRequest, FakeCaller, expected_text};
+use redwinglatch_local::{CALLERS_SECRET, FakesOptions};
+use tokio::time::Instant;
 
-impl Local {
-    async fn start(name: &str, options: FakesOptions) -> Local {
-        let dir = std::env::temp_dir().join(format!("redwinglatch-{name}-{}", std::process::id()));
-        let timing = Timing {
-            renew_interval_ms: 200,
-            lease_ms: 1_500,
-            keep_for_s: 1,
-            order_settle_ms: 1_000,
-        };
-        let deployment = Deployment::start(&dir, 1, 1, timing, options).await.unwrap();
-        for number in 0..8 {
-            deployment.fakes.weight_store.add(format!("wall-{number}"), 1);
-        }
-        let contract = Deployment::contract(CUSTOMER, "wall-");
-        let operator = deployment.operator();
-        let give_up_at = Instant::now() + Duration::from_secs(20);
-        while let Err(error) = operator.apply_contract("first", Revision(0), &contract).await {
-            assert!(Instant::now() < give_up_at, "no contract: {error}");
-            sleep(Duration::from_millis(100)).await;
-        }
-        Local { deployment, dir }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.deployment.callers_address(0)
-    }
-
-    async fn send(&self, request: CallerRequest) -> CallerResponse {
-        self.deployment.caller(CUSTOMER).send(self.address(), &request).await.unwrap()
-    }
-
-    fn refusals(&self, reason: RefusalReason) -> u64 {
-        self.deployment.instance(0).unwrap().metrics().refusals(reason)
-    }
-
-    /// Sends a request that must be refused for `reason` before it runs, and looks at the counter.
-    async fn refused(&self, request: CallerRequest, status: u16, reason: RefusalReason) {
-        let before = self.refusals(reason);
-        let response = self.send(request).await;
-        let error = &response.body["error"];
-        assert_eq!(response.status, status, "{}", response.body);
-        assert_eq!(error["code"], reason.code());
-        assert_eq!(error["ran"], "not_run");
-        assert_ne!(error["remedy"].as_str().unwrap_or_default(), "");
-        assert_eq!(self.refusals(reason), before + 1);
-    }
-}
-
-fn completion(adapter: &str, prompt: &str, tokens: u32, stream: bool) -> CallerRequest {
-    CallerRequest::completion(Fakes::MODEL, adapter, 1, prompt, tokens, stream)
-}
+use support::{CUSTOMER, Local, completion};
 
 fn raw(body: impl Into<bytes::Bytes>) -> CallerRequest {
     CallerRequest::new(Method::POST, "/v1/completions", body)
--- a/crates/redwinglatch-server/src/callers.rs
+++ b/crates/redwinglatch-server/src/callers.rs
@@ -78,6 +78,7 @@
     reply: oneshot::Sender<CallerAnswer>,
     refusal: Refusal,
 ) {
+    shared.count_retries();
     shared.metrics.refused(refusal.reason);
     let elsewhere = matches!(
         refusal.reason,
--- a/crates/redwinglatch-server/src/completion.rs
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -427,7 +427,7 @@
             shared.metrics.record(Timing::TokenGap, previous_at.elapsed());
             previous_at = Instant::now();
         };
-        self.count_retries();
+        shared.count_retries();
         let tokens = u32::try_from(stream.next_index()).unwrap_or(u32::MAX);
         match (result, stream.finish().cloned()) {
             (Ok(()), Some(finish)) => {
@@ -470,14 +470,6 @@
         }
         tokens
     }
-
-    fn count_retries(&self) {
-        for (reason, count) in self.shared().backends.take_retries().iter() {
-            for _ in 0..count {
-                self.shared().metrics.retried(reason);
-            }
-        }
-    }
 }
 
 /// Where an answer goes.
@@ -532,12 +524,14 @@
 }
 
 fn unknown_refusal(engine: SocketAddr, error: &BackendError) -> Refusal {
-    let reason = match error.kind {
-        BackendErrorKind::WrongAdapter => RefusalReason::WrongAdapter,
-        BackendErrorKind::DeadlinePassed => RefusalReason::DeadlinePassed,
-        _ => RefusalReason::BackendFailed,
+    let (reason, ran) = match error.kind {
+        // The engine did run the request, on whatever adapter.
+        BackendErrorKind::WrongAdapter => (RefusalReason::WrongAdapter, Ran::Ran),
+        BackendErrorKind::DeadlinePassed => (RefusalReason::DeadlinePassed, Ran::Unknown),
+        _ => (RefusalReason::BackendFailed, Ran::Unknown),
     };
-    Refusal::unknown(reason, format!("engine {engine} failed: {error}"))
+    let detail = format!("engine {engine} failed: {error}");
+    Refusal { ran, ..Refusal::unknown(reason, detail) }
 }
 
 /// The answer kept under an idempotency key, as a stream or whole.
--- a/crates/redwinglatch-server/src/coordinator.rs
+++ b/crates/redwinglatch-server/src/coordinator.rs
@@ -35,6 +35,8 @@
 const EARLY_RELEASE_KEPT_MS: u64 = 30_000;
 /// A load may take this many times its usual duration before it counts as timed out.
 const LOAD_TIMEOUT_FACTOR: u64 = 4;
+/// Adapters with a failed load that are remembered to count the next load as a retry.
+const MAX_FAILED_LOADS: usize = 1_024;
 
 pub(crate) type PlaceAnswer = Result<Placed, Refusal>;
 
@@ -61,6 +63,8 @@
     early_releases: Vec<(PinId, Release)>,
     early_releases_until_ms: u64,
     grant_read_at_ms: u64,
+    /// Adapters whose last load failed and has not been ordered again.
+    failed_loads: HashSet<AdapterVersion>,
 }
 
 struct Engine {
@@ -158,6 +162,7 @@
 
 struct LoadEnded {
     load: LoadId,
+    adapter: AdapterVersion,
     result: Result<(), LoadFailure>,
 }
 
@@ -189,6 +194,7 @@
             early_releases: Vec::new(),
             early_releases_until_ms: 0,
             grant_read_at_ms: 0,
+            failed_loads: HashSet::new(),
         };
         actor.update_engines(&engines);
         let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
@@ -450,9 +456,26 @@
         }
     }
 
-    fn load(&self, order: LoadOrder, ctx: &Context<Self>) {
+    fn note_load_end(&mut self, adapter: AdapterVersion, result: Result<(), LoadFailure>) {
+        match result {
+            // No load of these follows until something else changes.
+            Ok(()) | Err(LoadFailure::UnknownAdapter | LoadFailure::StaleToken) => {}
+            Err(_) => {
+                // Adapters that nobody asks for again must not keep the counter from the others.
+                if self.failed_loads.len() >= MAX_FAILED_LOADS {
+                    self.failed_loads.clear();
+                }
+                self.failed_loads.insert(adapter);
+            }
+        }
+    }
+
+    fn load(&mut self, order: LoadOrder, ctx: &Context<Self>) {
         let metrics = self.parts.metrics.clone();
         metrics.increment(Counter::LoadsOrdered);
+        if self.failed_loads.remove(&order.adapter) {
+            metrics.retried(RetryReason::LoadRetried);
+        }
         if order.preload {
             metrics.increment(Counter::Preloads);
         }
@@ -470,7 +493,8 @@
                     order.address
                 );
             }
-            let _ = actor.send(LoadEnded { load: order.load, result }).await;
+            let _ =
+                actor.send(LoadEnded { load: order.load, adapter: order.adapter, result }).await;
         });
     }
 }
@@ -714,6 +738,7 @@
 
     async fn handle(&mut self, ended: LoadEnded, ctx: &mut Context<Self>) {
         let now_ms = self.now_ms();
+        self.note_load_end(ended.adapter, ended.result);
         self.coordinator.load_finished(now_ms, ended.load, ended.result);
         self.perform(ctx);
     }
--- a/crates/redwinglatch-server/src/renewing.rs
+++ b/crates/redwinglatch-server/src/renewing.rs
@@ -17,6 +17,8 @@
 pub(crate) async fn renew_forever(shared: Arc<Shared>, control: ControlClient) {
     let interval = Duration::from_millis(shared.settings.control.renew_interval_ms);
     loop {
+        // Orders and reports are sent again outside of any request.
+        shared.count_retries();
         let Ok(renewal) = shared.entry.send(MakeRenewal).await else { return };
         let pause = match control.renew(renewal).await {
             Some(reply) => {
--- a/crates/redwinglatch-server/src/service.rs
+++ b/crates/redwinglatch-server/src/service.rs
@@ -42,6 +42,7 @@
     let deadline_ms = admitted.terms.deadline_ms;
     match answer(caller, &call, deadline_ms).await {
         Ok(answer) => {
+            shared.count_retries();
             shared.metrics.increment(Counter::RequestsAnswered);
             let _ = reply.send(answer);
         }
--- a/crates/redwinglatch-server/src/shared.rs
+++ b/crates/redwinglatch-server/src/shared.rs
@@ -51,6 +51,15 @@
     pub(crate) fn next_request_id(&self) -> RequestId {
         RequestId(self.next_request.fetch_add(1, Ordering::Relaxed))
     }
+
+    /// Moves the retries that the backend client made since the last call to the metrics page.
+    pub(crate) fn count_retries(&self) {
+        for (reason, count) in self.backends.take_retries().iter() {
+            for _ in 0..count {
+                self.metrics.retried(reason);
+            }
+        }
+    }
 }
 
 /// The id of the cell named `name`; ids follow the order of the settings, which is by name.
