Name a missing coordinator instead of a short deadline

Cause: a request whose cell had no coordinator until its deadline was refused with deadline_passed, without a time to retry and without other entries, and its caller was told to allow more time. No request could get no_coordinator.

Conclusion: the refusal names its cause. It still comes at the deadline.

--- a/crates/redwinglatch-local/tests/support/mod.rs
+++ b/crates/redwinglatch-local/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Deployments, requests and bounded waits shared by the tests.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod cluster;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
--- a/crates/redwinglatch-server/src/completion.rs
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -32,6 +32,8 @@
 
 /// Pause before the coordinator is asked again while it changes.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
+/// Retry hint while a cell has no coordinator.
+const NO_COORDINATOR_RETRY_MS: u32 = 1_000;
 /// Events buffered between the engine's stream and the caller's connection.
 const EVENT_BUFFER: usize = 64;
 /// How often the end of a pin is sent until the coordinator takes it.
@@ -203,8 +205,15 @@
     async fn place(&self, cell: CellId, excluded: &[SocketAddr]) -> Result<Placed, Refusal> {
         let shared = self.shared();
         let call = self.call;
+        let mut sought_coordinator = false;
         loop {
             let budget_ms = self.left_ms();
+            if budget_ms == 0 && sought_coordinator {
+                // A longer deadline alone would not have helped.
+                let detail = "the cell's coordinator was not found before the deadline";
+                return Err(Refusal::not_run(RefusalReason::NoCoordinator, detail)
+                    .retry_after_ms(NO_COORDINATOR_RETRY_MS));
+            }
             if budget_ms == 0 {
                 let detail = "the deadline passed before an engine was found";
                 return Err(Refusal::not_run(RefusalReason::DeadlinePassed, detail));
@@ -239,6 +248,7 @@
                 }
                 Some(Err(_)) | None => {}
             }
+            sought_coordinator = true;
             shared.metrics.retried(RetryReason::CoordinatorChanged);
             sleep(COORDINATOR_PAUSE.min(self.deadline - Instant::now())).await;
         }
