Test silent engine connections and stale epochs over loopback

Cause: stale_epoch was not brought about through the whole path, nor were all connections of an engine silenced while streams ran.

Change: tests/faults.rs silences every connection of the only engine during three streams; tests/control.rs gives the engines a newer fencing token and compares stale_epoch with the orders that the engines refused.

Conclusion: streams resume within the bound; stale orders are refused and counted.

--- a/crates/redwinglatch-local/tests/control.rs
+++ b/crates/redwinglatch-local/tests/control.rs
@@ -7,10 +7,11 @@
 use hyper::Method;
 use redwinglatch_core::{RefusalReason, RetryReason};
 use redwinglatch_fakes::{CallerRequest, expected_text};
+use redwinglatch_local::FakesOptions;
 use tokio::time::Instant;
 
 use support::cluster::Cluster;
-use support::{completion, has_retry_time};
+use support::{Local, completion, has_retry_time, until};
 
 const DEADLINE: &str = "x-redwinglatch-deadline-ms";
 
@@ -73,3 +74,36 @@
     let response = cluster.until_status(entry, &long, 200, None, Duration::from_secs(20)).await;
     assert_eq!(response.body["text"], expected_text("long", "wall-1", 1, 2));
 }
+
+/// Guards against an order with an old epoch that is carried out or not counted, and against a
+/// request that is sent to an engine without its adapter.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_with_an_old_epoch_are_refused_and_counted() {
+    let local = Local::start("epoch", FakesOptions::default()).await;
+    local.primed("wall-1").await;
+    let caller = local.deployment.caller("newer-coordinator");
+    let order = CallerRequest::new(Method::DELETE, "/v1/streams/none", "")
+        .header("x-fencing-token", "1000000");
+    for engine in &local.deployment.fakes.engines {
+        assert_eq!(caller.send(engine.address(), &order).await.unwrap().status, 200);
+    }
+    let runs = local.runs();
+    let request = completion("wall-2", "x", 1, false).header(DEADLINE, "800");
+    let response = local.send(request).await;
+    let error = &response.body["error"];
+    assert_eq!((response.status, &error["ran"]), (503, &"not_run".into()), "{error}");
+    // The instance takes its cell over again until the log names another: at the end of the
+    // deadline it either coordinates, and the load is too late, or does not.
+    let codes = [RefusalReason::NoCoordinator.code(), RefusalReason::LoadTooLate.code()];
+    assert!(codes.iter().any(|code| error["code"] == *code), "{error}");
+    assert!(has_retry_time(error), "{error}");
+    let refused_orders = || {
+        let orders = local.deployment.fakes.engines.iter().flat_map(|engine| engine.orders());
+        orders.filter(|order| order.stale && order.refused).count() as u64
+    };
+    assert!(refused_orders() > 0);
+    // The last refusal of an order may still be on its way to the coordinator.
+    let counted = || local.refusals(RefusalReason::StaleEpoch) == refused_orders();
+    until("the refused orders", Duration::from_secs(2), counted).await;
+    assert_eq!(local.runs(), runs);
+}
--- a/crates/redwinglatch-local/tests/faults.rs
+++ b/crates/redwinglatch-local/tests/faults.rs
@@ -97,6 +97,36 @@
     assert_eq!(engine.runs().len(), 3, "no request ran twice");
 }
 
+/// Guards against streams, and requests that follow, that hang with connections that an engine no
+/// longer reads or writes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_arrive_after_all_connections_of_an_engine_went_silent() {
+    let options = FakesOptions { engines: 1, ..FakesOptions::default() };
+    let local = Local::start("silent", options).await;
+    let engine = local.primed("wall-1").await;
+    let caller = local.deployment.caller(CUSTOMER);
+    let mut streams = Vec::new();
+    for number in 0..3 {
+        let prompt = format!("stream {number}");
+        let request = completion("wall-1", &prompt, 60, true);
+        let stream = caller.stream(local.address(), &request).await.unwrap();
+        streams.push((prompt, stream));
+    }
+    engine.wait_until(|runs| runs.iter().filter(|run| run.tokens_delivered > 5).count() == 3).await;
+    engine.go_silent();
+    let silent_at = Instant::now();
+    for (prompt, mut stream) in streams {
+        assert_eq!(stream.text().await.unwrap(), expected_text(&prompt, "wall-1", 1, 60));
+    }
+    // As for one stream; 60 tokens take 0.6 s.
+    let bound = Duration::from_millis(1_000 + 1_000 + 600);
+    assert!(silent_at.elapsed() < bound, "{:?}", silent_at.elapsed());
+    assert_eq!(local.retries(RetryReason::StreamResumed), 3);
+    let response = local.answered(completion("wall-1", "next", 2, false)).await;
+    assert_eq!(response.body["text"], expected_text("next", "wall-1", 1, 2));
+    assert!(silent_at.elapsed() < bound + Duration::from_secs(1), "{:?}", silent_at.elapsed());
+}
+
 /// Guards against an answer of another adapter that is passed on, and against "not run" for a
 /// request that may have run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
