--- a/crates/redwinglatch-server/src/completion.rs
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -32,6 +32,8 @@
 
 /// Pause before the coordinator is asked again while it changes.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
+/// Retry hint while a cell has no coordinator.
+const NO_COORDINATOR_RETRY_MS: u32 = 1_000;
 /// Events buffered between the engine's stream and the caller's connection.
 const EVENT_BUFFER: usize = 64;
 /// How often the end of a pin is sent until the coordinator takes it.
@@ -203,8 +205,15 @@
     async fn place(&self, cell: CellId, excluded: &[SocketAddr]) -> Result<Placed, Refusal> {
         let shared = self.shared();
         let call = self.call;
+        let mut sought_coordinator = false;
         loop {
             let budget_ms = self.left_ms();
+            if budget_ms == 0 && sought_coordinator {
+                // A longer deadline alone would not have helped.
+                let detail = "the cell's coordinator was not found before the deadline";
+                return Err(Refusal::not_run(RefusalReason::NoCoordinator, detail)
+                    .retry_after_ms(NO_COORDINATOR_RETRY_MS));
+            }
             if budget_ms == 0 {
                 let detail = "the deadline passed before an engine was found";
                 return Err(Refusal::not_run(RefusalReason::DeadlinePassed, detail));
@@ -239,6 +248,7 @@
                 }
                 Some(Err(_)) | None => {}
             }
+            sought_coordinator = true;
             shared.metrics.retried(RetryReason::CoordinatorChanged);
             sleep(COORDINATOR_PAUSE.min(self.deadline - Instant::now())).await;
         }
@@ -427,7 +437,7 @@
             shared.metrics.record(Timing::TokenGap, previous_at.elapsed());
             previous_at = Instant::now();
         };
-        self.count_retries();
+        shared.count_retries();
         let tokens = u32::try_from(stream.next_index()).unwrap_or(u32::MAX);
         match (result, stream.finish().cloned()) {
             (Ok(()), Some(finish)) => {
@@ -470,14 +480,6 @@
         }
         tokens
     }
-
-    fn count_retries(&self) {
-        for (reason, count) in self.shared().backends.take_retries().iter() {
-            for _ in 0..count {
-                self.shared().metrics.retried(reason);
-            }
-        }
-    }
 }
 
 /// Where an answer goes.
@@ -532,12 +534,14 @@
 }
 
 fn unknown_refusal(engine: SocketAddr, error: &BackendError) -> Refusal {
-    let reason = match error.kind {
-        BackendErrorKind::WrongAdapter => RefusalReason::WrongAdapter,
-        BackendErrorKind::DeadlinePassed => RefusalReason::DeadlinePassed,
-        _ => RefusalReason::BackendFailed,
+    let (reason, ran) = match error.kind {
+        // The engine did run the request, on whatever adapter.
+        BackendErrorKind::WrongAdapter => (RefusalReason::WrongAdapter, Ran::Ran),
+        BackendErrorKind::DeadlinePassed => (RefusalReason::DeadlinePassed, Ran::Unknown),
+        _ => (RefusalReason::BackendFailed, Ran::Unknown),
     };
-    Refusal::unknown(reason, format!("engine {engine} failed: {error}"))
+    let detail = format!("engine {engine} failed: {error}");
+    Refusal { ran, ..Refusal::unknown(reason, detail) }
 }
 
 /// The answer kept under an idempotency key, as a stream or whole.
