Split the server's large files by messages, handlers and conversions

Change: messages, handlers, conversions, orders, the answer and the release of a pin have files of their own; no behaviour changes. Conclusion: each file holds one job.

--- a/crates/redwinglatch-server/src/completion.rs
+++ b/crates/redwinglatch-server/src/completion.rs
@@ -1,31 +1,33 @@
 //! One completion request, from its admission to the end of its answer.
 
+mod answer;
+mod release;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use redwinglatch_admission::{BackendKind, Failure, NextStep, RequestTerms};
 use redwinglatch_backends::{
     BackendError, BackendErrorKind, CompletionRequest, ResumingStream, Token, prefix_hashes,
 };
-use redwinglatch_callers::{CallerAnswer, CallerEvent, CompletionCall, RanOn};
+use redwinglatch_callers::{CallerAnswer, CompletionCall, RanOn};
 use redwinglatch_control::OnceOutcome;
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::PeerMessage;
 use redwinglatch_metrics::{Counter, Timing};
 use redwinglatch_placement::{PlaceRequest, Placed, Release, RequestKey};
-use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use self::answer::{CompletionDocument, Sink, stored_answer};
+use self::release::release_pin;
 use crate::attempts::failure_of;
 use crate::callers::{Caller, admit, refuse};
-use crate::coordinator::{EndPin, Place, Withdraw};
+use crate::coordinator::{Place, Withdraw};
 use crate::entry::{
-    Admit, Admitted, CountAttempt, DecideNext, DropPin, HeldPin, HoldPin, Leave, Target,
-    find_coordinator,
+    Admit, Admitted, CountAttempt, DecideNext, HeldPin, HoldPin, Leave, Target, find_coordinator,
 };
 use crate::once::{Claim, ClaimRequest, Claimed, claim, finish, qualify};
 use crate::shared::{Shared, pool_of_model};
@@ -36,22 +38,6 @@
 const NO_COORDINATOR_RETRY_MS: u32 = 1_000;
 /// Events buffered between the engine's stream and the caller's connection.
 const EVENT_BUFFER: usize = 64;
-/// How often the end of a pin is sent until the coordinator takes it.
-const RELEASE_ATTEMPTS: usize = 100;
-const RELEASE_PAUSE: Duration = Duration::from_millis(300);
-const RELEASE_LIMIT: Duration = Duration::from_secs(1);
-
-/// The whole answer of a completion, as JSON; also kept under an idempotency key.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct CompletionDocument {
-    model: Box<str>,
-    adapter: Box<str>,
-    version: u32,
-    backend: SocketAddr,
-    text: String,
-    finish_reason: Box<str>,
-    tokens: u32,
-}
 
 /// Runs a completion and answers the caller.
 pub(crate) async fn run(
@@ -482,50 +468,6 @@
     }
 }
 
-/// Where an answer goes.
-enum Sink {
-    Stream(mpsc::Sender<CallerEvent>),
-    Whole(RanOn, oneshot::Sender<CallerAnswer>),
-}
-
-impl Sink {
-    /// Passes a token on; false when the caller is gone.
-    async fn pass_on(&mut self, token: Token) -> bool {
-        match self {
-            Sink::Stream(events) => {
-                let index = u32::try_from(token.index).unwrap_or(u32::MAX);
-                events.send(CallerEvent::Token { index, text: token.text }).await.is_ok()
-            }
-            Sink::Whole(_, reply) => !reply.is_closed(),
-        }
-    }
-
-    async fn done(self, document: &CompletionDocument, body: Bytes) {
-        match self {
-            Sink::Stream(events) => {
-                let finish_reason = document.finish_reason.clone();
-                let done = CallerEvent::Done { finish_reason, tokens: document.tokens };
-                let _ = events.send(done).await;
-            }
-            Sink::Whole(ran_on, reply) => {
-                let content_type = "application/json".into();
-                let ran_on = Some(ran_on);
-                drop(reply.send(CallerAnswer::Whole { ran_on, status: 200, content_type, body }));
-            }
-        }
-    }
-
-    async fn failed(self, shared: &Shared, refusal: Refusal) {
-        match self {
-            Sink::Stream(events) => {
-                shared.metrics.refused(refusal.reason);
-                let _ = events.send(CallerEvent::Failed(refusal)).await;
-            }
-            Sink::Whole(_, reply) => refuse(shared, reply, refusal).await,
-        }
-    }
-}
-
 fn outcome_of(ran: Ran) -> OnceOutcome {
     match ran {
         Ran::NotRun => OnceOutcome::NotRun,
@@ -543,56 +485,3 @@
     let detail = format!("engine {engine} failed: {error}");
     Refusal { ran, ..Refusal::unknown(reason, detail) }
 }
-
-/// The answer kept under an idempotency key, as a stream or whole.
-fn stored_answer(status: u16, body: &[u8], stream: bool) -> CallerAnswer {
-    let document = serde_json::from_slice::<CompletionDocument>(body).ok();
-    if let (true, Some(document)) = (stream, document) {
-        let (events, receiver) = mpsc::channel(2);
-        let CompletionDocument { text, finish_reason, tokens, .. } = document;
-        // The channel has room for both events.
-        let _ = events.try_send(CallerEvent::Token { index: 0, text: text.into() });
-        let _ = events.try_send(CallerEvent::Done { finish_reason, tokens });
-        let adapter = AdapterVersion::new(document.adapter, document.version);
-        let ran_on = RanOn { adapter: Some(adapter), backend: document.backend };
-        return CallerAnswer::Stream { ran_on, events: receiver };
-    }
-    let body = Bytes::copy_from_slice(body);
-    let content_type = "application/json".into();
-    CallerAnswer::Whole { ran_on: None, status, content_type, body }
-}
-
-/// Ends a pin at whichever instance coordinates the cell; the pin stays noted until that is done.
-fn release_pin(caller: &Caller, cell: CellId, placed: Placed, release: Release) {
-    let shared = caller.shared.clone();
-    let pin = placed.pin;
-    tokio::spawn(async move {
-        for _ in 0..RELEASE_ATTEMPTS {
-            if let Some((coordinator, epoch)) = find_coordinator(&shared, cell).await
-                // A later epoch learnt of the pin, an earlier one never did.
-                && placed.epoch <= epoch
-                && send_release(&shared, coordinator, cell, pin, release).await
-            {
-                break;
-            }
-            sleep(RELEASE_PAUSE).await;
-        }
-        let _ = shared.entry.send(DropPin { cell, pin }).await;
-    });
-}
-
-async fn send_release(
-    shared: &Shared,
-    coordinator: InstanceId,
-    cell: CellId,
-    pin: PinId,
-    release: Release,
-) -> bool {
-    if coordinator == shared.instance() {
-        let Some(actor) = shared.coordinators.get(&cell) else { return true };
-        return actor.send(EndPin { pin, release }).await.unwrap_or(true);
-    }
-    let message = PeerMessage::Release { cell, pin, release };
-    let released = shared.transport.call(coordinator, message, RELEASE_LIMIT).await;
-    matches!(released, Ok(PeerMessage::Released(true)))
-}
--- /dev/null
+++ b/crates/redwinglatch-server/src/completion/answer.rs
@@ -0,0 +1,87 @@
+//! Where the answer of a completion goes, and its form.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use redwinglatch_backends::Token;
+use redwinglatch_callers::{CallerAnswer, CallerEvent, RanOn};
+use redwinglatch_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::callers::refuse;
+use crate::shared::Shared;
+
+/// The whole answer of a completion, as JSON; also kept under an idempotency key.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct CompletionDocument {
+    pub(super) model: Box<str>,
+    pub(super) adapter: Box<str>,
+    pub(super) version: u32,
+    pub(super) backend: SocketAddr,
+    pub(super) text: String,
+    pub(super) finish_reason: Box<str>,
+    pub(super) tokens: u32,
+}
+
+/// Where an answer goes.
+pub(super) enum Sink {
+    Stream(mpsc::Sender<CallerEvent>),
+    Whole(RanOn, oneshot::Sender<CallerAnswer>),
+}
+
+impl Sink {
+    /// Passes a token on; false when the caller is gone.
+    pub(super) async fn pass_on(&mut self, token: Token) -> bool {
+        match self {
+            Sink::Stream(events) => {
+                let index = u32::try_from(token.index).unwrap_or(u32::MAX);
+                events.send(CallerEvent::Token { index, text: token.text }).await.is_ok()
+            }
+            Sink::Whole(_, reply) => !reply.is_closed(),
+        }
+    }
+
+    pub(super) async fn done(self, document: &CompletionDocument, body: Bytes) {
+        match self {
+            Sink::Stream(events) => {
+                let finish_reason = document.finish_reason.clone();
+                let done = CallerEvent::Done { finish_reason, tokens: document.tokens };
+                let _ = events.send(done).await;
+            }
+            Sink::Whole(ran_on, reply) => {
+                let content_type = "application/json".into();
+                let ran_on = Some(ran_on);
+                drop(reply.send(CallerAnswer::Whole { ran_on, status: 200, content_type, body }));
+            }
+        }
+    }
+
+    pub(super) async fn failed(self, shared: &Shared, refusal: Refusal) {
+        match self {
+            Sink::Stream(events) => {
+                shared.metrics.refused(refusal.reason);
+                let _ = events.send(CallerEvent::Failed(refusal)).await;
+            }
+            Sink::Whole(_, reply) => refuse(shared, reply, refusal).await,
+        }
+    }
+}
+
+/// The answer kept under an idempotency key, as a stream or whole.
+pub(super) fn stored_answer(status: u16, body: &[u8], stream: bool) -> CallerAnswer {
+    let document = serde_json::from_slice::<CompletionDocument>(body).ok();
+    if let (true, Some(document)) = (stream, document) {
+        let (events, receiver) = mpsc::channel(2);
+        let CompletionDocument { text, finish_reason, tokens, .. } = document;
+        // The channel has room for both events.
+        let _ = events.try_send(CallerEvent::Token { index: 0, text: text.into() });
+        let _ = events.try_send(CallerEvent::Done { finish_reason, tokens });
+        let adapter = AdapterVersion::new(document.adapter, document.version);
+        let ran_on = RanOn { adapter: Some(adapter), backend: document.backend };
+        return CallerAnswer::Stream { ran_on, events: receiver };
+    }
+    let body = Bytes::copy_from_slice(body);
+    let content_type = "application/json".into();
+    CallerAnswer::Whole { ran_on: None, status, content_type, body }
+}
--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -1,23 +1,31 @@
 //! The log replica and, while it leads, the control leader's soft state.
 
+mod handlers;
+mod messages;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use redwinglatch_control::{
-    Command, ControlState, HistoryEntry, LeaderState, LeaseHolder, LeaseSettings, Outcome, Renewal,
-    RenewalReply,
+    Command, ControlState, LeaderState, LeaseHolder, LeaseSettings, Outcome,
 };
 use redwinglatch_core::prelude::*;
-use redwinglatch_instances::{ContractQuery, ControlRefusal, PeerMessage, Transport};
+use redwinglatch_instances::{ControlRefusal, PeerMessage, Transport};
 use redwinglatch_log::{
-    Effects, Entry, EntryKind, Index, LogMessage, MembershipChange, ProposeError, Replica, Role,
-    Storage, StorageError, Term, WriteId,
+    Effects, Entry, EntryKind, Index, MembershipChange, ProposeError, Replica, Storage, Term,
+    WriteId,
 };
 use redwinglatch_metrics::{Counter, Gauge, Metrics};
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
+pub(crate) use messages::{
+    ControlStatus, FindKey, Propose, ReadContracts, ReadControlStatus, Renew, Step,
+    TransferLeadership,
+};
+
+use self::messages::{Tick, Written};
 use crate::clock::{Clock, wall_clock_s};
 
 /// How often the replica's clock advances; well below the heartbeat interval.
@@ -72,55 +80,6 @@
     Lost(LeaseHolder),
 }
 
-/// Commits a command; the channel gets the outcome.
-pub(crate) struct Propose(pub(crate) Command);
-
-/// Renews a serving lease.
-pub(crate) struct Renew(pub(crate) Renewal);
-
-/// Reads contracts at the leader.
-pub(crate) struct ReadContracts(pub(crate) ContractQuery);
-
-/// Asks the leader whether there is a record of an idempotency key.
-#[derive(Clone)]
-pub(crate) struct FindKey {
-    pub(crate) customer: Box<str>,
-    pub(crate) key: Box<str>,
-}
-
-/// A message of another replica.
-pub(crate) struct Step {
-    pub(crate) from: ReplicaId,
-    pub(crate) to: ReplicaId,
-    pub(crate) message: LogMessage,
-}
-
-/// Hands leadership to another replica before a planned stop.
-pub(crate) struct TransferLeadership;
-
-/// Reads what the operators' status shows.
-pub(crate) struct ReadControlStatus;
-
-/// The state of the log replica.
-pub(crate) struct ControlStatus {
-    pub(crate) replica: ReplicaId,
-    pub(crate) role: Role,
-    pub(crate) leader: Option<InstanceId>,
-    pub(crate) term: Term,
-    pub(crate) commit_index: Index,
-    pub(crate) last_index: Index,
-    pub(crate) voters: Vec<ReplicaId>,
-    pub(crate) learners: Vec<ReplicaId>,
-}
-
-struct Tick;
-
-struct Written {
-    storage: Storage,
-    write: WriteId,
-    result: Result<(), StorageError>,
-}
-
 impl ControlActor {
     /// Starts the actor and its ticks.
     pub(crate) fn spawn(mut parts: ControlParts, storage: Storage) -> Address<ControlActor> {
@@ -472,154 +431,3 @@
         })
     }
 }
-
-impl Actor for ControlActor {
-    type Stop = ();
-
-    async fn stopped(self) {}
-}
-
-impl Handler<Tick> for ControlActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: Tick, ctx: &mut Context<Self>) {
-        let now_ms = self.now_ms();
-        self.parts.replica.tick(now_ms);
-        if let Some(leader) = &mut self.leader {
-            leader.advance(now_ms);
-        }
-        self.propose_own(now_ms);
-        self.drive(ctx);
-    }
-}
-
-impl Handler<Step> for ControlActor {
-    type Return = ();
-
-    async fn handle(&mut self, step: Step, ctx: &mut Context<Self>) {
-        // A replica that was replaced may still get messages for its old id.
-        if step.to == self.parts.replica.id() {
-            let now_ms = self.now_ms();
-            self.parts.replica.step(step.from, step.message, now_ms);
-            self.drive(ctx);
-        }
-    }
-}
-
-impl Handler<Written> for ControlActor {
-    type Return = ();
-
-    async fn handle(&mut self, written: Written, ctx: &mut Context<Self>) {
-        match written.result {
-            Ok(()) => {
-                self.storage = Some(written.storage);
-                self.parts.replica.persisted(written.write);
-                self.drive(ctx);
-            }
-            Err(error) => {
-                log::error!("control: this log replica stops: {error}");
-                self.parts.replica.halt();
-                self.follow_role();
-            }
-        }
-    }
-}
-
-impl Handler<Propose> for ControlActor {
-    type Return = oneshot::Receiver<Proposed>;
-
-    async fn handle(&mut self, Propose(command): Propose, ctx: &mut Context<Self>) -> Self::Return {
-        let (reply, outcome) = oneshot::channel();
-        match self.propose(&command) {
-            Ok((index, term)) => drop(self.proposals.insert(index, Proposal { term, reply })),
-            Err(refusal) => drop(reply.send(Err(refusal))),
-        }
-        self.drive(ctx);
-        outcome
-    }
-}
-
-impl Handler<Renew> for ControlActor {
-    type Return = Result<Option<RenewalReply>, ControlRefusal>;
-
-    async fn handle(&mut self, Renew(renewal): Renew, _: &mut Context<Self>) -> Self::Return {
-        let now_ms = self.now_ms();
-        self.current_leader(now_ms)?;
-        let Some(leader) = &mut self.leader else {
-            return Err(ControlRefusal::NotLeader(None));
-        };
-        let reply = leader.renew(now_ms, &self.state, &renewal);
-        self.report_changes_in_force();
-        Ok(reply)
-    }
-}
-
-impl Handler<ReadContracts> for ControlActor {
-    type Return = Result<Vec<HistoryEntry>, ControlRefusal>;
-
-    async fn handle(
-        &mut self,
-        ReadContracts(query): ReadContracts,
-        _: &mut Context<Self>,
-    ) -> Self::Return {
-        let now_ms = self.now_ms();
-        self.current_leader(now_ms)?;
-        let entry = |(revision, contract): (Revision, &Contract)| HistoryEntry {
-            revision,
-            at_wall_s: 0,
-            change_id: "".into(),
-            contract: Some(contract.clone()),
-        };
-        Ok(match query {
-            ContractQuery::All => self.state.contracts().map(entry).collect(),
-            ContractQuery::Current(customer) => {
-                self.state.contract(&customer).map(entry).into_iter().collect()
-            }
-            ContractQuery::History(customer) => {
-                self.state.contract_history(&customer).cloned().collect()
-            }
-        })
-    }
-}
-
-impl Handler<FindKey> for ControlActor {
-    type Return = Result<bool, ControlRefusal>;
-
-    async fn handle(&mut self, find: FindKey, _: &mut Context<Self>) -> Self::Return {
-        let now_ms = self.now_ms();
-        self.current_leader(now_ms)?;
-        Ok(self.state.has_once_record(&find.customer, &find.key))
-    }
-}
-
-impl Handler<TransferLeadership> for ControlActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: TransferLeadership, ctx: &mut Context<Self>) {
-        if self.parts.replica.is_leader() {
-            let now_ms = self.now_ms();
-            if let Err(error) = self.parts.replica.transfer_leadership(None, now_ms) {
-                log::warn!("control: leadership stays until this instance ends: {error}");
-            }
-            self.drive(ctx);
-        }
-    }
-}
-
-impl Handler<ReadControlStatus> for ControlActor {
-    type Return = ControlStatus;
-
-    async fn handle(&mut self, _: ReadControlStatus, _: &mut Context<Self>) -> ControlStatus {
-        let replica = &self.parts.replica;
-        ControlStatus {
-            replica: replica.id(),
-            role: replica.role(),
-            leader: self.leader_instance(),
-            term: replica.term(),
-            commit_index: replica.commit_index(),
-            last_index: replica.last_index(),
-            voters: replica.membership().voters().to_vec(),
-            learners: replica.membership().learners().to_vec(),
-        }
-    }
-}
--- a/crates/redwinglatch-server/src/coordinator.rs
+++ b/crates/redwinglatch-server/src/coordinator.rs
@@ -1,27 +1,37 @@
 //! The coordinator of a cell: drives the placement decisions and sends its orders to engines.
 
+mod convert;
+mod engine;
+mod handlers;
+mod messages;
+mod orders;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use redwinglatch_backends::{
-    BackendClient, BackendError, BackendErrorKind, CacheEventKind, EngineEvents, EngineReport,
-};
+use redwinglatch_backends::BackendClient;
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{PeerMessage, Transport};
-use redwinglatch_metrics::{Counter, Gauge, Metrics, Timing};
-use redwinglatch_operators::{EngineStatus, SlotStatus};
+use redwinglatch_metrics::{Counter, Gauge, Metrics};
 use redwinglatch_placement::{
-    CacheEvent, CacheEvents, Coordinator, Effect, EngineInfo, Fencing, LoadFailure, LoadId,
-    LoadOrder, PlaceRequest, Placed, Release, Report, ReportedPin, RequestKey, SlotReport,
+    Coordinator, Effect, EngineInfo, Fencing, LoadFailure, LoadOrder, Placed, Release, RequestKey,
     TakeOver,
 };
-use redwinglatch_settings::{CellSettings, EnginePool, PoolSettings, Settings};
+use redwinglatch_settings::Settings;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use xtra::prelude::*;
 
+pub(crate) use messages::{
+    CellStatus, EndPin, ListedEngine, Place, ReadCellStatus, UpdateEngines, Withdraw,
+};
+
+use self::convert::{configured_engines, placement_settings};
+use self::engine::Engine;
+use self::messages::{CancelEnded, EventsRead, LoadEnded, PinsRead, ReportRead, Tick};
+use self::orders::load_adapter;
 use crate::clock::Clock;
 use crate::entry::{EntryActor, ReadGrant};
 
@@ -67,117 +77,6 @@
     failed_loads: HashSet<AdapterVersion>,
 }
 
-struct Engine {
-    pool: Box<str>,
-    address: SocketAddr,
-    data_centre: Box<str>,
-    leaving: bool,
-    report_ms: u64,
-    report_due_ms: u64,
-    reading: bool,
-    /// When the last report was asked for, and the report.
-    last_report: Option<(u64, EngineReport)>,
-}
-
-impl Engine {
-    fn status(&self, now_ms: u64) -> EngineStatus {
-        let report = self.last_report.as_ref();
-        let slot = |slot: &redwinglatch_backends::SlotReport| SlotStatus {
-            adapter: AdapterVersion::new(slot.adapter.clone(), slot.version),
-            pins: slot.running,
-            is_loading: false,
-        };
-        EngineStatus {
-            pool: self.pool.clone(),
-            address: self.address,
-            data_centre: Some(self.data_centre.clone()),
-            is_leaving: self.leaving || report.is_some_and(|(_, report)| report.leaving),
-            report_age_ms: report.map(|(asked_ms, _)| now_ms.saturating_sub(*asked_ms)),
-            running: report.map_or(0, |(_, report)| report.running),
-            waiting: report.map_or(0, |(_, report)| report.waiting),
-            slot_count: report.map_or(0, |(_, report)| report.slot_count),
-            slots: report.map_or_else(Vec::new, |(_, it)| it.slots.iter().map(slot).collect()),
-            batch_efficiency_permille: report.and_then(|(_, report)| batch_efficiency(report)),
-        }
-    }
-}
-
-/// The mean share of a step in use since the engine's start, in thousandths.
-fn batch_efficiency(report: &EngineReport) -> Option<u32> {
-    let capacity = report.steps.checked_mul(u64::from(report.max_batch))?;
-    let permille = (report.batched_tokens * 1_000).checked_div(capacity)?;
-    u32::try_from(permille).ok()
-}
-
-/// Places a request; the channel gets the answer.
-pub(crate) struct Place(pub(crate) PlaceRequest);
-
-/// Withdraws a request that waits, or ends the pin of a placement whose answer was lost.
-pub(crate) struct Withdraw(pub(crate) RequestKey);
-
-/// Ends a pin; false when this instance does not coordinate the cell.
-pub(crate) struct EndPin {
-    pub(crate) pin: PinId,
-    pub(crate) release: Release,
-}
-
-/// A backend server of the cell, from the settings or the platform's list.
-#[derive(Debug, Clone)]
-pub(crate) struct ListedEngine {
-    pub(crate) pool: Box<str>,
-    pub(crate) address: SocketAddr,
-    pub(crate) data_centre: Box<str>,
-    pub(crate) leaving: bool,
-}
-
-/// The engines of the cell, whole.
-pub(crate) struct UpdateEngines(pub(crate) Vec<ListedEngine>);
-
-/// What the operators' status shows of a cell.
-pub(crate) struct CellStatus {
-    pub(crate) cell: CellId,
-    pub(crate) epoch: Option<Epoch>,
-    /// Empty while another instance coordinates.
-    pub(crate) engines: Vec<EngineStatus>,
-    pub(crate) waiting: usize,
-    pub(crate) loads_in_flight: usize,
-}
-
-/// Reads [`CellStatus`].
-pub(crate) struct ReadCellStatus;
-
-struct Tick;
-
-struct ReportRead {
-    engine: EngineId,
-    asked_ms: u64,
-    result: Result<EngineReport, BackendError>,
-}
-
-struct EventsRead {
-    engine: EngineId,
-    after: u64,
-    result: Result<EngineEvents, BackendError>,
-}
-
-struct LoadEnded {
-    load: LoadId,
-    adapter: AdapterVersion,
-    result: Result<(), LoadFailure>,
-}
-
-struct CancelEnded {
-    request: RequestKey,
-    acknowledged: bool,
-}
-
-struct PinsRead {
-    epoch: Epoch,
-    instance: InstanceId,
-    incarnation: Incarnation,
-    pins: Vec<ReportedPin>,
-}
-
 impl CoordinatorActor {
     pub(crate) fn spawn(mut parts: CoordinatorParts) -> Address<CoordinatorActor> {
         let cell = &parts.settings.cells[usize::from(parts.cell.0)];
@@ -498,284 +397,3 @@
         });
     }
 }
-
-async fn load_adapter(
-    backends: &BackendClient,
-    order: &LoadOrder,
-    timeout_ms: u64,
-) -> Result<(), LoadFailure> {
-    if let Some(evict) = &order.evict {
-        match backends.unload(order.address, evict, order.epoch).await {
-            Ok(()) => {}
-            // The engine no longer holds it, which is what was wanted.
-            Err(error) if error.kind == BackendErrorKind::AdapterMissing => {}
-            Err(error) => return Err(load_failure(&error)),
-        }
-    }
-    backends
-        .load(order.address, &order.adapter, order.epoch, timeout_ms)
-        .await
-        .map_err(|error| load_failure(&error))
-}
-
-fn load_failure(error: &BackendError) -> LoadFailure {
-    match error.kind {
-        BackendErrorKind::StaleToken => LoadFailure::StaleToken,
-        BackendErrorKind::NoSlot => LoadFailure::NoSlot,
-        BackendErrorKind::AdapterInUse => LoadFailure::AdapterInUse,
-        BackendErrorKind::UnknownAdapter => LoadFailure::UnknownAdapter,
-        BackendErrorKind::Leaving => LoadFailure::Leaving,
-        BackendErrorKind::Silent
-        | BackendErrorKind::ConnectionLost
-        | BackendErrorKind::DeadlinePassed => LoadFailure::TimedOut,
-        BackendErrorKind::ConnectRefused
-        | BackendErrorKind::ConnectFailed
-        | BackendErrorKind::NotSent => LoadFailure::Unreachable,
-        _ if error.leaving => LoadFailure::Leaving,
-        _ => LoadFailure::Failed,
-    }
-}
-
-fn placement_settings(
-    settings: &Settings,
-    cell: &CellSettings,
-) -> redwinglatch_placement::Settings {
-    let pools = || settings.pools.iter().filter_map(PoolSettings::engine);
-    let slowest = |time_ms: fn(&EnginePool) -> u64| {
-        pools().filter(|pool| pool.cell == cell.name).map(time_ms).max()
-    };
-    let base = if cell.stall_weight < cell.batch_weight {
-        redwinglatch_placement::Settings::batches_first()
-    } else {
-        redwinglatch_placement::Settings::stalls_first()
-    };
-    redwinglatch_placement::Settings {
-        parallel_loads: cell.parallel_loads as usize,
-        load_ms: cell.load_ms,
-        load_starvation_ms: cell.load_starvation_ms,
-        stall_weight: cell.stall_weight as f32,
-        batch_weight: cell.batch_weight as f32,
-        step_base_ms: slowest(|pool| pool.step_ms).unwrap_or(1) as f32,
-        // Orders of all pools stop early enough for the slowest one.
-        order_timeout_ms: slowest(|pool| pool.order_timeout_ms).unwrap_or(base.order_timeout_ms),
-        ..base
-    }
-}
-
-/// The engines that the settings name for the pools of a cell.
-fn configured_engines(settings: &Settings, cell: &str) -> Vec<ListedEngine> {
-    let in_cell = |pool: &&PoolSettings| pool.engine().is_some_and(|it| *it.cell == *cell);
-    settings
-        .pools
-        .iter()
-        .filter(in_cell)
-        .flat_map(|pool| {
-            pool.backends.iter().map(|address| ListedEngine {
-                pool: pool.name.clone(),
-                address: *address,
-                data_centre: settings.instance.data_centre.clone(),
-                leaving: false,
-            })
-        })
-        .collect()
-}
-
-fn placement_report(asked_ms: u64, report: EngineReport) -> Report {
-    let slots = report.slots.into_iter().map(|slot| SlotReport {
-        adapter: AdapterVersion::new(slot.adapter, slot.version),
-        running: slot.running,
-    });
-    Report {
-        asked_ms,
-        boot_id: report.boot_id,
-        sequence: report.sequence,
-        running: report.running,
-        waiting: report.waiting,
-        leaving: report.leaving,
-        slot_count: u16::try_from(report.slot_count).unwrap_or(u16::MAX),
-        max_batch: report.max_batch,
-        slots: slots.collect(),
-        requests: report.requests.iter().filter_map(|request| request.parse().ok()).collect(),
-    }
-}
-
-fn placement_events(after: u64, events: EngineEvents) -> CacheEvents {
-    let convert = |event: redwinglatch_backends::CacheEvent| CacheEvent {
-        sequence: event.sequence,
-        kind: match event.kind {
-            CacheEventKind::PrefixStored => redwinglatch_placement::CacheEventKind::PrefixStored,
-            CacheEventKind::PrefixEvicted => redwinglatch_placement::CacheEventKind::PrefixEvicted,
-        },
-        prefix_hash: event.prefix_hash,
-    };
-    CacheEvents {
-        after,
-        boot_id: events.boot_id,
-        next: events.next,
-        events: events.events.into_iter().map(convert).collect(),
-    }
-}
-
-impl Actor for CoordinatorActor {
-    type Stop = ();
-
-    async fn stopped(self) {}
-}
-
-impl Handler<Tick> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: Tick, ctx: &mut Context<Self>) {
-        let now_ms = self.now_ms();
-        self.follow_grant(now_ms, ctx).await;
-        self.read_due_reports(now_ms, ctx);
-        self.coordinator.tick(now_ms);
-        self.perform(ctx);
-    }
-}
-
-impl Handler<Place> for CoordinatorActor {
-    type Return = oneshot::Receiver<PlaceAnswer>;
-
-    async fn handle(&mut self, Place(request): Place, ctx: &mut Context<Self>) -> Self::Return {
-        let started_at = Instant::now();
-        let (reply, answer) = oneshot::channel();
-        self.waiting.entry(request.key()).or_default().push(reply);
-        let now_ms = self.now_ms();
-        self.coordinator.place(now_ms, request);
-        self.parts.metrics.record(Timing::Decision, started_at.elapsed());
-        self.perform(ctx);
-        answer
-    }
-}
-
-impl Handler<Withdraw> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, Withdraw(request): Withdraw, ctx: &mut Context<Self>) {
-        let now_ms = self.now_ms();
-        self.waiting.remove(&request);
-        self.coordinator.withdraw(now_ms, request);
-        if let Some(pin) = self.placed.remove(&request) {
-            self.coordinator.release(now_ms, pin, Release::NotSent);
-        }
-        self.perform(ctx);
-    }
-}
-
-impl Handler<EndPin> for CoordinatorActor {
-    type Return = bool;
-
-    async fn handle(&mut self, EndPin { pin, release }: EndPin, ctx: &mut Context<Self>) -> bool {
-        if self.coordinator.epoch().is_none() {
-            return false;
-        }
-        let now_ms = self.now_ms();
-        if now_ms < self.early_releases_until_ms {
-            self.early_releases.push((pin, release));
-        }
-        self.placed.retain(|_, placed| *placed != pin);
-        self.coordinator.release(now_ms, pin, release);
-        self.perform(ctx);
-        true
-    }
-}
-
-impl Handler<PinsRead> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, read: PinsRead, ctx: &mut Context<Self>) {
-        if self.coordinator.epoch() != Some(read.epoch) {
-            return;
-        }
-        let now_ms = self.now_ms();
-        self.coordinator.pins_reported(now_ms, read.instance, read.incarnation, read.pins);
-        for (pin, release) in &self.early_releases {
-            self.coordinator.release(now_ms, *pin, *release);
-        }
-        self.perform(ctx);
-    }
-}
-
-impl Handler<ReportRead> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, read: ReportRead, ctx: &mut Context<Self>) {
-        if let Some(engine) = self.engines.get_mut(&read.engine) {
-            engine.reading = false;
-        }
-        let now_ms = self.now_ms();
-        match read.result {
-            Ok(report) => {
-                self.parts.metrics.increment(Counter::ReportsRead);
-                if let Some(engine) = self.engines.get_mut(&read.engine) {
-                    engine.last_report = Some((read.asked_ms, report.clone()));
-                }
-                let report = placement_report(read.asked_ms, report);
-                self.coordinator.engine_report(now_ms, read.engine, report);
-            }
-            Err(_) => self.parts.metrics.increment(Counter::ReportsMissed),
-        }
-        self.perform(ctx);
-    }
-}
-
-impl Handler<EventsRead> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, read: EventsRead, ctx: &mut Context<Self>) {
-        if let Ok(events) = read.result {
-            let now_ms = self.now_ms();
-            let events = placement_events(read.after, events);
-            self.coordinator.cache_events(now_ms, read.engine, events);
-            self.perform(ctx);
-        }
-    }
-}
-
-impl Handler<LoadEnded> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, ended: LoadEnded, ctx: &mut Context<Self>) {
-        let now_ms = self.now_ms();
-        self.note_load_end(ended.adapter, ended.result);
-        self.coordinator.load_finished(now_ms, ended.load, ended.result);
-        self.perform(ctx);
-    }
-}
-
-impl Handler<CancelEnded> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, ended: CancelEnded, ctx: &mut Context<Self>) {
-        let now_ms = self.now_ms();
-        self.coordinator.cancel_finished(now_ms, ended.request, ended.acknowledged);
-        self.perform(ctx);
-    }
-}
-
-impl Handler<UpdateEngines> for CoordinatorActor {
-    type Return = ();
-
-    async fn handle(&mut self, UpdateEngines(engines): UpdateEngines, ctx: &mut Context<Self>) {
-        self.update_engines(&engines);
-        self.perform(ctx);
-    }
-}
-
-impl Handler<ReadCellStatus> for CoordinatorActor {
-    type Return = CellStatus;
-
-    async fn handle(&mut self, _: ReadCellStatus, _: &mut Context<Self>) -> CellStatus {
-        CellStatus {
-            cell: self.parts.cell,
-            epoch: self.coordinator.epoch(),
-            engines: match self.coordinator.epoch() {
-                Some(_) => self.engines.values().map(|it| it.status(self.now_ms())).collect(),
-                None => Vec::new(),
-            },
-            waiting: self.coordinator.waiting_requests(),
-            loads_in_flight: self.coordinator.loads_in_flight(),
-        }
-    }
-}
