Count stale_epoch for each refused load order

Cause: stale_epoch was counted when the coordinator was deposed. A load order that an engine refused as stale after the instance had taken its cell over again deposes nobody and was not counted. This cause was read from the code; no trace of the failing run was taken.

Change: the count moves to the end of each load order. limits.rs compares the metrics page with the counters, and control.rs reads a contract without a control leader (control_unavailable). An unused wait leaves support/cluster.rs, and the doc of until_status says what it does.

Conclusion: refused load orders are counted one by one. Stale unloads outside a load and stale cancels are still not counted.

--- a/crates/redwinglatch-local/tests/control.rs
+++ b/crates/redwinglatch-local/tests/control.rs
@@ -8,10 +8,11 @@
 use redwinglatch_core::{RefusalReason, RetryReason};
 use redwinglatch_fakes::{CallerRequest, expected_text};
 use redwinglatch_local::FakesOptions;
+use redwinglatch_operators::ErrorKind;
 use tokio::time::Instant;
 
 use support::cluster::Cluster;
-use support::{Local, completion, has_retry_time, until};
+use support::{CUSTOMER, Local, completion, has_retry_time, until};
 
 const DEADLINE: &str = "x-redwinglatch-deadline-ms";
 
@@ -43,6 +44,12 @@
     assert_eq!(error["ran"], "not_run");
     assert!(has_retry_time(error), "{error}");
     assert_eq!(metrics.refusals(RefusalReason::NotCurrent), 1);
+
+    let error = cluster.operator(1).contract(CUSTOMER).await.unwrap_err();
+    let ErrorKind::Refused { status, error } = &error.kind else { panic!("{error}") };
+    let error = serde_json::to_value(error).unwrap();
+    assert_eq!((*status, &error["code"]), (503, &"control_unavailable".into()), "{error}");
+    assert_eq!(metrics.refusals(RefusalReason::ControlUnavailable), 2);
 }
 
 /// Guards against requests that are lost with a cell's coordinator, and against a caller who is
--- a/crates/redwinglatch-local/tests/limits.rs
+++ b/crates/redwinglatch-local/tests/limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hyper::Method;
-use redwinglatch_core::{Contract, RefusalReason, Revision};
+use redwinglatch_core::{Contract, RefusalReason, RetryReason, Revision};
 use redwinglatch_fakes::{CallerRequest, expected_text};
 use redwinglatch_local::{Deployment, FakesOptions};
 use redwinglatch_operators::ErrorKind;
@@ -111,6 +111,17 @@
     assert_eq!(error["ran"], "not_run");
     assert_eq!(local.refusals(RefusalReason::InvalidChange), 1);
     assert_eq!(operator.contract(CUSTOMER).await.unwrap().unwrap(), current);
+
+    let page = operator.metrics().await.unwrap();
+    for reason in RefusalReason::ALL {
+        let (code, count) = (reason.code(), local.refusals(*reason));
+        let line = format!("redwinglatch_refusals_total{{reason=\"{code}\"}} {count}");
+        assert!(page.lines().any(|it| it == line), "{line}");
+    }
+    for reason in RetryReason::ALL {
+        let line = format!("redwinglatch_retries_total{{reason=\"{}\"}} ", reason.code());
+        assert!(page.lines().any(|it| it.starts_with(&line)), "{line}");
+    }
 }
 
 /// Guards against callers whose open connections take the whole process, and against an instance
--- a/crates/redwinglatch-local/tests/support/cluster.rs
+++ b/crates/redwinglatch-local/tests/support/cluster.rs
@@ -12,7 +12,7 @@
     Timing,
 };
 use redwinglatch_metrics::Metrics;
-use redwinglatch_operators::{OperatorClient, StatusDocument};
+use redwinglatch_operators::OperatorClient;
 use redwinglatch_server::{DataFolder, Instance, Listeners};
 use redwinglatch_settings::Settings;
 use tokio::runtime::{Builder, Runtime};
@@ -143,25 +143,7 @@
         caller.send(self.address(position), request).await.unwrap()
     }
 
-    /// Waits until the status that `position` shows fulfils `condition`.
-    pub(crate) async fn status(
-        &self,
-        position: usize,
-        what: &str,
-        condition: impl Fn(&StatusDocument) -> bool,
-    ) -> StatusDocument {
-        let give_up_at = Instant::now() + Duration::from_secs(10);
-        loop {
-            let status = self.operator(position).status().await.unwrap();
-            if condition(&status) {
-                return status;
-            }
-            assert!(Instant::now() < give_up_at, "{what}: {status:?}");
-            sleep(Duration::from_millis(20)).await;
-        }
-    }
-
-    /// Sends `request` until it gets `status`; every other answer must say that it did not run.
+    /// Sends `request` until it gets `status` with `code`, at most for `limit`.
     pub(crate) async fn until_status(
         &self,
         position: usize,
--- a/crates/redwinglatch-server/src/coordinator.rs
+++ b/crates/redwinglatch-server/src/coordinator.rs
@@ -428,7 +428,6 @@
                 Effect::Deposed { epoch } => {
                     log::warn!("placement: an engine knows a newer epoch than {epoch}");
                     self.placed.clear();
-                    self.parts.metrics.refused(RefusalReason::StaleEpoch);
                     self.parts.metrics.adjust(Gauge::CellsCoordinated, -1);
                 }
             }
@@ -487,6 +486,10 @@
             let result = load_adapter(&backends, &order, timeout_ms).await;
             if let Err(failure) = result {
                 metrics.increment(Counter::LoadsFailed);
+                // Counted for each order: one that ends after a newer takeover deposes nobody.
+                if failure == LoadFailure::StaleToken {
+                    metrics.refused(RefusalReason::StaleEpoch);
+                }
                 log::warn!(
                     "placement: loading {} on {} failed: {failure:?}",
                     order.adapter,
