--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -81,13 +81,17 @@
 }
 
 impl ControlActor {
-    /// Starts the actor and its ticks.
-    pub(crate) fn spawn(mut parts: ControlParts, storage: Storage) -> Address<ControlActor> {
+    /// Starts the actor and its ticks on the state of the last snapshot.
+    pub(crate) fn spawn(
+        mut parts: ControlParts,
+        storage: Storage,
+        state: ControlState,
+    ) -> Address<ControlActor> {
         parts.replica.tick(parts.clock.now_ms());
         let actor = ControlActor {
             parts,
             storage: Some(storage),
-            state: ControlState::new(),
+            state,
             last_snapshot_bytes: 0,
             applied_bytes: 0,
             applied_term: 0,
--- a/crates/redwinglatch-server/src/instance.rs
+++ b/crates/redwinglatch-server/src/instance.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use redwinglatch_backends::BackendClient;
+use redwinglatch_control::ControlState;
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{
     Datagrams, Incoming, PeerMessage, SharedSecret, Transport, TransportEvent, TransportSettings,
@@ -154,7 +155,7 @@
             Some(state) => {
                 let opened = open_replica(&settings, state, folder, clock, rng.fork()).await?;
                 let parts = ControlParts {
-                    replica: opened.0,
+                    replica: opened.replica,
                     lease_settings: lease_settings(&settings),
                     replica_instances: replica_instances(&settings),
                     cells: cells(&settings).collect(),
@@ -162,7 +163,7 @@
                     metrics: metrics.clone(),
                     transport: transport.clone(),
                 };
-                Some(ControlActor::spawn(parts, opened.1))
+                Some(ControlActor::spawn(parts, opened.storage, opened.state))
             }
             None => None,
         };
@@ -354,13 +355,21 @@
     settings.replicas.iter().map(|replica| (replica.id, replica.instance)).collect()
 }
 
+/// A log replica as its folder has it.
+struct OpenedReplica {
+    replica: Replica,
+    storage: Storage,
+    /// The control state as of the last snapshot; the replica hands out only what came after it.
+    state: ControlState,
+}
+
 async fn open_replica(
     settings: &Settings,
     state: &StateSettings,
     folder: DataFolder,
     clock: Clock,
     rng: fastrand::Rng,
-) -> Result<(Replica, Storage), ServerError> {
+) -> Result<OpenedReplica, ServerError> {
     let context = format!("log in {}", state.data_dir.display());
     let error = |error: &dyn std::fmt::Display| {
         ServerError::new(ServerErrorKind::Storage, context.clone(), error)
@@ -379,6 +388,10 @@
         opened.map_err(|cause| error(&cause))?.map_err(|cause| error(&cause))?;
     let own = settings.replicas.iter().find(|replica| replica.id == state.replica_id);
     // A replica that joins learns the members from the log.
+    let restored = match &durable.snapshot {
+        Some(snapshot) => ControlState::restore(&snapshot.data).map_err(|cause| error(&cause))?,
+        None => ControlState::new(),
+    };
     let membership = match own {
         Some(own) if own.joins => Membership::new([]),
         _ => {
@@ -398,5 +411,5 @@
     };
     let replica =
         Replica::new(config, durable, clock.now_ms(), rng).map_err(|cause| error(&cause))?;
-    Ok((replica, storage))
+    Ok(OpenedReplica { replica, storage, state: restored })
 }
--- a/crates/redwinglatch/src/args.rs
+++ b/crates/redwinglatch/src/args.rs
@@ -47,7 +47,7 @@
     /// Check settings files
     Settings(#[bpaf(external(settings_command))] SettingsCommand),
     #[bpaf(command)]
-    /// Run the benchmarks on the paused clock, beside the baselines
+    /// Run the benchmarks beside their baselines and bounds
     Bench(#[bpaf(external(bench_args))] BenchArgs),
     #[bpaf(command)]
     /// Show a small deployment with fakes at work on this machine
