Keep a leaving engine without work when the list changes

Cause: each changed list added every engine again, which took back what an engine had said itself; a list that lags brought new work to a leaving engine. Change: only changed entries of the list count.

--- a/crates/redwinglatch-local/tests/leaving.rs
+++ b/crates/redwinglatch-local/tests/leaving.rs
@@ -115,6 +115,36 @@
     a_leaving_engine_gets_no_new_work("refusal", Signal::Refusal).await;
 }
 
+/// Guards against a list that still has a leaving engine as live, changes for another engine, and
+/// so brings new work to the leaving one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_of_the_list_does_not_bring_a_leaving_engine_back() {
+    let local = Local::start("relisted", FakesOptions::default()).await;
+    let engine = local.primed("wall-1").await;
+    give(Signal::Refusal, &local, engine);
+    local.answered(completion("wall-1", "refused", 1, false)).await;
+    assert_eq!(local.retries(RetryReason::BackendLeaving), 1);
+
+    let engines = &local.deployment.fakes.engines;
+    let other = engines.iter().find(|other| other.address() != engine.address()).unwrap();
+    let (pool, live) = (Fakes::ENGINE_POOL, InstanceState::Live);
+    local.deployment.fakes.platform.set(pool, other.address(), "hall-z", live);
+    let operator = local.deployment.operator();
+    let until = Instant::now() + LEAVING_LIMIT;
+    loop {
+        let status = operator.status().await.unwrap();
+        if status.engines.iter().any(|it| it.data_centre.as_deref() == Some("hall-z")) {
+            break;
+        }
+        assert!(Instant::now() < until, "the list was not noticed in {LEAVING_LIMIT:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+    for number in 0..5 {
+        local.answered(completion("wall-1", &format!("after {number}"), 1, false)).await;
+    }
+    assert_eq!(local.retries(RetryReason::BackendLeaving), 1);
+}
+
 /// Guards against an engine that stays unused after a cold restart, or is used as if it still held
 /// its adapters.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/redwinglatch-server/src/coordinator.rs
+++ b/crates/redwinglatch-server/src/coordinator.rs
@@ -118,6 +118,11 @@
     fn update_engines(&mut self, listed: &[ListedEngine]) {
         let now_ms = self.now_ms();
         for engine in listed {
+            // Adding an engine again takes back that it is leaving, and the list may lag behind
+            // the engine's own word; so only a changed entry counts.
+            if self.engines.values().any(|known| known.is_listed_as(engine)) {
+                continue;
+            }
             let pool = self.parts.settings.pools.iter().find(|pool| pool.name == engine.pool);
             let Some((pool, engine_pool)) = pool.and_then(|pool| Some((pool, pool.engine()?)))
             else {
@@ -148,6 +153,7 @@
                 reading: false,
                 last_report: None,
             });
+            known.data_centre = engine.data_centre.clone();
             known.leaving = engine.leaving;
         }
         let gone: Vec<EngineId> = self
--- a/crates/redwinglatch-server/src/coordinator/engine.rs
+++ b/crates/redwinglatch-server/src/coordinator/engine.rs
@@ -6,6 +6,8 @@
 use redwinglatch_core::AdapterVersion;
 use redwinglatch_operators::{EngineStatus, SlotStatus};
 
+use super::ListedEngine;
+
 pub(super) struct Engine {
     pub(super) pool: Box<str>,
     pub(super) address: SocketAddr,
@@ -19,6 +21,14 @@
 }
 
 impl Engine {
+    /// Whether the last list that counted had the same entry.
+    pub(super) fn is_listed_as(&self, listed: &ListedEngine) -> bool {
+        self.address == listed.address
+            && self.pool == listed.pool
+            && self.data_centre == listed.data_centre
+            && self.leaving == listed.leaving
+    }
+
     pub(super) fn status(&self, now_ms: u64) -> EngineStatus {
         let report = self.last_report.as_ref();
         let slot = |slot: &redwinglatch_backends::SlotReport| SlotStatus {
