Give engines work again after refused connections

Cause: three refused connections made an engine count as leaving for good; one that crashed and restarted cold at the same address got no work until the coordinator or the list changed. Change: a new boot, or a report asked for after the last refusal, takes that back; an engine that the platform lists as leaving stays so. Conclusion: a crashed engine returns with its first report.

--- a/crates/redwinglatch-placement/src/coordinator/engines.rs
+++ b/crates/redwinglatch-placement/src/coordinator/engines.rs
@@ -30,6 +30,8 @@
                 engine.listed_ms = now_ms;
             }
             engine.leaving = false;
+            engine.listed_leaving = false;
+            engine.leaving_by_refusals = false;
             engine.refused_connections = 0;
             return engine.id;
         }
@@ -91,6 +93,7 @@
     /// Stops new work for an engine that is leaving.
     pub fn engine_leaving(&mut self, now_ms: u64, engine: EngineId) {
         if let Some(key) = self.engine_ids.get(&engine).copied() {
+            self.engines[key].listed_leaving = true;
             self.stop_new_work(now_ms, key);
         }
     }
--- a/crates/redwinglatch-placement/src/coordinator/pinning.rs
+++ b/crates/redwinglatch-placement/src/coordinator/pinning.rs
@@ -74,7 +74,9 @@
             Release::ConnectRefused => {
                 if let Some(engine) = self.engines.get_mut(pin.engine) {
                     engine.refused_connections = engine.refused_connections.saturating_add(1);
+                    engine.refused_ms = now_ms;
                     if engine.refused_connections >= MAX_REFUSED_CONNECTIONS {
+                        engine.leaving_by_refusals |= !engine.leaving;
                         self.stop_new_work(now_ms, pin.engine);
                     }
                 }
--- a/crates/redwinglatch-placement/src/coordinator/reporting.rs
+++ b/crates/redwinglatch-placement/src/coordinator/reporting.rs
@@ -66,6 +66,13 @@
         self.compare_slots(now_ms, key, &report, first);
         self.count_foreign(key, &report, first);
         self.end_orphans(now_ms, key, &report);
+        let engine = &mut self.engines[key];
+        if engine.leaving_by_refusals && engine.refused_ms < report.asked_ms {
+            // The engine takes connections again.
+            engine.leaving = engine.listed_leaving;
+            engine.leaving_by_refusals = false;
+            engine.refused_connections = 0;
+        }
         if report.leaving {
             self.stop_new_work(now_ms, key);
         }
@@ -86,6 +93,9 @@
         engine.prefixes.invalidate();
         engine.failures = 0;
         engine.refused_connections = 0;
+        // A new process is not the one that was leaving.
+        engine.leaving = engine.listed_leaving;
+        engine.leaving_by_refusals = false;
         engine.blocked_until_ms = 0;
         let (engine, address) = (engine.id, engine.address);
         self.effects.push(Effect::ReadCacheEvents { engine, address, after: 0 });
--- a/crates/redwinglatch-placement/src/engine.rs
+++ b/crates/redwinglatch-placement/src/engine.rs
@@ -58,6 +58,10 @@
     pub(crate) data_centre: DataCentreKey,
     pub(crate) fencing: Fencing,
     pub(crate) leaving: bool,
+    /// Whether the platform's list says that the engine is leaving.
+    pub(crate) listed_leaving: bool,
+    /// Whether refused connections alone made the engine count as leaving.
+    pub(crate) leaving_by_refusals: bool,
     /// Whether the platform's list no longer has the engine; it is kept until its pins ended.
     pub(crate) removed: bool,
     pub(crate) boot_id: Option<Box<str>>,
@@ -81,6 +85,8 @@
     pub(crate) prefixes: PrefixIndex,
     pub(crate) failures: u8,
     pub(crate) refused_connections: u8,
+    /// When a refused connection was last reported.
+    pub(crate) refused_ms: u64,
     pub(crate) blocked_until_ms: u64,
     /// Adapters unloaded by our orders, which late reports may still list.
     pub(crate) evicted: SmallVec<[(AdapterKey, u64); 4]>,
@@ -102,6 +108,8 @@
             data_centre,
             fencing: info.fencing,
             leaving: false,
+            listed_leaving: false,
+            leaving_by_refusals: false,
             removed: false,
             boot_id: None,
             sequence: 0,
@@ -118,6 +126,7 @@
             prefixes: PrefixIndex::new(settings.max_prefixes_per_engine),
             failures: 0,
             refused_connections: 0,
+            refused_ms: 0,
             blocked_until_ms: 0,
             evicted: SmallVec::new(),
         }
