Give test daemons ports outside the range of outgoing connections

Cause: a daemon of a test could not bind its port, which an outgoing connection of another test had taken between its choice and the start. Ruled out: the control path; the daemon's log names the address in use. Change: ports come from 12,000 to 29,999 and are tried for TCP and UDP. Conclusion: the verdict no longer depends on the kernel's choice of ports.

--- a/crates/redwinglatchd/tests/support/mod.rs
+++ b/crates/redwinglatchd/tests/support/mod.rs
@@ -1,9 +1,10 @@
 //! A deployment of daemon processes on loopback that tests can kill, freeze and restart.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use redwinglatch_core::{Contract, Revision};
@@ -215,10 +216,29 @@
     }
 }
 
+/// Ports below the range from which the kernel takes those of outgoing connections. A port of that
+/// range could be taken between its choice and the start, or while a killed daemon is down.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 18_000;
+
 /// Addresses with free ports; all are held until the last is found, so that they differ.
 fn free_addresses(instances: usize) -> Vec<InstanceAddresses> {
-    let listeners: Vec<TcpListener> =
-        (0..3 * instances).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Test programs that run at once start at different ports.
+    let start = (std::process::id().wrapping_mul(97) % u32::from(PORTS)) as u16;
+    let mut listeners = Vec::new();
+    for _ in 0..PORTS {
+        if listeners.len() == 3 * instances {
+            break;
+        }
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (start + offset % PORTS) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if let (Ok(listener), Ok(_)) = (TcpListener::bind(address), UdpSocket::bind(address)) {
+            listeners.push(listener);
+        }
+    }
+    assert_eq!(listeners.len(), 3 * instances, "too few free ports");
     let addresses: Vec<SocketAddr> =
         listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
     addresses
