Run redwinglatch on the platform: entry and core processes

Change: redwinglatch-routing (configuration, routes), redwinglatch-fleet (core and entry processes over the existing replicated log), platform/ (translation of the platform's messages, template for our INI) and deploy/system.toml.

--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -0,0 +1,70 @@
+//! A core process: the replicated log, the operators' API and the coordinator of engines.
+
+mod control_api;
+mod driver;
+mod links;
+mod lister;
+mod orders;
+mod planner;
+mod start;
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, watch},
+};
+
+use crate::{Dialect, FleetError, ProcessSettings, SettingsError, clock::Clock, http};
+
+pub(crate) use lister::fetch as fetch_list;
+
+/// Inputs that wait for the driver before senders wait.
+const INPUT_QUEUE: usize = 16_384;
+/// How long operators' calls in flight may take after SIGTERM.
+const STOP_PAUSE: Duration = Duration::from_millis(300);
+
+/// Runs a core process.
+pub(crate) async fn run(
+    settings: ProcessSettings,
+    dialect: &'static Dialect,
+) -> Result<(), FleetError> {
+    let clock = Clock::start();
+    let control =
+        settings.control.ok_or(SettingsError::Missing { section: "listen", key: "control" })?;
+    let link = SocketAddr::new(control.ip(), settings.link_port);
+    let control_listener = http::bind(control)?;
+    let link_listener = http::bind(link)?;
+    let (inputs, received) = mpsc::channel(INPUT_QUEUE);
+    let (stop, stopped) = watch::channel(false);
+    let started = start::open(&settings, link, clock)?;
+    log::info!(
+        "core: {} starts at {link} as replica {} of the log, joining={}",
+        settings.name,
+        started.replica.id(),
+        started.joining,
+    );
+    tokio::spawn(links::accept(link_listener, inputs.clone()));
+    tokio::spawn(control_api::run(control_listener, stopped, inputs.clone(), dialect));
+    if let Some(address) = settings.list_address {
+        tokio::spawn(lister::run(address, inputs.clone(), dialect));
+    }
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            log::info!("core: SIGHUP; the settings of a core process apply at its next start");
+        }
+    });
+    let driver = driver::Driver::new(settings, dialect, clock, link, started, inputs);
+    tokio::select! {
+        result = driver.run(received) => result,
+        _ = terminate.recv() => {
+            log::info!("core: SIGTERM; the process stops");
+            // The listener is closed first, so that operators turn to another process.
+            let _ = stop.send(true);
+            tokio::time::sleep(STOP_PAUSE).await;
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -0,0 +1,187 @@
+//! Links of an entry process to the core processes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use redwinglatch_routing::RouteTable;
+
+use crate::{
+    core,
+    ids::BackendKey,
+    link,
+    message::{Backend, EntryHello, FleetMessage},
+};
+
+use super::App;
+
+/// How long to wait before another connection attempt.
+const REDIAL_PAUSE: Duration = Duration::from_millis(250);
+/// How often the coordinator learns what this process does.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the whole configuration is awaited from the leader before another process is asked.
+const NOTICE_PAUSE: Duration = Duration::from_millis(120);
+/// How long without any core process before this process polls the list itself.
+const ALONE_LIMIT_MS: u64 = 1_500;
+/// How often it does so.
+const ALONE_POLL: Duration = Duration::from_millis(1_000);
+
+/// Keeps links to the core processes, and reports to them.
+pub(crate) fn start(app: &Arc<App>) {
+    for seed in app.settings.seeds.clone() {
+        add_core(app, SocketAddr::new(seed.ip(), app.settings.link_port));
+    }
+    tokio::spawn(report(Arc::clone(app)));
+    tokio::spawn(list_when_alone(Arc::clone(app)));
+}
+
+/// Tells the core processes at once what this process does.
+pub(crate) fn report_now(app: &App) {
+    let mut view = app.view();
+    let report = view.take_report();
+    view.send_cores(&FleetMessage::EntryReport(report));
+}
+
+fn add_core(app: &Arc<App>, address: SocketAddr) {
+    if app.view().add_core(address) {
+        tokio::spawn(dial(Arc::clone(app), address));
+    }
+}
+
+async fn report(app: Arc<App>) {
+    loop {
+        tokio::time::sleep(REPORT_INTERVAL).await;
+        report_now(&app);
+    }
+}
+
+async fn dial(app: Arc<App>, address: SocketAddr) {
+    let Some(front) = app.settings.front else { return };
+    let hello = EntryHello {
+        incarnation: fastrand::u64(..),
+        front,
+        data_centre: app.settings.data_centre.clone(),
+    };
+    loop {
+        match link::connect(address).await {
+            Ok(stream) => {
+                let (sender, mut reader) = link::split(stream);
+                sender.send(FleetMessage::EntryHello(hello.clone()));
+                app.view().core_connected(address, sender.clone());
+                log::info!("entry: connected to the core process at {address}");
+                report_now(&app);
+                let ended = loop {
+                    match reader.next().await {
+                        Ok(message) => received(&app, address, &sender, message),
+                        Err(error) => break error,
+                    }
+                };
+                app.view().core_lost(address);
+                log::warn!("entry: lost the core process at {address}: {ended}");
+            }
+            Err(error) => log::debug!("entry: cannot connect to {address}: {error}"),
+        }
+        tokio::time::sleep(REDIAL_PAUSE).await;
+    }
+}
+
+fn received(app: &Arc<App>, core: SocketAddr, sender: &link::LinkSender, message: FleetMessage) {
+    match message {
+        FleetMessage::Ping => {}
+        FleetMessage::ConfigurationNotice { version } => {
+            if version > app.view().version() {
+                let (app, sender) = (Arc::clone(app), sender.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(NOTICE_PAUSE).await;
+                    if version > app.view().version() {
+                        sender.send(FleetMessage::NeedConfiguration);
+                    }
+                });
+            }
+        }
+        FleetMessage::Configuration { version, document } => {
+            take_configuration(app, version, &document);
+        }
+        FleetMessage::Versions(versions) => app.view().set_versions(versions),
+        FleetMessage::BackendsNotice { digest } => {
+            if digest != app.view().backends_digest() {
+                sender.send(FleetMessage::NeedBackends);
+            }
+        }
+        FleetMessage::Backends { digest, entries } => app.view().set_backends(digest, entries),
+        FleetMessage::Members(members) => {
+            let count = {
+                let mut view = app.view();
+                view.set_members(core, members);
+                view.usable_entries().len()
+            };
+            app.budgets().set_instances(count);
+        }
+        FleetMessage::Cores(addresses) => {
+            for address in addresses {
+                add_core(app, address);
+            }
+        }
+        FleetMessage::Holdings { epoch, held } => {
+            let mut view = app.view();
+            if view.follow_coordinator(core, epoch) {
+                view.set_holdings(held);
+            }
+        }
+        FleetMessage::HoldingChanges { epoch, changes } => {
+            let mut view = app.view();
+            if view.follow_coordinator(core, epoch) {
+                view.change_holdings(changes);
+            }
+        }
+        FleetMessage::Loads { in_flight, silent } => app.view().set_loads(&in_flight, &silent),
+        other => log::debug!("entry: an unexpected message is ignored: {other:?}"),
+    }
+}
+
+fn take_configuration(app: &App, version: u64, document: &[u8]) {
+    if version <= app.view().version() {
+        return;
+    }
+    let table = (app.dialect.decode_configuration)(document).and_then(|configuration| {
+        RouteTable::new(configuration).map_err(|fault| fault.to_string().into())
+    });
+    match table {
+        Ok(table) => {
+            log::info!("entry: configuration {version} is in force");
+            app.view().set_table(table);
+        }
+        Err(error) => log::error!("entry: configuration {version} can't be read: {error}"),
+    }
+}
+
+/// Polls the platform's list while no core process can be reached, so that leaving servers are
+/// still noticed.
+async fn list_when_alone(app: Arc<App>) {
+    let Some(address) = app.settings.list_address else { return };
+    let mut connected_ms = 0;
+    loop {
+        tokio::time::sleep(ALONE_POLL).await;
+        if app.view().connected_cores() > 0 {
+            connected_ms = app.now_ms();
+            continue;
+        }
+        if app.now_ms() < connected_ms + ALONE_LIMIT_MS {
+            continue;
+        }
+        match core::fetch_list(&app.client, address, app.dialect).await {
+            Ok((entries, _)) => {
+                let backends = entries.into_iter().map(|entry| Backend {
+                    key: BackendKey::new(&entry.id, entry.address, entry.born_ms),
+                    id: entry.id,
+                    service: entry.service,
+                    address: entry.address,
+                    data_centre: entry.data_centre,
+                    slots: entry.slots,
+                    leaving: entry.leaving,
+                });
+                // No digest of a core process equals this one, so its next list is taken.
+                app.view().set_backends(0, backends.collect());
+            }
+            Err(error) => log::warn!("entry: the list can't be fetched: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -0,0 +1,253 @@
+//! Forwards one request to a backend server and returns its answer.
+
+mod attempt;
+mod headers;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, Uri, body::Incoming, header::HOST, http::request::Parts,
+};
+use redwinglatch_routing::{RequestKind, Route, RouteKey, RouteTable};
+use smallvec::SmallVec;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::{
+    http::Body,
+    ids::{BackendKey, ModelName},
+};
+
+use super::{
+    App,
+    in_flight::CallerRequest,
+    refusal::{Reason, refuse},
+    view::Choice,
+};
+
+pub(crate) use self::attempt::{Attempt, Outcome, StartedStream};
+
+/// How long a body may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a request waits for its adapter; callers give up a stream soon after.
+const LOAD_WAIT: Duration = Duration::from_millis(2_000);
+/// How often the coordinator is asked again meanwhile; a message may be lost with its link.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// How long to wait before the only engine that holds an adapter is asked again.
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// How often one request is sent at most, whether it ran or not.
+const MAX_ARRIVALS: u32 = 4;
+/// How long after SIGTERM new streams are still taken; they must end within the grace period.
+const LAST_STREAM_MS: u64 = 4_000;
+
+/// A request with all that each attempt needs.
+pub(crate) struct Prepared {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) request_id: Option<Box<str>>,
+    pub(crate) model: Option<ModelName>,
+    pub(crate) service: Box<str>,
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) route: RouteKey,
+    pub(crate) deadline: Instant,
+}
+
+impl Prepared {
+    pub(crate) fn route(&self) -> &Route {
+        self.table.route(self.route)
+    }
+}
+
+/// How often a request was sent, and where.
+#[derive(Default)]
+pub(crate) struct Tries {
+    pub(crate) arrivals: u32,
+    /// Attempts that may have run.
+    pub(crate) runs: u32,
+    pub(crate) tried: SmallVec<[BackendKey; 4]>,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn serve(app: &Arc<App>, request: Request<Incoming>) -> Response<Body> {
+    let received_at = Instant::now();
+    let caller = CallerRequest::start(app);
+    let (parts, body) = request.into_parts();
+    match handle(app, parts, body, received_at, caller).await {
+        Ok(response) => response,
+        Err(reason) => refuse(app.dialect, reason),
+    }
+}
+
+async fn handle(
+    app: &Arc<App>,
+    parts: Parts,
+    body: Incoming,
+    received_at: Instant,
+    caller: CallerRequest,
+) -> Result<Response<Body>, Reason> {
+    let table = app.view().table().ok_or(Reason::NoConfiguration)?;
+    let host = host_of(&parts).ok_or(Reason::Malformed)?;
+    let route = table.find(host, parts.uri.path()).ok_or(Reason::NoRoute)?;
+    let body = read_body(body, table.configuration().limits.body_bytes).await?;
+    let prepared = prepare(app, parts, body, table, route, received_at);
+    if prepared.route().kind.is_stream()
+        && let Some(since_ms) = app.view().draining_since_ms()
+        && app.now_ms() > since_ms + LAST_STREAM_MS
+    {
+        return Err(Reason::Draining);
+    }
+    app.budgets().count_request(app.now_ms(), &prepared.service);
+    let result = run(app, prepared, caller, received_at).await;
+    if let Err(reason) = result {
+        log::info!(
+            "request: reason={} after_ms={}",
+            reason.code(),
+            received_at.elapsed().as_millis()
+        );
+    }
+    result
+}
+
+async fn run(
+    app: &Arc<App>,
+    prepared: Prepared,
+    caller: CallerRequest,
+    received_at: Instant,
+) -> Result<Response<Body>, Reason> {
+    let mut tries = Tries::default();
+    let load_deadline = (received_at + LOAD_WAIT).min(prepared.deadline);
+    loop {
+        let choice = choose(app, &prepared, &tries.tried);
+        let chosen = match choice {
+            Choice::Use(chosen) => chosen,
+            Choice::Nothing => return Err(give_up(&tries, Reason::NoBackend)),
+            Choice::Load(loaded) => {
+                if !tries.tried.is_empty() {
+                    // The only copies refused the request for now.
+                    tokio::time::sleep(BUSY_PAUSE).await;
+                    tries.tried.clear();
+                } else if timeout(ASK_INTERVAL, loaded.notified()).await.is_err() {
+                    log::debug!("request: still waits for its adapter");
+                }
+                if Instant::now() >= load_deadline {
+                    return Err(give_up(&tries, Reason::NotLoaded));
+                }
+                continue;
+            }
+        };
+        let may_send_again = tries.arrivals < MAX_ARRIVALS
+            && tries.runs < prepared.route().max_attempts.max(1)
+            && (tries.runs == 0 || prepared.route().kind.may_repeat());
+        if !may_send_again {
+            return Err(give_up(&tries, Reason::RefusedByBackends));
+        }
+        if tries.arrivals > 0 && !app.budgets().take_repeat(app.now_ms(), &prepared.service) {
+            return Err(give_up(&tries, Reason::RefusedByBackends));
+        }
+        tries.arrivals += 1;
+        tries.tried.push(chosen.key);
+        let attempt = Attempt { app, prepared: &prepared, chosen: &chosen, last_event_id: None };
+        let Ok(outcome) = timeout_at(prepared.deadline, attempt.send()).await else {
+            app.view().failed(app.now_ms(), chosen.key);
+            return Err(Reason::TimedOut);
+        };
+        match outcome {
+            Outcome::Answer(response) => {
+                if response.status().is_server_error()
+                    && prepared.route().kind == RequestKind::Idempotent
+                    && can_repeat(app, &prepared, &mut tries)
+                {
+                    continue;
+                }
+                return Ok(response);
+            }
+            Outcome::Stream(started) => {
+                return Ok(super::stream::forward(app, prepared, started, tries, caller));
+            }
+            Outcome::NotSent => {}
+            Outcome::NotRun => {}
+            Outcome::MaybeRan => tries.runs += 1,
+        }
+    }
+}
+
+/// Whether a request that ran and failed may go to another server.
+fn can_repeat(app: &App, prepared: &Prepared, tries: &mut Tries) -> bool {
+    tries.runs += 1;
+    if tries.runs >= prepared.route().max_attempts || tries.arrivals >= MAX_ARRIVALS {
+        return false;
+    }
+    // The repeat is taken from the budget when it is sent; this only looks for another server.
+    matches!(choose(app, prepared, &tries.tried), Choice::Use(_))
+}
+
+pub(crate) fn choose(app: &App, prepared: &Prepared, tried: &[BackendKey]) -> Choice {
+    let mut view = app.view();
+    let (now_ms, data_centre) = (app.now_ms(), &app.settings.data_centre);
+    match &prepared.model {
+        Some(model) => view.choose_engine(now_ms, &prepared.service, model, data_centre, tried),
+        None => view.choose_plain(now_ms, &prepared.service, data_centre, tried),
+    }
+}
+
+/// "Not run" may be told only if no attempt may have run.
+fn give_up(tries: &Tries, reason: Reason) -> Reason {
+    if tries.runs > 0 { Reason::Failed } else { reason }
+}
+
+fn prepare(
+    app: &App,
+    parts: Parts,
+    body: Bytes,
+    table: Arc<RouteTable>,
+    route: RouteKey,
+    received_at: Instant,
+) -> Prepared {
+    let names = &app.dialect.headers;
+    let service = table.draw_service(route, &mut fastrand::Rng::new());
+    let spec = table.service(service);
+    let text = |name| parts.headers.get(name).and_then(|value| value.to_str().ok());
+    let model = spec.engine.is_some().then(|| text(&names.model).map(ModelName::from)).flatten();
+    let timeout_ms = table.route(route).timeout_ms;
+    let asked_ms = text(&names.deadline_ms).and_then(|text| text.trim().parse::<u64>().ok());
+    let limit_ms = asked_ms.map_or(timeout_ms, |asked_ms| asked_ms.min(timeout_ms));
+    if let Some(model) = &model {
+        app.view().count_demand(model);
+    }
+    Prepared {
+        request_id: text(&names.request_id).map(Box::from),
+        model,
+        service: spec.name.clone(),
+        headers: headers::for_backend(&parts.headers, names),
+        method: parts.method,
+        uri: headers::origin_form(&parts.uri),
+        body,
+        route,
+        deadline: received_at + Duration::from_millis(limit_ms),
+        table,
+    }
+}
+
+fn host_of(parts: &Parts) -> Option<&str> {
+    let host = match parts.uri.host() {
+        Some(host) => host,
+        None => parts.headers.get(HOST)?.to_str().ok()?,
+    };
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    (!name.is_empty()).then_some(name)
+}
+
+async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Reason> {
+    match timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
+        Ok(Err(error)) => {
+            log::info!("request: the body broke off: {error}");
+            Err(Reason::Malformed)
+        }
+        Err(_) => Err(Reason::BodyIncomplete),
+    }
+}
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -0,0 +1,252 @@
+//! Passes on the events of a stream as they arrive.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::{
+    Response,
+    body::{Body as HttpBody, Frame, Incoming},
+    header::HeaderValue,
+};
+use thiserror::Error;
+use tokio::{
+    sync::mpsc,
+    time::{timeout, timeout_at},
+};
+
+use crate::{
+    entry::forward::{Attempt, Outcome},
+    http::Body,
+};
+
+use super::{
+    App,
+    forward::{Prepared, StartedStream, Tries, choose},
+    in_flight::CallerRequest,
+    view::Choice,
+};
+
+/// Pieces that wait for a slow caller before the server is no longer read.
+const QUEUE_PIECES: usize = 64;
+/// How long a resumable stream may be silent before it goes on elsewhere.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// An event larger than this is passed on in parts.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// A part of an answer on its way to the caller.
+enum Piece {
+    Data(Bytes),
+    /// The answer is complete.
+    End,
+}
+
+/// Why a stream broke off.
+#[derive(Debug, Error)]
+#[error("the stream broke off")]
+struct BrokenOff;
+
+/// A body that counts as complete only after [`Piece::End`].
+struct PieceBody {
+    pieces: mpsc::Receiver<Piece>,
+    ended: bool,
+}
+
+impl HttpBody for PieceBody {
+    type Data = Bytes;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        match self.pieces.poll_recv(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Piece::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(Piece::End)) => {
+                self.ended = true;
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) => Poll::Ready(Some(Err(Box::new(BrokenOff)))),
+        }
+    }
+}
+
+/// How reading from one server ended.
+enum End {
+    Complete,
+    /// The server broke off or went silent.
+    Broken,
+    /// The caller is gone, or the time is up.
+    Over,
+}
+
+/// Starts to pass on a stream and returns the caller's answer.
+pub(crate) fn forward(
+    app: &Arc<App>,
+    prepared: Prepared,
+    started: StartedStream,
+    tries: Tries,
+    caller: CallerRequest,
+) -> Response<Body> {
+    let (sender, pieces) = mpsc::channel(QUEUE_PIECES);
+    let mut response = Response::new(PieceBody { pieces, ended: false }.boxed());
+    *response.status_mut() = started.status;
+    *response.headers_mut() = started.headers.clone();
+    let pump = Pump {
+        app: Arc::clone(app),
+        prepared,
+        tries,
+        sender,
+        partial: BytesMut::new(),
+        last_event_id: None,
+        _caller: caller,
+    };
+    tokio::spawn(pump.run(started));
+    response
+}
+
+struct Pump {
+    app: Arc<App>,
+    prepared: Prepared,
+    tries: Tries,
+    sender: mpsc::Sender<Piece>,
+    /// An event that hasn't arrived as a whole.
+    partial: BytesMut,
+    last_event_id: Option<Bytes>,
+    _caller: CallerRequest,
+}
+
+impl Pump {
+    async fn run(mut self, mut started: StartedStream) {
+        self.tries.runs += 1;
+        let resumable = self.prepared.route().kind.may_repeat();
+        loop {
+            let StartedStream { body, lease, in_flight, .. } = started;
+            let end = self.read(body, resumable).await;
+            let backend = in_flight.backend();
+            drop(in_flight);
+            match end {
+                End::Complete => {
+                    lease.reuse();
+                    // The caller may be gone.
+                    let _ = self.sender.send(Piece::End).await;
+                    return;
+                }
+                End::Over => return,
+                End::Broken => {}
+            }
+            drop(lease);
+            self.app.view().failed(self.app.now_ms(), backend);
+            log::info!(
+                "request: id={} stream broke off, resumable={resumable}",
+                self.prepared.request_id.as_deref().unwrap_or("-"),
+            );
+            if !resumable {
+                return;
+            }
+            self.partial.clear();
+            match self.resume().await {
+                Some(next) => started = next,
+                None => return,
+            }
+        }
+    }
+
+    async fn read(&mut self, mut body: Incoming, resumable: bool) -> End {
+        loop {
+            let limit = if resumable { SILENCE_LIMIT } else { Duration::MAX };
+            let next = async {
+                tokio::select! {
+                    frame = timeout(limit, body.frame()) => Some(frame),
+                    () = self.sender.closed() => None,
+                }
+            };
+            let frame = match timeout_at(self.prepared.deadline, next).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return End::Broken,
+                Ok(None) | Err(_) => return End::Over,
+            };
+            let data = match frame {
+                None if self.partial.is_empty() => return End::Complete,
+                None => return End::Broken,
+                Some(Err(error)) => {
+                    log::debug!("request: the stream of a server ends: {error}");
+                    return End::Broken;
+                }
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(_) => continue,
+                },
+            };
+            let ready = if resumable { self.whole_events(&data) } else { data };
+            if !ready.is_empty() && self.sender.send(Piece::Data(ready)).await.is_err() {
+                return End::Over;
+            }
+        }
+    }
+
+    /// Takes what has arrived up to the end of the last whole event.
+    fn whole_events(&mut self, data: &[u8]) -> Bytes {
+        self.partial.extend_from_slice(data);
+        let end = self.partial.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+        let end = match end {
+            Some(end) => end,
+            None if self.partial.len() > MAX_EVENT_BYTES => self.partial.len(),
+            None => return Bytes::new(),
+        };
+        let events = self.partial.split_to(end).freeze();
+        let ids = events.split(|byte| *byte == b'\n').rev();
+        let last = ids.filter_map(|line| line.strip_prefix(b"id:")).next();
+        if let Some(id) = last {
+            self.last_event_id = Some(Bytes::copy_from_slice(id.trim_ascii()));
+        }
+        events
+    }
+
+    /// Goes on at another server after the last whole event.
+    async fn resume(&mut self) -> Option<StartedStream> {
+        loop {
+            if self.tries.runs >= self.prepared.route().max_attempts {
+                return None;
+            }
+            let chosen = match choose(&self.app, &self.prepared, &self.tries.tried) {
+                Choice::Use(chosen) => chosen,
+                Choice::Load(loaded) => {
+                    let wait = timeout(SILENCE_LIMIT, loaded.notified());
+                    timeout_at(self.prepared.deadline, wait).await.ok()?.ok()?;
+                    continue;
+                }
+                Choice::Nothing => return None,
+            };
+            if !self.app.budgets().take_repeat(self.app.now_ms(), &self.prepared.service) {
+                return None;
+            }
+            self.tries.tried.push(chosen.key);
+            let last_event_id =
+                self.last_event_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok());
+            let attempt = Attempt {
+                app: &self.app,
+                prepared: &self.prepared,
+                chosen: &chosen,
+                last_event_id,
+            };
+            match timeout_at(self.prepared.deadline, attempt.send()).await.ok()? {
+                Outcome::Stream(started) => {
+                    self.tries.runs += 1;
+                    return Some(started);
+                }
+                Outcome::Answer(_) | Outcome::MaybeRan => self.tries.runs += 1,
+                Outcome::NotSent | Outcome::NotRun => {}
+            }
+        }
+    }
+}
