Ask engines for a load again to learn that it is complete

Cause: reports lag by 100 to 200 ms, so each load of an adapter took 150 to 300 ms longer than the engine needed. Change: the planner repeats a load order when it should be complete; the engine then answers that it holds. Orders carry no expected sequence, because completions advance it too; a load without an answer keeps a slot free for 13 s instead.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -38,7 +38,7 @@
 };
 
 /// How often the clock of the log advances and orders are planned.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(10);
 /// How often entry processes learn how busy the backend servers are.
 const LOADS_INTERVAL_MS: u64 = 250;
 /// How often a process that isn't a member of the log asks to become one.
@@ -858,7 +858,7 @@
             kind: planned.kind,
             model,
             adapter,
-            expected_sequence: Some(planned.expected_sequence),
+            expected_sequence: None,
             holder: self.settings.name.clone(),
             fencing_token: epoch,
         };
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -15,10 +15,12 @@
 
 use super::orders::OrderOutcome;
 
-/// How often an engine is asked for its report while nothing is under way there.
+/// How often an engine is asked for its report.
 const REPORT_INTERVAL_MS: u64 = 1_000;
-/// How often it is asked while a load is under way.
-const LOAD_REPORT_INTERVAL_MS: u64 = 120;
+/// How soon an engine that sent no report is asked again.
+const REPORT_RETRY_MS: u64 = 250;
+/// How much a report may lag behind what the engine has answered to orders.
+const REPORT_LAG_MS: u64 = 1_000;
 /// An adapter used more recently than this isn't dropped; a request may be on its way to it.
 const RECENT_USE_MS: u64 = 700;
 /// Adapters on their way to one engine at a time.
@@ -31,12 +33,22 @@
 const DEMAND_WINDOW_MS: f64 = 4_000.0;
 /// How long a request for an adapter counts as waiting.
 const WANT_LIFETIME_MS: u64 = 3_000;
-/// How long an order without an answer keeps the engine from others.
-const UNKNOWN_PAUSE_MS: u64 = 300;
 /// How long to wait after an engine refused an order.
 const REFUSED_PAUSE_MS: u64 = 1_000;
-/// How long after a load was accepted it is looked for with reports before it is given up.
-const LOAD_LIMIT_MS: u64 = 4_000;
+/// How long to wait after an order that another one was in the way of.
+const CONFLICT_PAUSE_MS: u64 = 60;
+/// When a load from the engine's own memory is complete.
+const RELOAD_MS: u64 = 28;
+/// When a load from the weight store is usually complete.
+const STORE_LOAD_MS: u64 = 245;
+/// How often the engine is asked about a load that takes longer.
+const CONFIRM_INTERVAL_MS: u64 = 20;
+/// How often the engine is asked about a drop that waits for requests in flight.
+const DROP_INTERVAL_MS: u64 = 250;
+/// An order without an answer may be carried out this much later.
+const LATE_ORDER_MS: u64 = 13_000;
+/// Slots that a new coordinator leaves free for late orders of the one before.
+const RESERVED_SLOTS: usize = 2;
 /// Engines that are compared for an adapter without a copy, in the order of its preference.
 const HOME_CANDIDATES: usize = 2;
 /// A home with this many more requests in flight than the next candidate is passed over.
@@ -48,7 +60,6 @@
     pub(super) engine: BackendKey,
     pub(super) kind: OrderKind,
     pub(super) model: ModelName,
-    pub(super) expected_sequence: u64,
 }
 
 /// How many engines hold what, and how much they may hold.
@@ -60,19 +71,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Ready,
-    Coming {
-        since_ms: u64,
-    },
-    /// An order to drop it was sent.
-    Going {
-        since_ms: u64,
-    },
+    /// It is being loaded; the same order again tells whether the load is complete.
+    Coming,
+    /// It is being dropped, once no request uses it.
+    Going,
 }
 
 #[derive(Debug, Clone)]
 struct Holding {
     version: u64,
     phase: Phase,
+    /// When the phase began.
+    since_ms: u64,
+    /// When the order of the phase is sent again.
+    repeat_ms: u64,
     used_ms: u64,
 }
 
@@ -80,13 +92,14 @@
 struct Engine {
     backend: Backend,
     limits: EngineLimits,
-    /// The base models.
+    /// The base models, once the engine has reported them.
     models: Vec<ModelName>,
     holdings: HashMap<ModelName, Holding>,
-    /// The number of orders that the engine has accepted, once known.
-    sequence: Option<u64>,
-    /// Reports with a lower sequence were made before the last order.
-    order_in_flight: Option<PlannedOrder>,
+    /// Adapters that were dropped, and when; reports lag.
+    dropped: HashMap<ModelName, u64>,
+    /// Loads without an answer, and until when they may still be carried out.
+    late_loads: HashMap<ModelName, u64>,
+    order_in_flight: bool,
     paused_until_ms: u64,
     report_due_ms: u64,
     report_in_flight: bool,
@@ -119,11 +132,17 @@
     versions: BTreeMap<ModelName, u64>,
     /// No order is given before, because another holder may still be in charge.
     may_order_from_ms: u64,
+    /// Until then orders of another holder may still be carried out.
+    reserve_until_ms: u64,
     changes: Vec<HoldingChange>,
 }
 
 impl Planner {
+    /// Creates the plan of a coordinator that gives orders after `may_order_from_ms`, which is 0
+    /// if no other process has given any.
     pub(super) fn new(may_order_from_ms: u64) -> Planner {
+        let reserve_until_ms =
+            if may_order_from_ms == 0 { 0 } else { may_order_from_ms + LATE_ORDER_MS };
         Planner {
             engines: BTreeMap::new(),
             services: HashMap::new(),
@@ -132,6 +151,7 @@
             wanted: VecDeque::new(),
             versions: BTreeMap::new(),
             may_order_from_ms,
+            reserve_until_ms,
             changes: Vec::new(),
         }
     }
@@ -159,8 +179,9 @@
                 limits: *limits,
                 models: Vec::new(),
                 holdings: HashMap::new(),
-                sequence: None,
-                order_in_flight: None,
+                dropped: HashMap::new(),
+                late_loads: HashMap::new(),
+                order_in_flight: false,
                 paused_until_ms: 0,
                 report_due_ms: now_ms,
                 report_in_flight: false,
@@ -192,22 +213,16 @@
     pub(super) fn report(&mut self, now_ms: u64, key: BackendKey, report: Option<EngineReport>) {
         let Some(engine) = self.engines.get_mut(&key) else { return };
         engine.report_in_flight = false;
-        engine.report_due_ms = now_ms + engine.report_interval_ms();
         let Some(report) = report else {
             engine.failed_reports += 1;
+            engine.report_due_ms = now_ms + REPORT_RETRY_MS;
             return;
         };
+        engine.report_due_ms = now_ms + REPORT_INTERVAL_MS;
         engine.failed_reports = 0;
         engine.queued = report.load.queued;
         engine.running = report.load.running;
-        let is_current = match engine.sequence {
-            // A report lags; one from before the last order says nothing about it.
-            Some(known) => report.sequence >= known && engine.order_in_flight.is_none(),
-            None => true,
-        };
-        if is_current {
-            engine.take_report(now_ms, report, &mut self.changes);
-        }
+        engine.take_report(now_ms, &report, &mut self.changes);
     }
 
     /// Takes what an entry process does at the moment.
@@ -289,45 +304,58 @@
             return Vec::new();
         }
         let mut orders = Vec::new();
+        self.repeat_orders(now_ms, &mut orders);
         self.replace_old_versions(now_ms, &mut orders);
         self.load_wanted(now_ms, &mut orders);
         self.load_copies(now_ms, &mut orders);
-        for order in &orders {
-            self.order_sent(now_ms, order);
-        }
         orders
     }
 
     /// Takes the answer to an order.
     pub(super) fn order_done(&mut self, now_ms: u64, order: &PlannedOrder, outcome: OrderOutcome) {
+        let newest = self.newest_version(&order.model).max(1);
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
-        engine.order_in_flight = None;
+        engine.order_in_flight = false;
+        let Some(holding) = engine.holdings.get_mut(&order.model) else { return };
         match (outcome, order.kind) {
             (OrderOutcome::Accepted, OrderKind::Load) => {
-                engine.sequence = Some(order.expected_sequence + 1);
-                engine.report_due_ms = now_ms + LOAD_REPORT_INTERVAL_MS;
+                let age_ms = now_ms.saturating_sub(holding.since_ms);
+                holding.repeat_ms = if age_ms < RELOAD_MS {
+                    holding.since_ms + RELOAD_MS
+                } else {
+                    (holding.since_ms + STORE_LOAD_MS).max(now_ms + CONFIRM_INTERVAL_MS)
+                };
             }
             (OrderOutcome::Holds, OrderKind::Load) => {
-                engine.sequence = None;
-                engine.report_due_ms = now_ms;
+                holding.phase = Phase::Ready;
+                holding.since_ms = now_ms;
+                holding.version = newest;
+                self.changes.push(HoldingChange::Ready(Held {
+                    engine: order.engine,
+                    model: order.model.clone(),
+                    version: newest,
+                }));
             }
             (OrderOutcome::Accepted, OrderKind::Unload) => {
-                engine.sequence = Some(order.expected_sequence + 1);
-                engine.report_due_ms = now_ms + LOAD_REPORT_INTERVAL_MS;
+                holding.repeat_ms = now_ms + DROP_INTERVAL_MS;
             }
             (OrderOutcome::Holds, OrderKind::Unload) => {
-                engine.sequence = Some(order.expected_sequence + 1);
                 engine.holdings.remove(&order.model);
+                engine.dropped.insert(order.model.clone(), now_ms);
+            }
+            (OrderOutcome::Unknown, kind) => {
+                holding.repeat_ms = now_ms + CONFIRM_INTERVAL_MS;
+                if kind == OrderKind::Load {
+                    engine.late_loads.insert(order.model.clone(), now_ms + LATE_ORDER_MS);
+                }
             }
-            (OrderOutcome::Conflict | OrderOutcome::Unknown, _) => {
-                engine.sequence = None;
-                engine.paused_until_ms = now_ms + UNKNOWN_PAUSE_MS;
-                engine.report_due_ms = now_ms + UNKNOWN_PAUSE_MS;
+            (OrderOutcome::Conflict, _) => {
+                holding.repeat_ms = now_ms + CONFLICT_PAUSE_MS;
+                engine.paused_until_ms = now_ms + CONFLICT_PAUSE_MS;
             }
             (OrderOutcome::Fenced | OrderOutcome::Refused, _) => {
-                engine.sequence = None;
                 engine.paused_until_ms = now_ms + REFUSED_PAUSE_MS;
-                engine.report_due_ms = now_ms + UNKNOWN_PAUSE_MS;
+                holding.repeat_ms = now_ms + REFUSED_PAUSE_MS;
                 if order.kind == OrderKind::Load {
                     engine.holdings.remove(&order.model);
                 }
@@ -335,25 +363,31 @@
         }
     }
 
-    fn order_sent(&mut self, now_ms: u64, order: &PlannedOrder) {
+    /// Adds an order to the plan and counts it as sent.
+    fn give(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>, order: PlannedOrder) {
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
-        engine.order_in_flight = Some(order.clone());
+        engine.order_in_flight = true;
         let phase = match order.kind {
-            OrderKind::Load => Phase::Coming { since_ms: now_ms },
-            OrderKind::Unload => Phase::Going { since_ms: now_ms },
+            OrderKind::Load => Phase::Coming,
+            OrderKind::Unload => Phase::Going,
         };
         let holding = engine.holdings.entry(order.model.clone()).or_insert(Holding {
             version: 0,
             phase,
+            since_ms: now_ms,
+            repeat_ms: u64::MAX,
             used_ms: now_ms,
         });
-        let was_ready = holding.phase == Phase::Ready;
-        holding.phase = phase;
-        holding.used_ms = holding.used_ms.max(now_ms.saturating_sub(RECENT_USE_MS));
-        if was_ready {
-            let model = order.model.clone();
-            self.changes.push(HoldingChange::Gone { engine: order.engine, model });
+        holding.repeat_ms = u64::MAX;
+        if holding.phase != phase {
+            if holding.phase == Phase::Ready {
+                let model = order.model.clone();
+                self.changes.push(HoldingChange::Gone { engine: order.engine, model });
+            }
+            holding.phase = phase;
+            holding.since_ms = now_ms;
         }
+        orders.push(order);
     }
 
     fn ready_copies(&self, model: &str) -> Vec<Held> {
@@ -373,27 +407,49 @@
         self.versions.get(model).copied().unwrap_or_default()
     }
 
+    /// Sends orders again whose end is to be expected.
+    fn repeat_orders(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
+        let due: Vec<PlannedOrder> = self
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.can_take_order(now_ms))
+            .filter_map(|(key, engine)| {
+                let (model, holding) = engine
+                    .holdings
+                    .iter()
+                    .filter(|(_, holding)| {
+                        holding.phase != Phase::Ready && holding.repeat_ms <= now_ms
+                    })
+                    .min_by_key(|(_, holding)| holding.repeat_ms)?;
+                let kind = match holding.phase {
+                    Phase::Going => OrderKind::Unload,
+                    Phase::Ready | Phase::Coming => OrderKind::Load,
+                };
+                Some(PlannedOrder { engine: *key, kind, model: model.clone() })
+            })
+            .collect();
+        for order in due {
+            self.give(now_ms, orders, order);
+        }
+    }
+
     /// Loads the newest version where an engine serves an older one.
     fn replace_old_versions(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        let versions = &self.versions;
-        for (key, engine) in &self.engines {
-            if !engine.can_take_order(now_ms) || is_planned(orders, *key) {
-                continue;
-            }
-            let old = engine.holdings.iter().find(|(model, holding)| {
-                holding.phase == Phase::Ready
-                    && model.contains('/')
-                    && versions.get(*model).is_some_and(|newest| holding.version < *newest)
-            });
-            if let (Some((model, _)), Some(expected_sequence)) = (old, engine.sequence) {
-                orders.push(PlannedOrder {
-                    engine: *key,
-                    kind: OrderKind::Load,
-                    model: model.clone(),
-                    expected_sequence,
+        let mut due = Vec::new();
+        for (model, newest) in &self.versions {
+            for (key, engine) in &self.engines {
+                let is_old = engine.holdings.get(model).is_some_and(|holding| {
+                    holding.phase == Phase::Ready && holding.version < *newest
                 });
+                if is_old && engine.can_take_order(now_ms) && !is_planned(&due, *key) {
+                    let model = model.clone();
+                    due.push(PlannedOrder { engine: *key, kind: OrderKind::Load, model });
+                }
             }
         }
+        for order in due {
+            self.give(now_ms, orders, order);
+        }
     }
 
     /// Loads adapters that requests wait for.
@@ -404,19 +460,16 @@
             let held = self.engines.values().any(|engine| {
                 !engine.backend.leaving
                     && !engine.is_silent()
-                    && engine
-                        .holdings
-                        .get(&model)
-                        .is_some_and(|holding| !matches!(holding.phase, Phase::Going { .. }))
+                    && engine.holdings.get(&model).is_some_and(|held| held.phase != Phase::Going)
             });
             if held {
                 continue;
             }
-            let engine = self.home(now_ms, &model, orders);
+            let engine = self.home(now_ms, &model);
             if let Some(order) = engine.and_then(|key| self.step_towards(now_ms, key, &model)) {
-                let loads = order.kind == OrderKind::Load;
-                orders.push(order);
-                if loads {
+                let is_load = order.kind == OrderKind::Load;
+                self.give(now_ms, orders, order);
+                if is_load {
                     continue;
                 }
             }
@@ -444,26 +497,25 @@
             if copies == 0 || copies >= target {
                 continue;
             }
-            let engine = self.home(now_ms, &model, orders);
+            let engine = self.home(now_ms, &model);
             if let Some(order) = engine.and_then(|key| self.step_towards(now_ms, key, &model)) {
-                orders.push(order);
+                self.give(now_ms, orders, order);
             }
         }
     }
 
     /// The engine that should load `model` next.
-    fn home(&self, now_ms: u64, model: &str, orders: &[PlannedOrder]) -> Option<BackendKey> {
+    fn home(&self, now_ms: u64, model: &str) -> Option<BackendKey> {
         let base = model.split('/').next().unwrap_or(model);
         let mut preferred: Vec<(u64, BackendKey, u32)> = self
             .engines
             .iter()
-            .filter(|(key, engine)| {
+            .filter(|(_, engine)| {
                 !engine.backend.leaving
                     && !engine.is_silent()
                     && engine.models.iter().any(|held| **held == *base)
                     && !engine.holdings.contains_key(model)
                     && engine.can_take_order(now_ms)
-                    && !is_planned(orders, **key)
                     && engine.coming() < MAX_COMING
             })
             .map(|(key, engine)| (rendezvous(model, *key), *key, engine.queued + engine.running))
@@ -478,15 +530,10 @@
     /// The next order on the way to `model` at an engine: a load, or a drop that makes room.
     fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Option<PlannedOrder> {
         let engine = self.engines.get(&key)?;
-        let expected_sequence = engine.sequence?;
-        if engine.adapters() < engine.limits.adapter_slots {
+        let reserved = if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 };
+        if engine.adapters(now_ms) + reserved < engine.limits.adapter_slots {
             let model = model.into();
-            return Some(PlannedOrder {
-                engine: key,
-                kind: OrderKind::Load,
-                model,
-                expected_sequence,
-            });
+            return Some(PlannedOrder { engine: key, kind: OrderKind::Load, model });
         }
         let victim = engine
             .holdings
@@ -501,7 +548,7 @@
                 (left.used_ms, left_model).cmp(&(right.used_ms, right_model))
             })?;
         let model = victim.0.clone();
-        Some(PlannedOrder { engine: key, kind: OrderKind::Unload, model, expected_sequence })
+        Some(PlannedOrder { engine: key, kind: OrderKind::Unload, model })
     }
 
     fn in_use(&self, key: BackendKey, model: &str) -> bool {
@@ -516,7 +563,7 @@
 
 impl Engine {
     fn can_take_order(&self, now_ms: u64) -> bool {
-        self.sequence.is_some() && self.order_in_flight.is_none() && self.paused_until_ms <= now_ms
+        !self.models.is_empty() && !self.order_in_flight && self.paused_until_ms <= now_ms
     }
 
     fn is_silent(&self) -> bool {
@@ -524,23 +571,32 @@
     }
 
     fn coming(&self) -> usize {
-        let coming = |holding: &&Holding| matches!(holding.phase, Phase::Coming { .. });
-        self.holdings.values().filter(coming).count()
-    }
-
-    /// Adapters that take a slot.
-    fn adapters(&self) -> usize {
-        self.holdings.keys().filter(|model| model.contains('/')).count()
-    }
-
-    fn report_interval_ms(&self) -> u64 {
-        let waits = self.holdings.values().any(|holding| holding.phase != Phase::Ready);
-        if waits || self.sequence.is_none() { LOAD_REPORT_INTERVAL_MS } else { REPORT_INTERVAL_MS }
+        self.holdings.values().filter(|holding| holding.phase == Phase::Coming).count()
     }
 
-    /// Replaces what is known of the engine by its report.
-    fn take_report(&mut self, now_ms: u64, report: EngineReport, changes: &mut Vec<HoldingChange>) {
-        self.sequence = Some(report.sequence);
+    /// Adapters that take a slot or may still take one.
+    fn adapters(&self, now_ms: u64) -> usize {
+        let held = self.holdings.keys().filter(|model| model.contains('/')).count();
+        let late = self
+            .late_loads
+            .iter()
+            .filter(|(model, until_ms)| now_ms < **until_ms && !self.holdings.contains_key(*model))
+            .count();
+        held + late
+    }
+
+    /// Corrects what is known of the engine by its report.
+    ///
+    /// A report lags, so it says nothing about what changed shortly before.
+    fn take_report(
+        &mut self,
+        now_ms: u64,
+        report: &EngineReport,
+        changes: &mut Vec<HoldingChange>,
+    ) {
+        let made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
+        self.dropped.retain(|_, dropped_ms| made_ms < *dropped_ms);
+        self.late_loads.retain(|_, until_ms| now_ms < *until_ms);
         self.models = report.models.iter().map(|model| model.name.clone()).collect();
         let mut reported: HashMap<ModelName, u64> = HashMap::new();
         for model in &report.models {
@@ -549,49 +605,48 @@
                 reported.insert(format!("{}/{name}", model.name).into(), *version);
             }
         }
-        let coming: HashSet<&str> = report.coming.iter().map(|held| &*held.name).collect();
+        let engine = self.backend.key;
         self.holdings.retain(|model, holding| {
-            if reported.contains_key(model) || coming.contains(&**model) {
+            let listed = reported.contains_key(model)
+                || report.coming.iter().any(|coming| coming.name == *model);
+            if listed || made_ms < holding.since_ms {
                 return true;
             }
-            let kept = match holding.phase {
-                Phase::Coming { since_ms } => {
-                    now_ms < since_ms + LOAD_LIMIT_MS && !report.coming.is_empty()
-                }
-                Phase::Ready | Phase::Going { .. } => false,
-            };
-            if !kept && holding.phase == Phase::Ready {
-                changes
-                    .push(HoldingChange::Gone { engine: self.backend.key, model: model.clone() });
+            if holding.phase == Phase::Ready {
+                changes.push(HoldingChange::Gone { engine, model: model.clone() });
             }
-            kept
+            // A load that the engine has lost sight of is asked for again while requests wait.
+            false
         });
-        for model in coming {
-            self.holdings.entry(model.into()).or_insert(Holding {
-                version: 0,
-                phase: Phase::Coming { since_ms: now_ms },
-                used_ms: now_ms,
-            });
+        for coming in &report.coming {
+            if !self.dropped.contains_key(&coming.name) {
+                self.holdings.entry(coming.name.clone()).or_insert(Holding {
+                    version: 0,
+                    phase: Phase::Coming,
+                    since_ms: now_ms,
+                    repeat_ms: now_ms,
+                    used_ms: now_ms,
+                });
+            }
         }
         for (model, version) in reported {
+            if self.dropped.contains_key(&model) {
+                continue;
+            }
+            let is_new = !self.holdings.contains_key(&model);
             let holding = self.holdings.entry(model.clone()).or_insert(Holding {
                 version,
-                phase: Phase::Coming { since_ms: now_ms },
+                phase: Phase::Ready,
+                since_ms: now_ms,
+                repeat_ms: u64::MAX,
                 used_ms: 0,
             });
-            let stays = match holding.phase {
-                Phase::Going { since_ms } => now_ms < since_ms + LOAD_LIMIT_MS,
-                // The old version is listed until the new one has replaced it.
-                Phase::Coming { .. } => report.coming.iter().any(|coming| coming.name == model),
-                Phase::Ready => false,
-            };
-            if stays || (holding.phase == Phase::Ready && holding.version == version) {
-                continue;
+            let corrects =
+                holding.phase == Phase::Ready && holding.version != version && holding.since_ms < made_ms;
+            if is_new || corrects {
+                holding.version = version;
+                changes.push(HoldingChange::Ready(Held { engine, model, version }));
             }
-            holding.phase = Phase::Ready;
-            holding.version = version;
-            let engine = self.backend.key;
-            changes.push(HoldingChange::Ready(Held { engine, model, version }));
         }
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -39,7 +39,7 @@
 /// How often one request is sent at most, whether it ran or not.
 const MAX_ARRIVALS: u32 = 4;
 /// How long after SIGTERM new streams are still taken; they must end within the grace period.
-const LAST_STREAM_MS: u64 = 4_000;
+const LAST_STREAM_MS: u64 = 2_900;
 
 /// A request with all that each attempt needs.
 pub(crate) struct Prepared {
