--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -33,7 +33,7 @@
 use super::{
     links::{self, CoreLinks},
     orders::{self, EngineAddress, OrderOutcome},
-    planner::{EngineLimits, PlannedOrder, Planner},
+    planner::{EngineLimits, PlaceAnswer, PlannedOrder, Planner},
     start::Started,
 };
 
@@ -45,6 +45,8 @@
 const JOIN_INTERVAL_MS: u64 = 250;
 /// A leader whose disk takes longer than this hands over to another replica.
 const SLOW_WRITE_MS: u64 = 400;
+/// A former leader that was silent for this long was stopped or cut off.
+const FORMER_LEADER_MS: u64 = 500;
 /// A voter that is silent this long makes way for a newcomer.
 const LOST_VOTER_MS: u64 = 1_500;
 /// How often idle connections to engines are looked through.
@@ -268,10 +270,22 @@
                 self.dial(link);
             }
             FleetMessage::EntryReport(report) => self.entry_report(link, report),
-            FleetMessage::Want { model } => {
+            FleetMessage::Place { id, request } => {
                 let now_ms = self.now_ms();
                 if let Some((_, planner)) = &mut self.planner {
-                    planner.want(now_ms, model);
+                    planner.place(now_ms, link, id, request);
+                }
+            }
+            FleetMessage::Release { id } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.release(now_ms, link, id);
+                }
+            }
+            FleetMessage::NotHeld { engine, model } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.not_held(now_ms, engine, &model);
                 }
             }
             FleetMessage::NeedConfiguration => {
@@ -339,10 +353,11 @@
     }
 
     fn link_ended(&mut self, link: u64) {
+        let now_ms = self.now_ms();
         if let Some(entry) = self.entries.remove(&link) {
             log::info!("core: the entry process at {} is gone", entry.hello.front);
             if let Some((_, planner)) = &mut self.planner {
-                planner.entry_gone(link);
+                planner.entry_gone(now_ms, link);
             }
             self.send_members();
         }
@@ -746,7 +761,11 @@
         let now_ms = self.now_ms();
         let (Some(table), Some((_, planner))) = (&self.table, &mut self.planner) else { return };
         let services = table.engine_services().map(|(service, engine)| {
-            let limits = EngineLimits { adapter_slots: engine.adapter_slots as usize };
+            let limits = EngineLimits {
+                adapter_slots: engine.adapter_slots as usize,
+                slots: engine.slots,
+                cache_tokens: engine.cache_tokens,
+            };
             (service.name.clone(), limits)
         });
         planner.set_services(services.collect());
@@ -776,21 +795,21 @@
             for (_, caller) in self.ready_reads.drain(..) {
                 caller.answer(CoreReply::Unsure);
             }
-            if self.replica.leader().is_some() {
-                self.other_holder_ms = Some(now_ms);
+            let leader = self.replica.leader().and_then(|leader| self.heard_ms.get(&leader.0));
+            if let Some(heard_ms) = leader {
+                self.other_holder_ms = Some(*heard_ms);
             }
         }
         let leads = self.is_current_leader();
         let planned_term = self.planner.as_ref().map(|(term, _)| *term);
         if leads && planned_term != Some(term) {
-            let lease_ms = self.settings.holder_lease_ms;
-            let from_ms = self.other_holder_ms.map_or(0, |heard_ms| heard_ms + lease_ms);
+            let from_ms = self.may_order_from_ms(now_ms);
             log::info!(
                 "core: replica {} leads in term {term} and orders after {} ms",
                 self.replica.id(),
                 from_ms.saturating_sub(now_ms),
             );
-            let mut planner = Planner::new(from_ms);
+            let mut planner = Planner::new(from_ms, self.other_holder_ms.is_none());
             planner.set_versions(&self.state.versions);
             self.planner = Some((term, planner));
             self.give_services();
@@ -800,15 +819,29 @@
         }
     }
 
+    /// When this process may give orders, so that it takes no turns with the holder before.
+    ///
+    /// A holder that engines would recognise by its old fencing token, and that has fallen silent,
+    /// is not waited for.
+    fn may_order_from_ms(&self, now_ms: u64) -> u64 {
+        let Some(other_ms) = self.other_holder_ms else { return 0 };
+        let fell_silent = other_ms + FORMER_LEADER_MS <= now_ms;
+        if self.settings.engines_check_fencing && fell_silent {
+            return now_ms;
+        }
+        other_ms + self.settings.holder_lease_ms
+    }
+
     /// Gives orders and tells the entry processes what changed.
     fn plan(&mut self, now_ms: u64) {
         let Some((epoch, planner)) = &mut self.planner else { return };
         let epoch = *epoch;
-        let orders = if self.replica.leader_lease_valid(now_ms) {
-            planner.take_orders(now_ms)
-        } else {
-            Vec::new()
-        };
+        let orders = planner.plan(now_ms, self.replica.leader_lease_valid(now_ms));
+        for PlaceAnswer { entry, id, reply } in planner.take_answers() {
+            if let Some(entry) = self.entries.get(&entry) {
+                entry.sender.send(FleetMessage::PlaceReply { id, reply });
+            }
+        }
         let changes: Vec<HoldingChange> = planner.take_changes();
         for order in orders {
             self.give_order(epoch, order);
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -1,16 +1,27 @@
-//! Decides which engine holds which adapters.
+//! Decides which engine holds which adapters and which engine serves which request.
 //!
 //! Every adapter has a home among the engines by rendezvous hashing, because an engine reloads an
-//! adapter that it held recently much faster than another engine would. An adapter with much
-//! traffic gets more copies on the next engines of its order. An engine drops the adapter that was
-//! not used for the longest time to make room.
+//! adapter that it held recently much faster than another engine would. An adapter whose engines
+//! are busy gets another copy on the next engine of its order. An engine drops the adapter that was
+//! not used for the longest time to make room, and never one that serves a request.
+//!
+//! Requests are placed one by one, so that the prompts sent to an engine don't pile up: a pile
+//! delays the events of all streams that the engine generates.
+
+mod engine;
+mod waiting;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::{
-    EngineReport, HeldAdapter, OrderKind,
+    EngineReport, OrderKind,
     ids::{BackendKey, ModelName, rendezvous},
-    message::{Backend, EntryReport, Held, HoldingChange},
+    message::{Backend, EntryReport, Held, HoldingChange, PlaceReply, PlaceRequest},
+};
+
+use self::{
+    engine::{Engine, Holding, Phase},
+    waiting::Waiting,
 };
 
 use super::orders::OrderOutcome;
@@ -19,22 +30,14 @@
 const REPORT_INTERVAL_MS: u64 = 1_000;
 /// How soon an engine that sent no report is asked again.
 const REPORT_RETRY_MS: u64 = 250;
-/// How much a report may lag behind what the engine has answered to orders.
-const REPORT_LAG_MS: u64 = 1_000;
-/// An adapter used more recently than this isn't dropped; a request may be on its way to it.
-const RECENT_USE_MS: u64 = 700;
+/// An adapter whose use was reported more recently than this isn't dropped.
+const RECENT_USE_MS: u64 = 40;
 /// Adapters on their way to one engine at a time.
 const MAX_COMING: usize = 4;
-/// Reports that fail in a row before an engine counts as silent.
-const SILENT_AFTER_FAILURES: u32 = 2;
-/// Requests per second that one copy of an adapter serves before another one is loaded.
-const COPY_RATE_PER_S: f64 = 3.0;
-/// The time over which demand is averaged.
-const DEMAND_WINDOW_MS: f64 = 4_000.0;
-/// How long a request for an adapter counts as waiting.
-const WANT_LIFETIME_MS: u64 = 3_000;
 /// How long to wait after an engine refused an order.
 const REFUSED_PAUSE_MS: u64 = 1_000;
+/// How long to wait after an order without an answer.
+const UNKNOWN_PAUSE_MS: u64 = 150;
 /// How long to wait after an order that another one was in the way of.
 const CONFLICT_PAUSE_MS: u64 = 60;
 /// When a load from the engine's own memory is complete.
@@ -49,10 +52,18 @@
 const LATE_ORDER_MS: u64 = 13_000;
 /// Slots that a new coordinator leaves free for late orders of the one before.
 const RESERVED_SLOTS: usize = 2;
-/// Engines that are compared for an adapter without a copy, in the order of its preference.
-const HOME_CANDIDATES: usize = 2;
-/// A home with this many more requests in flight than the next candidate is passed over.
-const HOME_LOAD_SLACK: u32 = 12;
+/// A home with this many more requests than the next candidate is passed over.
+const HOME_LOAD_SLACK: u32 = 10;
+/// A prompt isn't sent to an engine that takes longer than this for those before it.
+const MAX_BACKLOG_MS: f64 = 90.0;
+/// An adapter gets another copy when its engines take longer than this for the prompts before.
+const COPY_BACKLOG_MS: f64 = 180.0;
+/// A placement that was never released ends this much after the request's own limit.
+const PIN_SLACK_MS: u64 = 2_000;
+/// Loads on their way before newer requests for other adapters are refused at once.
+const MAX_WAITING_ADAPTERS: usize = 48;
+/// The range of the time after which a refused caller may come back.
+const RETRY_AFTER_MS: std::ops::Range<u64> = 600..2_400;
 
 /// An order to give.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,56 +73,20 @@
     pub(super) model: ModelName,
 }
 
-/// How many engines hold what, and how much they may hold.
+/// How much each engine of a service holds and runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) struct EngineLimits {
     pub(super) adapter_slots: usize,
+    pub(super) slots: u32,
+    pub(super) cache_tokens: u64,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Ready,
-    /// It is being loaded; the same order again tells whether the load is complete.
-    Coming,
-    /// It is being dropped, once no request uses it.
-    Going,
-}
-
-#[derive(Debug, Clone)]
-struct Holding {
-    version: u64,
-    phase: Phase,
-    /// When the phase began.
-    since_ms: u64,
-    /// When the order of the phase is sent again.
-    repeat_ms: u64,
-    used_ms: u64,
-}
-
-#[derive(Debug)]
-struct Engine {
-    backend: Backend,
-    limits: EngineLimits,
-    /// The base models, once the engine has reported them.
-    models: Vec<ModelName>,
-    holdings: HashMap<ModelName, Holding>,
-    /// Adapters that were dropped, and when; reports lag.
-    dropped: HashMap<ModelName, u64>,
-    /// Loads without an answer, and until when they may still be carried out.
-    late_loads: HashMap<ModelName, u64>,
-    order_in_flight: bool,
-    paused_until_ms: u64,
-    report_due_ms: u64,
-    report_in_flight: bool,
-    failed_reports: u32,
-    queued: u32,
-    running: u32,
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Demand {
-    rate_per_s: f64,
-    updated_ms: u64,
+/// An answer to a request for a place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct PlaceAnswer {
+    pub(super) entry: u64,
+    pub(super) id: u64,
+    pub(super) reply: PlaceReply,
 }
 
 #[derive(Debug, Default)]
@@ -120,39 +95,47 @@
     in_use: HashSet<(BackendKey, ModelName)>,
 }
 
+/// A request that was placed and has not ended.
+#[derive(Debug)]
+struct Pin {
+    engine: BackendKey,
+    model: ModelName,
+    tokens: u64,
+    ends_ms: u64,
+}
+
 /// The plan of one coordinator.
 #[derive(Debug)]
 pub(super) struct Planner {
     engines: BTreeMap<BackendKey, Engine>,
-    /// The adapter slots of each service of engines.
     services: HashMap<Box<str>, EngineLimits>,
     entries: HashMap<u64, EntryUse>,
-    demand: HashMap<ModelName, Demand>,
-    wanted: VecDeque<(ModelName, u64)>,
+    pins: HashMap<(u64, u64), Pin>,
+    waiting: Vec<Waiting>,
     versions: BTreeMap<ModelName, u64>,
     /// No order is given before, because another holder may still be in charge.
     may_order_from_ms: u64,
     /// Until then orders of another holder may still be carried out.
     reserve_until_ms: u64,
     changes: Vec<HoldingChange>,
+    answers: Vec<PlaceAnswer>,
 }
 
 impl Planner {
-    /// Creates the plan of a coordinator that gives orders after `may_order_from_ms`, which is 0
-    /// if no other process has given any.
-    pub(super) fn new(may_order_from_ms: u64) -> Planner {
-        let reserve_until_ms =
-            if may_order_from_ms == 0 { 0 } else { may_order_from_ms + LATE_ORDER_MS };
+    /// Creates the plan of a coordinator that gives orders after `may_order_from_ms`; `is_first`
+    /// tells that no other process has given any.
+    pub(super) fn new(may_order_from_ms: u64, is_first: bool) -> Planner {
         Planner {
             engines: BTreeMap::new(),
             services: HashMap::new(),
             entries: HashMap::new(),
-            demand: HashMap::new(),
-            wanted: VecDeque::new(),
+            pins: HashMap::new(),
+            waiting: Vec::new(),
             versions: BTreeMap::new(),
             may_order_from_ms,
-            reserve_until_ms,
+            reserve_until_ms: if is_first { 0 } else { may_order_from_ms + LATE_ORDER_MS },
             changes: Vec::new(),
+            answers: Vec::new(),
         }
     }
 
@@ -174,21 +157,10 @@
         self.engines.retain(|key, _| listed.contains(key));
         for backend in backends {
             let Some(limits) = self.services.get(&backend.service) else { continue };
-            let engine = self.engines.entry(backend.key).or_insert_with(|| Engine {
-                backend: backend.clone(),
-                limits: *limits,
-                models: Vec::new(),
-                holdings: HashMap::new(),
-                dropped: HashMap::new(),
-                late_loads: HashMap::new(),
-                order_in_flight: false,
-                paused_until_ms: 0,
-                report_due_ms: now_ms,
-                report_in_flight: false,
-                failed_reports: 0,
-                queued: 0,
-                running: 0,
-            });
+            let engine = self
+                .engines
+                .entry(backend.key)
+                .or_insert_with(|| Engine::new(backend.clone(), *limits, now_ms));
             engine.backend = backend.clone();
         }
     }
@@ -220,16 +192,11 @@
         };
         engine.report_due_ms = now_ms + REPORT_INTERVAL_MS;
         engine.failed_reports = 0;
-        engine.queued = report.load.queued;
-        engine.running = report.load.running;
         engine.take_report(now_ms, &report, &mut self.changes);
     }
 
     /// Takes what an entry process does at the moment.
     pub(super) fn entry_report(&mut self, now_ms: u64, entry: u64, report: EntryReport) {
-        for (model, count) in report.demand {
-            self.demand.entry(model).or_default().add(now_ms, f64::from(count));
-        }
         for (key, model) in &report.in_use {
             let holding =
                 self.engines.get_mut(key).and_then(|engine| engine.holdings.get_mut(model));
@@ -242,19 +209,41 @@
         entry.in_use = report.in_use.into_iter().collect();
     }
 
-    pub(super) fn entry_gone(&mut self, entry: u64) {
+    pub(super) fn entry_gone(&mut self, now_ms: u64, entry: u64) {
         self.entries.remove(&entry);
+        self.waiting.retain(|waiting| waiting.entry != entry);
+        let gone: Vec<_> = self.pins.keys().filter(|(owner, _)| *owner == entry).copied().collect();
+        for (entry, id) in gone {
+            self.release(now_ms, entry, id);
+        }
     }
 
-    /// A request waits for an adapter that no engine holds, as far as its entry process knows.
-    pub(super) fn want(&mut self, now_ms: u64, model: ModelName) {
-        let ready = self.ready_copies(&model);
-        if !ready.is_empty() {
-            self.changes.extend(ready.into_iter().map(HoldingChange::Ready));
-            return;
+    /// Takes a request to be placed; the answer comes with [`Planner::take_answers`].
+    pub(super) fn place(&mut self, now_ms: u64, entry: u64, id: u64, request: PlaceRequest) {
+        self.waiting.push(Waiting::new(now_ms, entry, id, request));
+        self.place_waiting(now_ms);
+        if self.waiting.iter().any(|waiting| (waiting.entry, waiting.id) == (entry, id)) {
+            self.answers.push(PlaceAnswer { entry, id, reply: PlaceReply::Queued });
+        }
+    }
+
+    /// Takes the end of a request, placed or not.
+    pub(super) fn release(&mut self, now_ms: u64, entry: u64, id: u64) {
+        self.waiting.retain(|waiting| (waiting.entry, waiting.id) != (entry, id));
+        let Some(pin) = self.pins.remove(&(entry, id)) else { return };
+        if let Some(engine) = self.engines.get_mut(&pin.engine) {
+            engine.release(now_ms, &pin.model, pin.tokens);
         }
-        if !self.wanted.iter().any(|(wanted, _)| *wanted == model) {
-            self.wanted.push_back((model, now_ms));
+    }
+
+    /// An engine refused a request because it doesn't hold the adapter.
+    pub(super) fn not_held(&mut self, now_ms: u64, key: BackendKey, model: &str) {
+        let Some(engine) = self.engines.get_mut(&key) else { return };
+        let ready = engine.holdings.get(model).is_some_and(|held| held.phase == Phase::Ready);
+        if ready {
+            engine.forget(now_ms, model);
+            engine.report_due_ms = now_ms;
+            self.changes.push(HoldingChange::Gone { engine: key, model: model.into() });
         }
     }
 
@@ -278,6 +267,10 @@
         std::mem::take(&mut self.changes)
     }
 
+    pub(super) fn take_answers(&mut self) -> Vec<PlaceAnswer> {
+        std::mem::take(&mut self.answers)
+    }
+
     /// Requests in flight at each backend server, over all entry processes.
     pub(super) fn in_flight(&self) -> Vec<(BackendKey, u32)> {
         let mut sums: BTreeMap<BackendKey, u32> = BTreeMap::new();
@@ -292,22 +285,20 @@
     /// Engines that do not answer.
     pub(super) fn silent(&self) -> Vec<BackendKey> {
         let engines = self.engines.iter();
-        engines
-            .filter(|(_, engine)| engine.failed_reports >= SILENT_AFTER_FAILURES)
-            .map(|(key, _)| *key)
-            .collect()
+        engines.filter(|(_, engine)| engine.is_silent()).map(|(key, _)| *key).collect()
     }
 
-    /// The orders to give now; each engine gets one at a time.
-    pub(super) fn take_orders(&mut self, now_ms: u64) -> Vec<PlannedOrder> {
-        if now_ms < self.may_order_from_ms {
+    /// Places what can be placed and returns the orders to give; each engine gets one at a time.
+    pub(super) fn plan(&mut self, now_ms: u64, may_order: bool) -> Vec<PlannedOrder> {
+        self.end_old_pins(now_ms);
+        self.place_waiting(now_ms);
+        if now_ms < self.may_order_from_ms || !may_order {
             return Vec::new();
         }
         let mut orders = Vec::new();
         self.repeat_orders(now_ms, &mut orders);
         self.replace_old_versions(now_ms, &mut orders);
-        self.load_wanted(now_ms, &mut orders);
-        self.load_copies(now_ms, &mut orders);
+        self.load_for_waiting(now_ms, &mut orders);
         orders
     }
 
@@ -339,12 +330,11 @@
             (OrderOutcome::Accepted, OrderKind::Unload) => {
                 holding.repeat_ms = now_ms + DROP_INTERVAL_MS;
             }
-            (OrderOutcome::Holds, OrderKind::Unload) => {
-                engine.holdings.remove(&order.model);
-                engine.dropped.insert(order.model.clone(), now_ms);
-            }
+            (OrderOutcome::Holds, OrderKind::Unload) => engine.forget(now_ms, &order.model),
             (OrderOutcome::Unknown, kind) => {
-                holding.repeat_ms = now_ms + CONFIRM_INTERVAL_MS;
+                holding.repeat_ms = now_ms + UNKNOWN_PAUSE_MS;
+                engine.paused_until_ms = now_ms + UNKNOWN_PAUSE_MS;
+                engine.report_due_ms = engine.report_due_ms.min(now_ms);
                 if kind == OrderKind::Load {
                     engine.late_loads.insert(order.model.clone(), now_ms + LATE_ORDER_MS);
                 }
@@ -363,6 +353,111 @@
         }
     }
 
+    fn end_old_pins(&mut self, now_ms: u64) {
+        let old: Vec<_> = self
+            .pins
+            .iter()
+            .filter(|(_, pin)| pin.ends_ms <= now_ms)
+            .map(|((entry, id), _)| (*entry, *id))
+            .collect();
+        for (entry, id) in old {
+            self.release(now_ms, entry, id);
+        }
+    }
+
+    /// Places waiting requests on engines that hold their adapters, the most urgent first, and
+    /// refuses those whose time is over.
+    fn place_waiting(&mut self, now_ms: u64) {
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|waiting| waiting.rank(now_ms));
+        waiting.retain(|waiting| !self.try_place(now_ms, waiting));
+        self.waiting = waiting;
+        self.refuse_surplus(now_ms);
+    }
+
+    /// Places or refuses a request and returns whether it no longer waits.
+    fn try_place(&mut self, now_ms: u64, waiting: &Waiting) -> bool {
+        let request = &waiting.request;
+        let best = self.best_engine(now_ms, request);
+        if let Some((key, backlog_ms, version)) = best
+            && backlog_ms <= MAX_BACKLOG_MS
+            && let Some(engine) = self.engines.get_mut(&key)
+        {
+            engine.place(now_ms, request);
+            let pin = Pin {
+                engine: key,
+                model: request.model.clone(),
+                tokens: request.tokens(),
+                ends_ms: now_ms + request.left_ms + PIN_SLACK_MS,
+            };
+            self.pins.insert((waiting.entry, waiting.id), pin);
+            self.answer(waiting, PlaceReply::Placed { engine: key, version });
+            return true;
+        }
+        if waiting.is_over(now_ms) {
+            self.refuse(waiting);
+            return true;
+        }
+        false
+    }
+
+    fn answer(&mut self, waiting: &Waiting, reply: PlaceReply) {
+        self.answers.push(PlaceAnswer { entry: waiting.entry, id: waiting.id, reply });
+    }
+
+    fn refuse(&mut self, waiting: &Waiting) {
+        let retry_after_ms = fastrand::u64(RETRY_AFTER_MS);
+        self.answer(waiting, PlaceReply::Refused { retry_after_ms });
+    }
+
+    /// Refuses the least urgent requests at once when more adapters are waited for than can be
+    /// loaded in time.
+    fn refuse_surplus(&mut self, now_ms: u64) {
+        let mut adapters: HashSet<ModelName> = HashSet::new();
+        let waiting = std::mem::take(&mut self.waiting);
+        for waiting in waiting {
+            let known = adapters.contains(&waiting.request.model);
+            if !known && adapters.len() >= MAX_WAITING_ADAPTERS {
+                log::debug!("coordinator: refuses a request at {now_ms}; too many wait");
+                self.refuse(&waiting);
+                continue;
+            }
+            adapters.insert(waiting.request.model.clone());
+            self.waiting.push(waiting);
+        }
+    }
+
+    /// The engine that holds the adapter and starts the request first.
+    fn best_engine(
+        &self,
+        now_ms: u64,
+        request: &PlaceRequest,
+    ) -> Option<(BackendKey, f64, Option<u64>)> {
+        let newest = self.versions.get(&request.model).copied();
+        let engines = self.engines.iter();
+        let candidates = engines.filter_map(|(key, engine)| {
+            let holding = engine.holdings.get(&request.model)?;
+            let serves = holding.phase == Phase::Ready
+                && newest.is_none_or(|newest| holding.version >= newest)
+                && *engine.backend.service == *request.service
+                && engine.takes_work()
+                && !request.tried.contains(key)
+                && engine.has_room(request);
+            serves.then(|| {
+                let fill = f64::from(engine.placed) / f64::from(engine.limits.slots.max(1));
+                let cost = engine.backlog_ms(now_ms) + fill * 100.0;
+                (cost, *key, engine.backlog_ms(now_ms), newest.map(|_| holding.version))
+            })
+        });
+        candidates
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map(|(_, key, backlog_ms, version)| (key, backlog_ms, version))
+    }
+
+    fn newest_version(&self, model: &str) -> u64 {
+        self.versions.get(model).copied().unwrap_or_default()
+    }
+
     /// Adds an order to the plan and counts it as sent.
     fn give(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>, order: PlannedOrder) {
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
@@ -371,13 +466,10 @@
             OrderKind::Load => Phase::Coming,
             OrderKind::Unload => Phase::Going,
         };
-        let holding = engine.holdings.entry(order.model.clone()).or_insert(Holding {
-            version: 0,
-            phase,
-            since_ms: now_ms,
-            repeat_ms: u64::MAX,
-            used_ms: now_ms,
-        });
+        let holding = engine
+            .holdings
+            .entry(order.model.clone())
+            .or_insert_with(|| Holding::new(0, phase, now_ms));
         holding.repeat_ms = u64::MAX;
         if holding.phase != phase {
             if holding.phase == Phase::Ready {
@@ -390,23 +482,6 @@
         orders.push(order);
     }
 
-    fn ready_copies(&self, model: &str) -> Vec<Held> {
-        let newest = self.newest_version(model);
-        let engines = self.engines.iter();
-        engines
-            .filter(|(_, engine)| !engine.backend.leaving)
-            .filter_map(|(key, engine)| {
-                let holding = engine.holdings.get(model)?;
-                let serves = holding.phase == Phase::Ready && holding.version >= newest;
-                serves.then(|| Held { engine: *key, model: model.into(), version: holding.version })
-            })
-            .collect()
-    }
-
-    fn newest_version(&self, model: &str) -> u64 {
-        self.versions.get(model).copied().unwrap_or_default()
-    }
-
     /// Sends orders again whose end is to be expected.
     fn repeat_orders(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
         let due: Vec<PlannedOrder> = self
@@ -435,13 +510,14 @@
 
     /// Loads the newest version where an engine serves an older one.
     fn replace_old_versions(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        let mut due = Vec::new();
+        let mut due: Vec<PlannedOrder> = Vec::new();
         for (model, newest) in &self.versions {
             for (key, engine) in &self.engines {
                 let is_old = engine.holdings.get(model).is_some_and(|holding| {
                     holding.phase == Phase::Ready && holding.version < *newest
                 });
-                if is_old && engine.can_take_order(now_ms) && !is_planned(&due, *key) {
+                let is_planned = due.iter().any(|order| order.engine == *key);
+                if is_old && engine.can_take_order(now_ms) && !is_planned {
                     let model = model.clone();
                     due.push(PlannedOrder { engine: *key, kind: OrderKind::Load, model });
                 }
@@ -453,81 +529,61 @@
     }
 
     /// Loads adapters that requests wait for.
-    fn load_wanted(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        self.wanted.retain(|(_, since_ms)| now_ms < since_ms + WANT_LIFETIME_MS);
-        let wanted = std::mem::take(&mut self.wanted);
-        for (model, since_ms) in wanted {
-            let held = self.engines.values().any(|engine| {
-                !engine.backend.leaving
-                    && !engine.is_silent()
-                    && engine.holdings.get(&model).is_some_and(|held| held.phase != Phase::Going)
-            });
-            if held {
+    fn load_for_waiting(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
+        let mut seen: HashSet<ModelName> = HashSet::new();
+        let wanted: Vec<ModelName> = self
+            .waiting
+            .iter()
+            .map(|waiting| waiting.request.model.clone())
+            .filter(|model| seen.insert(model.clone()))
+            .collect();
+        for model in wanted {
+            if !self.needs_copy(now_ms, &model) {
                 continue;
             }
-            let engine = self.home(now_ms, &model);
-            if let Some(order) = engine.and_then(|key| self.step_towards(now_ms, key, &model)) {
-                let is_load = order.kind == OrderKind::Load;
+            if let Some(order) = self.next_order_for(now_ms, &model) {
                 self.give(now_ms, orders, order);
-                if is_load {
-                    continue;
-                }
             }
-            self.wanted.push_back((model, since_ms));
         }
     }
 
-    /// Loads more copies of the adapters with the most traffic.
-    fn load_copies(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        self.demand.retain(|_, demand| demand.at(now_ms) > 0.05);
-        let busy: Vec<(ModelName, f64)> = self
-            .demand
-            .iter()
-            .map(|(model, demand)| (model.clone(), demand.at(now_ms)))
-            .filter(|(model, rate)| *rate > COPY_RATE_PER_S && model.contains('/'))
-            .collect();
-        for (model, rate) in busy {
-            let target = (rate / COPY_RATE_PER_S).ceil() as usize;
-            let copies = self
-                .engines
-                .values()
-                .filter(|engine| !engine.backend.leaving && !engine.is_silent())
-                .filter(|engine| engine.holdings.contains_key(&model))
-                .count();
-            if copies == 0 || copies >= target {
-                continue;
-            }
-            let engine = self.home(now_ms, &model);
-            if let Some(order) = engine.and_then(|key| self.step_towards(now_ms, key, &model)) {
-                self.give(now_ms, orders, order);
+    /// Whether an adapter that requests wait for should be loaded on another engine.
+    fn needs_copy(&self, now_ms: u64, model: &str) -> bool {
+        let mut shortest_ms = f64::MAX;
+        for engine in self.engines.values().filter(|engine| engine.takes_work()) {
+            let Some(holding) = engine.holdings.get(model) else { continue };
+            match holding.phase {
+                Phase::Coming => return false,
+                Phase::Ready => shortest_ms = shortest_ms.min(engine.backlog_ms(now_ms)),
+                Phase::Going => {}
             }
         }
+        shortest_ms > COPY_BACKLOG_MS
     }
 
-    /// The engine that should load `model` next.
-    fn home(&self, now_ms: u64, model: &str) -> Option<BackendKey> {
+    /// The next order on the way to a copy of `model`: a load, or a drop that makes room for it.
+    fn next_order_for(&self, now_ms: u64, model: &str) -> Option<PlannedOrder> {
         let base = model.split('/').next().unwrap_or(model);
         let mut preferred: Vec<(u64, BackendKey, u32)> = self
             .engines
             .iter()
             .filter(|(_, engine)| {
-                !engine.backend.leaving
-                    && !engine.is_silent()
+                engine.takes_work()
                     && engine.models.iter().any(|held| **held == *base)
                     && !engine.holdings.contains_key(model)
                     && engine.can_take_order(now_ms)
                     && engine.coming() < MAX_COMING
             })
-            .map(|(key, engine)| (rendezvous(model, *key), *key, engine.queued + engine.running))
+            .map(|(key, engine)| (rendezvous(model, *key), *key, engine.placed))
             .collect();
         preferred.sort_unstable_by_key(|(preference, ..)| std::cmp::Reverse(*preference));
-        preferred.truncate(HOME_CANDIDATES);
-        let (_, first, load) = *preferred.first()?;
-        let lightest = preferred.iter().min_by_key(|(_, _, load)| *load)?;
-        Some(if load > lightest.2 + HOME_LOAD_SLACK { lightest.1 } else { first })
+        let least = preferred.iter().map(|(.., placed)| *placed).min()?;
+        preferred
+            .iter()
+            .filter(|(.., placed)| *placed <= least + HOME_LOAD_SLACK)
+            .find_map(|(_, key, _)| self.step_towards(now_ms, *key, model))
     }
 
-    /// The next order on the way to `model` at an engine: a load, or a drop that makes room.
     fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Option<PlannedOrder> {
         let engine = self.engines.get(&key)?;
         let reserved = if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 };
@@ -535,18 +591,22 @@
             let model = model.into();
             return Some(PlannedOrder { engine: key, kind: OrderKind::Load, model });
         }
+        if engine.holdings.values().any(|holding| holding.phase == Phase::Going) {
+            // A drop is under way already.
+            return None;
+        }
         let victim = engine
             .holdings
             .iter()
             .filter(|(held, holding)| {
                 held.contains('/')
                     && holding.phase == Phase::Ready
+                    && holding.pins == 0
                     && holding.used_ms + RECENT_USE_MS <= now_ms
                     && !self.in_use(key, held)
+                    && !self.waiting.iter().any(|waiting| waiting.request.model == **held)
             })
-            .min_by(|(left_model, left), (right_model, right)| {
-                (left.used_ms, left_model).cmp(&(right.used_ms, right_model))
-            })?;
+            .min_by_key(|(held, holding)| (holding.used_ms, (*held).clone()))?;
         let model = victim.0.clone();
         Some(PlannedOrder { engine: key, kind: OrderKind::Unload, model })
     }
@@ -556,109 +616,3 @@
         self.entries.values().any(|entry| entry.in_use.contains(&used))
     }
 }
-
-fn is_planned(orders: &[PlannedOrder], key: BackendKey) -> bool {
-    orders.iter().any(|order| order.engine == key)
-}
-
-impl Engine {
-    fn can_take_order(&self, now_ms: u64) -> bool {
-        !self.models.is_empty() && !self.order_in_flight && self.paused_until_ms <= now_ms
-    }
-
-    fn is_silent(&self) -> bool {
-        self.failed_reports >= SILENT_AFTER_FAILURES
-    }
-
-    fn coming(&self) -> usize {
-        self.holdings.values().filter(|holding| holding.phase == Phase::Coming).count()
-    }
-
-    /// Adapters that take a slot or may still take one.
-    fn adapters(&self, now_ms: u64) -> usize {
-        let held = self.holdings.keys().filter(|model| model.contains('/')).count();
-        let late = self
-            .late_loads
-            .iter()
-            .filter(|(model, until_ms)| now_ms < **until_ms && !self.holdings.contains_key(*model))
-            .count();
-        held + late
-    }
-
-    /// Corrects what is known of the engine by its report.
-    ///
-    /// A report lags, so it says nothing about what changed shortly before.
-    fn take_report(
-        &mut self,
-        now_ms: u64,
-        report: &EngineReport,
-        changes: &mut Vec<HoldingChange>,
-    ) {
-        let made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
-        self.dropped.retain(|_, dropped_ms| made_ms < *dropped_ms);
-        self.late_loads.retain(|_, until_ms| now_ms < *until_ms);
-        self.models = report.models.iter().map(|model| model.name.clone()).collect();
-        let mut reported: HashMap<ModelName, u64> = HashMap::new();
-        for model in &report.models {
-            reported.insert(model.name.clone(), 0);
-            for HeldAdapter { name, version } in &model.adapters {
-                reported.insert(format!("{}/{name}", model.name).into(), *version);
-            }
-        }
-        let engine = self.backend.key;
-        self.holdings.retain(|model, holding| {
-            let listed = reported.contains_key(model)
-                || report.coming.iter().any(|coming| coming.name == *model);
-            if listed || made_ms < holding.since_ms {
-                return true;
-            }
-            if holding.phase == Phase::Ready {
-                changes.push(HoldingChange::Gone { engine, model: model.clone() });
-            }
-            // A load that the engine has lost sight of is asked for again while requests wait.
-            false
-        });
-        for coming in &report.coming {
-            if !self.dropped.contains_key(&coming.name) {
-                self.holdings.entry(coming.name.clone()).or_insert(Holding {
-                    version: 0,
-                    phase: Phase::Coming,
-                    since_ms: now_ms,
-                    repeat_ms: now_ms,
-                    used_ms: now_ms,
-                });
-            }
-        }
-        for (model, version) in reported {
-            if self.dropped.contains_key(&model) {
-                continue;
-            }
-            let is_new = !self.holdings.contains_key(&model);
-            let holding = self.holdings.entry(model.clone()).or_insert(Holding {
-                version,
-                phase: Phase::Ready,
-                since_ms: now_ms,
-                repeat_ms: u64::MAX,
-                used_ms: 0,
-            });
-            let corrects =
-                holding.phase == Phase::Ready && holding.version != version && holding.since_ms < made_ms;
-            if is_new || corrects {
-                holding.version = version;
-                changes.push(HoldingChange::Ready(Held { engine, model, version }));
-            }
-        }
-    }
-}
-
-impl Demand {
-    fn at(&self, now_ms: u64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.rate_per_s * (-passed_ms / DEMAND_WINDOW_MS).exp()
-    }
-
-    fn add(&mut self, now_ms: u64, count: f64) {
-        self.rate_per_s = self.at(now_ms) + count * 1_000.0 / DEMAND_WINDOW_MS;
-        self.updated_ms = now_ms;
-    }
-}
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -0,0 +1,260 @@
+//! What the coordinator knows of one engine.
+
+use std::collections::{HashMap, HashSet};
+
+use crate::{
+    EngineReport, HeldAdapter,
+    ids::{BackendKey, ModelName},
+    message::{Backend, Held, HoldingChange, PlaceRequest},
+};
+
+use super::EngineLimits;
+
+/// How much a report may lag behind what the engine has answered to orders.
+const REPORT_LAG_MS: u64 = 1_000;
+/// Reports that fail in a row before an engine counts as silent.
+const SILENT_AFTER_FAILURES: u32 = 2;
+/// Prompt tokens that an engine reads per millisecond while it also generates.
+const PROMPT_TOKENS_PER_MS: f64 = 22.0;
+/// The part of an engine's memory that requests may take; cached prompts share it.
+const MEMORY_SHARE: f64 = 0.92;
+/// Prompt parts that are remembered for each engine.
+const MAX_KNOWN_PARTS: usize = 4_096;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    Ready,
+    /// It is being loaded; the same order again tells whether the load is complete.
+    Coming,
+    /// It is being dropped, once no request uses it.
+    Going,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Holding {
+    pub(super) version: u64,
+    pub(super) phase: Phase,
+    /// When the phase began.
+    pub(super) since_ms: u64,
+    /// When the order of the phase is sent again.
+    pub(super) repeat_ms: u64,
+    pub(super) used_ms: u64,
+    /// Requests that were placed here and have not ended.
+    pub(super) pins: u32,
+}
+
+impl Holding {
+    pub(super) fn new(version: u64, phase: Phase, now_ms: u64) -> Holding {
+        Holding { version, phase, since_ms: now_ms, repeat_ms: u64::MAX, used_ms: now_ms, pins: 0 }
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) backend: Backend,
+    pub(super) limits: EngineLimits,
+    /// The base models, once the engine has reported them.
+    pub(super) models: Vec<ModelName>,
+    pub(super) holdings: HashMap<ModelName, Holding>,
+    /// Adapters that were dropped, and when; reports lag.
+    pub(super) dropped: HashMap<ModelName, u64>,
+    /// Loads without an answer, and until when they may still be carried out.
+    pub(super) late_loads: HashMap<ModelName, u64>,
+    pub(super) order_in_flight: bool,
+    pub(super) paused_until_ms: u64,
+    pub(super) report_due_ms: u64,
+    pub(super) report_in_flight: bool,
+    pub(super) failed_reports: u32,
+    /// Requests placed here that have not ended, and the tokens they may take.
+    pub(super) placed: u32,
+    pub(super) placed_tokens: u64,
+    /// Until when the engine reads the prompts that were sent to it.
+    reads_until_ms: f64,
+    /// Prompt parts that the engine has read, by adapter.
+    parts: HashSet<(ModelName, u64)>,
+}
+
+impl Engine {
+    pub(super) fn new(backend: Backend, limits: EngineLimits, now_ms: u64) -> Engine {
+        Engine {
+            backend,
+            limits,
+            models: Vec::new(),
+            holdings: HashMap::new(),
+            dropped: HashMap::new(),
+            late_loads: HashMap::new(),
+            order_in_flight: false,
+            paused_until_ms: 0,
+            report_due_ms: now_ms,
+            report_in_flight: false,
+            failed_reports: 0,
+            placed: 0,
+            placed_tokens: 0,
+            reads_until_ms: 0.0,
+            parts: HashSet::new(),
+        }
+    }
+
+    pub(super) fn can_take_order(&self, now_ms: u64) -> bool {
+        !self.models.is_empty() && !self.order_in_flight && self.paused_until_ms <= now_ms
+    }
+
+    pub(super) fn takes_work(&self) -> bool {
+        !self.backend.leaving && !self.is_silent()
+    }
+
+    pub(super) fn is_silent(&self) -> bool {
+        self.failed_reports >= SILENT_AFTER_FAILURES
+    }
+
+    pub(super) fn coming(&self) -> usize {
+        self.holdings.values().filter(|holding| holding.phase == Phase::Coming).count()
+    }
+
+    /// Adapters that take a slot or may still take one.
+    pub(super) fn adapters(&self, now_ms: u64) -> usize {
+        let held = self.holdings.keys().filter(|model| model.contains('/')).count();
+        let late = self
+            .late_loads
+            .iter()
+            .filter(|(model, until_ms)| now_ms < **until_ms && !self.holdings.contains_key(*model))
+            .count();
+        held + late
+    }
+
+    /// How long a prompt that is sent now waits for the prompts before it.
+    pub(super) fn backlog_ms(&self, now_ms: u64) -> f64 {
+        (self.reads_until_ms - now_ms as f64).max(0.0)
+    }
+
+    /// Whether the engine has a free place and memory for a request.
+    pub(super) fn has_room(&self, request: &PlaceRequest) -> bool {
+        let memory = (self.limits.cache_tokens as f64 * MEMORY_SHARE) as u64;
+        self.placed < self.limits.slots
+            && (self.placed == 0 || self.placed_tokens + request.tokens() <= memory)
+    }
+
+    /// Counts a request that is sent here.
+    pub(super) fn place(&mut self, now_ms: u64, request: &PlaceRequest) {
+        let fresh = self.unread_tokens(request);
+        let start_ms = self.reads_until_ms.max(now_ms as f64);
+        self.reads_until_ms = start_ms + fresh as f64 / PROMPT_TOKENS_PER_MS;
+        if self.parts.len() > MAX_KNOWN_PARTS {
+            self.parts.clear();
+        }
+        for (part, _) in request.shared_parts() {
+            self.parts.insert((request.model.clone(), *part));
+        }
+        self.placed += 1;
+        self.placed_tokens += request.tokens();
+        if let Some(holding) = self.holdings.get_mut(&request.model) {
+            holding.pins += 1;
+            holding.used_ms = now_ms;
+        }
+    }
+
+    /// Counts the end of a request that was sent here.
+    pub(super) fn release(&mut self, now_ms: u64, model: &str, tokens: u64) {
+        self.placed = self.placed.saturating_sub(1);
+        self.placed_tokens = self.placed_tokens.saturating_sub(tokens);
+        if let Some(holding) = self.holdings.get_mut(model) {
+            holding.pins = holding.pins.saturating_sub(1);
+            holding.used_ms = now_ms;
+        }
+    }
+
+    /// Prompt tokens that the engine has not read yet.
+    pub(super) fn unread_tokens(&self, request: &PlaceRequest) -> u32 {
+        let known = request
+            .shared_parts()
+            .iter()
+            .take_while(|(part, _)| self.parts.contains(&(request.model.clone(), *part)))
+            .map(|(_, tokens)| *tokens)
+            .sum::<u32>();
+        request.prompt_tokens.saturating_sub(known)
+    }
+
+    /// Forgets an adapter and its prompts.
+    pub(super) fn forget(&mut self, now_ms: u64, model: &str) {
+        self.holdings.remove(model);
+        self.dropped.insert(model.into(), now_ms);
+        self.parts.retain(|(held, _)| **held != *model);
+    }
+
+    /// Corrects what is known of the engine by its report.
+    ///
+    /// A report lags, so it says nothing about what changed shortly before.
+    pub(super) fn take_report(
+        &mut self,
+        now_ms: u64,
+        report: &EngineReport,
+        changes: &mut Vec<HoldingChange>,
+    ) {
+        let made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
+        self.dropped.retain(|_, dropped_ms| made_ms < *dropped_ms);
+        self.late_loads.retain(|_, until_ms| now_ms < *until_ms);
+        self.models = report.models.iter().map(|model| model.name.clone()).collect();
+        let reported = reported_models(report);
+        let engine = self.backend.key;
+        self.holdings.retain(|model, holding| {
+            let listed = reported.contains_key(model)
+                || report.coming.iter().any(|coming| coming.name == *model);
+            if listed || made_ms < holding.since_ms {
+                return true;
+            }
+            if holding.phase == Phase::Ready {
+                changes.push(HoldingChange::Gone { engine, model: model.clone() });
+            }
+            // A load that the engine has lost sight of is asked for again while requests wait.
+            false
+        });
+        for coming in &report.coming {
+            if !self.dropped.contains_key(&coming.name) {
+                let holding = self.holdings.entry(coming.name.clone());
+                let holding = holding.or_insert_with(|| Holding::new(0, Phase::Coming, now_ms));
+                if holding.since_ms == now_ms {
+                    holding.repeat_ms = now_ms;
+                }
+            }
+        }
+        for (model, version) in reported {
+            if !self.dropped.contains_key(&model) {
+                self.take_reported(now_ms, engine, model, version, changes);
+            }
+        }
+    }
+
+    fn take_reported(
+        &mut self,
+        now_ms: u64,
+        engine: BackendKey,
+        model: ModelName,
+        version: u64,
+        changes: &mut Vec<HoldingChange>,
+    ) {
+        let made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
+        let is_new = !self.holdings.contains_key(&model);
+        let holding = self
+            .holdings
+            .entry(model.clone())
+            .or_insert_with(|| Holding::new(version, Phase::Ready, now_ms));
+        let corrects = holding.phase == Phase::Ready
+            && holding.version != version
+            && holding.since_ms < made_ms;
+        if is_new || corrects {
+            holding.version = version;
+            changes.push(HoldingChange::Ready(Held { engine, model, version }));
+        }
+    }
+}
+
+fn reported_models(report: &EngineReport) -> HashMap<ModelName, u64> {
+    let mut reported = HashMap::new();
+    for model in &report.models {
+        reported.insert(model.name.clone(), 0);
+        for HeldAdapter { name, version } in &model.adapters {
+            reported.insert(format!("{}/{name}", model.name).into(), *version);
+        }
+    }
+    reported
+}
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -57,6 +57,8 @@
     pub expected_version: HeaderName,
     /// The number of prompt tokens and the largest number of output tokens.
     pub tokens: HeaderName,
+    /// The likely number of output tokens.
+    pub length_hint: HeaderName,
     /// The parts of the prompt.
     pub prompt_parts: HeaderName,
     /// The last event that the caller has.
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod front;
 mod in_flight;
+mod placing;
 mod refusal;
 mod stream;
 mod view;
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -132,6 +132,7 @@
                 view.change_holdings(changes);
             }
         }
+        FleetMessage::PlaceReply { id, reply } => app.view().place_replied(id, reply),
         FleetMessage::Loads { in_flight, silent } => app.view().set_loads(&in_flight, &silent),
         other => log::debug!("entry: an unexpected message is ignored: {other:?}"),
     }
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -17,25 +17,29 @@
 use crate::{
     http::Body,
     ids::{BackendKey, ModelName},
+    message::PlaceRequest,
 };
 
 use super::{
     App,
     in_flight::CallerRequest,
+    placing::{self, PlaceGuard, Placement},
     refusal::{Reason, refuse},
-    view::Choice,
+    view::{Choice, Chosen},
 };
 
 pub(crate) use self::attempt::{Attempt, Outcome, StartedStream};
 
 /// How long a body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a request waits for its adapter; callers give up a stream soon after.
-const LOAD_WAIT: Duration = Duration::from_millis(2_000);
-/// How often the coordinator is asked again meanwhile; a message may be lost with its link.
-const ASK_INTERVAL: Duration = Duration::from_millis(250);
-/// How long to wait before the only engine that holds an adapter is asked again.
-const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// How long a request waits for a new coordinator when no engine holds its adapter.
+const COORDINATOR_WAIT: Duration = Duration::from_millis(400);
+/// How often the coordinator is asked again meanwhile.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long to wait after an engine refused a request.
+const REFUSED_PAUSE: Duration = Duration::from_millis(25);
+/// Output tokens of a request that states no limit.
+const DEFAULT_OUTPUT_TOKENS: u32 = 200;
 /// How often one request is sent at most, whether it ran or not.
 const MAX_ARRIVALS: u32 = 4;
 /// How long after SIGTERM new streams are still taken; they must end within the grace period.
@@ -53,9 +57,32 @@
     pub(crate) table: Arc<RouteTable>,
     pub(crate) route: RouteKey,
     pub(crate) deadline: Instant,
+    /// How much of the caller's time was used by earlier attempts.
+    spent_ms: u64,
+    prompt_tokens: u32,
+    output_tokens: u32,
+    prompt_parts: Vec<(u64, u32)>,
 }
 
 impl Prepared {
+    fn place_request(&self, tried: &[BackendKey], received_at: Instant) -> PlaceRequest {
+        let route = self.route();
+        let age_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        PlaceRequest {
+            service: self.service.clone(),
+            model: self.model.clone().unwrap_or_default(),
+            priority: route.priority,
+            objective_ms: route.objective_ms,
+            spent_ms: self.spent_ms.saturating_add(age_ms),
+            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+            parts: self.prompt_parts.clone(),
+            tried: tried.to_vec(),
+        }
+    }
+
     pub(crate) fn route(&self) -> &Route {
         self.table.route(self.route)
     }
@@ -118,25 +145,10 @@
     received_at: Instant,
 ) -> Result<Response<Body>, Reason> {
     let mut tries = Tries::default();
-    let load_deadline = (received_at + LOAD_WAIT).min(prepared.deadline);
     loop {
-        let choice = choose(app, &prepared, &tries.tried);
-        let chosen = match choice {
-            Choice::Use(chosen) => chosen,
-            Choice::Nothing => return Err(give_up(&tries, Reason::NoBackend)),
-            Choice::Load(loaded) => {
-                if !tries.tried.is_empty() {
-                    // The only copies refused the request for now.
-                    tokio::time::sleep(BUSY_PAUSE).await;
-                    tries.tried.clear();
-                } else if timeout(ASK_INTERVAL, loaded.notified()).await.is_err() {
-                    log::debug!("request: still waits for its adapter");
-                }
-                if Instant::now() >= load_deadline {
-                    return Err(give_up(&tries, Reason::NotLoaded));
-                }
-                continue;
-            }
+        let (chosen, place) = match find_backend(app, &prepared, &tries.tried, received_at).await {
+            Ok(found) => found,
+            Err(reason) => return Err(give_up(&tries, reason)),
         };
         let may_send_again = tries.arrivals < MAX_ARRIVALS
             && tries.runs < prepared.route().max_attempts.max(1)
@@ -149,7 +161,8 @@
         }
         tries.arrivals += 1;
         tries.tried.push(chosen.key);
-        let attempt = Attempt { app, prepared: &prepared, chosen: &chosen, last_event_id: None };
+        let attempt =
+            Attempt { app, prepared: &prepared, chosen: &chosen, place, last_event_id: None };
         let Ok(outcome) = timeout_at(prepared.deadline, attempt.send()).await else {
             app.view().failed(app.now_ms(), chosen.key);
             return Err(Reason::TimedOut);
@@ -165,15 +178,64 @@
                 return Ok(response);
             }
             Outcome::Stream(started) => {
-                return Ok(super::stream::forward(app, prepared, started, tries, caller));
+                return Ok(super::stream::forward(
+                    app,
+                    prepared,
+                    started,
+                    tries,
+                    caller,
+                    received_at,
+                ));
             }
             Outcome::NotSent => {}
+            Outcome::NotRun if prepared.model.is_some() => {
+                // The adapter was in an order's way or is gone; the same engine may take it soon.
+                tries.tried.pop();
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
             Outcome::NotRun => {}
             Outcome::MaybeRan => tries.runs += 1,
         }
     }
 }
 
+/// Finds a backend server for a request, and waits for one where that makes sense.
+pub(crate) async fn find_backend(
+    app: &Arc<App>,
+    prepared: &Prepared,
+    tried: &[BackendKey],
+    received_at: Instant,
+) -> Result<(Chosen, Option<PlaceGuard>), Reason> {
+    let give_up_at = Instant::now() + COORDINATOR_WAIT;
+    loop {
+        if prepared.model.is_some() {
+            match placing::place(app, prepared.place_request(tried, received_at)).await {
+                Placement::Placed { engine, version, place } => {
+                    if let Choice::Use(chosen) = app.view().placed(engine, version) {
+                        return Ok((chosen, Some(place)));
+                    }
+                }
+                Placement::Refused { retry_after_ms } => {
+                    return Err(Reason::Overloaded { retry_after_ms });
+                }
+                Placement::NoCoordinator => {}
+            }
+        }
+        match choose(app, prepared, tried) {
+            Choice::Use(chosen) => return Ok((chosen, None)),
+            Choice::Nothing => return Err(Reason::NoBackend),
+            Choice::Load(loaded) => {
+                if Instant::now() >= give_up_at {
+                    return Err(Reason::NotLoaded);
+                }
+                if timeout(ASK_INTERVAL, loaded.notified()).await.is_err() {
+                    log::debug!("request: still waits for its adapter");
+                }
+            }
+        }
+    }
+}
+
 /// Whether a request that ran and failed may go to another server.
 fn can_repeat(app: &App, prepared: &Prepared, tries: &mut Tries) -> bool {
     tries.runs += 1;
@@ -214,10 +276,14 @@
     let timeout_ms = table.route(route).timeout_ms;
     let asked_ms = text(&names.deadline_ms).and_then(|text| text.trim().parse::<u64>().ok());
     let limit_ms = asked_ms.map_or(timeout_ms, |asked_ms| asked_ms.min(timeout_ms));
-    if let Some(model) = &model {
-        app.view().count_demand(model);
-    }
+    let (prompt_tokens, output_tokens) = headers::tokens(&parts.headers, names);
+    // A caller that comes back states what is left of its time.
+    let spent_ms = asked_ms.map_or(0, |asked_ms| timeout_ms.saturating_sub(asked_ms));
     Prepared {
+        spent_ms,
+        prompt_tokens,
+        output_tokens: output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+        prompt_parts: headers::prompt_parts(&parts.headers, names),
         request_id: text(&names.request_id).map(Box::from),
         model,
         service: spec.name.clone(),
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -12,8 +12,9 @@
 use tokio::time::Instant;
 
 use crate::{
-    entry::{App, in_flight::InFlight, refusal::whole, view::Chosen},
+    entry::{App, in_flight::InFlight, placing::PlaceGuard, refusal::whole, view::Chosen},
     http::{Body, Lease, SendError},
+    message::FleetMessage,
 };
 
 use super::{Prepared, headers};
@@ -30,6 +31,8 @@
     pub(crate) app: &'a Arc<App>,
     pub(crate) prepared: &'a Prepared,
     pub(crate) chosen: &'a Chosen,
+    /// The place that the coordinator holds for the request.
+    pub(crate) place: Option<PlaceGuard>,
     /// The last event that the caller has, if the stream goes on elsewhere.
     pub(crate) last_event_id: Option<HeaderValue>,
 }
@@ -59,9 +62,10 @@
 
 impl Attempt<'_> {
     /// Sends the request and reads the answer, or its head if it is a stream.
-    pub(crate) async fn send(self) -> Outcome {
+    pub(crate) async fn send(mut self) -> Outcome {
+        let place = self.place.take();
         let Attempt { app, prepared, chosen, .. } = self;
-        let in_flight = InFlight::start(app, chosen.key, prepared.model.clone());
+        let in_flight = InFlight::start(app, chosen.key, prepared.model.clone(), place);
         let request = self.request();
         let (response, lease) = match app.client.send(chosen.address, request).await {
             Ok(answer) => answer,
@@ -116,7 +120,7 @@
     }
 
     fn request(&self) -> Request<Full<Bytes>> {
-        let Attempt { app, prepared, chosen, last_event_id } = self;
+        let Attempt { app, prepared, chosen, last_event_id, .. } = self;
         let names = &app.dialect.headers;
         let mut request = Request::new(Full::new(prepared.body.clone()));
         *request.method_mut() = prepared.method.clone();
@@ -166,7 +170,11 @@
             return;
         }
         match &prepared.model {
-            Some(model) => view.adapter_gone(chosen.key, model),
+            Some(model) => {
+                view.adapter_gone(chosen.key, model);
+                let (engine, model) = (chosen.key, model.clone());
+                view.send_coordinator(FleetMessage::NotHeld { engine, model });
+            }
             None => view.replaced(app.now_ms(), chosen.key),
         }
     }
--- a/crates/redwinglatch-fleet/src/entry/forward/headers.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/headers.rs
@@ -65,3 +65,28 @@
         None => Uri::from_static("/"),
     }
 }
+
+/// The number of prompt tokens, and the largest or, if the caller has an idea, the likely number
+/// of output tokens.
+pub(super) fn tokens(headers: &HeaderMap, names: &HeaderNames) -> (u32, Option<u32>) {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let stated = text(&names.tokens).unwrap_or_default();
+    let (prompt, most) = stated.split_once(',').unwrap_or((stated, ""));
+    let most: Option<u32> = most.trim().parse().ok();
+    let hint: Option<u32> = text(&names.length_hint).and_then(|hint| hint.trim().parse().ok());
+    let output = match (hint, most) {
+        (Some(hint), Some(most)) => Some(hint.min(most)),
+        (hint, most) => hint.or(most),
+    };
+    (prompt.trim().parse().unwrap_or_default(), output)
+}
+
+/// The parts of the prompt with their tokens; what can't be read ends the list.
+pub(super) fn prompt_parts(headers: &HeaderMap, names: &HeaderNames) -> Vec<(u64, u32)> {
+    let value = headers.get(&names.prompt_parts).and_then(|value| value.to_str().ok());
+    let parts = value.unwrap_or_default().split(',').map_while(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some((u64::from_str_radix(id, 16).ok()?, tokens.parse().ok()?))
+    });
+    parts.collect()
+}
--- a/crates/redwinglatch-fleet/src/entry/in_flight.rs
+++ b/crates/redwinglatch-fleet/src/entry/in_flight.rs
@@ -4,19 +4,28 @@
 
 use crate::ids::{BackendKey, ModelName};
 
-use super::App;
+use super::{App, placing::PlaceGuard};
 
 /// One request at a backend server.
 pub(crate) struct InFlight {
     app: Arc<App>,
     backend: BackendKey,
     model: Option<ModelName>,
+    /// The coordinator's epoch if it placed the request, else 0.
+    epoch: u64,
+    _place: Option<PlaceGuard>,
 }
 
 impl InFlight {
-    pub(crate) fn start(app: &Arc<App>, backend: BackendKey, model: Option<ModelName>) -> InFlight {
-        app.view().request_sent(backend, model.as_ref());
-        InFlight { app: Arc::clone(app), backend, model }
+    pub(crate) fn start(
+        app: &Arc<App>,
+        backend: BackendKey,
+        model: Option<ModelName>,
+        place: Option<PlaceGuard>,
+    ) -> InFlight {
+        let epoch = place.as_ref().map_or(0, PlaceGuard::epoch);
+        app.view().request_sent(backend, model.as_ref(), epoch);
+        InFlight { app: Arc::clone(app), backend, model, epoch, _place: place }
     }
 
     pub(crate) fn backend(&self) -> BackendKey {
@@ -26,7 +35,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.app.view().request_ended(self.backend, self.model.as_ref());
+        self.app.view().request_ended(self.backend, self.model.as_ref(), self.epoch);
     }
 }
 
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -26,8 +26,13 @@
     Draining,
     /// No backend server takes work.
     NoBackend,
-    /// The adapter was not loaded in time.
+    /// No engine holds the adapter, and no coordinator can have it loaded.
     NotLoaded,
+    /// The engines are too busy to serve the request in time.
+    Overloaded {
+        /// When the caller should come back.
+        retry_after_ms: u64,
+    },
     /// Backend servers refused the request without running it.
     RefusedByBackends,
     /// The request may have run and has no answer.
@@ -47,6 +52,7 @@
             Reason::Draining => "draining",
             Reason::NoBackend => "no_backend",
             Reason::NotLoaded => "not_loaded",
+            Reason::Overloaded { .. } => "overloaded",
             Reason::RefusedByBackends => "refused_by_backends",
             Reason::Failed => "failed",
             Reason::TimedOut => "timed_out",
@@ -65,6 +71,7 @@
             | Reason::Draining
             | Reason::NoBackend
             | Reason::NotLoaded
+            | Reason::Overloaded { .. }
             | Reason::RefusedByBackends => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -75,7 +82,8 @@
             Reason::NoConfiguration => Some((500, 500)),
             Reason::Draining => Some((0, 50)),
             Reason::NoBackend | Reason::RefusedByBackends => Some((200, 600)),
-            Reason::NotLoaded => Some((300, 700)),
+            Reason::NotLoaded => Some((1_000, 2_000)),
+            Reason::Overloaded { retry_after_ms } => Some((retry_after_ms, 1)),
             _ => None,
         }
     }
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -17,7 +17,7 @@
 use thiserror::Error;
 use tokio::{
     sync::mpsc,
-    time::{timeout, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 use crate::{
@@ -27,9 +27,8 @@
 
 use super::{
     App,
-    forward::{Prepared, StartedStream, Tries, choose},
+    forward::{Prepared, StartedStream, Tries, find_backend},
     in_flight::CallerRequest,
-    view::Choice,
 };
 
 /// Pieces that wait for a slow caller before the server is no longer read.
@@ -96,6 +95,7 @@
     started: StartedStream,
     tries: Tries,
     caller: CallerRequest,
+    received_at: Instant,
 ) -> Response<Body> {
     let (sender, pieces) = mpsc::channel(QUEUE_PIECES);
     let mut response = Response::new(PieceBody { pieces, ended: false }.boxed());
@@ -106,6 +106,7 @@
         prepared,
         tries,
         sender,
+        received_at,
         partial: BytesMut::new(),
         last_event_id: None,
         _caller: caller,
@@ -118,6 +119,7 @@
     app: Arc<App>,
     prepared: Prepared,
     tries: Tries,
+    received_at: Instant,
     sender: mpsc::Sender<Piece>,
     /// An event that hasn't arrived as a whole.
     partial: BytesMut,
@@ -218,14 +220,14 @@
             if self.tries.runs >= self.prepared.route().max_attempts {
                 return None;
             }
-            let chosen = match choose(&self.app, &self.prepared, &self.tries.tried) {
-                Choice::Use(chosen) => chosen,
-                Choice::Load(loaded) => {
-                    let wait = timeout(SILENCE_LIMIT, loaded.notified());
-                    timeout_at(self.prepared.deadline, wait).await.ok()?.ok()?;
-                    continue;
+            let found =
+                find_backend(&self.app, &self.prepared, &self.tries.tried, self.received_at).await;
+            let (chosen, place) = match found {
+                Ok(found) => found,
+                Err(reason) => {
+                    log::info!("request: a stream can't go on: {}", reason.code());
+                    return None;
                 }
-                Choice::Nothing => return None,
             };
             if !self.app.budgets().take_repeat(self.app.now_ms(), &self.prepared.service) {
                 return None;
@@ -237,6 +239,7 @@
                 app: &self.app,
                 prepared: &self.prepared,
                 chosen: &chosen,
+                place,
                 last_event_id,
             };
             match timeout_at(self.prepared.deadline, attempt.send()).await.ok()? {
--- a/crates/redwinglatch-fleet/src/entry/view.rs
+++ b/crates/redwinglatch-fleet/src/entry/view.rs
@@ -8,12 +8,14 @@
 
 use redwinglatch_routing::RouteTable;
 use smallvec::SmallVec;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::{
     ids::{BackendKey, ModelName},
     link::LinkSender,
-    message::{Backend, EntryReport, FleetMessage, Held, HoldingChange, Member},
+    message::{
+        Backend, EntryReport, FleetMessage, Held, HoldingChange, Member, PlaceReply, PlaceRequest,
+    },
 };
 
 /// How long a backend server that failed to answer is passed over, doubled with each failure.
@@ -73,8 +75,11 @@
     coordinator: Option<SocketAddr>,
     members: HashMap<SocketAddr, Vec<Member>>,
     loading: HashMap<ModelName, Arc<Notify>>,
-    demand: HashMap<ModelName, u32>,
-    in_use: HashMap<(BackendKey, ModelName), u32>,
+    placing: HashMap<u64, mpsc::Sender<PlaceReply>>,
+    next_place: u64,
+    suspect_until_ms: u64,
+    /// Requests that use an adapter, with the epoch of the coordinator that placed them.
+    in_use: HashMap<(BackendKey, ModelName, u64), u32>,
     requests: u64,
     draining_since_ms: Option<u64>,
 }
@@ -94,7 +99,9 @@
             coordinator: None,
             members: HashMap::new(),
             loading: HashMap::new(),
-            demand: HashMap::new(),
+            placing: HashMap::new(),
+            next_place: 0,
+            suspect_until_ms: 0,
             in_use: HashMap::new(),
             requests: 0,
             draining_since_ms: None,
@@ -160,6 +167,8 @@
         }
         if self.coordinator == Some(address) {
             self.coordinator = None;
+            // Requests that wait for it are placed here.
+            self.placing.clear();
         }
     }
 
@@ -173,14 +182,46 @@
         }
     }
 
-    /// Asks the coordinator to load an adapter.
-    fn ask_for(&self, model: &ModelName) {
-        let message = FleetMessage::Want { model: model.clone() };
-        let coordinator = self.coordinator.and_then(|address| self.cores.get(&address));
-        match coordinator.and_then(Option::as_ref) {
-            Some(sender) if sender.send(message.clone()) => {}
-            _ => self.send_cores(&message),
+    fn coordinator(&self) -> Option<&LinkSender> {
+        self.coordinator.and_then(|address| self.cores.get(&address)).and_then(Option::as_ref)
+    }
+
+    pub(crate) fn send_coordinator(&self, message: FleetMessage) -> bool {
+        self.coordinator().is_some_and(|sender| sender.send(message))
+    }
+
+    /// Asks the coordinator for an engine; returns the id of the question and the epoch.
+    pub(crate) fn start_placing(
+        &mut self,
+        now_ms: u64,
+        replies: mpsc::Sender<PlaceReply>,
+        request: PlaceRequest,
+    ) -> Option<(u64, u64)> {
+        if now_ms < self.suspect_until_ms {
+            return None;
+        }
+        let id = self.next_place;
+        self.next_place += 1;
+        if !self.send_coordinator(FleetMessage::Place { id, request }) {
+            return None;
         }
+        self.placing.insert(id, replies);
+        Some((id, self.holdings_epoch))
+    }
+
+    pub(crate) fn place_replied(&mut self, id: u64, reply: PlaceReply) {
+        if let Some(replies) = self.placing.get(&id) {
+            // The request may be gone; its release is on its way then.
+            let _ = replies.try_send(reply);
+        }
+    }
+
+    pub(crate) fn end_placing(&mut self, id: u64) {
+        self.placing.remove(&id);
+    }
+
+    pub(crate) fn suspect_coordinator(&mut self, until_ms: u64) {
+        self.suspect_until_ms = until_ms;
     }
 
     pub(crate) fn set_members(&mut self, core: SocketAddr, members: Vec<Member>) {
@@ -231,6 +272,10 @@
         if epoch < self.holdings_epoch {
             return false;
         }
+        if epoch > self.holdings_epoch {
+            // Requests that wait for the coordinator before are placed here.
+            self.placing.clear();
+        }
         self.holdings_epoch = epoch;
         self.coordinator = Some(core);
         true
@@ -248,11 +293,6 @@
             match change {
                 HoldingChange::Ready(held) => self.adapter_ready(held),
                 HoldingChange::Gone { engine, model } => self.adapter_gone(engine, &model),
-                HoldingChange::Refused { model } => {
-                    if let Some(loading) = self.loading.remove(&model) {
-                        loading.notify_waiters();
-                    }
-                }
             }
         }
     }
@@ -301,35 +341,40 @@
             draining: self.draining_since_ms.is_some(),
             ready: self.is_ready(),
             in_flight: in_flight.map(|(key, known)| (*key, known.own_in_flight)).collect(),
-            in_use: self.in_use.keys().cloned().collect(),
-            demand: self.demand.drain().collect(),
-        }
-    }
-
-    pub(crate) fn count_demand(&mut self, model: &ModelName) {
-        match self.demand.get_mut(model) {
-            Some(count) => *count += 1,
-            None => {
-                self.demand.insert(model.clone(), 1);
-            }
+            in_use: self
+                .in_use
+                .keys()
+                .filter(|(_, _, epoch)| *epoch != self.holdings_epoch)
+                .map(|(key, model, _)| (*key, model.clone()))
+                .collect(),
         }
     }
 
-    pub(crate) fn request_sent(&mut self, backend: BackendKey, model: Option<&ModelName>) {
+    pub(crate) fn request_sent(
+        &mut self,
+        backend: BackendKey,
+        model: Option<&ModelName>,
+        epoch: u64,
+    ) {
         if let Some(known) = self.backends.get_mut(&backend) {
             known.own_in_flight += 1;
         }
         if let Some(model) = model {
-            *self.in_use.entry((backend, model.clone())).or_default() += 1;
+            *self.in_use.entry((backend, model.clone(), epoch)).or_default() += 1;
         }
     }
 
-    pub(crate) fn request_ended(&mut self, backend: BackendKey, model: Option<&ModelName>) {
+    pub(crate) fn request_ended(
+        &mut self,
+        backend: BackendKey,
+        model: Option<&ModelName>,
+        epoch: u64,
+    ) {
         if let Some(known) = self.backends.get_mut(&backend) {
             known.own_in_flight = known.own_in_flight.saturating_sub(1);
         }
         let Some(model) = model else { return };
-        let used = (backend, model.clone());
+        let used = (backend, model.clone(), epoch);
         if let Some(count) = self.in_use.get_mut(&used) {
             *count -= 1;
             if *count == 0 {
@@ -378,7 +423,15 @@
         }
     }
 
-    /// Chooses an engine that holds `model`, or asks for a load.
+    /// The engine that the coordinator chose, if this process knows it.
+    pub(crate) fn placed(&self, key: BackendKey, version: Option<u64>) -> Choice {
+        match self.backends.get(&key) {
+            Some(known) if !known.backend.leaving => self.chosen(key, version),
+            _ => Choice::Nothing,
+        }
+    }
+
+    /// Chooses an engine that holds `model`.
     pub(crate) fn choose_engine(
         &mut self,
         now_ms: u64,
@@ -405,7 +458,6 @@
         if !usable {
             return Choice::Nothing;
         }
-        self.ask_for(model);
         Choice::Load(Arc::clone(self.loading.entry(model.clone()).or_default()))
     }
 
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -21,8 +21,14 @@
     Ping,
     /// What an entry process does at the moment.
     EntryReport(EntryReport),
-    /// A request waits for the adapter.
-    Want { model: ModelName },
+    /// A request for a model engine is to be placed.
+    Place { id: u64, request: PlaceRequest },
+    /// A request that was to be placed has ended.
+    Release { id: u64 },
+    /// An engine refused a request because it doesn't hold the adapter.
+    NotHeld { engine: BackendKey, model: ModelName },
+    /// Where a request goes.
+    PlaceReply { id: u64, reply: PlaceReply },
     /// Asks for the configuration in force.
     NeedConfiguration,
     /// Asks for the list of backend servers.
@@ -84,10 +90,51 @@
     pub(crate) ready: bool,
     /// Requests in flight at each backend server.
     pub(crate) in_flight: Vec<(BackendKey, u32)>,
-    /// Adapters in use at each engine.
+    /// Adapters in use at each engine by requests that the coordinator has not placed.
     pub(crate) in_use: Vec<(BackendKey, ModelName)>,
-    /// Requests since the last report, by model and adapter.
-    pub(crate) demand: Vec<(ModelName, u32)>,
+}
+
+/// A request for a model engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlaceRequest {
+    pub(crate) service: Box<str>,
+    pub(crate) model: ModelName,
+    /// The rank, where 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// The time within which the first event is on time, and how much of it has passed.
+    pub(crate) objective_ms: u64,
+    pub(crate) spent_ms: u64,
+    /// How long the caller still waits.
+    pub(crate) left_ms: u64,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) output_tokens: u32,
+    /// The parts of the prompt, in order; the last one belongs to the request itself.
+    pub(crate) parts: Vec<(u64, u32)>,
+    /// Engines that must not get the request.
+    pub(crate) tried: Vec<BackendKey>,
+}
+
+impl PlaceRequest {
+    /// Tokens that the request may take in an engine's memory.
+    pub(crate) fn tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
+    }
+
+    /// The parts that other requests have too.
+    pub(crate) fn shared_parts(&self) -> &[(u64, u32)] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PlaceReply {
+    /// It waits; another reply follows.
+    Queued,
+    /// To this engine, whose adapter has this version if versions matter.
+    Placed { engine: BackendKey, version: Option<u64> },
+    /// Nowhere; the caller may come back.
+    Refused { retry_after_ms: u64 },
 }
 
 /// A backend server on the list.
@@ -117,8 +164,6 @@
     Ready(Held),
     /// Requests may not go there.
     Gone { engine: BackendKey, model: ModelName },
-    /// The adapter can't be loaded for now.
-    Refused { model: ModelName },
 }
 
 /// A call that only the leader can answer.
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -68,6 +68,8 @@
     pub grace_ms: u64,
     /// How long one holder of orders counts as in charge after its last order.
     pub holder_lease_ms: u64,
+    /// Whether engines refuse orders with an old fencing token.
+    pub engines_check_fencing: bool,
     /// The bound on repeated requests.
     pub retry_budget: RetryBudgetBounds,
 }
@@ -154,6 +156,7 @@
             list_address: read.optional("platform", "list_address", ADDRESS)?,
             grace_ms: seconds_to_ms(read.or("bounds", "grace_s", NUMBER, 8.0)?),
             holder_lease_ms: read.or("bounds", "holder_lease_ms", NUMBER, 3_000)?,
+            engines_check_fencing: read.or("bounds", "check_fencing", "true or false", false)?,
             retry_budget: RetryBudgetBounds {
                 ratio: read.or("bounds", "retry_ratio", NUMBER, 0.2)?,
                 slack: read.or("bounds", "retry_slack", NUMBER, 64)?,
