--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -55,9 +55,9 @@
 /// A home with this many more requests than the next candidate is passed over.
 const HOME_LOAD_SLACK: u32 = 10;
 /// A prompt isn't sent to an engine that takes longer than this for those before it.
-const MAX_BACKLOG_MS: f64 = 90.0;
+const MAX_BACKLOG_MS: f64 = 25.0;
 /// An adapter gets another copy when its engines take longer than this for the prompts before.
-const COPY_BACKLOG_MS: f64 = 180.0;
+const COPY_BACKLOG_MS: f64 = 150.0;
 /// A placement that was never released ends this much after the request's own limit.
 const PIN_SLACK_MS: u64 = 2_000;
 /// Loads on their way before newer requests for other adapters are refused at once.
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -15,7 +15,7 @@
 /// Reports that fail in a row before an engine counts as silent.
 const SILENT_AFTER_FAILURES: u32 = 2;
 /// Prompt tokens that an engine reads per millisecond while it also generates.
-const PROMPT_TOKENS_PER_MS: f64 = 22.0;
+const PROMPT_TOKENS_PER_MS: f64 = 14.0;
 /// The part of an engine's memory that requests may take; cached prompts share it.
 const MEMORY_SHARE: f64 = 0.92;
 /// Prompt parts that are remembered for each engine.
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -58,7 +58,7 @@
     pub(crate) route: RouteKey,
     pub(crate) deadline: Instant,
     /// How much of the caller's time was used by earlier attempts.
-    spent_ms: u64,
+    pub(crate) spent_ms: u64,
     prompt_tokens: u32,
     output_tokens: u32,
     prompt_parts: Vec<(u64, u32)>,
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -23,6 +23,7 @@
 use crate::{
     entry::forward::{Attempt, Outcome},
     http::Body,
+    ids::BackendKey,
 };
 
 use super::{
@@ -107,6 +108,7 @@
         tries,
         sender,
         received_at,
+        times: StreamTimes::default(),
         partial: BytesMut::new(),
         last_event_id: None,
         _caller: caller,
@@ -115,11 +117,33 @@
     response
 }
 
+/// How evenly a stream arrived from its servers.
+#[derive(Debug, Default)]
+struct StreamTimes {
+    first_event_ms: Option<u128>,
+    largest_gap_ms: u128,
+}
+
+impl StreamTimes {
+    /// Takes the arrival of a part; `last_at` is that of the part before.
+    fn read(&mut self, last_at: &mut Instant, received_at: Instant) {
+        let now = Instant::now();
+        let gap = now.duration_since(*last_at);
+        *last_at = now;
+        if self.first_event_ms.is_none() {
+            self.first_event_ms = Some(now.duration_since(received_at).as_millis());
+        } else {
+            self.largest_gap_ms = self.largest_gap_ms.max(gap.as_millis());
+        }
+    }
+}
+
 struct Pump {
     app: Arc<App>,
     prepared: Prepared,
     tries: Tries,
     received_at: Instant,
+    times: StreamTimes,
     sender: mpsc::Sender<Piece>,
     /// An event that hasn't arrived as a whole.
     partial: BytesMut,
@@ -139,6 +163,7 @@
             match end {
                 End::Complete => {
                     lease.reuse();
+                    self.log_late(backend);
                     // The caller may be gone.
                     let _ = self.sender.send(Piece::End).await;
                     return;
@@ -163,7 +188,28 @@
         }
     }
 
+    /// Logs a stream whose first event or whose pauses missed the route's objective.
+    fn log_late(&self, backend: BackendKey) {
+        let route = self.prepared.route();
+        let first_event_ms = self.times.first_event_ms.unwrap_or_default();
+        let gap_ms = self.times.largest_gap_ms;
+        if first_event_ms <= u128::from(route.objective_ms)
+            && gap_ms <= u128::from(route.gap_objective_ms)
+        {
+            return;
+        }
+        log::info!(
+            "request: id={} late first_event_ms={first_event_ms} largest_gap_ms={gap_ms} \
+             spent_ms={} model={:?} backend={:x}",
+            self.prepared.request_id.as_deref().unwrap_or("-"),
+            self.prepared.spent_ms,
+            self.prepared.model,
+            backend.0,
+        );
+    }
+
     async fn read(&mut self, mut body: Incoming, resumable: bool) -> End {
+        let mut read_at = Instant::now();
         loop {
             let limit = if resumable { SILENCE_LIMIT } else { Duration::MAX };
             let next = async {
@@ -177,6 +223,7 @@
                 Ok(Some(Err(_))) => return End::Broken,
                 Ok(None) | Err(_) => return End::Over,
             };
+            self.times.read(&mut read_at, self.received_at);
             let data = match frame {
                 None if self.partial.is_empty() => return End::Complete,
                 None => return End::Broken,
--- a/crates/redwinglatch-routing/src/configuration.rs
+++ b/crates/redwinglatch-routing/src/configuration.rs
@@ -30,6 +30,8 @@
     pub timeout_ms: u64,
     /// The time within which an answer is on time.
     pub objective_ms: u64,
+    /// The longest pause between the events of a stream that is on time.
+    pub gap_objective_ms: u64,
     /// The rank, where 0 is the most urgent.
     pub priority: u8,
     /// The services that share the requests.
