Pace prompts by first events and copy crowded adapters

Cause: a fixed rate of prompts either leaves engines idle or lets three full steps follow each other; requests for popular adapters waited although other engines were free; a reload that was taken for a fast load from the store cut the store's limit to 4. Change: an engine has at most 1,850 unread prompt tokens, and the first event of a stream shows that its prompt was read; an adapter whose engines kept a request waiting for 80 ms gets another copy; adapters are loaded where they were held lately; the number of loads from the store adapts.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -276,6 +276,11 @@
                     planner.place(now_ms, link, id, request);
                 }
             }
+            FleetMessage::FirstEvent { id } => {
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.first_event(link, id);
+                }
+            }
             FleetMessage::Release { id } => {
                 let now_ms = self.now_ms();
                 if let Some((_, planner)) = &mut self.planner {
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -9,6 +9,7 @@
 //! delays the events of all streams that the engine generates.
 
 mod engine;
+mod store_limit;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -21,6 +22,7 @@
 
 use self::{
     engine::{Engine, Holding, Phase},
+    store_limit::StoreLimit,
     waiting::Waiting,
 };
 
@@ -54,14 +56,14 @@
 const RESERVED_SLOTS: usize = 2;
 /// A home with this many more requests than the next candidate is passed over.
 const HOME_LOAD_SLACK: u32 = 10;
-/// A prompt isn't sent to an engine that takes longer than this for those before it.
-const MAX_BACKLOG_MS: f64 = 25.0;
-/// An adapter gets another copy when its engines take longer than this for the prompts before.
-const COPY_BACKLOG_MS: f64 = 150.0;
+/// An adapter gets another copy when a request has waited this long for engines that hold it.
+const COPY_WAIT_MS: u64 = 80;
 /// A placement that was never released ends this much after the request's own limit.
 const PIN_SLACK_MS: u64 = 2_000;
+/// How much slower than an empty engine a full one counts.
+const FULL_BATCH_COST_MS: f64 = 100.0;
 /// Loads on their way before newer requests for other adapters are refused at once.
-const MAX_WAITING_ADAPTERS: usize = 48;
+const MAX_WAITING_ADAPTERS: usize = 40;
 /// The range of the time after which a refused caller may come back.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 600..2_400;
 
@@ -89,6 +91,22 @@
     pub(super) reply: PlaceReply,
 }
 
+/// What brings an engine nearer to holding an adapter.
+enum Step {
+    Order(PlannedOrder),
+    /// Another order must end first.
+    Wait,
+    /// All its adapters are in use.
+    Full,
+}
+
+/// How far the copies of an adapter are.
+enum Copies {
+    None,
+    Coming,
+    Ready,
+}
+
 #[derive(Debug, Default)]
 struct EntryUse {
     in_flight: HashMap<BackendKey, u32>,
@@ -113,6 +131,7 @@
     pins: HashMap<(u64, u64), Pin>,
     waiting: Vec<Waiting>,
     versions: BTreeMap<ModelName, u64>,
+    store: StoreLimit,
     /// No order is given before, because another holder may still be in charge.
     may_order_from_ms: u64,
     /// Until then orders of another holder may still be carried out.
@@ -132,6 +151,7 @@
             pins: HashMap::new(),
             waiting: Vec::new(),
             versions: BTreeMap::new(),
+            store: StoreLimit::default(),
             may_order_from_ms,
             reserve_until_ms: if is_first { 0 } else { may_order_from_ms + LATE_ORDER_MS },
             changes: Vec::new(),
@@ -232,7 +252,15 @@
         self.waiting.retain(|waiting| (waiting.entry, waiting.id) != (entry, id));
         let Some(pin) = self.pins.remove(&(entry, id)) else { return };
         if let Some(engine) = self.engines.get_mut(&pin.engine) {
-            engine.release(now_ms, &pin.model, pin.tokens);
+            engine.release(now_ms, (entry, id), &pin.model, pin.tokens);
+        }
+    }
+
+    /// The first event of a request has arrived.
+    pub(super) fn first_event(&mut self, entry: u64, id: u64) {
+        let engine = self.pins.get(&(entry, id)).map(|pin| pin.engine);
+        if let Some(engine) = engine.and_then(|key| self.engines.get_mut(&key)) {
+            engine.has_read((entry, id));
         }
     }
 
@@ -291,7 +319,12 @@
     /// Places what can be placed and returns the orders to give; each engine gets one at a time.
     pub(super) fn plan(&mut self, now_ms: u64, may_order: bool) -> Vec<PlannedOrder> {
         self.end_old_pins(now_ms);
+        for engine in self.engines.values_mut() {
+            engine.end_old_reading(now_ms);
+        }
         self.place_waiting(now_ms);
+        let coming = self.engines.values().map(Engine::coming_from_store).sum();
+        self.store.set_in_flight(coming);
         if now_ms < self.may_order_from_ms || !may_order {
             return Vec::new();
         }
@@ -318,6 +351,9 @@
                 };
             }
             (OrderOutcome::Holds, OrderKind::Load) => {
+                if holding.phase == Phase::Coming && holding.from_store {
+                    self.store.load_took(now_ms.saturating_sub(holding.since_ms));
+                }
                 holding.phase = Phase::Ready;
                 holding.since_ms = now_ms;
                 holding.version = newest;
@@ -378,19 +414,20 @@
     /// Places or refuses a request and returns whether it no longer waits.
     fn try_place(&mut self, now_ms: u64, waiting: &Waiting) -> bool {
         let request = &waiting.request;
-        let best = self.best_engine(now_ms, request);
-        if let Some((key, backlog_ms, version)) = best
-            && backlog_ms <= MAX_BACKLOG_MS
+        let id = (waiting.entry, waiting.id);
+        let best = self.best_engine(request);
+        if let Some((key, version)) = best
             && let Some(engine) = self.engines.get_mut(&key)
+            && engine.can_read(request)
         {
-            engine.place(now_ms, request);
+            engine.place(now_ms, id, request);
             let pin = Pin {
                 engine: key,
                 model: request.model.clone(),
                 tokens: request.tokens(),
                 ends_ms: now_ms + request.left_ms + PIN_SLACK_MS,
             };
-            self.pins.insert((waiting.entry, waiting.id), pin);
+            self.pins.insert(id, pin);
             self.answer(waiting, PlaceReply::Placed { engine: key, version });
             return true;
         }
@@ -428,11 +465,7 @@
     }
 
     /// The engine that holds the adapter and starts the request first.
-    fn best_engine(
-        &self,
-        now_ms: u64,
-        request: &PlaceRequest,
-    ) -> Option<(BackendKey, f64, Option<u64>)> {
+    fn best_engine(&self, request: &PlaceRequest) -> Option<(BackendKey, Option<u64>)> {
         let newest = self.versions.get(&request.model).copied();
         let engines = self.engines.iter();
         let candidates = engines.filter_map(|(key, engine)| {
@@ -445,13 +478,13 @@
                 && engine.has_room(request);
             serves.then(|| {
                 let fill = f64::from(engine.placed) / f64::from(engine.limits.slots.max(1));
-                let cost = engine.backlog_ms(now_ms) + fill * 100.0;
-                (cost, *key, engine.backlog_ms(now_ms), newest.map(|_| holding.version))
+                let cost = engine.backlog_ms() + fill * FULL_BATCH_COST_MS;
+                (cost, *key, newest.map(|_| holding.version))
             })
         });
         candidates
             .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(_, key, backlog_ms, version)| (key, backlog_ms, version))
+            .map(|(_, key, version)| (key, version))
     }
 
     fn newest_version(&self, model: &str) -> u64 {
@@ -466,6 +499,7 @@
             OrderKind::Load => Phase::Coming,
             OrderKind::Unload => Phase::Going,
         };
+        let from_store = !engine.held_lately(&order.model);
         let holding = engine
             .holdings
             .entry(order.model.clone())
@@ -479,6 +513,12 @@
             holding.phase = phase;
             holding.since_ms = now_ms;
         }
+        if holding.since_ms == now_ms && order.kind == OrderKind::Load {
+            holding.from_store = from_store;
+            if from_store {
+                self.store.load_started();
+            }
+        }
         orders.push(order);
     }
 
@@ -528,87 +568,121 @@
         }
     }
 
-    /// Loads adapters that requests wait for.
+    /// Loads adapters that requests wait for, the most urgent first.
     fn load_for_waiting(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
         let mut seen: HashSet<ModelName> = HashSet::new();
-        let wanted: Vec<ModelName> = self
-            .waiting
-            .iter()
-            .map(|waiting| waiting.request.model.clone())
-            .filter(|model| seen.insert(model.clone()))
-            .collect();
-        for model in wanted {
-            if !self.needs_copy(now_ms, &model) {
+        let mut missing = Vec::new();
+        let mut crowded = Vec::new();
+        for waiting in &self.waiting {
+            let model = &waiting.request.model;
+            if !seen.insert(model.clone()) {
                 continue;
             }
+            match self.copies(model) {
+                Copies::None => missing.push(model.clone()),
+                Copies::Ready if waiting.received_ms + COPY_WAIT_MS <= now_ms => {
+                    crowded.push(model.clone());
+                }
+                Copies::Ready | Copies::Coming => {}
+            }
+        }
+        // A first copy serves requests that can't be served otherwise.
+        for model in missing.into_iter().chain(crowded) {
             if let Some(order) = self.next_order_for(now_ms, &model) {
                 self.give(now_ms, orders, order);
             }
         }
     }
 
-    /// Whether an adapter that requests wait for should be loaded on another engine.
-    fn needs_copy(&self, now_ms: u64, model: &str) -> bool {
-        let mut shortest_ms = f64::MAX;
+    /// Whether engines that take work hold an adapter or load it.
+    fn copies(&self, model: &str) -> Copies {
+        let mut copies = Copies::None;
         for engine in self.engines.values().filter(|engine| engine.takes_work()) {
-            let Some(holding) = engine.holdings.get(model) else { continue };
-            match holding.phase {
-                Phase::Coming => return false,
-                Phase::Ready => shortest_ms = shortest_ms.min(engine.backlog_ms(now_ms)),
-                Phase::Going => {}
+            match engine.holdings.get(model).map(|holding| holding.phase) {
+                Some(Phase::Coming) => return Copies::Coming,
+                Some(Phase::Ready) => copies = Copies::Ready,
+                Some(Phase::Going) | None => {}
             }
         }
-        shortest_ms > COPY_BACKLOG_MS
+        copies
     }
 
     /// The next order on the way to a copy of `model`: a load, or a drop that makes room for it.
+    ///
+    /// An engine that held the adapter lately is preferred, because its load doesn't take the
+    /// weight store's time; the others follow in the order of the adapter's preference.
     fn next_order_for(&self, now_ms: u64, model: &str) -> Option<PlannedOrder> {
         let base = model.split('/').next().unwrap_or(model);
-        let mut preferred: Vec<(u64, BackendKey, u32)> = self
+        let mut preferred: Vec<(bool, u64, BackendKey, u32)> = self
             .engines
             .iter()
             .filter(|(_, engine)| {
                 engine.takes_work()
                     && engine.models.iter().any(|held| **held == *base)
                     && !engine.holdings.contains_key(model)
-                    && engine.can_take_order(now_ms)
-                    && engine.coming() < MAX_COMING
             })
-            .map(|(key, engine)| (rendezvous(model, *key), *key, engine.placed))
+            .map(|(key, engine)| {
+                (engine.held_lately(model), rendezvous(model, *key), *key, engine.placed)
+            })
             .collect();
-        preferred.sort_unstable_by_key(|(preference, ..)| std::cmp::Reverse(*preference));
+        preferred.sort_unstable_by_key(|(lately, preference, ..)| {
+            std::cmp::Reverse((*lately, *preference))
+        });
         let least = preferred.iter().map(|(.., placed)| *placed).min()?;
+        let store_is_free = self.store.has_room();
         preferred
             .iter()
-            .filter(|(.., placed)| *placed <= least + HOME_LOAD_SLACK)
-            .find_map(|(_, key, _)| self.step_towards(now_ms, *key, model))
+            .filter(|(lately, _, _, placed)| {
+                *placed <= least + HOME_LOAD_SLACK && (*lately || store_is_free)
+            })
+            .find_map(|(_, _, key, _)| match self.step_towards(now_ms, *key, model) {
+                Step::Order(order) => Some(Some(order)),
+                // The engine can take the adapter in a moment.
+                Step::Wait => Some(None),
+                Step::Full => None,
+            })
+            .flatten()
     }
 
-    fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Option<PlannedOrder> {
-        let engine = self.engines.get(&key)?;
+    fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Step {
+        let Some(engine) = self.engines.get(&key) else { return Step::Full };
         let reserved = if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 };
-        if engine.adapters(now_ms) + reserved < engine.limits.adapter_slots {
-            let model = model.into();
-            return Some(PlannedOrder { engine: key, kind: OrderKind::Load, model });
-        }
-        if engine.holdings.values().any(|holding| holding.phase == Phase::Going) {
-            // A drop is under way already.
-            return None;
+        let kind = if engine.adapters(now_ms) + reserved < engine.limits.adapter_slots {
+            if engine.coming() >= MAX_COMING {
+                return Step::Wait;
+            }
+            OrderKind::Load
+        } else if engine.holdings.values().any(|holding| holding.phase == Phase::Going) {
+            return Step::Wait;
+        } else {
+            OrderKind::Unload
+        };
+        let model = match kind {
+            OrderKind::Load => Some(ModelName::from(model)),
+            OrderKind::Unload => self.victim(now_ms, key, engine),
+        };
+        match model {
+            Some(model) if engine.can_take_order(now_ms) => {
+                Step::Order(PlannedOrder { engine: key, kind, model })
+            }
+            Some(_) => Step::Wait,
+            None => Step::Full,
         }
-        let victim = engine
-            .holdings
-            .iter()
-            .filter(|(held, holding)| {
-                held.contains('/')
-                    && holding.phase == Phase::Ready
-                    && holding.pins == 0
-                    && holding.used_ms + RECENT_USE_MS <= now_ms
-                    && !self.in_use(key, held)
-                    && !self.waiting.iter().any(|waiting| waiting.request.model == **held)
-            })
-            .min_by_key(|(held, holding)| (holding.used_ms, (*held).clone()))?;
-        let model = victim.0.clone();
-        Some(PlannedOrder { engine: key, kind: OrderKind::Unload, model })
+    }
+
+    /// The adapter that makes room for another one.
+    fn victim(&self, now_ms: u64, key: BackendKey, engine: &Engine) -> Option<ModelName> {
+        let unused = engine.holdings.iter().filter(|(held, holding)| {
+            held.contains('/')
+                && holding.phase == Phase::Ready
+                && holding.pins == 0
+                && holding.used_ms + RECENT_USE_MS <= now_ms
+                && !self.in_use(key, held)
+                && !self.waiting.iter().any(|waiting| waiting.request.model == **held)
+        });
+        unused
+            .min_by_key(|(held, holding)| (holding.used_ms, (*held).clone()))
+            .map(|(held, _)| held.clone())
     }
 
     fn in_use(&self, key: BackendKey, model: &str) -> bool {
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -1,6 +1,6 @@
 //! What the coordinator knows of one engine.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use crate::{
     EngineReport, HeldAdapter,
@@ -15,9 +15,16 @@
 /// Reports that fail in a row before an engine counts as silent.
 const SILENT_AFTER_FAILURES: u32 = 2;
 /// Prompt tokens that an engine reads per millisecond while it also generates.
-const PROMPT_TOKENS_PER_MS: f64 = 14.0;
+const PROMPT_TOKENS_PER_MS: f64 = 18.0;
+/// Prompt tokens that an engine may have to read at a time. An engine step reads them all, and an
+/// event takes three steps, so the events of its streams come within 250 ms.
+const MAX_UNREAD_TOKENS: u32 = 1_850;
+/// A prompt counts as read after this much more than its usual time, also without a first event.
+const READ_SLACK_MS: u64 = 400;
 /// The part of an engine's memory that requests may take; cached prompts share it.
 const MEMORY_SHARE: f64 = 0.92;
+/// Adapters beyond those in place that an engine has at hand.
+const MAX_DROPPED_LATELY: usize = 100;
 /// Prompt parts that are remembered for each engine.
 const MAX_KNOWN_PARTS: usize = 4_096;
 
@@ -41,14 +48,32 @@
     pub(super) used_ms: u64,
     /// Requests that were placed here and have not ended.
     pub(super) pins: u32,
+    /// Whether a load takes it from the weight store, and not from the engine's own memory.
+    pub(super) from_store: bool,
 }
 
 impl Holding {
     pub(super) fn new(version: u64, phase: Phase, now_ms: u64) -> Holding {
-        Holding { version, phase, since_ms: now_ms, repeat_ms: u64::MAX, used_ms: now_ms, pins: 0 }
+        Holding {
+            version,
+            phase,
+            since_ms: now_ms,
+            repeat_ms: u64::MAX,
+            used_ms: now_ms,
+            pins: 0,
+            from_store: false,
+        }
     }
 }
 
+/// A prompt that was sent to an engine and has brought no event yet.
+#[derive(Debug)]
+struct Reading {
+    request: (u64, u64),
+    tokens: u32,
+    until_ms: u64,
+}
+
 #[derive(Debug)]
 pub(super) struct Engine {
     pub(super) backend: Backend,
@@ -58,6 +83,8 @@
     pub(super) holdings: HashMap<ModelName, Holding>,
     /// Adapters that were dropped, and when; reports lag.
     pub(super) dropped: HashMap<ModelName, u64>,
+    /// Adapters that the engine dropped, the oldest first; it still has the newest of them.
+    dropped_lately: VecDeque<ModelName>,
     /// Loads without an answer, and until when they may still be carried out.
     pub(super) late_loads: HashMap<ModelName, u64>,
     pub(super) order_in_flight: bool,
@@ -68,8 +95,8 @@
     /// Requests placed here that have not ended, and the tokens they may take.
     pub(super) placed: u32,
     pub(super) placed_tokens: u64,
-    /// Until when the engine reads the prompts that were sent to it.
-    reads_until_ms: f64,
+    /// Prompts that the engine has not read yet.
+    reading: Vec<Reading>,
     /// Prompt parts that the engine has read, by adapter.
     parts: HashSet<(ModelName, u64)>,
 }
@@ -82,6 +109,7 @@
             models: Vec::new(),
             holdings: HashMap::new(),
             dropped: HashMap::new(),
+            dropped_lately: VecDeque::new(),
             late_loads: HashMap::new(),
             order_in_flight: false,
             paused_until_ms: 0,
@@ -90,7 +118,7 @@
             failed_reports: 0,
             placed: 0,
             placed_tokens: 0,
-            reads_until_ms: 0.0,
+            reading: Vec::new(),
             parts: HashSet::new(),
         }
     }
@@ -111,6 +139,16 @@
         self.holdings.values().filter(|holding| holding.phase == Phase::Coming).count()
     }
 
+    pub(super) fn coming_from_store(&self) -> usize {
+        let coming = |holding: &&Holding| holding.phase == Phase::Coming && holding.from_store;
+        self.holdings.values().filter(coming).count()
+    }
+
+    /// Whether the engine has the adapter at hand, so that it need not come from the store.
+    pub(super) fn held_lately(&self, model: &str) -> bool {
+        self.dropped_lately.iter().any(|dropped| **dropped == *model)
+    }
+
     /// Adapters that take a slot or may still take one.
     pub(super) fn adapters(&self, now_ms: u64) -> usize {
         let held = self.holdings.keys().filter(|model| model.contains('/')).count();
@@ -123,8 +161,28 @@
     }
 
     /// How long a prompt that is sent now waits for the prompts before it.
-    pub(super) fn backlog_ms(&self, now_ms: u64) -> f64 {
-        (self.reads_until_ms - now_ms as f64).max(0.0)
+    pub(super) fn backlog_ms(&self) -> f64 {
+        f64::from(self.reading_tokens()) / PROMPT_TOKENS_PER_MS
+    }
+
+    fn reading_tokens(&self) -> u32 {
+        self.reading.iter().map(|reading| reading.tokens).sum()
+    }
+
+    /// Whether a prompt can be sent now without delaying the events of other streams.
+    pub(super) fn can_read(&self, request: &PlaceRequest) -> bool {
+        let tokens = self.reading_tokens();
+        tokens == 0 || tokens + self.unread_tokens(request) <= MAX_UNREAD_TOKENS
+    }
+
+    /// The first event of a request shows that its prompt was read.
+    pub(super) fn has_read(&mut self, request: (u64, u64)) {
+        self.reading.retain(|reading| reading.request != request);
+    }
+
+    /// Counts prompts as read whose first event is overdue.
+    pub(super) fn end_old_reading(&mut self, now_ms: u64) {
+        self.reading.retain(|reading| now_ms < reading.until_ms);
     }
 
     /// Whether the engine has a free place and memory for a request.
@@ -135,10 +193,11 @@
     }
 
     /// Counts a request that is sent here.
-    pub(super) fn place(&mut self, now_ms: u64, request: &PlaceRequest) {
-        let fresh = self.unread_tokens(request);
-        let start_ms = self.reads_until_ms.max(now_ms as f64);
-        self.reads_until_ms = start_ms + fresh as f64 / PROMPT_TOKENS_PER_MS;
+    pub(super) fn place(&mut self, now_ms: u64, id: (u64, u64), request: &PlaceRequest) {
+        let tokens = self.unread_tokens(request);
+        let usual_ms = self.backlog_ms() + f64::from(tokens) / PROMPT_TOKENS_PER_MS;
+        let until_ms = now_ms + usual_ms as u64 + READ_SLACK_MS;
+        self.reading.push(Reading { request: id, tokens, until_ms });
         if self.parts.len() > MAX_KNOWN_PARTS {
             self.parts.clear();
         }
@@ -154,7 +213,8 @@
     }
 
     /// Counts the end of a request that was sent here.
-    pub(super) fn release(&mut self, now_ms: u64, model: &str, tokens: u64) {
+    pub(super) fn release(&mut self, now_ms: u64, id: (u64, u64), model: &str, tokens: u64) {
+        self.has_read(id);
         self.placed = self.placed.saturating_sub(1);
         self.placed_tokens = self.placed_tokens.saturating_sub(tokens);
         if let Some(holding) = self.holdings.get_mut(model) {
@@ -178,6 +238,11 @@
     pub(super) fn forget(&mut self, now_ms: u64, model: &str) {
         self.holdings.remove(model);
         self.dropped.insert(model.into(), now_ms);
+        self.dropped_lately.retain(|dropped| **dropped != *model);
+        self.dropped_lately.push_back(model.into());
+        if self.dropped_lately.len() > MAX_DROPPED_LATELY {
+            self.dropped_lately.pop_front();
+        }
         self.parts.retain(|(held, _)| **held != *model);
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner/waiting.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/waiting.rs
@@ -17,6 +17,8 @@
 const PRIORITY_STEP_MS: u64 = 150;
 /// From placing to the first event of an engine without other prompts.
 const FIRST_EVENT_MS: u64 = 120;
+/// A caller that has used more of its time than this was refused before.
+const COMEBACK_MS: u64 = 300;
 /// How long a request may wait for its turn.
 const MAX_WAIT_MS: u64 = 1_500;
 
@@ -32,10 +34,16 @@
         now_ms + FIRST_EVENT_MS > self.objective_ms
     }
 
-    /// The order in which requests are placed.
-    pub(super) fn rank(&self, now_ms: u64) -> (bool, u64) {
+    /// The order in which requests are placed: those that can be on time, then those of callers
+    /// that were refused before, then the others.
+    pub(super) fn rank(&self, now_ms: u64) -> (u8, u64) {
+        let group = match (self.is_late(now_ms), self.request.spent_ms > COMEBACK_MS) {
+            (false, _) => 0,
+            (true, true) => 1,
+            (true, false) => 2,
+        };
         let handicap_ms = u64::from(self.request.priority) * PRIORITY_STEP_MS;
-        (self.is_late(now_ms), self.received_ms + handicap_ms)
+        (group, self.received_ms + handicap_ms)
     }
 
     /// Whether the request has waited as long as it may.
--- a/crates/redwinglatch-fleet/src/entry/in_flight.rs
+++ b/crates/redwinglatch-fleet/src/entry/in_flight.rs
@@ -13,7 +13,7 @@
     model: Option<ModelName>,
     /// The coordinator's epoch if it placed the request, else 0.
     epoch: u64,
-    _place: Option<PlaceGuard>,
+    place: Option<PlaceGuard>,
 }
 
 impl InFlight {
@@ -25,7 +25,14 @@
     ) -> InFlight {
         let epoch = place.as_ref().map_or(0, PlaceGuard::epoch);
         app.view().request_sent(backend, model.as_ref(), epoch);
-        InFlight { app: Arc::clone(app), backend, model, epoch, _place: place }
+        InFlight { app: Arc::clone(app), backend, model, epoch, place }
+    }
+
+    /// The first event of a stream has arrived.
+    pub(crate) fn first_event(&self) {
+        if let Some(place) = &self.place {
+            place.first_event();
+        }
     }
 
     pub(crate) fn backend(&self) -> BackendKey {
--- a/crates/redwinglatch-fleet/src/entry/placing.rs
+++ b/crates/redwinglatch-fleet/src/entry/placing.rs
@@ -38,6 +38,11 @@
 }
 
 impl PlaceGuard {
+    /// Tells the coordinator that the engine has read the prompt.
+    pub(crate) fn first_event(&self) {
+        self.app.view().send_coordinator(FleetMessage::FirstEvent { id: self.id });
+    }
+
     /// The coordinator's epoch.
     pub(crate) fn epoch(&self) -> u64 {
         self.epoch
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -29,7 +29,7 @@
 use super::{
     App,
     forward::{Prepared, StartedStream, Tries, find_backend},
-    in_flight::CallerRequest,
+    in_flight::{CallerRequest, InFlight},
 };
 
 /// Pieces that wait for a slow caller before the server is no longer read.
@@ -157,7 +157,7 @@
         let resumable = self.prepared.route().kind.may_repeat();
         loop {
             let StartedStream { body, lease, in_flight, .. } = started;
-            let end = self.read(body, resumable).await;
+            let end = self.read(body, resumable, &in_flight).await;
             let backend = in_flight.backend();
             drop(in_flight);
             match end {
@@ -208,7 +208,8 @@
         );
     }
 
-    async fn read(&mut self, mut body: Incoming, resumable: bool) -> End {
+    async fn read(&mut self, mut body: Incoming, resumable: bool, in_flight: &InFlight) -> End {
+        let mut is_first = true;
         let mut read_at = Instant::now();
         loop {
             let limit = if resumable { SILENCE_LIMIT } else { Duration::MAX };
@@ -223,6 +224,9 @@
                 Ok(Some(Err(_))) => return End::Broken,
                 Ok(None) | Err(_) => return End::Over,
             };
+            if std::mem::take(&mut is_first) {
+                in_flight.first_event();
+            }
             self.times.read(&mut read_at, self.received_at);
             let data = match frame {
                 None if self.partial.is_empty() => return End::Complete,
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -23,6 +23,8 @@
     EntryReport(EntryReport),
     /// A request for a model engine is to be placed.
     Place { id: u64, request: PlaceRequest },
+    /// The first event of a placed request has arrived.
+    FirstEvent { id: u64 },
     /// A request that was to be placed has ended.
     Release { id: u64 },
     /// An engine refused a request because it doesn't hold the adapter.
