Keep a slot for a new version, hand over the lead when slow or stopped

A load whose repeated order was refused with a server error was forgotten although it had been accepted. A slow or stopping leader kept the lead. Change: a replacement needs a free slot, or the unused old version or another adapter goes first; server errors count as no answer; a core process hands over at SIGTERM and when its ticks lag; a slow entry process leaves the list of addresses. Copies wait until the first copy had its chance.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -56,15 +56,19 @@
             log::info!("core: SIGHUP; the settings of a core process apply at its next start");
         }
     });
-    let driver = driver::Driver::new(settings, dialect, clock, link, started, inputs);
+    let driver =
+        driver::Driver::new(settings, dialect, clock, link, started, inputs.clone()).run(received);
+    tokio::pin!(driver);
     tokio::select! {
-        result = driver.run(received) => result,
-        _ = terminate.recv() => {
-            log::info!("core: SIGTERM; the process stops");
-            // The listener is closed first, so that operators turn to another process.
-            let _ = stop.send(true);
-            tokio::time::sleep(STOP_PAUSE).await;
-            Ok(())
-        }
+        result = &mut driver => return result,
+        _ = terminate.recv() => log::info!("core: SIGTERM; the process stops"),
+    }
+    // The listener is closed, so that operators turn to another process, and another replica takes
+    // the lead before this one is gone.
+    let _ = stop.send(true);
+    let _ = inputs.send(driver::Input::Stopping).await;
+    tokio::select! {
+        result = driver => result,
+        () = tokio::time::sleep(STOP_PAUSE) => Ok(()),
     }
 }
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     BackendEntry, Dialect, EngineReport, FleetError, Order, ProcessSettings,
-    clock::Clock,
+    clock::{Clock, Lag},
     http::HttpClient,
     ids::{BackendKey, Fnv},
     link::LinkSender,
@@ -45,6 +45,8 @@
 const JOIN_INTERVAL_MS: u64 = 250;
 /// A leader whose disk takes longer than this hands over to another replica.
 const SLOW_WRITE_MS: u64 = 400;
+/// How often a slow leader tries to hand over.
+const TRANSFER_INTERVAL_MS: u64 = 2_000;
 /// A former leader that was silent for this long was stopped or cut off.
 const FORMER_LEADER_MS: u64 = 500;
 /// A voter that is silent this long makes way for a newcomer.
@@ -71,6 +73,8 @@
     Reported { engine: BackendKey, report: Option<EngineReport> },
     /// The answer to an order.
     OrderDone { order: PlannedOrder, outcome: OrderOutcome },
+    /// The process ends shortly.
+    Stopping,
     /// The end of a write.
     Written { storage: Box<Storage>, write: WriteId, result: Result<(), StorageError> },
 }
@@ -132,6 +136,9 @@
     planner: Option<(Term, Planner)>,
     /// When another process was last known to lead.
     other_holder_ms: Option<u64>,
+    lag: Lag,
+    /// When the lead may be handed over again.
+    transfer_due_ms: u64,
     loads_due_ms: u64,
     idle_check_due_ms: u64,
 }
@@ -173,6 +180,8 @@
             backends_digest: 0,
             planner: None,
             other_holder_ms: (!started.fleet_is_new).then(|| clock.now_ms()),
+            lag: Lag::default(),
+            transfer_due_ms: 0,
             loads_due_ms: 0,
             idle_check_due_ms: 0,
             settings,
@@ -249,6 +258,12 @@
                     planner.order_done(now_ms, &order, outcome);
                 }
             }
+            Input::Stopping => {
+                let now_ms = self.now_ms();
+                if let Ok(to) = self.replica.transfer_leadership(None, now_ms) {
+                    log::info!("core: replica {to} takes over the lead");
+                }
+            }
             Input::Written { storage, write, result } => {
                 if let Err(error) = result {
                     self.replica.halt();
@@ -455,6 +470,7 @@
 
     fn tick(&mut self) {
         let now_ms = self.now_ms();
+        self.lag.tick(now_ms, TICK);
         self.replica.tick(now_ms);
         if self.joining && self.join_due_ms <= now_ms {
             self.join_due_ms = now_ms + JOIN_INTERVAL_MS;
@@ -469,7 +485,7 @@
             }
         }
         self.lead_membership(now_ms);
-        self.leave_slow_disk(now_ms);
+        self.leave_lead_when_slow(now_ms);
         self.coordinate(now_ms);
         if self.idle_check_due_ms <= now_ms {
             self.idle_check_due_ms = now_ms + IDLE_CHECK_INTERVAL_MS;
@@ -481,13 +497,20 @@
         self.replica.is_leader() && self.applied_term == self.replica.term()
     }
 
-    fn leave_slow_disk(&mut self, now_ms: u64) {
+    /// Hands the lead over when this machine can't keep up.
+    fn leave_lead_when_slow(&mut self, now_ms: u64) {
         let stuck = self.storage.is_none() && self.write_started_ms + SLOW_WRITE_MS < now_ms;
-        if stuck
-            && self.replica.is_leader()
-            && let Ok(to) = self.replica.transfer_leadership(None, now_ms)
+        if !(stuck || self.lag.is_slow())
+            || !self.replica.is_leader()
+            || now_ms < self.transfer_due_ms
         {
-            log::warn!("core: the disk is slow; replica {to} takes over the lead");
+            return;
+        }
+        self.transfer_due_ms = now_ms + TRANSFER_INTERVAL_MS;
+        let reason = if stuck { "disk" } else { "process" };
+        match self.replica.transfer_leadership(None, now_ms) {
+            Ok(to) => log::warn!("core: the {reason} is slow; replica {to} takes over the lead"),
+            Err(error) => log::warn!("core: the {reason} is slow, and no other leads: {error}"),
         }
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -51,7 +51,7 @@
 /// How often the engine is asked about a drop that waits for requests in flight.
 const DROP_INTERVAL_MS: u64 = 250;
 /// An order without an answer may be carried out this much later.
-const LATE_ORDER_MS: u64 = 13_000;
+const LATE_ORDER_MS: u64 = 15_000;
 /// Slots that a new coordinator leaves free for late orders of the one before.
 const RESERVED_SLOTS: usize = 2;
 /// A home with this many more requests than the next candidate is passed over.
@@ -104,7 +104,10 @@
 enum Copies {
     None,
     Coming,
-    Ready,
+    /// The newest copy has been in place since then.
+    Ready {
+        since_ms: u64,
+    },
 }
 
 #[derive(Debug, Default)]
@@ -357,6 +360,7 @@
                 holding.phase = Phase::Ready;
                 holding.since_ms = now_ms;
                 holding.version = newest;
+                holding.replaces = false;
                 self.changes.push(HoldingChange::Ready(Held {
                     engine: order.engine,
                     model: order.model.clone(),
@@ -383,7 +387,9 @@
                 engine.paused_until_ms = now_ms + REFUSED_PAUSE_MS;
                 holding.repeat_ms = now_ms + REFUSED_PAUSE_MS;
                 if order.kind == OrderKind::Load {
+                    // An earlier order for the same load may have been accepted.
                     engine.holdings.remove(&order.model);
+                    engine.late_loads.insert(order.model.clone(), now_ms + LATE_ORDER_MS);
                 }
             }
         }
@@ -507,6 +513,7 @@
         holding.repeat_ms = u64::MAX;
         if holding.phase != phase {
             if holding.phase == Phase::Ready {
+                holding.replaces = order.kind == OrderKind::Load;
                 let model = order.model.clone();
                 self.changes.push(HoldingChange::Gone { engine: order.engine, model });
             }
@@ -548,7 +555,7 @@
         }
     }
 
-    /// Loads the newest version where an engine serves an older one.
+    /// Moves engines that serve an older version towards the newest one.
     fn replace_old_versions(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
         let mut due: Vec<PlannedOrder> = Vec::new();
         for (model, newest) in &self.versions {
@@ -558,8 +565,7 @@
                 });
                 let is_planned = due.iter().any(|order| order.engine == *key);
                 if is_old && engine.can_take_order(now_ms) && !is_planned {
-                    let model = model.clone();
-                    due.push(PlannedOrder { engine: *key, kind: OrderKind::Load, model });
+                    due.extend(self.replacement(now_ms, *key, engine, model));
                 }
             }
         }
@@ -568,6 +574,32 @@
         }
     }
 
+    /// The next order on the way to the newest version of `model`.
+    fn replacement(
+        &self,
+        now_ms: u64,
+        key: BackendKey,
+        engine: &Engine,
+        model: &ModelName,
+    ) -> Option<PlannedOrder> {
+        let order = |kind, model| Some(PlannedOrder { engine: key, kind, model });
+        if engine.taken_slots(now_ms) + self.reserved_slots(now_ms) < engine.limits.adapter_slots {
+            return order(OrderKind::Load, model.clone());
+        }
+        let unused = engine.holdings.get(model).is_some_and(|holding| holding.pins == 0);
+        if unused && !self.in_use(key, model) {
+            return order(OrderKind::Unload, model.clone());
+        }
+        if engine.holdings.values().any(|holding| holding.phase == Phase::Going) {
+            return None;
+        }
+        order(OrderKind::Unload, self.victim(now_ms, key, engine)?)
+    }
+
+    fn reserved_slots(&self, now_ms: u64) -> usize {
+        if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 }
+    }
+
     /// Loads adapters that requests wait for, the most urgent first.
     fn load_for_waiting(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
         let mut seen: HashSet<ModelName> = HashSet::new();
@@ -580,10 +612,12 @@
             }
             match self.copies(model) {
                 Copies::None => missing.push(model.clone()),
-                Copies::Ready if waiting.received_ms + COPY_WAIT_MS <= now_ms => {
-                    crowded.push(model.clone());
+                Copies::Ready { since_ms } => {
+                    if waiting.received_ms.max(since_ms) + COPY_WAIT_MS <= now_ms {
+                        crowded.push(model.clone());
+                    }
                 }
-                Copies::Ready | Copies::Coming => {}
+                Copies::Coming => {}
             }
         }
         // A first copy serves requests that can't be served otherwise.
@@ -598,10 +632,12 @@
     fn copies(&self, model: &str) -> Copies {
         let mut copies = Copies::None;
         for engine in self.engines.values().filter(|engine| engine.takes_work()) {
-            match engine.holdings.get(model).map(|holding| holding.phase) {
-                Some(Phase::Coming) => return Copies::Coming,
-                Some(Phase::Ready) => copies = Copies::Ready,
-                Some(Phase::Going) | None => {}
+            let Some(holding) = engine.holdings.get(model) else { continue };
+            match (holding.phase, &copies) {
+                (Phase::Coming, _) => return Copies::Coming,
+                (Phase::Ready, Copies::Ready { since_ms }) if *since_ms > holding.since_ms => {}
+                (Phase::Ready, _) => copies = Copies::Ready { since_ms: holding.since_ms },
+                (Phase::Going, _) => {}
             }
         }
         copies
@@ -646,8 +682,8 @@
 
     fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Step {
         let Some(engine) = self.engines.get(&key) else { return Step::Full };
-        let reserved = if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 };
-        let kind = if engine.adapters(now_ms) + reserved < engine.limits.adapter_slots {
+        let reserved = self.reserved_slots(now_ms);
+        let kind = if engine.taken_slots(now_ms) + reserved < engine.limits.adapter_slots {
             if engine.coming() >= MAX_COMING {
                 return Step::Wait;
             }
@@ -690,3 +726,6 @@
         self.entries.values().any(|entry| entry.in_use.contains(&used))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -48,6 +48,8 @@
     pub(super) used_ms: u64,
     /// Requests that were placed here and have not ended.
     pub(super) pins: u32,
+    /// Whether a load replaces an older version.
+    pub(super) replaces: bool,
     /// Whether a load takes it from the weight store, and not from the engine's own memory.
     pub(super) from_store: bool,
 }
@@ -62,6 +64,7 @@
             used_ms: now_ms,
             pins: 0,
             from_store: false,
+            replaces: false,
         }
     }
 }
@@ -149,9 +152,12 @@
         self.dropped_lately.iter().any(|dropped| **dropped == *model)
     }
 
-    /// Adapters that take a slot or may still take one.
-    pub(super) fn adapters(&self, now_ms: u64) -> usize {
-        let held = self.holdings.keys().filter(|model| model.contains('/')).count();
+    /// Slots that are taken or may still be.
+    ///
+    /// A new version takes a slot of its own until the old one makes way.
+    pub(super) fn taken_slots(&self, now_ms: u64) -> usize {
+        let adapters = self.holdings.iter().filter(|(model, _)| model.contains('/'));
+        let held: usize = adapters.map(|(_, held)| if held.replaces { 2 } else { 1 }).sum();
         let late = self
             .late_loads
             .iter()
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -5,6 +5,7 @@
 use redwinglatch_routing::RouteTable;
 
 use crate::{
+    clock::Lag,
     core,
     ids::BackendKey,
     link,
@@ -15,8 +16,10 @@
 
 /// How long to wait before another connection attempt.
 const REDIAL_PAUSE: Duration = Duration::from_millis(250);
-/// How often the coordinator learns what this process does.
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the lag of the process is measured.
+const TICK: Duration = Duration::from_millis(50);
+/// After how many ticks the core processes learn what this process does.
+const TICKS_PER_REPORT: u32 = 5;
 /// How long the whole configuration is awaited from the leader before another process is asked.
 const NOTICE_PAUSE: Duration = Duration::from_millis(120);
 /// How long without any core process before this process polls the list itself.
@@ -47,8 +50,18 @@
 }
 
 async fn report(app: Arc<App>) {
+    let mut lag = Lag::default();
+    let mut was_slow = false;
     loop {
-        tokio::time::sleep(REPORT_INTERVAL).await;
+        for _ in 0..TICKS_PER_REPORT {
+            tokio::time::sleep(TICK).await;
+            lag.tick(app.now_ms(), TICK);
+        }
+        if lag.is_slow() != was_slow {
+            was_slow = lag.is_slow();
+            log::warn!("entry: the process is slow: {was_slow}; callers are told accordingly");
+            app.view().set_slow(was_slow);
+        }
         report_now(&app);
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/view.rs
+++ b/crates/redwinglatch-fleet/src/entry/view.rs
@@ -82,6 +82,8 @@
     in_use: HashMap<(BackendKey, ModelName, u64), u32>,
     requests: u64,
     draining_since_ms: Option<u64>,
+    /// The process gets too little processor time.
+    slow: bool,
 }
 
 impl View {
@@ -105,6 +107,7 @@
             in_use: HashMap::new(),
             requests: 0,
             draining_since_ms: None,
+            slow: false,
         }
     }
 
@@ -131,6 +134,10 @@
         self.draining_since_ms = Some(now_ms);
     }
 
+    pub(crate) fn set_slow(&mut self, slow: bool) {
+        self.slow = slow;
+    }
+
     pub(crate) fn draining_since_ms(&self) -> Option<u64> {
         self.draining_since_ms
     }
@@ -235,7 +242,7 @@
         entries.push(self.front);
         entries.sort_unstable();
         entries.dedup();
-        if !self.is_ready() {
+        if !self.is_ready() || (self.slow && entries.len() > 1) {
             entries.retain(|front| *front != self.front);
         }
         entries
@@ -339,7 +346,7 @@
         let in_flight = self.backends.iter().filter(|(_, known)| known.own_in_flight > 0);
         EntryReport {
             draining: self.draining_since_ms.is_some(),
-            ready: self.is_ready(),
+            ready: self.is_ready() && !self.slow,
             in_flight: in_flight.map(|(key, known)| (*key, known.own_in_flight)).collect(),
             in_use: self
                 .in_use
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -83,3 +83,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
