--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -63,3 +63,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
@@ -0,0 +1,31 @@
+use super::{FIRST_LIMIT, StoreLimit};
+
+/// A store that serves `capacity` loads at full speed; more take longer in proportion.
+fn settle(capacity: usize) -> f64 {
+    let mut limit = StoreLimit::default();
+    for _ in 0..2_000 {
+        let in_flight = limit.limit.floor() as usize;
+        limit.set_in_flight(in_flight);
+        let slowdown = (in_flight as f64 / capacity as f64).max(1.0);
+        limit.load_took((250.0 * slowdown) as u64);
+    }
+    limit.limit
+}
+
+#[test]
+fn the_limit_settles_near_what_the_store_serves_at_full_speed() {
+    for capacity in [8, 16, 48, 72] {
+        let settled = settle(capacity);
+        let share = settled / capacity as f64;
+        assert!((0.9..1.5).contains(&share), "{settled} for a store that serves {capacity}");
+    }
+}
+
+#[test]
+fn reloads_from_the_engines_own_memory_say_nothing_about_the_store() {
+    let mut limit = StoreLimit::default();
+    limit.load_took(250);
+    limit.load_took(30);
+    limit.load_took(260);
+    assert!(limit.limit >= FIRST_LIMIT);
+}
--- a/crates/redwinglatch-fleet/src/entry/budget.rs
+++ b/crates/redwinglatch-fleet/src/entry/budget.rs
@@ -65,3 +65,6 @@
         window
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/redwinglatch-fleet/src/entry/view.rs
+++ b/crates/redwinglatch-fleet/src/entry/view.rs
@@ -511,3 +511,6 @@
         best.map(|(_, key)| key)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/redwinglatch-routing/tests/routes.rs
@@ -0,0 +1,101 @@
+//! Which route a request gets, and which configurations are refused.
+
+use redwinglatch_routing::{
+    Configuration, InvalidConfiguration, RequestKind, RequestLimits, Route, RouteTable,
+    ServiceSpec, Target,
+};
+
+fn route(name: &str, prefix: &str, targets: &[(&str, u32)]) -> Route {
+    let target =
+        |(service, weight): &(&str, u32)| Target { service: (*service).into(), weight: *weight };
+    Route {
+        name: name.into(),
+        host: "Desk.example".into(),
+        prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        gap_objective_ms: 250,
+        priority: 1,
+        targets: targets.iter().map(target).collect(),
+        max_attempts: 2,
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> Configuration {
+    let service = |name: &str| ServiceSpec { name: name.into(), max_connections: 10, engine: None };
+    Configuration {
+        version: 1,
+        routes,
+        services: vec![service("a"), service("b")],
+        limits: RequestLimits::default(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let routes = vec![
+        route("all", "/", &[("a", 1)]),
+        route("desk", "/desk/", &[("a", 1)]),
+        route("deep", "/desk/deep/", &[("a", 1)]),
+    ];
+    let table = RouteTable::new(configuration(routes)).expect("valid");
+    let found = |path| table.find("desk.example", path).map(|key| &*table.route(key).name);
+    assert_eq!(found("/desk/deep/er/x"), Some("deep"));
+    assert_eq!(found("/desk/deeper"), Some("desk"));
+    assert_eq!(found("/desk"), Some("all"));
+    assert_eq!(found("no-slash"), None);
+    assert_eq!(table.find("other.example", "/desk/"), None);
+}
+
+#[test]
+fn requests_are_split_by_weight() {
+    let routes = vec![route("split", "/", &[("a", 90), ("b", 10)])];
+    let table = RouteTable::new(configuration(routes)).expect("valid");
+    let key = table.find("desk.example", "/x").expect("a route");
+    let mut rng = fastrand::Rng::with_seed(7);
+    let drawn = (0..10_000).filter(|_| {
+        let service = table.draw_service(key, &mut rng);
+        &*table.service(service).name == "b"
+    });
+    let share = drawn.count();
+    assert!((800..1_200).contains(&share), "{share} of 10,000 went to b");
+}
+
+#[test]
+fn a_service_without_weight_gets_nothing() {
+    let routes = vec![route("split", "/", &[("a", 1), ("b", 0)])];
+    let table = RouteTable::new(configuration(routes)).expect("valid");
+    let key = table.find("desk.example", "/x").expect("a route");
+    let mut rng = fastrand::Rng::with_seed(7);
+    for _ in 0..1_000 {
+        let service = table.draw_service(key, &mut rng);
+        assert_eq!(&*table.service(service).name, "a");
+    }
+}
+
+#[test]
+fn faults_are_named() {
+    let refused = |routes| RouteTable::new(configuration(routes)).expect_err("a fault");
+    let name = || "r".into();
+    assert_eq!(
+        refused(vec![route("r", "/", &[("c", 1)])]),
+        InvalidConfiguration::UnknownService { route: name(), service: "c".into() }
+    );
+    assert_eq!(
+        refused(vec![route("q", "/x/", &[("a", 1)]), route("r", "/x/", &[("b", 1)])]),
+        InvalidConfiguration::SamePlace { route: name() }
+    );
+    assert_eq!(
+        refused(vec![route("r", "/", &[("a", 0), ("b", 0)])]),
+        InvalidConfiguration::NoWeight { route: name() }
+    );
+    assert_eq!(
+        refused(vec![Route { timeout_ms: 0, ..route("r", "/", &[("a", 1)]) }]),
+        InvalidConfiguration::NoTimeout { route: name() }
+    );
+    assert_eq!(
+        refused(vec![route("r", "/x", &[("a", 1)])]),
+        InvalidConfiguration::MalformedPrefix { route: name() }
+    );
+}
