Never load a version beside another; take no stream that outlasts a stop

Change: old versions are dropped once unused and the new one is loaded elsewhere; a draining entry process refuses streams that may not end before the end of the grace period.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -333,14 +333,13 @@
         }
         let mut orders = Vec::new();
         self.repeat_orders(now_ms, &mut orders);
-        self.replace_old_versions(now_ms, &mut orders);
+        self.drop_old_versions(now_ms, &mut orders);
         self.load_for_waiting(now_ms, &mut orders);
         orders
     }
 
     /// Takes the answer to an order.
     pub(super) fn order_done(&mut self, now_ms: u64, order: &PlannedOrder, outcome: OrderOutcome) {
-        let newest = self.newest_version(&order.model).max(1);
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
         engine.order_in_flight = false;
         let Some(holding) = engine.holdings.get_mut(&order.model) else { return };
@@ -359,12 +358,11 @@
                 }
                 holding.phase = Phase::Ready;
                 holding.since_ms = now_ms;
-                holding.version = newest;
-                holding.replaces = false;
+
                 self.changes.push(HoldingChange::Ready(Held {
                     engine: order.engine,
                     model: order.model.clone(),
-                    version: newest,
+                    version: holding.version,
                 }));
             }
             (OrderOutcome::Accepted, OrderKind::Unload) => {
@@ -506,6 +504,7 @@
             OrderKind::Unload => Phase::Going,
         };
         let from_store = !engine.held_lately(&order.model);
+        let newest = self.versions.get(&order.model).copied().unwrap_or_default().max(1);
         let holding = engine
             .holdings
             .entry(order.model.clone())
@@ -513,7 +512,6 @@
         holding.repeat_ms = u64::MAX;
         if holding.phase != phase {
             if holding.phase == Phase::Ready {
-                holding.replaces = order.kind == OrderKind::Load;
                 let model = order.model.clone();
                 self.changes.push(HoldingChange::Gone { engine: order.engine, model });
             }
@@ -522,6 +520,7 @@
         }
         if holding.since_ms == now_ms && order.kind == OrderKind::Load {
             holding.from_store = from_store;
+            holding.version = newest;
             if from_store {
                 self.store.load_started();
             }
@@ -539,8 +538,12 @@
                 let (model, holding) = engine
                     .holdings
                     .iter()
-                    .filter(|(_, holding)| {
-                        holding.phase != Phase::Ready && holding.repeat_ms <= now_ms
+                    .filter(|(model, holding)| {
+                        // A load that is sent again would fetch the newest version beside this
+                        // one; a report tells when this one is in place.
+                        let is_old = holding.phase == Phase::Coming
+                            && holding.version < self.newest_version(model);
+                        holding.phase != Phase::Ready && holding.repeat_ms <= now_ms && !is_old
                     })
                     .min_by_key(|(_, holding)| holding.repeat_ms)?;
                 let kind = match holding.phase {
@@ -555,17 +558,24 @@
         }
     }
 
-    /// Moves engines that serve an older version towards the newest one.
-    fn replace_old_versions(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
+    /// Drops older versions that no request uses.
+    ///
+    /// The newest version is loaded where the old one isn't in place: a load beside the old version
+    /// would take a second slot for as long as the old one has requests.
+    fn drop_old_versions(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
         let mut due: Vec<PlannedOrder> = Vec::new();
         for (model, newest) in &self.versions {
             for (key, engine) in &self.engines {
-                let is_old = engine.holdings.get(model).is_some_and(|holding| {
-                    holding.phase == Phase::Ready && holding.version < *newest
+                let is_unused_old = engine.holdings.get(model).is_some_and(|holding| {
+                    holding.phase == Phase::Ready
+                        && holding.version < *newest
+                        && holding.pins == 0
+                        && !self.in_use(*key, model)
                 });
                 let is_planned = due.iter().any(|order| order.engine == *key);
-                if is_old && engine.can_take_order(now_ms) && !is_planned {
-                    due.extend(self.replacement(now_ms, *key, engine, model));
+                if is_unused_old && engine.can_take_order(now_ms) && !is_planned {
+                    let model = model.clone();
+                    due.push(PlannedOrder { engine: *key, kind: OrderKind::Unload, model });
                 }
             }
         }
@@ -574,28 +584,6 @@
         }
     }
 
-    /// The next order on the way to the newest version of `model`.
-    fn replacement(
-        &self,
-        now_ms: u64,
-        key: BackendKey,
-        engine: &Engine,
-        model: &ModelName,
-    ) -> Option<PlannedOrder> {
-        let order = |kind, model| Some(PlannedOrder { engine: key, kind, model });
-        if engine.taken_slots(now_ms) + self.reserved_slots(now_ms) < engine.limits.adapter_slots {
-            return order(OrderKind::Load, model.clone());
-        }
-        let unused = engine.holdings.get(model).is_some_and(|holding| holding.pins == 0);
-        if unused && !self.in_use(key, model) {
-            return order(OrderKind::Unload, model.clone());
-        }
-        if engine.holdings.values().any(|holding| holding.phase == Phase::Going) {
-            return None;
-        }
-        order(OrderKind::Unload, self.victim(now_ms, key, engine)?)
-    }
-
     fn reserved_slots(&self, now_ms: u64) -> usize {
         if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 }
     }
@@ -630,10 +618,12 @@
 
     /// Whether engines that take work hold an adapter or load it.
     fn copies(&self, model: &str) -> Copies {
+        let newest = self.newest_version(model);
         let mut copies = Copies::None;
         for engine in self.engines.values().filter(|engine| engine.takes_work()) {
             let Some(holding) = engine.holdings.get(model) else { continue };
             match (holding.phase, &copies) {
+                _ if holding.version < newest => {}
                 (Phase::Coming, _) => return Copies::Coming,
                 (Phase::Ready, Copies::Ready { since_ms }) if *since_ms > holding.since_ms => {}
                 (Phase::Ready, _) => copies = Copies::Ready { since_ms: holding.since_ms },
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -48,8 +48,6 @@
     pub(super) used_ms: u64,
     /// Requests that were placed here and have not ended.
     pub(super) pins: u32,
-    /// Whether a load replaces an older version.
-    pub(super) replaces: bool,
     /// Whether a load takes it from the weight store, and not from the engine's own memory.
     pub(super) from_store: bool,
 }
@@ -64,7 +62,6 @@
             used_ms: now_ms,
             pins: 0,
             from_store: false,
-            replaces: false,
         }
     }
 }
@@ -153,11 +150,8 @@
     }
 
     /// Slots that are taken or may still be.
-    ///
-    /// A new version takes a slot of its own until the old one makes way.
     pub(super) fn taken_slots(&self, now_ms: u64) -> usize {
-        let adapters = self.holdings.iter().filter(|(model, _)| model.contains('/'));
-        let held: usize = adapters.map(|(_, held)| if held.replaces { 2 } else { 1 }).sum();
+        let held = self.holdings.keys().filter(|model| model.contains('/')).count();
         let late = self
             .late_loads
             .iter()
@@ -290,7 +284,8 @@
         }
         for (model, version) in reported {
             if !self.dropped.contains_key(&model) {
-                self.take_reported(now_ms, engine, model, version, changes);
+                let coming = report.coming.iter().any(|coming| coming.name == model);
+                self.take_reported(now_ms, engine, (model, version), coming, changes);
             }
         }
     }
@@ -299,8 +294,8 @@
         &mut self,
         now_ms: u64,
         engine: BackendKey,
-        model: ModelName,
-        version: u64,
+        (model, version): (ModelName, u64),
+        coming: bool,
         changes: &mut Vec<HoldingChange>,
     ) {
         let made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
@@ -309,10 +304,14 @@
             .holdings
             .entry(model.clone())
             .or_insert_with(|| Holding::new(version, Phase::Ready, now_ms));
-        let corrects = holding.phase == Phase::Ready
-            && holding.version != version
-            && holding.since_ms < made_ms;
+        let is_settled = holding.since_ms < made_ms;
+        let corrects = match holding.phase {
+            Phase::Ready => is_settled && holding.version != version,
+            Phase::Coming => is_settled && !coming,
+            Phase::Going => false,
+        };
         if is_new || corrects {
+            holding.phase = Phase::Ready;
             holding.version = version;
             changes.push(HoldingChange::Ready(Held { engine, model, version }));
         }
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -42,6 +42,10 @@
 const DEFAULT_OUTPUT_TOKENS: u32 = 200;
 /// How often one request is sent at most, whether it ran or not.
 const MAX_ARRIVALS: u32 = 4;
+/// How long the first event of a stream may take on a busy engine.
+const FIRST_EVENT_MS: u64 = 800;
+/// How long a busy engine takes for a token.
+const TOKEN_MS: u64 = 14;
 /// How long after SIGTERM new streams are still taken; they must end within the grace period.
 const LAST_STREAM_MS: u64 = 2_900;
 
@@ -61,6 +65,7 @@
     pub(crate) spent_ms: u64,
     prompt_tokens: u32,
     output_tokens: u32,
+    most_output_tokens: u32,
     prompt_parts: Vec<(u64, u32)>,
 }
 
@@ -120,9 +125,14 @@
     let route = table.find(host, parts.uri.path()).ok_or(Reason::NoRoute)?;
     let body = read_body(body, table.configuration().limits.body_bytes).await?;
     let prepared = prepare(app, parts, body, table, route, received_at);
-    if prepared.route().kind.is_stream()
-        && let Some(since_ms) = app.view().draining_since_ms()
-        && app.now_ms() > since_ms + LAST_STREAM_MS
+    let draining_since_ms = app.view().draining_since_ms();
+    if let Some(since_ms) = draining_since_ms
+        && prepared.route().kind.is_stream()
+        && !ends_before_stop(
+            app.now_ms().saturating_sub(since_ms),
+            app.settings.grace_ms,
+            prepared.most_output_tokens,
+        )
     {
         return Err(Reason::Draining);
     }
@@ -236,6 +246,12 @@
     }
 }
 
+/// Whether a stream that starts now ends before a process that drains must end.
+fn ends_before_stop(draining_ms: u64, grace_ms: u64, output_tokens: u32) -> bool {
+    let longest_ms = FIRST_EVENT_MS + u64::from(output_tokens) * TOKEN_MS;
+    draining_ms <= LAST_STREAM_MS && draining_ms + longest_ms <= grace_ms
+}
+
 /// Whether a request that ran and failed may go to another server.
 fn can_repeat(app: &App, prepared: &Prepared, tries: &mut Tries) -> bool {
     tries.runs += 1;
@@ -276,13 +292,14 @@
     let timeout_ms = table.route(route).timeout_ms;
     let asked_ms = text(&names.deadline_ms).and_then(|text| text.trim().parse::<u64>().ok());
     let limit_ms = asked_ms.map_or(timeout_ms, |asked_ms| asked_ms.min(timeout_ms));
-    let (prompt_tokens, output_tokens) = headers::tokens(&parts.headers, names);
+    let tokens = headers::tokens(&parts.headers, names);
     // A caller that comes back states what is left of its time.
     let spent_ms = asked_ms.map_or(0, |asked_ms| timeout_ms.saturating_sub(asked_ms));
     Prepared {
         spent_ms,
-        prompt_tokens,
-        output_tokens: output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+        prompt_tokens: tokens.prompt,
+        output_tokens: tokens.likely_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+        most_output_tokens: tokens.most_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
         prompt_parts: headers::prompt_parts(&parts.headers, names),
         request_id: text(&names.request_id).map(Box::from),
         model,
@@ -317,3 +334,6 @@
         Err(_) => Err(Reason::BodyIncomplete),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/redwinglatch-fleet/src/entry/forward/headers.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/headers.rs
@@ -66,19 +66,28 @@
     }
 }
 
-/// The number of prompt tokens, and the largest or, if the caller has an idea, the likely number
-/// of output tokens.
-pub(super) fn tokens(headers: &HeaderMap, names: &HeaderNames) -> (u32, Option<u32>) {
+/// What a request states of its size.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Tokens {
+    pub(super) prompt: u32,
+    /// The largest number of output tokens.
+    pub(super) most_output: Option<u32>,
+    /// The number that the caller expects, or else the largest.
+    pub(super) likely_output: Option<u32>,
+}
+
+/// Reads the size of a request; what it doesn't state is left out.
+pub(super) fn tokens(headers: &HeaderMap, names: &HeaderNames) -> Tokens {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let stated = text(&names.tokens).unwrap_or_default();
     let (prompt, most) = stated.split_once(',').unwrap_or((stated, ""));
-    let most: Option<u32> = most.trim().parse().ok();
+    let most_output: Option<u32> = most.trim().parse().ok();
     let hint: Option<u32> = text(&names.length_hint).and_then(|hint| hint.trim().parse().ok());
-    let output = match (hint, most) {
+    let likely_output = match (hint, most_output) {
         (Some(hint), Some(most)) => Some(hint.min(most)),
         (hint, most) => hint.or(most),
     };
-    (prompt.trim().parse().unwrap_or_default(), output)
+    Tokens { prompt: prompt.trim().parse().unwrap_or_default(), most_output, likely_output }
 }
 
 /// The parts of the prompt with their tokens; what can't be read ends the list.
