Log each placed request and each failure without blocking; serve metrics

Cause: refusals were logged without the request's id, lines were written by the process's only thread, and nothing was counted.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -8,14 +8,19 @@
 mod planner;
 mod start;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
 };
 
-use crate::{Dialect, FleetError, ProcessSettings, SettingsError, clock::Clock, http};
+use crate::{
+    Dialect, FleetError, ProcessSettings, SettingsError,
+    clock::Clock,
+    http::{self, ServerLimits},
+    metrics::{self, Metrics},
+};
 
 pub(crate) use lister::fetch as fetch_list;
 
@@ -56,8 +61,15 @@
             log::info!("core: SIGHUP; the settings of a core process apply at its next start");
         }
     });
+    let counted = Arc::new(Metrics::default());
+    if let Some(address) = settings.metrics {
+        let (listener, counted) = (http::bind(address)?, Arc::clone(&counted));
+        let handler = move |request| metrics::page(Arc::clone(&counted), request);
+        tokio::spawn(http::serve(listener, ServerLimits::default, stop.subscribe(), handler));
+    }
     let driver =
-        driver::Driver::new(settings, dialect, clock, link, started, inputs.clone()).run(received);
+        driver::Driver::new(settings, dialect, (clock, counted), link, started, inputs.clone());
+    let driver = driver.run(received);
     tokio::pin!(driver);
     tokio::select! {
         result = &mut driver => return result,
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -26,7 +26,9 @@
     link::LinkSender,
     message::{
         Backend, CoreCall, CoreReply, EntryHello, EntryReport, FleetMessage, HoldingChange, Member,
+        PlaceReply,
     },
+    metrics::Metrics,
     state::{Applied, Command, FleetState},
 };
 
@@ -109,6 +111,7 @@
     settings: ProcessSettings,
     dialect: &'static Dialect,
     clock: Clock,
+    metrics: Arc<Metrics>,
     own_link: SocketAddr,
     inputs: mpsc::Sender<Input>,
     client: Arc<HttpClient>,
@@ -136,6 +139,10 @@
     planner: Option<(Term, Planner)>,
     /// When another process was last known to lead.
     other_holder_ms: Option<u64>,
+    /// When another process said that it gives no more orders.
+    holder_stopped_ms: Option<u64>,
+    /// The process ends shortly and coordinates nothing any more.
+    stopping: bool,
     lag: Lag,
     /// When the lead may be handed over again.
     transfer_due_ms: u64,
@@ -147,7 +154,7 @@
     pub(super) fn new(
         settings: ProcessSettings,
         dialect: &'static Dialect,
-        clock: Clock,
+        (clock, metrics): (Clock, Arc<Metrics>),
         own_link: SocketAddr,
         started: Started,
         inputs: mpsc::Sender<Input>,
@@ -155,6 +162,7 @@
         let mut driver = Driver {
             dialect,
             clock,
+            metrics,
             own_link,
             inputs,
             client: HttpClient::new(),
@@ -182,6 +190,8 @@
             other_holder_ms: (!started.fleet_is_new).then(|| clock.now_ms()),
             lag: Lag::default(),
             transfer_due_ms: 0,
+            holder_stopped_ms: None,
+            stopping: false,
             loads_due_ms: 0,
             idle_check_due_ms: 0,
             settings,
@@ -251,6 +261,7 @@
             Input::OrderDone { order, outcome } => {
                 let now_ms = self.now_ms();
                 log::debug!("coordinator: {order:?} ends: {outcome:?}");
+                self.metrics.ordered(outcome.code());
                 if outcome == OrderOutcome::Fenced {
                     log::warn!("coordinator: an engine has seen a higher fencing token: {order:?}");
                 }
@@ -260,6 +271,10 @@
             }
             Input::Stopping => {
                 let now_ms = self.now_ms();
+                if self.planner.take().is_some() {
+                    self.cores.send_all(&FleetMessage::HolderStops);
+                }
+                self.stopping = true;
                 if let Ok(to) = self.replica.transfer_leadership(None, now_ms) {
                     log::info!("core: replica {to} takes over the lead");
                 }
@@ -330,6 +345,7 @@
                     Err(error) => log::warn!("core: a message of replica {from}: {error}"),
                 }
             }
+            FleetMessage::HolderStops => self.holder_stopped_ms = Some(self.now_ms()),
             FleetMessage::Join { replica, link } => self.join_asked(replica, link),
             FleetMessage::Call { id, call } => {
                 self.lead_call(call, Caller::Remote { sender, id });
@@ -830,7 +846,7 @@
         }
         let leads = self.is_current_leader();
         let planned_term = self.planner.as_ref().map(|(term, _)| *term);
-        if leads && planned_term != Some(term) {
+        if leads && !self.stopping && planned_term != Some(term) {
             let from_ms = self.may_order_from_ms(now_ms);
             log::info!(
                 "core: replica {} leads in term {term} and orders after {} ms",
@@ -849,15 +865,17 @@
 
     /// When this process may give orders, so that it takes no turns with the holder before.
     ///
-    /// A holder that engines would recognise by its old fencing token, and that has fallen silent,
-    /// is not waited for.
+    /// A holder that engines would recognise by its old fencing token, and that has said that it
+    /// stops or has fallen silent, is not waited for.
     fn may_order_from_ms(&self, now_ms: u64) -> u64 {
         let Some(other_ms) = self.other_holder_ms else { return 0 };
+        let lease_ms = self.settings.holder_lease_ms;
+        let stopped = self.holder_stopped_ms.is_some_and(|at_ms| now_ms < at_ms + lease_ms);
         let fell_silent = other_ms + FORMER_LEADER_MS <= now_ms;
-        if self.settings.engines_check_fencing && fell_silent {
+        if self.settings.engines_check_fencing && (stopped || fell_silent) {
             return now_ms;
         }
-        other_ms + self.settings.holder_lease_ms
+        other_ms + lease_ms
     }
 
     /// Gives orders and tells the entry processes what changed.
@@ -866,6 +884,9 @@
         let epoch = *epoch;
         let orders = planner.plan(now_ms, self.replica.leader_lease_valid(now_ms));
         for PlaceAnswer { entry, id, reply } in planner.take_answers() {
+            if matches!(reply, PlaceReply::Refused { .. }) {
+                self.metrics.refused("not_placed");
+            }
             if let Some(entry) = self.entries.get(&entry) {
                 entry.sender.send(FleetMessage::PlaceReply { id, reply });
             }
--- a/crates/redwinglatch-fleet/src/core/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/orders.rs
@@ -33,6 +33,20 @@
     Unknown,
 }
 
+impl OrderOutcome {
+    /// The name on the metrics page.
+    pub(super) fn code(self) -> &'static str {
+        match self {
+            OrderOutcome::Accepted => "accepted",
+            OrderOutcome::Holds => "holds",
+            OrderOutcome::Conflict => "conflict",
+            OrderOutcome::Fenced => "fenced",
+            OrderOutcome::Refused => "refused",
+            OrderOutcome::Unknown => "unknown",
+        }
+    }
+}
+
 /// Where an order or question goes.
 #[derive(Debug, Clone)]
 pub(super) struct EngineAddress {
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -25,6 +25,7 @@
     Dialect, FleetError, ProcessSettings, SettingsError,
     clock::Clock,
     http::{self, HttpClient, ServerLimits},
+    metrics::{self, Metrics},
 };
 
 use self::{budget::RetryBudgets, view::View};
@@ -44,6 +45,7 @@
     pub(crate) dialect: &'static Dialect,
     pub(crate) clock: Clock,
     pub(crate) client: Arc<HttpClient>,
+    pub(crate) metrics: Arc<Metrics>,
     view: Mutex<View>,
     budgets: Mutex<RetryBudgets>,
 }
@@ -80,6 +82,7 @@
         dialect,
         clock: Clock::start(),
         client: HttpClient::new(),
+        metrics: Arc::default(),
         view: Mutex::new(View::new(front)),
         budgets: Mutex::new(RetryBudgets::new(settings.retry_budget)),
         settings,
@@ -88,6 +91,15 @@
     core_links::start(&app);
     // The platform asks until the process ends.
     let (_serve_ready, ready_until) = watch::channel(false);
+    if let Some(address) = app.settings.metrics {
+        let (listener, counted) = (http::bind(address)?, Arc::clone(&app.metrics));
+        tokio::spawn(http::serve(
+            listener,
+            ServerLimits::default,
+            ready_until.clone(),
+            move |request| metrics::page(Arc::clone(&counted), request),
+        ));
+    }
     let ready_app = Arc::clone(&app);
     tokio::spawn(http::serve(ready_listener, ServerLimits::default, ready_until, move |request| {
         directory::ready(Arc::clone(&ready_app), request)
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -20,6 +20,8 @@
     message::PlaceRequest,
 };
 
+use crate::REQUEST_PLACED;
+
 use super::{
     App,
     in_flight::CallerRequest,
@@ -70,6 +72,16 @@
 }
 
 impl Prepared {
+    /// How log lines name the request.
+    pub(crate) fn log_name(&self) -> String {
+        format!(
+            "id={} route={} model={}",
+            self.request_id.as_deref().unwrap_or("-"),
+            self.route().name,
+            self.model.as_deref().unwrap_or("-"),
+        )
+    }
+
     fn place_request(&self, tried: &[BackendKey], received_at: Instant) -> PlaceRequest {
         let route = self.route();
         let age_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -137,13 +149,22 @@
         return Err(Reason::Draining);
     }
     app.budgets().count_request(app.now_ms(), &prepared.service);
+    let request = prepared.log_name();
+    let objective_ms = u128::from(prepared.route().objective_ms);
     let result = run(app, prepared, caller, received_at).await;
-    if let Err(reason) = result {
-        log::info!(
-            "request: reason={} after_ms={}",
-            reason.code(),
-            received_at.elapsed().as_millis()
-        );
+    let after_ms = received_at.elapsed().as_millis();
+    match &result {
+        Err(reason) => {
+            app.metrics.refused(reason.code());
+            log::info!("request: {request} outcome={} after_ms={after_ms}", reason.code());
+        }
+        Ok(response) => {
+            app.metrics.answered(after_ms);
+            if after_ms > objective_ms || !response.status().is_success() {
+                let status = response.status().as_u16();
+                log::info!("request: {request} outcome={status} after_ms={after_ms}");
+            }
+        }
     }
     result
 }
@@ -160,15 +181,29 @@
             Ok(found) => found,
             Err(reason) => return Err(give_up(&tries, reason)),
         };
+        log::info!(
+            target: REQUEST_PLACED,
+            "request: {} backend={} by={} config={} after_ms={} tries={}",
+            prepared.log_name(),
+            chosen.id,
+            if place.is_some() { "coordinator" } else { "entry" },
+            prepared.table.configuration().version,
+            received_at.elapsed().as_millis(),
+            tries.arrivals,
+        );
         let may_send_again = tries.arrivals < MAX_ARRIVALS
             && tries.runs < prepared.route().max_attempts.max(1)
             && (tries.runs == 0 || prepared.route().kind.may_repeat());
         if !may_send_again {
             return Err(give_up(&tries, Reason::RefusedByBackends));
         }
+        if tries.arrivals > 0 {
+            app.metrics.repeated(if tries.runs > 0 { "maybe_ran" } else { "not_run" });
+        }
         if tries.arrivals > 0 && !app.budgets().take_repeat(app.now_ms(), &prepared.service) {
             return Err(give_up(&tries, Reason::RefusedByBackends));
         }
+        app.metrics.waited(received_at.elapsed().as_millis());
         tries.arrivals += 1;
         tries.tried.push(chosen.key);
         let attempt =
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -188,11 +188,12 @@
         }
     }
 
-    /// Logs a stream whose first event or whose pauses missed the route's objective.
+    /// Counts a complete stream, and logs it if its first event or whose pauses missed the route's objective.
     fn log_late(&self, backend: BackendKey) {
         let route = self.prepared.route();
         let first_event_ms = self.times.first_event_ms.unwrap_or_default();
         let gap_ms = self.times.largest_gap_ms;
+        self.app.metrics.streamed(first_event_ms, gap_ms);
         if first_event_ms <= u128::from(route.objective_ms)
             && gap_ms <= u128::from(route.gap_objective_ms)
         {
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -17,7 +17,9 @@
 mod http;
 mod ids;
 mod link;
+mod logging;
 mod message;
+mod metrics;
 mod settings;
 mod state;
 
@@ -26,8 +28,11 @@
     HeldModel, Order, OrderKind, ReportedLoad, VersionChange,
 };
 pub use error::FleetError;
+pub use logging::init_logging;
 pub use settings::{ProcessSettings, RetryBudgetBounds, Role, SettingsError};
 
+pub(crate) use logging::REQUEST_PLACED;
+
 /// Runs the process until it is told to stop.
 ///
 /// # Errors
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -62,6 +62,8 @@
     Log { from: ReplicaId, to: ReplicaId, message: Vec<u8> },
     /// A core process that isn't a member of the log asks to become one.
     Join { replica: ReplicaId, link: SocketAddr },
+    /// The sender gives no more orders, because its process stops.
+    HolderStops,
     /// A call that only the leader of the log can answer.
     Call { id: u64, call: CoreCall },
     /// The answer to a call.
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -56,6 +56,8 @@
     pub control: Option<SocketAddr>,
     /// The port at which core processes accept connections of the fleet.
     pub link_port: u16,
+    /// Where counters and latencies are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Control addresses of some core processes.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole fleet starts for the first time.
@@ -149,6 +151,7 @@
             ready: address("ready", !core)?,
             directory: address("directory", !core)?,
             control: address("control", core)?,
+            metrics: read.optional("listen", "metrics", ADDRESS)?,
             link_port: read.required("fleet", "link_port", "a port")?,
             seeds: read.list("fleet", "seeds", ADDRESS)?,
             bootstrap: read.or("fleet", "bootstrap", "true or false", false)?,
