--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -63,7 +63,7 @@
 /// How much slower than an empty engine a full one counts.
 const FULL_BATCH_COST_MS: f64 = 100.0;
 /// Loads on their way before newer requests for other adapters are refused at once.
-const MAX_WAITING_ADAPTERS: usize = 40;
+const MAX_WAITING_ADAPTERS: usize = 24;
 /// The range of the time after which a refused caller may come back.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 600..2_400;
 
