--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -62,8 +62,10 @@
 const PIN_SLACK_MS: u64 = 2_000;
 /// How much slower than an empty engine a full one counts.
 const FULL_BATCH_COST_MS: f64 = 100.0;
-/// Loads on their way before newer requests for other adapters are refused at once.
+/// Adapters that may be waited for before requests for others are refused at once.
 const MAX_WAITING_ADAPTERS: usize = 24;
+/// The same for each load that the store serves at a time, where that is more.
+const WAITING_PER_STORE_LOAD: f64 = 1.5;
 /// The range of the time after which a refused caller may come back.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 600..2_400;
 
@@ -454,11 +456,13 @@
     /// Refuses the least urgent requests at once when more adapters are waited for than can be
     /// loaded in time.
     fn refuse_surplus(&mut self, now_ms: u64) {
+        let by_store = (self.store.limit() * WAITING_PER_STORE_LOAD) as usize;
+        let most = by_store.max(MAX_WAITING_ADAPTERS);
         let mut adapters: HashSet<ModelName> = HashSet::new();
         let waiting = std::mem::take(&mut self.waiting);
         for waiting in waiting {
             let known = adapters.contains(&waiting.request.model);
-            if !known && adapters.len() >= MAX_WAITING_ADAPTERS {
+            if !known && adapters.len() >= most {
                 log::debug!("coordinator: refuses a request at {now_ms}; too many wait");
                 self.refuse(&waiting);
                 continue;
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -41,6 +41,11 @@
         self.in_flight = in_flight;
     }
 
+    /// How many loads the store serves at full speed, as far as it is known.
+    pub(super) fn limit(&self) -> f64 {
+        self.limit
+    }
+
     pub(super) fn has_room(&self) -> bool {
         (self.in_flight as f64) < self.limit.floor()
     }
