Go through waiting requests every 4 ms, each adapter once

Cause: each message to the coordinator started a pass over all waiting requests and engines; with 140 engines this took the processor time of its instance. Change: a new request is tried alone, all others every 4 ms, and one refused request for an adapter stands for the others.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -28,6 +28,9 @@
 
 use super::orders::OrderOutcome;
 
+/// How often the waiting requests are gone through; each pass costs a look-up for each waiting
+/// adapter and engine.
+const PASS_INTERVAL_MS: u64 = 4;
 /// How often an engine is asked for its report.
 const REPORT_INTERVAL_MS: u64 = 1_000;
 /// How soon an engine that sent no report is asked again.
@@ -141,6 +144,8 @@
     may_order_from_ms: u64,
     /// Until then orders of another holder may still be carried out.
     reserve_until_ms: u64,
+    /// The next time that the waiting requests are gone through.
+    next_pass_ms: u64,
     changes: Vec<HoldingChange>,
     answers: Vec<PlaceAnswer>,
 }
@@ -159,6 +164,7 @@
             store: StoreLimit::default(),
             may_order_from_ms,
             reserve_until_ms: if is_first { 0 } else { may_order_from_ms + LATE_ORDER_MS },
+            next_pass_ms: 0,
             changes: Vec::new(),
             answers: Vec::new(),
         }
@@ -245,11 +251,14 @@
 
     /// Takes a request to be placed; the answer comes with [`Planner::take_answers`].
     pub(super) fn place(&mut self, now_ms: u64, entry: u64, id: u64, request: PlaceRequest) {
-        self.waiting.push(Waiting::new(now_ms, entry, id, request));
-        self.place_waiting(now_ms);
-        if self.waiting.iter().any(|waiting| (waiting.entry, waiting.id) == (entry, id)) {
-            self.answers.push(PlaceAnswer { entry, id, reply: PlaceReply::Queued });
+        let waiting = Waiting::new(now_ms, entry, id, request);
+        let model = &waiting.request.model;
+        let is_first = !self.waiting.iter().any(|other| other.request.model == *model);
+        if is_first && self.try_place(now_ms, &waiting) {
+            return;
         }
+        self.waiting.push(waiting);
+        self.answers.push(PlaceAnswer { entry, id, reply: PlaceReply::Queued });
     }
 
     /// Takes the end of a request, placed or not.
@@ -323,6 +332,10 @@
 
     /// Places what can be placed and returns the orders to give; each engine gets one at a time.
     pub(super) fn plan(&mut self, now_ms: u64, may_order: bool) -> Vec<PlannedOrder> {
+        if now_ms < self.next_pass_ms {
+            return Vec::new();
+        }
+        self.next_pass_ms = now_ms + PASS_INTERVAL_MS;
         self.end_old_pins(now_ms);
         for engine in self.engines.values_mut() {
             engine.end_old_reading(now_ms);
@@ -412,7 +425,18 @@
     fn place_waiting(&mut self, now_ms: u64) {
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_key(|waiting| waiting.rank(now_ms));
-        waiting.retain(|waiting| !self.try_place(now_ms, waiting));
+        // What the most urgent request for an adapter can't get, the others can't get either.
+        let mut blocked: HashSet<ModelName> = HashSet::new();
+        waiting.retain(|waiting| {
+            if blocked.contains(&waiting.request.model) && !waiting.is_over(now_ms) {
+                return true;
+            }
+            let ended = self.try_place(now_ms, waiting);
+            if !ended {
+                blocked.insert(waiting.request.model.clone());
+            }
+            !ended
+        });
         self.waiting = waiting;
         self.refuse_surplus(now_ms);
     }
