--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
@@ -0,0 +1,163 @@
+//! The coordinator, while this process leads.
+
+use std::sync::Arc;
+
+use redwinglatch_log::Term;
+
+use crate::{
+    Order,
+    core::{
+        orders::{self, EngineAddress},
+        planner::{EngineLimits, PlaceAnswer, PlannedOrder, Planner},
+    },
+    message::{Backend, CoreReply, FleetMessage, HoldingChange, PlaceReply},
+};
+
+use super::{Driver, FORMER_LEADER_MS, Input, LOADS_INTERVAL_MS};
+
+impl Driver {
+    /// Starts and ends the coordinator with leadership.
+    pub(super) fn follow_role(&mut self) {
+        let now_ms = self.now_ms();
+        let term = self.replica.term();
+        if !self.replica.is_leader() {
+            for (_, (_, caller)) in std::mem::take(&mut self.proposals) {
+                caller.answer(CoreReply::Unsure);
+            }
+            for (_, caller) in self.ready_reads.drain(..) {
+                caller.answer(CoreReply::Unsure);
+            }
+            let leader = self.replica.leader().and_then(|leader| self.heard_ms.get(&leader.0));
+            if let Some(heard_ms) = leader {
+                self.other_holder_ms = Some(*heard_ms);
+            }
+        }
+        let leads = self.is_current_leader();
+        let planned_term = self.planner.as_ref().map(|(term, _)| *term);
+        if leads && !self.stopping && planned_term != Some(term) {
+            self.leads_since_ms = now_ms;
+            let from_ms = self.may_order_from_ms(now_ms);
+            log::info!(
+                "core: replica {} leads in term {term} and orders after {} ms",
+                self.replica.id(),
+                from_ms.saturating_sub(now_ms),
+            );
+            let mut planner = Planner::new(from_ms, self.other_holder_ms.is_none());
+            planner.set_versions(&self.state.versions);
+            self.planner = Some((term, planner));
+            self.give_services();
+        } else if !leads && self.planner.is_some() {
+            log::info!("core: replica {} no longer leads", self.replica.id());
+            self.planner = None;
+        }
+    }
+
+    /// When this process may give orders, so that it takes no turns with the holder before.
+    ///
+    /// A holder that engines would recognise by its old fencing token, and that has said that it
+    /// stops or has fallen silent, is not waited for.
+    pub(super) fn may_order_from_ms(&self, now_ms: u64) -> u64 {
+        let Some(other_ms) = self.other_holder_ms else { return 0 };
+        let lease_ms = self.settings.holder_lease_ms;
+        let stopped = self.holder_stopped_ms.is_some_and(|at_ms| now_ms < at_ms + lease_ms);
+        let fell_silent = other_ms + FORMER_LEADER_MS <= now_ms;
+        if self.settings.engines_check_fencing && (stopped || fell_silent) {
+            return now_ms;
+        }
+        other_ms + lease_ms
+    }
+
+    /// Gives orders and tells the entry processes what changed.
+    pub(super) fn plan(&mut self, now_ms: u64) {
+        let Some((epoch, planner)) = &mut self.planner else { return };
+        let epoch = *epoch;
+        let orders = planner.plan(now_ms, self.replica.leader_lease_valid(now_ms));
+        for PlaceAnswer { entry, id, reply } in planner.take_answers() {
+            if matches!(reply, PlaceReply::Refused { .. }) {
+                self.metrics.refused("not_placed");
+            }
+            if let Some(entry) = self.entries.get(&entry) {
+                entry.sender.send(FleetMessage::PlaceReply { id, reply });
+            }
+        }
+        let changes: Vec<HoldingChange> = planner.take_changes();
+        for order in orders {
+            self.give_order(epoch, order);
+        }
+        if !changes.is_empty() {
+            self.send_entries(&FleetMessage::HoldingChanges { epoch, changes });
+        }
+    }
+
+    /// Asks engines for reports and tells entry processes how busy the engines are.
+    pub(super) fn coordinate(&mut self, now_ms: u64) {
+        let Some((_, planner)) = &mut self.planner else { return };
+        let due: Vec<_> = planner
+            .take_due_reports(now_ms)
+            .into_iter()
+            .filter_map(|key| planner.backend(key).map(|backend| (key, engine_address(backend))))
+            .collect();
+        let loads = (self.loads_due_ms <= now_ms).then(|| FleetMessage::Loads {
+            in_flight: planner.in_flight(),
+            silent: planner.silent(),
+        });
+        for (engine, address) in due {
+            let (client, dialect) = (Arc::clone(&self.client), self.dialect);
+            let inputs = self.inputs.clone();
+            tokio::spawn(async move {
+                let report = orders::report(&client, &address, dialect).await;
+                // The driver ends only with the process.
+                let _ = inputs.send(Input::Reported { engine, report }).await;
+            });
+        }
+        if let Some(loads) = loads {
+            self.loads_due_ms = now_ms + LOADS_INTERVAL_MS;
+            self.send_entries(&loads);
+        }
+    }
+
+    pub(super) fn give_order(&mut self, epoch: Term, planned: PlannedOrder) {
+        let backend =
+            self.planner.as_ref().and_then(|(_, planner)| planner.backend(planned.engine));
+        let Some(backend) = backend else { return };
+        let address = engine_address(backend);
+        let (model, adapter) = match planned.model.split_once('/') {
+            Some((model, adapter)) => (model.into(), Some(adapter.into())),
+            None => (planned.model.clone(), None),
+        };
+        let order = Order {
+            kind: planned.kind,
+            model,
+            adapter,
+            expected_sequence: None,
+            holder: self.settings.name.clone(),
+            fencing_token: epoch,
+        };
+        let (client, dialect) = (Arc::clone(&self.client), self.dialect);
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let outcome = orders::send(&client, &address, &order, dialect).await;
+            // The driver ends only with the process.
+            let _ = inputs.send(Input::OrderDone { order: planned, outcome }).await;
+        });
+    }
+
+    pub(super) fn give_services(&mut self) {
+        let now_ms = self.now_ms();
+        let (Some(table), Some((_, planner))) = (&self.table, &mut self.planner) else { return };
+        let services = table.engine_services().map(|(service, engine)| {
+            let limits = EngineLimits {
+                adapter_slots: engine.adapter_slots as usize,
+                slots: engine.slots,
+                cache_tokens: engine.cache_tokens,
+            };
+            (service.name.clone(), limits)
+        });
+        planner.set_services(services.collect());
+        planner.set_backends(now_ms, &self.backends);
+    }
+}
+
+fn engine_address(backend: &Backend) -> EngineAddress {
+    EngineAddress { address: backend.address, id: backend.id.clone() }
+}
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/driver/entries.rs
@@ -0,0 +1,206 @@
+//! What entry processes send and get.
+
+use redwinglatch_log::LogMessage;
+
+use crate::{
+    BackendEntry,
+    ids::{BackendKey, Fnv},
+    link::LinkSender,
+    message::{Backend, EntryHello, EntryReport, FleetMessage, Member},
+};
+
+use super::{Caller, Driver, EntryLink};
+
+impl Driver {
+    pub(super) fn received(&mut self, link: u64, sender: LinkSender, message: FleetMessage) {
+        match message {
+            FleetMessage::EntryHello(hello) => self.entry_connected(link, sender, hello),
+            FleetMessage::CoreHello { replica, link } => {
+                self.core_addresses.insert(replica.0, link);
+                self.dial(link);
+            }
+            FleetMessage::EntryReport(report) => self.entry_report(link, report),
+            FleetMessage::Place { id, request } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.place(now_ms, link, id, request);
+                }
+            }
+            FleetMessage::FirstEvent { id } => {
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.first_event(link, id);
+                }
+            }
+            FleetMessage::Release { id } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.release(now_ms, link, id);
+                }
+            }
+            FleetMessage::NotHeld { engine, model } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.not_held(now_ms, engine, &model);
+                }
+            }
+            FleetMessage::NeedConfiguration => {
+                if self.state.version > 0 {
+                    sender.send(self.configuration_message());
+                    sender.send(self.versions_message());
+                }
+            }
+            FleetMessage::NeedBackends => {
+                sender.send(self.backends_message());
+            }
+            FleetMessage::NeedHoldings => {
+                if let Some(message) = self.holdings_message() {
+                    sender.send(message);
+                }
+            }
+            FleetMessage::Log { from, to, message } if to == self.replica.id() => {
+                let now_ms = self.now_ms();
+                self.heard_ms.insert(from.0, now_ms);
+                match LogMessage::decode(&message) {
+                    Ok(message) => self.replica.step(from, message, now_ms),
+                    Err(error) => log::warn!("core: a message of replica {from}: {error}"),
+                }
+            }
+            FleetMessage::HolderStops => self.holder_stopped_ms = Some(self.now_ms()),
+            FleetMessage::Join { replica, link } => self.join_asked(replica, link),
+            FleetMessage::Call { id, call } => {
+                self.lead_call(call, Caller::Remote { sender, id });
+            }
+            other => log::debug!("core: an unexpected message is ignored: {other:?}"),
+        }
+    }
+
+    pub(super) fn answered(&mut self, message: FleetMessage) {
+        match message {
+            FleetMessage::CallReply { id, reply } => {
+                if let Some(waiting) = self.remote_calls.remove(&id) {
+                    // The operator's connection may be gone.
+                    let _ = waiting.send(reply);
+                }
+            }
+            FleetMessage::Cores(addresses) => {
+                for address in addresses {
+                    self.dial(address);
+                }
+            }
+            other => log::debug!("core: an unexpected answer is ignored: {other:?}"),
+        }
+    }
+
+    pub(super) fn entry_connected(&mut self, link: u64, sender: LinkSender, hello: EntryHello) {
+        log::info!("core: the entry process at {} is connected", hello.front);
+        // An older connection of the same process may not have ended yet.
+        self.entries.retain(|_, entry| entry.hello.front != hello.front);
+        sender.send(self.cores_message());
+        if self.state.version > 0 {
+            sender.send(FleetMessage::ConfigurationNotice { version: self.state.version });
+        }
+        sender.send(self.versions_message());
+        sender.send(FleetMessage::BackendsNotice { digest: self.backends_digest });
+        if let Some(message) = self.holdings_message() {
+            sender.send(message);
+        }
+        self.entries.insert(link, EntryLink { sender, hello, ready: false });
+        self.send_members();
+    }
+
+    pub(super) fn link_ended(&mut self, link: u64) {
+        let now_ms = self.now_ms();
+        if let Some(entry) = self.entries.remove(&link) {
+            log::info!("core: the entry process at {} is gone", entry.hello.front);
+            if let Some((_, planner)) = &mut self.planner {
+                planner.entry_gone(now_ms, link);
+            }
+            self.send_members();
+        }
+    }
+
+    pub(super) fn entry_report(&mut self, link: u64, report: EntryReport) {
+        let now_ms = self.now_ms();
+        let Some(entry) = self.entries.get_mut(&link) else { return };
+        let ready = report.ready && !report.draining;
+        let changed = entry.ready != ready;
+        entry.ready = ready;
+        if changed {
+            self.send_members();
+        }
+        if let Some((_, planner)) = &mut self.planner {
+            planner.entry_report(now_ms, link, report);
+        }
+    }
+
+    pub(super) fn send_members(&mut self) {
+        let mut members: Vec<Member> = self
+            .entries
+            .values()
+            .filter(|entry| entry.ready)
+            .map(|entry| Member {
+                front: entry.hello.front,
+                data_centre: entry.hello.data_centre.clone(),
+            })
+            .collect();
+        members.sort_unstable_by_key(|member| member.front);
+        self.send_entries(&FleetMessage::Members(members));
+    }
+
+    pub(super) fn send_entries(&self, message: &FleetMessage) {
+        for entry in self.entries.values() {
+            entry.sender.send(message.clone());
+        }
+    }
+
+    pub(super) fn cores_message(&self) -> FleetMessage {
+        let mut addresses: Vec<_> = self.cores.addresses().collect();
+        addresses.push(self.own_link);
+        FleetMessage::Cores(addresses)
+    }
+
+    pub(super) fn configuration_message(&self) -> FleetMessage {
+        let (version, document) = (self.state.version, self.state.document.clone());
+        FleetMessage::Configuration { version, document }
+    }
+
+    pub(super) fn versions_message(&self) -> FleetMessage {
+        let versions = self.state.versions.iter();
+        FleetMessage::Versions(versions.map(|(model, version)| (model.clone(), *version)).collect())
+    }
+
+    pub(super) fn backends_message(&self) -> FleetMessage {
+        FleetMessage::Backends { digest: self.backends_digest, entries: self.backends.clone() }
+    }
+
+    pub(super) fn holdings_message(&self) -> Option<FleetMessage> {
+        let (epoch, planner) = self.planner.as_ref()?;
+        Some(FleetMessage::Holdings { epoch: *epoch, held: planner.holdings() })
+    }
+
+    pub(super) fn listed(&mut self, entries: Vec<BackendEntry>) {
+        let now_ms = self.now_ms();
+        let mut backends: Vec<Backend> = entries
+            .into_iter()
+            .map(|entry| Backend {
+                key: BackendKey::new(&entry.id, entry.address, entry.born_ms),
+                id: entry.id,
+                service: entry.service,
+                address: entry.address,
+                data_centre: entry.data_centre,
+                slots: entry.slots,
+                leaving: entry.leaving,
+            })
+            .collect();
+        backends.sort_unstable_by_key(|backend| backend.key);
+        backends.dedup_by_key(|backend| backend.key);
+        let mut digest = Fnv::new();
+        digest.write(&postcard::to_allocvec(&backends).expect("the list encodes into memory"));
+        self.backends_digest = digest.0;
+        self.backends = backends;
+        if let Some((_, planner)) = &mut self.planner {
+            planner.set_backends(now_ms, &self.backends);
+        }
+        self.send_entries(&FleetMessage::BackendsNotice { digest: self.backends_digest });
+    }
+}
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -9,6 +9,8 @@
 //! delays the events of all streams that the engine generates.
 
 mod engine;
+mod loading;
+mod placing;
 mod store_limit;
 mod waiting;
 
@@ -16,18 +18,16 @@
 
 use crate::{
     EngineReport, OrderKind,
-    ids::{BackendKey, ModelName, rendezvous},
+    ids::{BackendKey, ModelName},
     message::{Backend, EntryReport, Held, HoldingChange, PlaceReply, PlaceRequest},
 };
 
 use self::{
-    engine::{Engine, Holding, Phase},
+    engine::{Engine, Phase},
     store_limit::StoreLimit,
     waiting::Waiting,
 };
 
-use super::orders::OrderOutcome;
-
 /// How often the waiting requests are gone through; each pass costs a look-up for each waiting
 /// adapter and engine.
 const PASS_INTERVAL_MS: u64 = 4;
@@ -353,61 +353,6 @@
         orders
     }
 
-    /// Takes the answer to an order.
-    pub(super) fn order_done(&mut self, now_ms: u64, order: &PlannedOrder, outcome: OrderOutcome) {
-        let Some(engine) = self.engines.get_mut(&order.engine) else { return };
-        engine.order_in_flight = false;
-        let Some(holding) = engine.holdings.get_mut(&order.model) else { return };
-        match (outcome, order.kind) {
-            (OrderOutcome::Accepted, OrderKind::Load) => {
-                let age_ms = now_ms.saturating_sub(holding.since_ms);
-                holding.repeat_ms = if age_ms < RELOAD_MS {
-                    holding.since_ms + RELOAD_MS
-                } else {
-                    (holding.since_ms + STORE_LOAD_MS).max(now_ms + CONFIRM_INTERVAL_MS)
-                };
-            }
-            (OrderOutcome::Holds, OrderKind::Load) => {
-                if holding.phase == Phase::Coming && holding.from_store {
-                    self.store.load_took(now_ms.saturating_sub(holding.since_ms));
-                }
-                holding.phase = Phase::Ready;
-                holding.since_ms = now_ms;
-
-                self.changes.push(HoldingChange::Ready(Held {
-                    engine: order.engine,
-                    model: order.model.clone(),
-                    version: holding.version,
-                }));
-            }
-            (OrderOutcome::Accepted, OrderKind::Unload) => {
-                holding.repeat_ms = now_ms + DROP_INTERVAL_MS;
-            }
-            (OrderOutcome::Holds, OrderKind::Unload) => engine.forget(now_ms, &order.model),
-            (OrderOutcome::Unknown, kind) => {
-                holding.repeat_ms = now_ms + UNKNOWN_PAUSE_MS;
-                engine.paused_until_ms = now_ms + UNKNOWN_PAUSE_MS;
-                engine.report_due_ms = engine.report_due_ms.min(now_ms);
-                if kind == OrderKind::Load {
-                    engine.late_loads.insert(order.model.clone(), now_ms + LATE_ORDER_MS);
-                }
-            }
-            (OrderOutcome::Conflict, _) => {
-                holding.repeat_ms = now_ms + CONFLICT_PAUSE_MS;
-                engine.paused_until_ms = now_ms + CONFLICT_PAUSE_MS;
-            }
-            (OrderOutcome::Fenced | OrderOutcome::Refused, _) => {
-                engine.paused_until_ms = now_ms + REFUSED_PAUSE_MS;
-                holding.repeat_ms = now_ms + REFUSED_PAUSE_MS;
-                if order.kind == OrderKind::Load {
-                    // An earlier order for the same load may have been accepted.
-                    engine.holdings.remove(&order.model);
-                    engine.late_loads.insert(order.model.clone(), now_ms + LATE_ORDER_MS);
-                }
-            }
-        }
-    }
-
     fn end_old_pins(&mut self, now_ms: u64) {
         let old: Vec<_> = self
             .pins
@@ -420,329 +365,9 @@
         }
     }
 
-    /// Places waiting requests on engines that hold their adapters, the most urgent first, and
-    /// refuses those whose time is over.
-    fn place_waiting(&mut self, now_ms: u64) {
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| waiting.rank(now_ms));
-        // What the most urgent request for an adapter can't get, the others can't get either.
-        let mut blocked: HashSet<ModelName> = HashSet::new();
-        waiting.retain(|waiting| {
-            if blocked.contains(&waiting.request.model) && !waiting.is_over(now_ms) {
-                return true;
-            }
-            let ended = self.try_place(now_ms, waiting);
-            if !ended {
-                blocked.insert(waiting.request.model.clone());
-            }
-            !ended
-        });
-        self.waiting = waiting;
-        self.refuse_surplus(now_ms);
-    }
-
-    /// Places or refuses a request and returns whether it no longer waits.
-    fn try_place(&mut self, now_ms: u64, waiting: &Waiting) -> bool {
-        let request = &waiting.request;
-        let id = (waiting.entry, waiting.id);
-        let best = self.best_engine(request);
-        if let Some((key, version)) = best
-            && let Some(engine) = self.engines.get_mut(&key)
-            && engine.can_read(request)
-        {
-            engine.place(now_ms, id, request);
-            let pin = Pin {
-                engine: key,
-                model: request.model.clone(),
-                tokens: request.tokens(),
-                ends_ms: now_ms + request.left_ms + PIN_SLACK_MS,
-            };
-            self.pins.insert(id, pin);
-            self.answer(waiting, PlaceReply::Placed { engine: key, version });
-            return true;
-        }
-        if waiting.is_over(now_ms) {
-            self.refuse(waiting);
-            return true;
-        }
-        false
-    }
-
-    fn answer(&mut self, waiting: &Waiting, reply: PlaceReply) {
-        self.answers.push(PlaceAnswer { entry: waiting.entry, id: waiting.id, reply });
-    }
-
-    fn refuse(&mut self, waiting: &Waiting) {
-        let retry_after_ms = fastrand::u64(RETRY_AFTER_MS);
-        self.answer(waiting, PlaceReply::Refused { retry_after_ms });
-    }
-
-    /// Refuses the least urgent requests at once when more adapters are waited for than can be
-    /// loaded in time.
-    fn refuse_surplus(&mut self, now_ms: u64) {
-        let by_store = (self.store.limit() * WAITING_PER_STORE_LOAD) as usize;
-        let most = by_store.max(MAX_WAITING_ADAPTERS);
-        let mut adapters: HashSet<ModelName> = HashSet::new();
-        let waiting = std::mem::take(&mut self.waiting);
-        for waiting in waiting {
-            let known = adapters.contains(&waiting.request.model);
-            if !known && adapters.len() >= most {
-                log::debug!("coordinator: refuses a request at {now_ms}; too many wait");
-                self.refuse(&waiting);
-                continue;
-            }
-            adapters.insert(waiting.request.model.clone());
-            self.waiting.push(waiting);
-        }
-    }
-
-    /// The engine that holds the adapter and starts the request first.
-    fn best_engine(&self, request: &PlaceRequest) -> Option<(BackendKey, Option<u64>)> {
-        let newest = self.versions.get(&request.model).copied();
-        let engines = self.engines.iter();
-        let candidates = engines.filter_map(|(key, engine)| {
-            let holding = engine.holdings.get(&request.model)?;
-            let serves = holding.phase == Phase::Ready
-                && newest.is_none_or(|newest| holding.version >= newest)
-                && *engine.backend.service == *request.service
-                && engine.takes_work()
-                && !request.tried.contains(key)
-                && engine.has_room(request);
-            serves.then(|| {
-                let fill = f64::from(engine.placed) / f64::from(engine.limits.slots.max(1));
-                let cost = engine.backlog_ms() + fill * FULL_BATCH_COST_MS;
-                (cost, *key, newest.map(|_| holding.version))
-            })
-        });
-        candidates
-            .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(_, key, version)| (key, version))
-    }
-
     fn newest_version(&self, model: &str) -> u64 {
         self.versions.get(model).copied().unwrap_or_default()
     }
-
-    /// Adds an order to the plan and counts it as sent.
-    fn give(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>, order: PlannedOrder) {
-        let Some(engine) = self.engines.get_mut(&order.engine) else { return };
-        engine.order_in_flight = true;
-        let phase = match order.kind {
-            OrderKind::Load => Phase::Coming,
-            OrderKind::Unload => Phase::Going,
-        };
-        let from_store = !engine.held_lately(&order.model);
-        let newest = self.versions.get(&order.model).copied().unwrap_or_default().max(1);
-        let holding = engine
-            .holdings
-            .entry(order.model.clone())
-            .or_insert_with(|| Holding::new(0, phase, now_ms));
-        holding.repeat_ms = u64::MAX;
-        if holding.phase != phase {
-            if holding.phase == Phase::Ready {
-                let model = order.model.clone();
-                self.changes.push(HoldingChange::Gone { engine: order.engine, model });
-            }
-            holding.phase = phase;
-            holding.since_ms = now_ms;
-        }
-        if holding.since_ms == now_ms && order.kind == OrderKind::Load {
-            holding.from_store = from_store;
-            holding.version = newest;
-            if from_store {
-                self.store.load_started();
-            }
-        }
-        orders.push(order);
-    }
-
-    /// Sends orders again whose end is to be expected.
-    fn repeat_orders(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        let due: Vec<PlannedOrder> = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| engine.can_take_order(now_ms))
-            .filter_map(|(key, engine)| {
-                let (model, holding) = engine
-                    .holdings
-                    .iter()
-                    .filter(|(model, holding)| {
-                        // A load that is sent again would fetch the newest version beside this
-                        // one; a report tells when this one is in place.
-                        let is_old = holding.phase == Phase::Coming
-                            && holding.version < self.newest_version(model);
-                        holding.phase != Phase::Ready && holding.repeat_ms <= now_ms && !is_old
-                    })
-                    .min_by_key(|(_, holding)| holding.repeat_ms)?;
-                let kind = match holding.phase {
-                    Phase::Going => OrderKind::Unload,
-                    Phase::Ready | Phase::Coming => OrderKind::Load,
-                };
-                Some(PlannedOrder { engine: *key, kind, model: model.clone() })
-            })
-            .collect();
-        for order in due {
-            self.give(now_ms, orders, order);
-        }
-    }
-
-    /// Drops older versions that no request uses.
-    ///
-    /// The newest version is loaded where the old one isn't in place: a load beside the old version
-    /// would take a second slot for as long as the old one has requests.
-    fn drop_old_versions(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        let mut due: Vec<PlannedOrder> = Vec::new();
-        for (model, newest) in &self.versions {
-            for (key, engine) in &self.engines {
-                let is_unused_old = engine.holdings.get(model).is_some_and(|holding| {
-                    holding.phase == Phase::Ready
-                        && holding.version < *newest
-                        && holding.pins == 0
-                        && !self.in_use(*key, model)
-                });
-                let is_planned = due.iter().any(|order| order.engine == *key);
-                if is_unused_old && engine.can_take_order(now_ms) && !is_planned {
-                    let model = model.clone();
-                    due.push(PlannedOrder { engine: *key, kind: OrderKind::Unload, model });
-                }
-            }
-        }
-        for order in due {
-            self.give(now_ms, orders, order);
-        }
-    }
-
-    fn reserved_slots(&self, now_ms: u64) -> usize {
-        if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 }
-    }
-
-    /// Loads adapters that requests wait for, the most urgent first.
-    fn load_for_waiting(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        let mut seen: HashSet<ModelName> = HashSet::new();
-        let mut missing = Vec::new();
-        let mut crowded = Vec::new();
-        for waiting in &self.waiting {
-            let model = &waiting.request.model;
-            if !seen.insert(model.clone()) {
-                continue;
-            }
-            match self.copies(model) {
-                Copies::None => missing.push(model.clone()),
-                Copies::Ready { since_ms } => {
-                    if waiting.received_ms.max(since_ms) + COPY_WAIT_MS <= now_ms {
-                        crowded.push(model.clone());
-                    }
-                }
-                Copies::Coming => {}
-            }
-        }
-        // A first copy serves requests that can't be served otherwise.
-        for model in missing.into_iter().chain(crowded) {
-            if let Some(order) = self.next_order_for(now_ms, &model) {
-                self.give(now_ms, orders, order);
-            }
-        }
-    }
-
-    /// Whether engines that take work hold an adapter or load it.
-    fn copies(&self, model: &str) -> Copies {
-        let newest = self.newest_version(model);
-        let mut copies = Copies::None;
-        for engine in self.engines.values().filter(|engine| engine.takes_work()) {
-            let Some(holding) = engine.holdings.get(model) else { continue };
-            match (holding.phase, &copies) {
-                _ if holding.version < newest => {}
-                (Phase::Coming, _) => return Copies::Coming,
-                (Phase::Ready, Copies::Ready { since_ms }) if *since_ms > holding.since_ms => {}
-                (Phase::Ready, _) => copies = Copies::Ready { since_ms: holding.since_ms },
-                (Phase::Going, _) => {}
-            }
-        }
-        copies
-    }
-
-    /// The next order on the way to a copy of `model`: a load, or a drop that makes room for it.
-    ///
-    /// An engine that held the adapter lately is preferred, because its load doesn't take the
-    /// weight store's time; the others follow in the order of the adapter's preference.
-    fn next_order_for(&self, now_ms: u64, model: &str) -> Option<PlannedOrder> {
-        let base = model.split('/').next().unwrap_or(model);
-        let mut preferred: Vec<(bool, u64, BackendKey, u32)> = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| {
-                engine.takes_work()
-                    && engine.models.iter().any(|held| **held == *base)
-                    && !engine.holdings.contains_key(model)
-            })
-            .map(|(key, engine)| {
-                (engine.held_lately(model), rendezvous(model, *key), *key, engine.placed)
-            })
-            .collect();
-        preferred.sort_unstable_by_key(|(lately, preference, ..)| {
-            std::cmp::Reverse((*lately, *preference))
-        });
-        let least = preferred.iter().map(|(.., placed)| *placed).min()?;
-        let store_is_free = self.store.has_room();
-        preferred
-            .iter()
-            .filter(|(lately, _, _, placed)| {
-                *placed <= least + HOME_LOAD_SLACK && (*lately || store_is_free)
-            })
-            .find_map(|(_, _, key, _)| match self.step_towards(now_ms, *key, model) {
-                Step::Order(order) => Some(Some(order)),
-                // The engine can take the adapter in a moment.
-                Step::Wait => Some(None),
-                Step::Full => None,
-            })
-            .flatten()
-    }
-
-    fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Step {
-        let Some(engine) = self.engines.get(&key) else { return Step::Full };
-        let reserved = self.reserved_slots(now_ms);
-        let kind = if engine.taken_slots(now_ms) + reserved < engine.limits.adapter_slots {
-            if engine.coming() >= MAX_COMING {
-                return Step::Wait;
-            }
-            OrderKind::Load
-        } else if engine.holdings.values().any(|holding| holding.phase == Phase::Going) {
-            return Step::Wait;
-        } else {
-            OrderKind::Unload
-        };
-        let model = match kind {
-            OrderKind::Load => Some(ModelName::from(model)),
-            OrderKind::Unload => self.victim(now_ms, key, engine),
-        };
-        match model {
-            Some(model) if engine.can_take_order(now_ms) => {
-                Step::Order(PlannedOrder { engine: key, kind, model })
-            }
-            Some(_) => Step::Wait,
-            None => Step::Full,
-        }
-    }
-
-    /// The adapter that makes room for another one.
-    fn victim(&self, now_ms: u64, key: BackendKey, engine: &Engine) -> Option<ModelName> {
-        let unused = engine.holdings.iter().filter(|(held, holding)| {
-            held.contains('/')
-                && holding.phase == Phase::Ready
-                && holding.pins == 0
-                && holding.used_ms + RECENT_USE_MS <= now_ms
-                && !self.in_use(key, held)
-                && !self.waiting.iter().any(|waiting| waiting.request.model == **held)
-        });
-        unused
-            .min_by_key(|(held, holding)| (holding.used_ms, (*held).clone()))
-            .map(|(held, _)| held.clone())
-    }
-
-    fn in_use(&self, key: BackendKey, model: &str) -> bool {
-        let used = (key, ModelName::from(model));
-        self.entries.values().any(|entry| entry.in_use.contains(&used))
-    }
 }
 
 #[cfg(test)]
--- a/crates/redwinglatch-fleet/src/core/start.rs
+++ b/crates/redwinglatch-fleet/src/core/start.rs
@@ -20,7 +20,7 @@
 /// Holds the id of this replica.
 const IDENTITY_FILE: &str = "replica-id";
 /// Ids below are those of the first core processes, in the order of their addresses.
-pub(super) const FIRST_RANDOM_ID: u32 = 1_000;
+const FIRST_RANDOM_ID: u32 = 1_000;
 /// Entries after which a snapshot is taken; a configuration is the largest of them.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 200;
 /// Bytes of entries after which a snapshot is taken; a small part of the data folder.
