Name the engine's sequence in every order

The leader was stopped and its successor ordered 22 ms later. The engines' reports lagged by about 200 ms: one listed an adapter as coming that had been dropped 85 ms before, and the successor sent its load again; the other missed three loads accepted in the last 200 ms, and the two reserved slots were not enough. Ruled out: orders carried out late, loads beside an older version, orders of two holders at a time.

Change: each order carries the number of orders that the engine has accepted as far as known; the engine refuses it if that differs. A report that is older than the last accepted order is ignored, one with a higher number corrects all holdings. Repeated orders count once. A refusal "not held" by an engine no longer frees the slot; the adapter is dropped by an order. The reserved slots, the 15 s for late orders and the list of recent drops are gone. Two tests of those slots are replaced by ones that carry the late order out, after 0 to 3 s, and check the engine's slots; three new ones.

--- a/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
@@ -42,7 +42,7 @@
                 self.replica.id(),
                 from_ms.saturating_sub(now_ms),
             );
-            let mut planner = Planner::new(from_ms, self.other_holder_ms.is_none());
+            let mut planner = Planner::new(from_ms);
             planner.set_versions(&self.state.versions);
             self.planner = Some((term, planner));
             self.give_services();
@@ -129,7 +129,7 @@
             kind: planned.kind,
             model,
             adapter,
-            expected_sequence: None,
+            expected_sequence: Some(planned.expected_sequence),
             holder: self.settings.name.clone(),
             fencing_token: epoch,
         };
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -23,7 +23,7 @@
 };
 
 use self::{
-    engine::{Engine, Phase},
+    engine::{Engine, OrderState, Phase},
     store_limit::StoreLimit,
     waiting::Waiting,
 };
@@ -44,7 +44,7 @@
 /// How long to wait after an order without an answer.
 const UNKNOWN_PAUSE_MS: u64 = 150;
 /// How long to wait after an order that another one was in the way of.
-const CONFLICT_PAUSE_MS: u64 = 60;
+const CONFLICT_PAUSE_MS: u64 = 100;
 /// When a load from the engine's own memory is complete.
 const RELOAD_MS: u64 = 28;
 /// When a load from the weight store is usually complete.
@@ -53,10 +53,6 @@
 const CONFIRM_INTERVAL_MS: u64 = 20;
 /// How often the engine is asked about a drop that waits for requests in flight.
 const DROP_INTERVAL_MS: u64 = 250;
-/// An order without an answer may be carried out this much later.
-const LATE_ORDER_MS: u64 = 15_000;
-/// Slots that a new coordinator leaves free for late orders of the one before.
-const RESERVED_SLOTS: usize = 2;
 /// A home with this many more requests than the next candidate is passed over.
 const HOME_LOAD_SLACK: u32 = 10;
 /// An adapter gets another copy when a request has waited this long for engines that hold it.
@@ -78,6 +74,8 @@
     pub(super) engine: BackendKey,
     pub(super) kind: OrderKind,
     pub(super) model: ModelName,
+    /// The number of orders that the engine must have accepted before.
+    pub(super) expected_sequence: u64,
 }
 
 /// How much each engine of a service holds and runs.
@@ -142,8 +140,6 @@
     store: StoreLimit,
     /// No order is given before, because another holder may still be in charge.
     may_order_from_ms: u64,
-    /// Until then orders of another holder may still be carried out.
-    reserve_until_ms: u64,
     /// The next time that the waiting requests are gone through.
     next_pass_ms: u64,
     changes: Vec<HoldingChange>,
@@ -151,9 +147,8 @@
 }
 
 impl Planner {
-    /// Creates the plan of a coordinator that gives orders after `may_order_from_ms`; `is_first`
-    /// tells that no other process has given any.
-    pub(super) fn new(may_order_from_ms: u64, is_first: bool) -> Planner {
+    /// Creates the plan of a coordinator that gives orders after `may_order_from_ms`.
+    pub(super) fn new(may_order_from_ms: u64) -> Planner {
         Planner {
             engines: BTreeMap::new(),
             services: HashMap::new(),
@@ -163,7 +158,6 @@
             versions: BTreeMap::new(),
             store: StoreLimit::default(),
             may_order_from_ms,
-            reserve_until_ms: if is_first { 0 } else { may_order_from_ms + LATE_ORDER_MS },
             next_pass_ms: 0,
             changes: Vec::new(),
             answers: Vec::new(),
@@ -279,11 +273,16 @@
     }
 
     /// An engine refused a request because it doesn't hold the adapter.
+    ///
+    /// The refusal doesn't show that the slot is free, so the adapter is dropped by an order.
     pub(super) fn not_held(&mut self, now_ms: u64, key: BackendKey, model: &str) {
         let Some(engine) = self.engines.get_mut(&key) else { return };
-        let ready = engine.holdings.get(model).is_some_and(|held| held.phase == Phase::Ready);
-        if ready {
-            engine.forget(now_ms, model);
+        let Some(holding) = engine.holdings.get_mut(model) else { return };
+        if holding.phase == Phase::Ready {
+            holding.phase = Phase::Going;
+            holding.order = OrderState::Sent;
+            holding.since_ms = now_ms;
+            holding.repeat_ms = now_ms;
             engine.report_due_ms = now_ms;
             self.changes.push(HoldingChange::Gone { engine: key, model: model.into() });
         }
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -3,12 +3,12 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 
 use crate::{
-    EngineReport, HeldAdapter,
+    EngineReport, HeldAdapter, OrderKind,
     ids::{BackendKey, ModelName},
     message::{Backend, Held, HoldingChange, PlaceRequest},
 };
 
-use super::EngineLimits;
+use super::{EngineLimits, PlannedOrder};
 
 /// How much a report may lag behind what the engine has answered to orders.
 const REPORT_LAG_MS: u64 = 1_000;
@@ -37,10 +37,22 @@
     Going,
 }
 
+/// What is known of the order of a phase.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OrderState {
+    /// The engine has not answered it yet.
+    Sent,
+    /// The engine may have accepted it.
+    Unanswered,
+    /// The engine has accepted it.
+    Accepted,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct Holding {
     pub(super) version: u64,
     pub(super) phase: Phase,
+    pub(super) order: OrderState,
     /// When the phase began.
     pub(super) since_ms: u64,
     /// When the order of the phase is sent again.
@@ -57,6 +69,7 @@
         Holding {
             version,
             phase,
+            order: OrderState::Accepted,
             since_ms: now_ms,
             repeat_ms: u64::MAX,
             used_ms: now_ms,
@@ -81,12 +94,13 @@
     /// The base models, once the engine has reported them.
     pub(super) models: Vec<ModelName>,
     pub(super) holdings: HashMap<ModelName, Holding>,
-    /// Adapters that were dropped, and when; reports lag.
-    pub(super) dropped: HashMap<ModelName, u64>,
+    /// How many orders the engine has accepted, once it has reported that. Every order names this
+    /// number, so the engine carries none out whose plan rests on an older state.
+    sequence: Option<u64>,
+    /// When the engine may have accepted an order for the last time.
+    sequence_since_ms: u64,
     /// Adapters that the engine dropped, the oldest first; it still has the newest of them.
     dropped_lately: VecDeque<ModelName>,
-    /// Loads without an answer, and until when they may still be carried out.
-    pub(super) late_loads: HashMap<ModelName, u64>,
     pub(super) order_in_flight: bool,
     pub(super) paused_until_ms: u64,
     pub(super) report_due_ms: u64,
@@ -108,9 +122,9 @@
             limits,
             models: Vec::new(),
             holdings: HashMap::new(),
-            dropped: HashMap::new(),
+            sequence: None,
+            sequence_since_ms: 0,
             dropped_lately: VecDeque::new(),
-            late_loads: HashMap::new(),
             order_in_flight: false,
             paused_until_ms: 0,
             report_due_ms: now_ms,
@@ -124,7 +138,22 @@
     }
 
     pub(super) fn can_take_order(&self, now_ms: u64) -> bool {
-        !self.models.is_empty() && !self.order_in_flight && self.paused_until_ms <= now_ms
+        self.sequence.is_some()
+            && !self.models.is_empty()
+            && !self.order_in_flight
+            && self.paused_until_ms <= now_ms
+    }
+
+    /// An order that rests on what is known of the engine now.
+    pub(super) fn order(&self, kind: OrderKind, model: ModelName) -> PlannedOrder {
+        let expected_sequence = self.sequence.unwrap_or_default();
+        PlannedOrder { engine: self.backend.key, kind, model, expected_sequence }
+    }
+
+    /// The engine has accepted an order, or may have.
+    pub(super) fn accepted(&mut self, now_ms: u64, order: &PlannedOrder) {
+        self.sequence = self.sequence.max(Some(order.expected_sequence + 1));
+        self.sequence_since_ms = now_ms;
     }
 
     pub(super) fn takes_work(&self) -> bool {
@@ -149,15 +178,9 @@
         self.dropped_lately.iter().any(|dropped| **dropped == *model)
     }
 
-    /// Slots that are taken or may still be.
-    pub(super) fn taken_slots(&self, now_ms: u64) -> usize {
-        let held = self.holdings.keys().filter(|model| model.contains('/')).count();
-        let late = self
-            .late_loads
-            .iter()
-            .filter(|(model, until_ms)| now_ms < **until_ms && !self.holdings.contains_key(*model))
-            .count();
-        held + late
+    /// Slots that are taken, also by loads and drops that have not ended.
+    pub(super) fn taken_slots(&self) -> usize {
+        self.holdings.keys().filter(|model| model.contains('/')).count()
     }
 
     /// How long a prompt that is sent now waits for the prompts before it.
@@ -235,9 +258,8 @@
     }
 
     /// Forgets an adapter and its prompts.
-    pub(super) fn forget(&mut self, now_ms: u64, model: &str) {
+    pub(super) fn forget(&mut self, model: &str) {
         self.holdings.remove(model);
-        self.dropped.insert(model.into(), now_ms);
         self.dropped_lately.retain(|dropped| **dropped != *model);
         self.dropped_lately.push_back(model.into());
         if self.dropped_lately.len() > MAX_DROPPED_LATELY {
@@ -248,7 +270,8 @@
 
     /// Corrects what is known of the engine by its report.
     ///
-    /// A report lags, so it says nothing about what changed shortly before.
+    /// A report lags. One that was made before the last accepted order says nothing new, and one
+    /// that was made after orders of others shows all that they have changed.
     pub(super) fn take_report(
         &mut self,
         now_ms: u64,
@@ -256,15 +279,31 @@
         changes: &mut Vec<HoldingChange>,
     ) {
         let made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
-        self.dropped.retain(|_, dropped_ms| made_ms < *dropped_ms);
-        self.late_loads.retain(|_, until_ms| now_ms < *until_ms);
         self.models = report.models.iter().map(|model| model.name.clone()).collect();
+        let known = self.sequence;
+        let is_old = known.is_some_and(|known| report.sequence < known);
+        if is_old && made_ms < self.sequence_since_ms {
+            return;
+        }
+        let has_changed = known != Some(report.sequence);
+        self.sequence = Some(report.sequence);
         let reported = reported_models(report);
         let engine = self.backend.key;
+        let order_in_flight = self.order_in_flight;
         self.holdings.retain(|model, holding| {
             let listed = reported.contains_key(model)
                 || report.coming.iter().any(|coming| coming.name == *model);
-            if listed || made_ms < holding.since_ms {
+            let carried_out = match holding.phase {
+                Phase::Coming => listed,
+                Phase::Going => !listed && has_changed,
+                Phase::Ready => false,
+            };
+            if carried_out {
+                // The reported number counts the order of this phase already.
+                holding.order = OrderState::Accepted;
+            }
+            let is_recent = made_ms < holding.since_ms && (order_in_flight || !has_changed);
+            if listed || is_recent {
                 return true;
             }
             if holding.phase == Phase::Ready {
@@ -274,19 +313,14 @@
             false
         });
         for coming in &report.coming {
-            if !self.dropped.contains_key(&coming.name) {
-                let holding = self.holdings.entry(coming.name.clone());
-                let holding = holding.or_insert_with(|| Holding::new(0, Phase::Coming, now_ms));
-                if holding.since_ms == now_ms {
-                    holding.repeat_ms = now_ms;
-                }
-            }
+            self.holdings.entry(coming.name.clone()).or_insert_with(|| {
+                let holding = Holding::new(0, Phase::Coming, now_ms);
+                Holding { repeat_ms: now_ms, ..holding }
+            });
         }
         for (model, version) in reported {
-            if !self.dropped.contains_key(&model) {
-                let coming = report.coming.iter().any(|coming| coming.name == model);
-                self.take_reported(now_ms, engine, (model, version), coming, changes);
-            }
+            let coming = report.coming.iter().any(|coming| coming.name == model);
+            self.take_reported(now_ms, engine, (model, version), coming, changes);
         }
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -11,9 +11,9 @@
 
 use super::{
     CONFIRM_INTERVAL_MS, CONFLICT_PAUSE_MS, COPY_WAIT_MS, Copies, DROP_INTERVAL_MS,
-    HOME_LOAD_SLACK, LATE_ORDER_MS, MAX_COMING, PlannedOrder, Planner, RECENT_USE_MS,
-    REFUSED_PAUSE_MS, RELOAD_MS, RESERVED_SLOTS, STORE_LOAD_MS, Step, UNKNOWN_PAUSE_MS,
-    engine::{Engine, Holding, Phase},
+    HOME_LOAD_SLACK, MAX_COMING, PlannedOrder, Planner, RECENT_USE_MS, REFUSED_PAUSE_MS, RELOAD_MS,
+    STORE_LOAD_MS, Step, UNKNOWN_PAUSE_MS,
+    engine::{Engine, Holding, OrderState, Phase},
 };
 
 impl Planner {
@@ -27,8 +27,17 @@
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
         engine.order_in_flight = false;
         let Some(holding) = engine.holdings.get_mut(&order.model) else { return };
+        // An order that is sent again counts once, and so does an adapter that is in place.
+        let is_counted = match (outcome, order.kind) {
+            (OrderOutcome::Accepted, _) | (OrderOutcome::Holds, OrderKind::Unload) => {
+                holding.order != OrderState::Accepted
+            }
+            (OrderOutcome::Holds, OrderKind::Load) => holding.order == OrderState::Unanswered,
+            _ => false,
+        };
         match (outcome, order.kind) {
             (OrderOutcome::Accepted, OrderKind::Load) => {
+                holding.order = OrderState::Accepted;
                 let age_ms = now_ms.saturating_sub(holding.since_ms);
                 holding.repeat_ms = if age_ms < RELOAD_MS {
                     holding.since_ms + RELOAD_MS
@@ -41,6 +50,7 @@
                     self.store.load_took(now_ms.saturating_sub(holding.since_ms));
                 }
                 holding.phase = Phase::Ready;
+                holding.order = OrderState::Accepted;
                 holding.since_ms = now_ms;
 
                 self.changes.push(HoldingChange::Ready(Held {
@@ -50,31 +60,36 @@
                 }));
             }
             (OrderOutcome::Accepted, OrderKind::Unload) => {
+                holding.order = OrderState::Accepted;
                 holding.repeat_ms = now_ms + DROP_INTERVAL_MS;
             }
-            (OrderOutcome::Holds, OrderKind::Unload) => engine.forget(now_ms, &order.model),
-            (OrderOutcome::Unknown, kind) => {
+            (OrderOutcome::Holds, OrderKind::Unload) => engine.forget(&order.model),
+            (OrderOutcome::Unknown, _) => {
+                if holding.order == OrderState::Sent {
+                    holding.order = OrderState::Unanswered;
+                }
                 holding.repeat_ms = now_ms + UNKNOWN_PAUSE_MS;
                 engine.paused_until_ms = now_ms + UNKNOWN_PAUSE_MS;
                 engine.report_due_ms = engine.report_due_ms.min(now_ms);
-                if kind == OrderKind::Load {
-                    engine.late_loads.insert(order.model.clone(), now_ms + LATE_ORDER_MS);
-                }
             }
             (OrderOutcome::Conflict, _) => {
+                // The engine has accepted orders that are not known here; its report counts them.
                 holding.repeat_ms = now_ms + CONFLICT_PAUSE_MS;
                 engine.paused_until_ms = now_ms + CONFLICT_PAUSE_MS;
+                engine.report_due_ms = engine.report_due_ms.min(now_ms);
             }
-            (OrderOutcome::Fenced | OrderOutcome::Refused, _) => {
+            (OrderOutcome::Fenced | OrderOutcome::Refused, kind) => {
                 engine.paused_until_ms = now_ms + REFUSED_PAUSE_MS;
                 holding.repeat_ms = now_ms + REFUSED_PAUSE_MS;
-                if order.kind == OrderKind::Load {
-                    // An earlier order for the same load may have been accepted.
+                let may_come = holding.order != OrderState::Sent;
+                if kind == OrderKind::Load && !may_come {
                     engine.holdings.remove(&order.model);
-                    engine.late_loads.insert(order.model.clone(), now_ms + LATE_ORDER_MS);
                 }
             }
         }
+        if is_counted {
+            engine.accepted(now_ms, order);
+        }
     }
 
     /// Adds an order to the plan and counts it as sent.
@@ -92,24 +107,26 @@
         };
         let from_store = !engine.held_lately(&order.model);
         let newest = self.versions.get(&order.model).copied().unwrap_or_default().max(1);
+        let is_new = !engine.holdings.contains_key(&order.model);
         let holding = engine
             .holdings
             .entry(order.model.clone())
             .or_insert_with(|| Holding::new(0, phase, now_ms));
         holding.repeat_ms = u64::MAX;
-        if holding.phase != phase {
+        if is_new || holding.phase != phase {
             if holding.phase == Phase::Ready {
                 let model = order.model.clone();
                 self.changes.push(HoldingChange::Gone { engine: order.engine, model });
             }
             holding.phase = phase;
+            holding.order = OrderState::Sent;
             holding.since_ms = now_ms;
-        }
-        if holding.since_ms == now_ms && order.kind == OrderKind::Load {
-            holding.from_store = from_store;
-            holding.version = newest;
-            if from_store {
-                self.store.load_started();
+            if phase == Phase::Coming {
+                holding.from_store = from_store;
+                holding.version = newest;
+                if from_store {
+                    self.store.load_started();
+                }
             }
         }
         orders.push(order);
@@ -119,9 +136,9 @@
     pub(super) fn repeat_orders(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
         let due: Vec<PlannedOrder> = self
             .engines
-            .iter()
-            .filter(|(_, engine)| engine.can_take_order(now_ms))
-            .filter_map(|(key, engine)| {
+            .values()
+            .filter(|engine| engine.can_take_order(now_ms))
+            .filter_map(|engine| {
                 let (model, holding) = engine
                     .holdings
                     .iter()
@@ -137,7 +154,7 @@
                     Phase::Going => OrderKind::Unload,
                     Phase::Ready | Phase::Coming => OrderKind::Load,
                 };
-                Some(PlannedOrder { engine: *key, kind, model: model.clone() })
+                Some(engine.order(kind, model.clone()))
             })
             .collect();
         for order in due {
@@ -161,8 +178,7 @@
                 });
                 let is_planned = due.iter().any(|order| order.engine == *key);
                 if is_unused_old && engine.can_take_order(now_ms) && !is_planned {
-                    let model = model.clone();
-                    due.push(PlannedOrder { engine: *key, kind: OrderKind::Unload, model });
+                    due.push(engine.order(OrderKind::Unload, model.clone()));
                 }
             }
         }
@@ -255,8 +271,7 @@
 
     pub(super) fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Step {
         let Some(engine) = self.engines.get(&key) else { return Step::Full };
-        let reserved = self.reserved_slots(now_ms);
-        let kind = if engine.taken_slots(now_ms) + reserved < engine.limits.adapter_slots {
+        let kind = if engine.taken_slots() < engine.limits.adapter_slots {
             if engine.coming() >= MAX_COMING {
                 return Step::Wait;
             }
@@ -271,9 +286,7 @@
             OrderKind::Unload => self.victim(now_ms, key, engine),
         };
         match model {
-            Some(model) if engine.can_take_order(now_ms) => {
-                Step::Order(PlannedOrder { engine: key, kind, model })
-            }
+            Some(model) if engine.can_take_order(now_ms) => Step::Order(engine.order(kind, model)),
             Some(_) => Step::Wait,
             None => Step::Full,
         }
@@ -303,8 +316,4 @@
         let used = (key, ModelName::from(model));
         self.entries.values().any(|entry| entry.in_use.contains(&used))
     }
-
-    pub(super) fn reserved_slots(&self, now_ms: u64) -> usize {
-        if now_ms < self.reserve_until_ms { RESERVED_SLOTS } else { 0 }
-    }
 }
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -16,62 +16,126 @@
 /// How long the test's engines take to load an adapter.
 const LOAD_MS: u64 = 250;
 
-/// Engines that carry out orders as real ones do, and entry processes that hold requests.
+/// How much the test's reports lag.
+const LAG_MS: u64 = 200;
+
+/// An engine that carries out orders as real ones do.
+#[derive(Default)]
+struct FakeEngine {
+    /// When each adapter is in place.
+    held: HashMap<ModelName, u64>,
+    sequence: u64,
+    /// Its states, the oldest first, and since when each holds.
+    states: Vec<(u64, EngineReport)>,
+    most_adapters: usize,
+    loads: usize,
+}
+
+impl FakeEngine {
+    fn carry_out(&mut self, now_ms: u64, order: &PlannedOrder) -> OrderOutcome {
+        if order.expected_sequence != self.sequence {
+            return OrderOutcome::Conflict;
+        }
+        match order.kind {
+            OrderKind::Unload => {
+                self.sequence += u64::from(self.held.remove(&order.model).is_some());
+                OrderOutcome::Holds
+            }
+            OrderKind::Load => {
+                let ready_ms = self.held.get(&order.model).copied().unwrap_or_else(|| {
+                    self.loads += 1;
+                    self.sequence += 1;
+                    self.held.insert(order.model.clone(), now_ms + LOAD_MS);
+                    now_ms + LOAD_MS
+                });
+                self.most_adapters = self.most_adapters.max(self.held.len());
+                if ready_ms <= now_ms { OrderOutcome::Holds } else { OrderOutcome::Accepted }
+            }
+        }
+    }
+
+    /// The state of `LAG_MS` ago.
+    fn report(&mut self, now_ms: u64) -> EngineReport {
+        let (ready, coming): (Vec<_>, Vec<_>) =
+            self.held.iter().partition(|(_, ready_ms)| **ready_ms <= now_ms);
+        let adapters = ready.into_iter().map(|(model, _)| HeldAdapter {
+            name: model.split_once('/').expect("an adapter").1.into(),
+            version: 1,
+        });
+        let models = vec![HeldModel { name: "m".into(), adapters: adapters.collect() }];
+        let coming = coming
+            .into_iter()
+            .map(|(model, _)| HeldAdapter { name: model.clone(), version: 1 })
+            .collect();
+        let sequence = self.sequence;
+        let report = EngineReport { models, coming, sequence, ..EngineReport::default() };
+        self.states.push((now_ms, report));
+        let old = self.states.iter().rposition(|(since_ms, _)| since_ms + LAG_MS <= now_ms);
+        self.states.drain(..old.unwrap_or_default());
+        self.states[0].1.clone()
+    }
+}
+
+/// Engines and entry processes that hold requests.
 struct World {
     planner: Planner,
     now_ms: u64,
-    engines: BTreeMap<BackendKey, HashMap<ModelName, u64>>,
+    engines: BTreeMap<BackendKey, FakeEngine>,
     answers: BTreeMap<u64, PlaceReply>,
-    most_adapters: usize,
-    loads: usize,
 }
 
 impl World {
     fn new(engines: u16) -> World {
-        World::with_planner(engines, Planner::new(0, true))
+        World::with_planner(engines, Planner::new(0))
     }
 
-    fn with_planner(engines: u16, mut planner: Planner) -> World {
-        let limits = EngineLimits { adapter_slots: SLOTS, slots: 64, cache_tokens: 140_000 };
-        planner.set_services(HashMap::from([(SERVICE.into(), limits)]));
+    fn with_planner(engines: u16, planner: Planner) -> World {
         let backends: Vec<Backend> = (0..engines).map(backend).collect();
-        planner.set_backends(0, &backends);
-        let engines = backends.iter().map(|backend| (backend.key, HashMap::new())).collect();
-        let mut world = World {
-            planner,
-            now_ms: 0,
-            engines,
-            answers: BTreeMap::new(),
-            most_adapters: 0,
-            loads: 0,
-        };
+        let engines = backends.iter().map(|backend| (backend.key, FakeEngine::default()));
+        let mut world =
+            World { planner, now_ms: 0, engines: engines.collect(), answers: BTreeMap::new() };
+        world.take_over(world.planner.may_order_from_ms);
         world.report();
         world
     }
 
+    /// Another coordinator takes over, which knows nothing of the engines.
+    fn take_over(&mut self, may_order_from_ms: u64) {
+        let limits = EngineLimits { adapter_slots: SLOTS, slots: 64, cache_tokens: 140_000 };
+        let engines = u16::try_from(self.engines.len()).expect("few engines");
+        let backends: Vec<Backend> = (0..engines).map(backend).collect();
+        self.planner = Planner::new(may_order_from_ms);
+        self.planner.set_services(HashMap::from([(SERVICE.into(), limits)]));
+        self.planner.set_backends(self.now_ms, &backends);
+    }
+
     /// Every engine reports what it holds.
     fn report(&mut self) {
-        for key in self.planner.take_due_reports(self.now_ms) {
-            let held = &self.engines[&key];
-            let adapters = held.iter().filter(|(_, ready_ms)| **ready_ms <= self.now_ms);
-            let adapters = adapters.map(|(model, _)| HeldAdapter {
-                name: model.split_once('/').expect("an adapter").1.into(),
-                version: 1,
-            });
-            let models = vec![HeldModel { name: "m".into(), adapters: adapters.collect() }];
-            let report = EngineReport { models, ..EngineReport::default() };
-            self.planner.report(self.now_ms, key, Some(report));
+        let due = self.planner.take_due_reports(self.now_ms);
+        for (key, engine) in &mut self.engines {
+            let report = engine.report(self.now_ms);
+            if due.contains(key) {
+                self.planner.report(self.now_ms, *key, Some(report));
+            }
         }
     }
 
     /// Lets time pass in steps of 5 ms, with engines that answer every order.
     fn run(&mut self, for_ms: u64) {
+        self.run_with(for_ms, |world, order| world.carry_out(order));
+    }
+
+    fn run_with(
+        &mut self,
+        for_ms: u64,
+        mut carry_out: impl FnMut(&mut World, &PlannedOrder) -> OrderOutcome,
+    ) {
         let end_ms = self.now_ms + for_ms;
         while self.now_ms < end_ms {
             self.now_ms += 5;
             self.report();
             for order in self.planner.plan(self.now_ms, true) {
-                let outcome = self.carry_out(&order);
+                let outcome = carry_out(self, &order);
                 self.planner.order_done(self.now_ms, &order, outcome);
             }
             for answer in self.planner.take_answers() {
@@ -84,23 +148,16 @@
     }
 
     fn carry_out(&mut self, order: &PlannedOrder) -> OrderOutcome {
-        let now_ms = self.now_ms;
-        let held = self.engines.get_mut(&order.engine).expect("the engine exists");
-        match order.kind {
-            OrderKind::Unload => {
-                held.remove(&order.model);
-                OrderOutcome::Holds
-            }
-            OrderKind::Load => {
-                let ready_ms = held.get(&order.model).copied().unwrap_or_else(|| {
-                    self.loads += 1;
-                    held.insert(order.model.clone(), now_ms + LOAD_MS);
-                    now_ms + LOAD_MS
-                });
-                self.most_adapters = self.most_adapters.max(held.len());
-                if ready_ms <= now_ms { OrderOutcome::Holds } else { OrderOutcome::Accepted }
-            }
-        }
+        let engine = self.engines.get_mut(&order.engine).expect("the engine exists");
+        engine.carry_out(self.now_ms, order)
+    }
+
+    fn most_adapters(&self) -> usize {
+        self.engines.values().map(|engine| engine.most_adapters).max().unwrap_or_default()
+    }
+
+    fn loads(&self) -> usize {
+        self.engines.values().map(|engine| engine.loads).sum()
     }
 
     fn place(&mut self, id: u64, request: PlaceRequest) {
@@ -153,7 +210,7 @@
     assert!(world.answers.is_empty());
     world.run(60);
     assert!(world.engine_of(1).is_some());
-    assert_eq!(world.loads, 1);
+    assert_eq!(world.loads(), 1);
 }
 
 #[test]
@@ -170,7 +227,7 @@
     assert_eq!(world.engine_of(99), None);
     for id in 0..SLOTS as u64 {
         let held = world.engines.values().next().expect("an engine");
-        assert!(held.contains_key(&*format!("m/a{id}")), "adapter a{id} was dropped in use");
+        assert!(held.held.contains_key(&*format!("m/a{id}")), "adapter a{id} was dropped in use");
     }
     world.planner.release(world.now_ms, 1, 0);
     world.run(500);
@@ -272,22 +329,124 @@
 }
 
 #[test]
-fn a_load_without_an_answer_keeps_its_slot() {
+fn an_order_that_comes_late_takes_no_slot_of_others() {
+    for late_after_ms in (0..3_000).step_by(50) {
+        let mut world = World::new(1);
+        world.run(300);
+        world.place(1, request("m/late"));
+        let mut late = None;
+        world.run_with(5, |_, order| {
+            late = Some(order.clone());
+            OrderOutcome::Unknown
+        });
+        let late = late.expect("a load is ordered");
+        world.planner.release(world.now_ms, 1, 1);
+        let late_ms = world.now_ms + late_after_ms;
+        for id in 10..10 + 2 * SLOTS as u64 {
+            world.place(id, request(&format!("m/a{id}")));
+            let arrives_now = (world.now_ms..world.now_ms + 300).contains(&late_ms);
+            world.run(300);
+            if arrives_now {
+                world.carry_out(&late);
+            }
+            world.planner.first_event(1, id);
+            world.planner.release(world.now_ms, 1, id);
+        }
+        assert!(world.most_adapters() <= SLOTS, "too many after {late_after_ms} ms");
+        assert!(world.loads() > SLOTS, "a late order after {late_after_ms} ms stops all others");
+    }
+}
+
+/// Reports lag, so a coordinator that has just taken over knows neither the last loads nor the
+/// last drops of the one before.
+#[test]
+fn a_new_coordinator_keeps_the_slots() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut world = World::new(2);
+        let mut running: Vec<u64> = Vec::new();
+        for id in 0..150 {
+            if rng.u32(0..12) == 0 {
+                let pins: Vec<_> = world.planner.pins.keys().copied().collect();
+                for (entry, id) in pins {
+                    world.planner.release(world.now_ms, entry, id);
+                }
+                world.take_over(0);
+                running.clear();
+            }
+            world.place(id, request(&format!("m/a{}", rng.u32(0..20))));
+            running.push(id);
+            world.run(rng.u64(1..12) * 5);
+            if rng.bool() {
+                let ended = running.swap_remove(rng.usize(0..running.len()));
+                world.planner.first_event(1, ended);
+                world.planner.release(world.now_ms, 1, ended);
+            }
+            assert!(world.most_adapters() <= SLOTS, "seed {seed}: too many adapters");
+        }
+        let before = world.loads();
+        world.take_over(0);
+        for id in 1_000..1_010 {
+            world.place(id, request(&format!("m/b{id}")));
+        }
+        world.run(2_000);
+        assert!(world.loads() > before, "seed {seed}: no load after the last change");
+    }
+}
+
+/// Orders without an answer may be carried out at once, later or never.
+#[test]
+fn lost_answers_and_late_orders_keep_the_slots() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut world = World::new(2);
+        let mut late: Vec<(u64, PlannedOrder)> = Vec::new();
+        let mut placed = 0;
+        for id in 0..150 {
+            world.place(id, request(&format!("m/a{}", rng.u32(0..20))));
+            let for_ms = rng.u64(1..30) * 5;
+            world.run_with(for_ms, |world, order| match rng.u32(0..10) {
+                0 => OrderOutcome::Unknown,
+                1 => {
+                    world.carry_out(order);
+                    OrderOutcome::Unknown
+                }
+                2 => {
+                    late.push((world.now_ms + rng.u64(0..4_000), order.clone()));
+                    OrderOutcome::Unknown
+                }
+                3 => OrderOutcome::Refused,
+                _ => world.carry_out(order),
+            });
+            late.retain(|(due_ms, order)| {
+                let is_due = *due_ms <= world.now_ms;
+                if is_due {
+                    world.carry_out(order);
+                }
+                !is_due
+            });
+            placed += u64::from(world.engine_of(id).is_some());
+            world.planner.first_event(1, id);
+            world.planner.release(world.now_ms, 1, id);
+            assert!(world.most_adapters() <= SLOTS, "seed {seed}: too many adapters");
+        }
+        assert!(placed > 0, "seed {seed}: no request was placed");
+    }
+}
+
+#[test]
+fn a_refusal_for_an_adapter_in_place_frees_no_slot() {
     let mut world = World::new(1);
-    let key = backend(0).key;
-    world.place(1, request("m/late"));
-    world.now_ms += 5;
-    let orders = world.planner.plan(world.now_ms, true);
-    world.planner.order_done(world.now_ms, &orders[0], OrderOutcome::Unknown);
-    world.planner.release(world.now_ms, 1, 1);
-    // The report of the engine doesn't list the adapter, so its holding is forgotten.
-    world.run(1_500);
-    for id in 10..10 + SLOTS as u64 {
+    for id in 0..SLOTS as u64 {
         world.place(id, request(&format!("m/a{id}")));
+        world.run(600);
+        world.planner.release(world.now_ms, 1, id);
     }
-    world.run(700);
-    let held = world.engines[&key].keys().filter(|model| ***model != *"m/late").count();
-    assert!(held < SLOTS, "the engine would hold {} adapters with the late one", held + 1);
+    world.planner.not_held(world.now_ms, backend(0).key, "m/a0");
+    world.place(99, request("m/a99"));
+    world.run(2_000);
+    assert!(world.engine_of(99).is_some());
+    assert_eq!(world.most_adapters(), SLOTS);
 }
 
 #[test]
@@ -341,19 +500,19 @@
     let orders = world.planner.plan(world.now_ms, true);
     world.planner.order_done(world.now_ms, &orders[0], OrderOutcome::Refused);
     let engine = world.planner.engines.values().next().expect("an engine");
-    assert_eq!(engine.taken_slots(world.now_ms), 1);
+    assert_eq!(engine.taken_slots(), 1);
 }
 
 #[test]
 fn a_new_coordinator_orders_nothing_before_its_time() {
-    let mut world = World::with_planner(1, Planner::new(3_000, false));
+    let mut world = World::with_planner(1, Planner::new(3_000));
     world.place(1, request("m/a1"));
     world.run(1_000);
-    assert_eq!(world.loads, 0);
+    assert_eq!(world.loads(), 0);
     world.run(2_000);
     world.place(2, request("m/a1"));
     world.run(400);
-    assert_eq!(world.loads, 1);
+    assert_eq!(world.loads(), 1);
 }
 
 #[test]
@@ -395,9 +554,12 @@
             }
             for pin in world.planner.pins.values() {
                 let held = &world.engines[&pin.engine];
-                assert!(held.contains_key(&pin.model), "seed {seed}: {pin:?} was dropped in use");
+                assert!(
+                    held.held.contains_key(&pin.model),
+                    "seed {seed}: {pin:?} was dropped in use"
+                );
             }
-            assert!(world.most_adapters <= SLOTS, "seed {seed}: too many adapters");
+            assert!(world.most_adapters() <= SLOTS, "seed {seed}: too many adapters");
         }
     }
 }
