Explain a request from the logs; log and count every refusal

Cause: refusals made before a route was found (no configuration, no route, body too large or incomplete) and those of a draining process were answered but neither logged nor counted, and so were streams that broke off without going on elsewhere. Whoever looked for such a request found nothing.

Change: one place in the entry process logs and counts each final refusal. A stream that ends without its last event has an outcome line with the reason.

--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -44,6 +44,8 @@
 const DEFAULT_OUTPUT_TOKENS: u32 = 200;
 /// How often one request is sent at most, whether it ran or not.
 const MAX_ARRIVALS: u32 = 4;
+/// The part of a path that log lines show.
+const MAX_LOGGED_PATH_CHARS: usize = 120;
 /// How long the first event of a stream may take on a busy engine.
 const FIRST_EVENT_MS: u64 = 800;
 /// How long a busy engine takes for a token.
@@ -119,54 +121,70 @@
     let received_at = Instant::now();
     let caller = CallerRequest::start(app);
     let (parts, body) = request.into_parts();
-    match handle(app, parts, body, received_at, caller).await {
+    let unrouted_name = unrouted_log_name(app, &parts);
+    let prepared = match admit(app, parts, body, received_at).await {
+        Ok(prepared) => prepared,
+        Err(reason) => return refuse_request(app, &unrouted_name, received_at, reason),
+    };
+    let name = prepared.log_name();
+    let objective_ms = u128::from(prepared.route().objective_ms);
+    let response = match run(app, prepared, caller, received_at).await {
         Ok(response) => response,
-        Err(reason) => refuse(app.dialect, reason),
+        Err(reason) => return refuse_request(app, &name, received_at, reason),
+    };
+    let after_ms = received_at.elapsed().as_millis();
+    app.metrics.answered(after_ms);
+    if after_ms > objective_ms || !response.status().is_success() {
+        let status = response.status().as_u16();
+        log::info!("request: {name} outcome={status} after_ms={after_ms}");
     }
+    response
 }
 
-async fn handle(
-    app: &Arc<App>,
+/// Counts and logs the final refusal of a request.
+fn refuse_request(
+    app: &App,
+    log_name: &str,
+    received_at: Instant,
+    reason: Reason,
+) -> Response<Body> {
+    app.metrics.refused(reason.code());
+    let after_ms = received_at.elapsed().as_millis();
+    log::info!("request: {log_name} outcome={} after_ms={after_ms}", reason.code());
+    refuse(app.dialect, reason)
+}
+
+/// How log lines name a request before its route is known.
+fn unrouted_log_name(app: &App, parts: &Parts) -> String {
+    let id = parts.headers.get(&app.dialect.headers.request_id);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+    let path: String = parts.uri.path().chars().take(MAX_LOGGED_PATH_CHARS).collect();
+    format!("id={id} route=- host={} path={path}", host_of(parts).unwrap_or("-"))
+}
+
+/// Finds the route of a request and reads its body.
+async fn admit(
+    app: &App,
     parts: Parts,
     body: Incoming,
     received_at: Instant,
-    caller: CallerRequest,
-) -> Result<Response<Body>, Reason> {
+) -> Result<Prepared, Reason> {
     let table = app.view().table().ok_or(Reason::NoConfiguration)?;
     let host = host_of(&parts).ok_or(Reason::Malformed)?;
     let route = table.find(host, parts.uri.path()).ok_or(Reason::NoRoute)?;
     let body = read_body(body, table.configuration().limits.body_bytes).await?;
-    let prepared = prepare(app, parts, body, table, route, received_at);
+    Ok(prepare(app, parts, body, table, route, received_at))
+}
+
+/// Whether a request is a stream that could not end before the process must.
+fn comes_too_late(app: &App, prepared: &Prepared) -> bool {
     let draining_since_ms = app.view().draining_since_ms();
-    if let Some(since_ms) = draining_since_ms
-        && prepared.route().kind.is_stream()
-        && !ends_before_stop(
-            app.now_ms().saturating_sub(since_ms),
-            app.settings.grace_ms,
-            prepared.most_output_tokens,
-        )
-    {
-        return Err(Reason::Draining);
-    }
-    app.budgets().count_request(app.now_ms(), &prepared.service);
-    let request = prepared.log_name();
-    let objective_ms = u128::from(prepared.route().objective_ms);
-    let result = run(app, prepared, caller, received_at).await;
-    let after_ms = received_at.elapsed().as_millis();
-    match &result {
-        Err(reason) => {
-            app.metrics.refused(reason.code());
-            log::info!("request: {request} outcome={} after_ms={after_ms}", reason.code());
-        }
-        Ok(response) => {
-            app.metrics.answered(after_ms);
-            if after_ms > objective_ms || !response.status().is_success() {
-                let status = response.status().as_u16();
-                log::info!("request: {request} outcome={status} after_ms={after_ms}");
-            }
-        }
-    }
-    result
+    draining_since_ms.is_some_and(|since_ms| {
+        let draining_ms = app.now_ms().saturating_sub(since_ms);
+        let most_tokens = prepared.most_output_tokens;
+        prepared.route().kind.is_stream()
+            && !ends_before_stop(draining_ms, app.settings.grace_ms, most_tokens)
+    })
 }
 
 async fn run(
@@ -175,6 +193,10 @@
     caller: CallerRequest,
     received_at: Instant,
 ) -> Result<Response<Body>, Reason> {
+    if comes_too_late(app, &prepared) {
+        return Err(Reason::Draining);
+    }
+    app.budgets().count_request(app.now_ms(), &prepared.service);
     let mut tries = Tries::default();
     loop {
         let (chosen, place) = match find_backend(app, &prepared, &tries.tried, received_at).await {
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -30,6 +30,7 @@
     App,
     forward::{Prepared, StartedStream, Tries, find_backend},
     in_flight::{CallerRequest, InFlight},
+    refusal::Reason,
 };
 
 /// Pieces that wait for a slow caller before the server is no longer read.
@@ -38,6 +39,8 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 /// An event larger than this is passed on in parts.
 const MAX_EVENT_BYTES: usize = 256 << 10;
+/// The outcome of a stream that ends without its last event, in log lines and counters.
+const BROKEN_OFF: &str = "broken_off";
 
 /// A part of an answer on its way to the caller.
 enum Piece {
@@ -177,17 +180,25 @@
                 "request: id={} stream broke off, resumable={resumable}",
                 self.prepared.request_id.as_deref().unwrap_or("-"),
             );
-            if !resumable {
-                return;
-            }
             self.partial.clear();
-            match self.resume().await {
-                Some(next) => started = next,
-                None => return,
+            let resumed = if resumable { self.resume().await } else { Err("not_resumable") };
+            match resumed {
+                Ok(next) => started = next,
+                Err(why) => return self.give_up(why),
             }
         }
     }
 
+    /// Counts and logs a stream that ends without its last event.
+    fn give_up(&self, why: &str) {
+        self.app.metrics.refused(BROKEN_OFF);
+        log::info!(
+            "request: {} outcome={BROKEN_OFF} why={why} after_ms={}",
+            self.prepared.log_name(),
+            self.received_at.elapsed().as_millis(),
+        );
+    }
+
     /// Counts a complete stream, and logs it if its first event or whose pauses missed the route's objective.
     fn log_late(&self, backend: BackendKey) {
         let route = self.prepared.route();
@@ -266,24 +277,19 @@
         events
     }
 
-    /// Goes on at another server after the last whole event.
-    async fn resume(&mut self) -> Option<StartedStream> {
+    /// Goes on at another server after the last whole event, or tells why it can't.
+    async fn resume(&mut self) -> Result<StartedStream, &'static str> {
         loop {
             if self.tries.runs >= self.prepared.route().max_attempts {
-                return None;
+                return Err("attempts_used");
             }
             let found =
                 find_backend(&self.app, &self.prepared, &self.tries.tried, self.received_at).await;
-            let (chosen, place) = match found {
-                Ok(found) => found,
-                Err(reason) => {
-                    log::info!("request: a stream can't go on: {}", reason.code());
-                    return None;
-                }
-            };
+            let (chosen, place) = found.map_err(|reason| reason.code())?;
             if !self.app.budgets().take_repeat(self.app.now_ms(), &self.prepared.service) {
-                return None;
+                return Err("no_budget");
             }
+            self.app.metrics.repeated("stream_resumed");
             self.tries.tried.push(chosen.key);
             let last_event_id =
                 self.last_event_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok());
@@ -294,10 +300,11 @@
                 place,
                 last_event_id,
             };
-            match timeout_at(self.prepared.deadline, attempt.send()).await.ok()? {
+            let sent = timeout_at(self.prepared.deadline, attempt.send()).await;
+            match sent.map_err(|_| Reason::TimedOut.code())? {
                 Outcome::Stream(started) => {
                     self.tries.runs += 1;
-                    return Some(started);
+                    return Ok(started);
                 }
                 Outcome::Answer(_) | Outcome::MaybeRan => self.tries.runs += 1,
                 Outcome::NotSent | Outcome::NotRun => {}
--- a/crates/redwinglatch/src/args.rs
+++ b/crates/redwinglatch/src/args.rs
@@ -8,6 +8,7 @@
 use crate::connection::{Connection, connection};
 use crate::output::{Format, format};
 
+const LOG_FILES: ShellComp = ShellComp::File { mask: Some("*.log") };
 const INI_FILES: ShellComp = ShellComp::File { mask: Some("*.ini") };
 
 /// Operate a deployment of redwinglatch
@@ -46,6 +47,25 @@
     #[bpaf(command)]
     /// Check settings files
     Settings(#[bpaf(external(settings_command))] SettingsCommand),
+    #[bpaf(
+        command,
+        footer(
+            "The lines of the request are put in order across the processes, and the one that \
+             decided its end is marked.\n A log is the standard output of a process.\n Example:\n   \
+             redwinglatch explain 92512416d1712ccf entry-*.log core-*.log"
+        )
+    )]
+    /// Explain what happened to a request from the logs of several processes
+    Explain {
+        #[bpaf(external)]
+        format: Format,
+        /// The id of the request, as its caller sent it
+        #[bpaf(positional("REQUEST-ID"))]
+        request_id: String,
+        /// Logs of processes
+        #[bpaf(positional("LOG"), complete_shell(LOG_FILES), some("name at least one LOG"))]
+        logs: Vec<PathBuf>,
+    },
     #[bpaf(command)]
     /// Run the benchmarks beside their baselines and bounds
     Bench(#[bpaf(external(bench_args))] BenchArgs),
@@ -70,6 +90,7 @@
                 InstanceCommand::List { format, .. } | InstanceCommand::Stop { format, .. },
             )
             | Command::Status { format, .. }
+            | Command::Explain { format, .. }
             | Command::Settings(SettingsCommand::Check { format, .. }) => *format,
             Command::Bench(args) => args.format,
             Command::Demo => Format::Text,
--- a/crates/redwinglatch/src/main.rs
+++ b/crates/redwinglatch/src/main.rs
@@ -1,5 +1,5 @@
-//! The command line of redwinglatch: contracts, instances, status, settings, benchmarks and a
-//! demonstration.
+//! The command line of redwinglatch: contracts, instances, status, settings, explanations,
+//! benchmarks and a demonstration.
 //!
 //! Exit codes: 0 done, 2 usage error, 1 everything else.
 
@@ -11,6 +11,7 @@
 mod contract;
 mod demo;
 mod diff;
+mod explain;
 mod instance;
 mod output;
 mod settings;
@@ -55,6 +56,7 @@
         Command::Settings(SettingsCommand::Check { print, file, .. }) => {
             settings::check(&file, print)
         }
+        Command::Explain { request_id, logs, .. } => explain::explain(&request_id, &logs),
         Command::Bench(args) => bench::run(&args).map(|()| Output::none()),
         Command::Demo => demo::run().map(|()| Output::none()),
     }
