Order loads elsewhere while an engine leaves orders without answers

Each held its engine for 500 ms, a load waited for the same engine until its requests were refused, and a load that had been accepted counted as under way although reports listed it as in place, because a report was trusted only after 1 s.

Change: an engine that leaves an order without an answer for 60 ms, or left one within the last second, is passed over for new loads. A report that is not older than the last accepted order ends a load at once. The time limit of an order is 300 ms (500 before); late ones are harmless since orders name the sequence.

--- a/crates/redwinglatch-fleet/src/core/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/orders.rs
@@ -12,7 +12,7 @@
 use crate::{Dialect, EngineReport, Order, http::HttpClient};
 
 /// How long an order may stay without an answer; engines answer at once or not at all.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a report may take.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -8,7 +8,7 @@
     message::{Backend, Held, HoldingChange, PlaceRequest},
 };
 
-use super::{EngineLimits, PlannedOrder};
+use super::{EngineLimits, PlannedOrder, UNKNOWN_PAUSE_MS};
 
 /// How much a report may lag behind what the engine has answered to orders.
 const REPORT_LAG_MS: u64 = 1_000;
@@ -23,6 +23,10 @@
 const READ_SLACK_MS: u64 = 400;
 /// The part of an engine's memory that requests may take; cached prompts share it.
 const MEMORY_SHARE: f64 = 0.92;
+/// How long an engine usually takes at most to answer an order.
+const USUAL_ANSWER_MS: u64 = 60;
+/// How long other engines are preferred to one that left an order without an answer.
+const SILENT_TO_ORDERS_MS: u64 = 1_000;
 /// Adapters beyond those in place that an engine has at hand.
 const MAX_DROPPED_LATELY: usize = 100;
 /// Prompt parts that are remembered for each engine.
@@ -101,7 +105,10 @@
     sequence_since_ms: u64,
     /// Adapters that the engine dropped, the oldest first; it still has the newest of them.
     dropped_lately: VecDeque<ModelName>,
-    pub(super) order_in_flight: bool,
+    /// When the order was sent that has no answer yet.
+    pub(super) order_sent_ms: Option<u64>,
+    /// Until then the engine is taken for one that doesn't answer orders.
+    silent_to_orders_until_ms: u64,
     pub(super) paused_until_ms: u64,
     pub(super) report_due_ms: u64,
     pub(super) report_in_flight: bool,
@@ -125,7 +132,8 @@
             sequence: None,
             sequence_since_ms: 0,
             dropped_lately: VecDeque::new(),
-            order_in_flight: false,
+            order_sent_ms: None,
+            silent_to_orders_until_ms: 0,
             paused_until_ms: 0,
             report_due_ms: now_ms,
             report_in_flight: false,
@@ -140,10 +148,24 @@
     pub(super) fn can_take_order(&self, now_ms: u64) -> bool {
         self.sequence.is_some()
             && !self.models.is_empty()
-            && !self.order_in_flight
+            && self.order_sent_ms.is_none()
             && self.paused_until_ms <= now_ms
     }
 
+    /// An order had no answer.
+    pub(super) fn order_unanswered(&mut self, now_ms: u64) {
+        self.paused_until_ms = now_ms + UNKNOWN_PAUSE_MS;
+        self.silent_to_orders_until_ms = now_ms + SILENT_TO_ORDERS_MS;
+        self.report_due_ms = self.report_due_ms.min(now_ms);
+    }
+
+    /// Whether the engine leaves orders without an answer, so that loads are better ordered from
+    /// others.
+    pub(super) fn is_silent_to_orders(&self, now_ms: u64) -> bool {
+        now_ms < self.silent_to_orders_until_ms
+            || self.order_sent_ms.is_some_and(|sent_ms| sent_ms + USUAL_ANSWER_MS < now_ms)
+    }
+
     /// An order that rests on what is known of the engine now.
     pub(super) fn order(&self, kind: OrderKind, model: ModelName) -> PlannedOrder {
         let expected_sequence = self.sequence.unwrap_or_default();
@@ -289,7 +311,7 @@
         self.sequence = Some(report.sequence);
         let reported = reported_models(report);
         let engine = self.backend.key;
-        let order_in_flight = self.order_in_flight;
+        let order_in_flight = self.order_sent_ms.is_some();
         self.holdings.retain(|model, holding| {
             let listed = reported.contains_key(model)
                 || report.coming.iter().any(|coming| coming.name == *model);
@@ -320,33 +342,34 @@
         }
         for (model, version) in reported {
             let coming = report.coming.iter().any(|coming| coming.name == model);
-            self.take_reported(now_ms, engine, (model, version), coming, changes);
+            self.take_reported(now_ms, (model, version), coming, changes);
         }
     }
 
     fn take_reported(
         &mut self,
         now_ms: u64,
-        engine: BackendKey,
         (model, version): (ModelName, u64),
         coming: bool,
         changes: &mut Vec<HoldingChange>,
     ) {
         let made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
         let is_new = !self.holdings.contains_key(&model);
+        let order_in_flight = self.order_sent_ms.is_some();
         let holding = self
             .holdings
             .entry(model.clone())
             .or_insert_with(|| Holding::new(version, Phase::Ready, now_ms));
-        let is_settled = holding.since_ms < made_ms;
         let corrects = match holding.phase {
-            Phase::Ready => is_settled && holding.version != version,
-            Phase::Coming => is_settled && !coming,
+            Phase::Ready => holding.since_ms < made_ms && holding.version != version,
+            // The report was made after the load was accepted.
+            Phase::Coming => !coming && !order_in_flight,
             Phase::Going => false,
         };
         if is_new || corrects {
             holding.phase = Phase::Ready;
             holding.version = version;
+            let engine = self.backend.key;
             changes.push(HoldingChange::Ready(Held { engine, model, version }));
         }
     }
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -25,7 +25,7 @@
         outcome: OrderOutcome,
     ) {
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
-        engine.order_in_flight = false;
+        engine.order_sent_ms = None;
         let Some(holding) = engine.holdings.get_mut(&order.model) else { return };
         // An order that is sent again counts once, and so does an adapter that is in place.
         let is_counted = match (outcome, order.kind) {
@@ -69,8 +69,7 @@
                     holding.order = OrderState::Unanswered;
                 }
                 holding.repeat_ms = now_ms + UNKNOWN_PAUSE_MS;
-                engine.paused_until_ms = now_ms + UNKNOWN_PAUSE_MS;
-                engine.report_due_ms = engine.report_due_ms.min(now_ms);
+                engine.order_unanswered(now_ms);
             }
             (OrderOutcome::Conflict, _) => {
                 // The engine has accepted orders that are not known here; its report counts them.
@@ -100,7 +99,7 @@
         order: PlannedOrder,
     ) {
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
-        engine.order_in_flight = true;
+        engine.order_sent_ms = Some(now_ms);
         let phase = match order.kind {
             OrderKind::Load => Phase::Coming,
             OrderKind::Unload => Phase::Going,
@@ -197,7 +196,7 @@
             if !seen.insert(model.clone()) {
                 continue;
             }
-            match self.copies(model) {
+            match self.copies(now_ms, model) {
                 Copies::None => missing.push(model.clone()),
                 Copies::Ready { since_ms } => {
                     if waiting.received_ms.max(since_ms) + COPY_WAIT_MS <= now_ms {
@@ -216,13 +215,16 @@
     }
 
     /// Whether engines that take work hold an adapter or load it.
-    pub(super) fn copies(&self, model: &str) -> Copies {
+    pub(super) fn copies(&self, now_ms: u64, model: &str) -> Copies {
         let newest = self.newest_version(model);
         let mut copies = Copies::None;
         for engine in self.engines.values().filter(|engine| engine.takes_work()) {
             let Some(holding) = engine.holdings.get(model) else { continue };
             match (holding.phase, &copies) {
                 _ if holding.version < newest => {}
+                (Phase::Coming, _)
+                    if holding.order != OrderState::Accepted
+                        && engine.is_silent_to_orders(now_ms) => {}
                 (Phase::Coming, _) => return Copies::Coming,
                 (Phase::Ready, Copies::Ready { since_ms }) if *since_ms > holding.since_ms => {}
                 (Phase::Ready, _) => copies = Copies::Ready { since_ms: holding.since_ms },
@@ -243,6 +245,7 @@
             .iter()
             .filter(|(_, engine)| {
                 engine.takes_work()
+                    && !engine.is_silent_to_orders(now_ms)
                     && engine.models.iter().any(|held| **held == *base)
                     && !engine.holdings.contains_key(model)
             })
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -434,6 +434,53 @@
     }
 }
 
+/// The platform loses the answers of some engines to orders for many seconds.
+#[test]
+fn a_load_without_an_answer_is_ordered_from_another_engine() {
+    let mut world = World::new(2);
+    world.run(300);
+    world.place(1, request("m/a1"));
+    let mut home = None;
+    world.run_with(700, |world, order| {
+        if *home.get_or_insert(order.engine) == order.engine {
+            return OrderOutcome::Unknown;
+        }
+        world.carry_out(order)
+    });
+    assert!(world.engine_of(1).is_some_and(|engine| Some(engine) != home));
+}
+
+#[test]
+fn an_order_that_is_long_in_flight_holds_up_no_other_load() {
+    let mut world = World::new(2);
+    world.run(300);
+    world.place(1, request("m/a1"));
+    world.now_ms += 5;
+    let first = world.planner.plan(world.now_ms, true);
+    assert_eq!(first.len(), 1);
+    world.now_ms += 100;
+    let second = world.planner.plan(world.now_ms, true);
+    assert_eq!(second.len(), 1);
+    assert_ne!(first[0].engine, second[0].engine);
+    assert_eq!(first[0].model, second[0].model);
+}
+
+/// Answers to repeated orders are lost, so only the report tells that a load is complete.
+#[test]
+fn a_report_shows_that_a_load_is_complete() {
+    let mut world = World::new(1);
+    world.run(300);
+    world.place(1, request("m/a1"));
+    let mut is_first = true;
+    world.run_with(LOAD_MS + LAG_MS + 400, |world, order| {
+        if std::mem::take(&mut is_first) {
+            return world.carry_out(order);
+        }
+        OrderOutcome::Unknown
+    });
+    assert!(world.engine_of(1).is_some());
+}
+
 #[test]
 fn a_refusal_for_an_adapter_in_place_frees_no_slot() {
     let mut world = World::new(1);
