--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     EngineReport, HeldAdapter, OrderKind,
-    ids::{BackendKey, ModelName},
+    ids::ModelName,
     message::{Backend, Held, HoldingChange, PlaceRequest},
 };
 
