Load the base model on engines that start empty

Besides, the limit of loads at a time began at 8 and rose by 0.25 with each load: 38 after 3.5 s of 72 that the store serves.

Change: an engine that has reported no model gets the one with the most requests for each engine, paced by the configuration's loads per second. The limit of the store doubles in the time of a load until the first slow one.

--- a/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use redwinglatch_log::Term;
+use redwinglatch_routing::ModelSpec;
 
 use crate::{
     Order,
     core::{
         orders::{self, EngineAddress},
-        planner::{EngineLimits, PlaceAnswer, PlannedOrder, Planner},
+        planner::{BaseModels, EngineLimits, EngineService, PlaceAnswer, PlannedOrder, Planner},
     },
     message::{Backend, CoreReply, FleetMessage, HoldingChange, PlaceReply},
 };
@@ -151,7 +152,10 @@
                 slots: engine.slots,
                 cache_tokens: engine.cache_tokens,
             };
-            (service.name.clone(), limits)
+            let fits = |model: &&ModelSpec| model.weights_mb <= engine.weights_mb;
+            let names = engine.models.iter().filter(fits).map(|model| model.name.clone());
+            let base = BaseModels { names: names.collect(), loads_per_s: engine.loads_per_s };
+            (service.name.clone(), EngineService { limits, base })
         });
         planner.set_services(services.collect());
         planner.set_backends(now_ms, &self.backends);
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -8,6 +8,7 @@
 //! Requests are placed one by one, so that the prompts sent to an engine don't pile up: a pile
 //! delays the events of all streams that the engine generates.
 
+mod base_models;
 mod engine;
 mod loading;
 mod placing;
@@ -22,6 +23,7 @@
     message::{Backend, EntryReport, Held, HoldingChange, PlaceReply, PlaceRequest},
 };
 
+pub(super) use self::base_models::BaseModels;
 use self::{
     engine::{Engine, OrderState, Phase},
     store_limit::StoreLimit,
@@ -86,6 +88,13 @@
     pub(super) cache_tokens: u64,
 }
 
+/// A service of engines.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub(super) struct EngineService {
+    pub(super) limits: EngineLimits,
+    pub(super) base: BaseModels,
+}
+
 /// An answer to a request for a place.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct PlaceAnswer {
@@ -132,7 +141,7 @@
 #[derive(Debug)]
 pub(super) struct Planner {
     engines: BTreeMap<BackendKey, Engine>,
-    services: HashMap<Box<str>, EngineLimits>,
+    services: HashMap<Box<str>, EngineService>,
     entries: HashMap<u64, EntryUse>,
     pins: HashMap<(u64, u64), Pin>,
     waiting: Vec<Waiting>,
@@ -142,6 +151,8 @@
     may_order_from_ms: u64,
     /// The next time that the waiting requests are gone through.
     next_pass_ms: u64,
+    /// The next time that a base model may be loaded.
+    next_base_load_ms: u64,
     changes: Vec<HoldingChange>,
     answers: Vec<PlaceAnswer>,
 }
@@ -159,16 +170,17 @@
             store: StoreLimit::default(),
             may_order_from_ms,
             next_pass_ms: 0,
+            next_base_load_ms: 0,
             changes: Vec::new(),
             answers: Vec::new(),
         }
     }
 
-    pub(super) fn set_services(&mut self, services: HashMap<Box<str>, EngineLimits>) {
+    pub(super) fn set_services(&mut self, services: HashMap<Box<str>, EngineService>) {
         self.services = services;
         for engine in self.engines.values_mut() {
-            if let Some(limits) = self.services.get(&engine.backend.service) {
-                engine.limits = *limits;
+            if let Some(service) = self.services.get(&engine.backend.service) {
+                engine.limits = service.limits;
             }
         }
     }
@@ -181,11 +193,11 @@
         let listed: HashSet<BackendKey> = backends.iter().map(|backend| backend.key).collect();
         self.engines.retain(|key, _| listed.contains(key));
         for backend in backends {
-            let Some(limits) = self.services.get(&backend.service) else { continue };
+            let Some(service) = self.services.get(&backend.service) else { continue };
             let engine = self
                 .engines
                 .entry(backend.key)
-                .or_insert_with(|| Engine::new(backend.clone(), *limits, now_ms));
+                .or_insert_with(|| Engine::new(backend.clone(), service.limits, now_ms));
             engine.backend = backend.clone();
         }
     }
@@ -215,9 +227,12 @@
             engine.report_due_ms = now_ms + REPORT_RETRY_MS;
             return;
         };
-        engine.report_due_ms = now_ms + REPORT_INTERVAL_MS;
         engine.failed_reports = 0;
         engine.take_report(now_ms, &report, &mut self.changes);
+        // Only the report tells when a base model is in place.
+        let interval_ms =
+            if engine.models.is_empty() { REPORT_RETRY_MS } else { REPORT_INTERVAL_MS };
+        engine.report_due_ms = now_ms + interval_ms;
     }
 
     /// Takes what an entry process does at the moment.
@@ -346,6 +361,7 @@
             return Vec::new();
         }
         let mut orders = Vec::new();
+        self.load_base_models(now_ms, &mut orders);
         self.repeat_orders(now_ms, &mut orders);
         self.drop_old_versions(now_ms, &mut orders);
         self.load_for_waiting(now_ms, &mut orders);
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -97,6 +97,8 @@
     pub(super) limits: EngineLimits,
     /// The base models, once the engine has reported them.
     pub(super) models: Vec<ModelName>,
+    /// Whether it loads or drops a base model.
+    busy: bool,
     pub(super) holdings: HashMap<ModelName, Holding>,
     /// How many orders the engine has accepted, once it has reported that. Every order names this
     /// number, so the engine carries none out whose plan rests on an older state.
@@ -128,6 +130,7 @@
             backend,
             limits,
             models: Vec::new(),
+            busy: false,
             holdings: HashMap::new(),
             sequence: None,
             sequence_since_ms: 0,
@@ -146,10 +149,12 @@
     }
 
     pub(super) fn can_take_order(&self, now_ms: u64) -> bool {
-        self.sequence.is_some()
-            && !self.models.is_empty()
-            && self.order_sent_ms.is_none()
-            && self.paused_until_ms <= now_ms
+        self.sequence.is_some() && self.order_sent_ms.is_none() && self.paused_until_ms <= now_ms
+    }
+
+    /// Whether it has reported that it neither holds nor loads a model.
+    pub(super) fn is_empty(&self) -> bool {
+        self.sequence.is_some() && self.models.is_empty() && !self.busy && self.holdings.is_empty()
     }
 
     /// An order had no answer.
@@ -187,7 +192,8 @@
     }
 
     pub(super) fn coming(&self) -> usize {
-        self.holdings.values().filter(|holding| holding.phase == Phase::Coming).count()
+        let coming = self.holdings.iter();
+        coming.filter(|(model, held)| model.contains('/') && held.phase == Phase::Coming).count()
     }
 
     pub(super) fn coming_from_store(&self) -> usize {
@@ -307,6 +313,7 @@
         if is_old && made_ms < self.sequence_since_ms {
             return;
         }
+        self.busy = report.busy;
         let has_changed = known != Some(report.sequence);
         self.sequence = Some(report.sequence);
         let reported = reported_models(report);
@@ -325,7 +332,10 @@
                 holding.order = OrderState::Accepted;
             }
             let is_recent = made_ms < holding.since_ms && (order_in_flight || !has_changed);
-            if listed || is_recent {
+            // An engine lists a base model only once it is in place.
+            let is_base_coming =
+                report.busy && holding.phase == Phase::Coming && !model.contains('/');
+            if listed || is_recent || is_base_coming {
                 return true;
             }
             if holding.phase == Phase::Ready {
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -36,6 +36,11 @@
             _ => false,
         };
         match (outcome, order.kind) {
+            (OrderOutcome::Accepted, OrderKind::Load) if !order.model.contains('/') => {
+                // The report tells when a base model is in place.
+                holding.order = OrderState::Accepted;
+                holding.repeat_ms = u64::MAX;
+            }
             (OrderOutcome::Accepted, OrderKind::Load) => {
                 holding.order = OrderState::Accepted;
                 let age_ms = now_ms.saturating_sub(holding.since_ms);
@@ -104,7 +109,8 @@
             OrderKind::Load => Phase::Coming,
             OrderKind::Unload => Phase::Going,
         };
-        let from_store = !engine.held_lately(&order.model);
+        let is_base = !order.model.contains('/');
+        let from_store = !is_base && !engine.held_lately(&order.model);
         let newest = self.versions.get(&order.model).copied().unwrap_or_default().max(1);
         let is_new = !engine.holdings.contains_key(&order.model);
         let holding = engine
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -12,7 +12,10 @@
 const SLOW_FACTOR: f64 = 1.3;
 /// A load within this many times the fastest one shows that there is room for more.
 const FAST_FACTOR: f64 = 1.12;
-/// How much the limit rises with each fast load.
+/// How much the limit rises with each fast load before the first slow one, which doubles it in the
+/// time of a load.
+const FIRST_RISE: f64 = 1.0;
+/// How much the limit rises with each fast load afterwards.
 const RISE: f64 = 0.25;
 /// How much the limit falls with each slow load.
 const FALL: f64 = 0.25;
@@ -28,11 +31,12 @@
     limit: f64,
     in_flight: usize,
     fastest_ms: u64,
+    was_reached: bool,
 }
 
 impl Default for StoreLimit {
     fn default() -> StoreLimit {
-        StoreLimit { limit: FIRST_LIMIT, in_flight: 0, fastest_ms: u64::MAX }
+        StoreLimit { limit: FIRST_LIMIT, in_flight: 0, fastest_ms: u64::MAX, was_reached: false }
     }
 }
 
@@ -62,9 +66,11 @@
         self.fastest_ms = self.fastest_ms.min(took_ms.max(1));
         let slowness = took_ms as f64 / self.fastest_ms as f64;
         if slowness > SLOW_FACTOR {
+            self.was_reached = true;
             self.limit = (self.limit - FALL).max(MIN_LIMIT);
         } else if slowness < FAST_FACTOR && self.in_flight as f64 >= self.limit * BUSY_SHARE {
-            self.limit = (self.limit + RISE).min(MAX_LIMIT);
+            let rise = if self.was_reached { RISE } else { FIRST_RISE };
+            self.limit = (self.limit + rise).min(MAX_LIMIT);
         }
     }
 }
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
@@ -29,3 +29,19 @@
     limit.load_took(260);
     assert!(limit.limit >= FIRST_LIMIT);
 }
+
+/// A new coordinator finds a busy store, and must not take many seconds to use it.
+#[test]
+fn the_first_rise_takes_a_few_loads() {
+    let mut limit = StoreLimit::default();
+    let mut waves = 0;
+    while limit.limit < 64.0 {
+        for _ in 0..limit.limit.floor() as usize {
+            // Another load starts for each that ends.
+            limit.set_in_flight(limit.limit.floor() as usize);
+            limit.load_took(250);
+        }
+        waves += 1;
+    }
+    assert!(waves <= 5, "{waves} waves of loads");
+}
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -9,13 +9,17 @@
     message::{Backend, EntryReport, PlaceReply, PlaceRequest},
 };
 
-use super::{EngineLimits, PlannedOrder, Planner};
+use super::{BaseModels, EngineLimits, EngineService, PlannedOrder, Planner};
 
 const SERVICE: &str = "scope-writer";
 const SLOTS: usize = 4;
 /// How long the test's engines take to load an adapter.
 const LOAD_MS: u64 = 250;
 
+/// How long the test's engines take to load a base model.
+const BASE_LOAD_MS: u64 = 1_500;
+/// Loads of base models that the test's store allows.
+const BASE_LOADS_PER_S: f64 = 3.0;
 /// How much the test's reports lag.
 const LAG_MS: u64 = 200;
 
@@ -24,6 +28,9 @@
 struct FakeEngine {
     /// When each adapter is in place.
     held: HashMap<ModelName, u64>,
+    /// When its base model is in place; 0 at first.
+    base_ready_ms: u64,
+    base_loads_ms: Vec<u64>,
     sequence: u64,
     /// Its states, the oldest first, and since when each holds.
     states: Vec<(u64, EngineReport)>,
@@ -36,6 +43,21 @@
         if order.expected_sequence != self.sequence {
             return OrderOutcome::Conflict;
         }
+        if *order.model == *"m" {
+            if self.base_ready_ms <= now_ms {
+                return OrderOutcome::Holds;
+            }
+            if self.base_ready_ms != u64::MAX {
+                return OrderOutcome::Conflict;
+            }
+            self.base_ready_ms = now_ms + BASE_LOAD_MS;
+            self.base_loads_ms.push(now_ms);
+            self.sequence += 1;
+            return OrderOutcome::Accepted;
+        }
+        if now_ms < self.base_ready_ms {
+            return OrderOutcome::Refused;
+        }
         match order.kind {
             OrderKind::Unload => {
                 self.sequence += u64::from(self.held.remove(&order.model).is_some());
@@ -62,13 +84,16 @@
             name: model.split_once('/').expect("an adapter").1.into(),
             version: 1,
         });
-        let models = vec![HeldModel { name: "m".into(), adapters: adapters.collect() }];
+        let base = HeldModel { name: "m".into(), adapters: adapters.collect() };
+        let has_base = self.base_ready_ms <= now_ms;
+        let models = if has_base { vec![base] } else { Vec::new() };
+        let busy = !has_base && self.base_ready_ms != u64::MAX;
         let coming = coming
             .into_iter()
             .map(|(model, _)| HeldAdapter { name: model.clone(), version: 1 })
             .collect();
         let sequence = self.sequence;
-        let report = EngineReport { models, coming, sequence, ..EngineReport::default() };
+        let report = EngineReport { models, coming, sequence, busy, ..EngineReport::default() };
         self.states.push((now_ms, report));
         let old = self.states.iter().rposition(|(since_ms, _)| since_ms + LAG_MS <= now_ms);
         self.states.drain(..old.unwrap_or_default());
@@ -105,7 +130,9 @@
         let engines = u16::try_from(self.engines.len()).expect("few engines");
         let backends: Vec<Backend> = (0..engines).map(backend).collect();
         self.planner = Planner::new(may_order_from_ms);
-        self.planner.set_services(HashMap::from([(SERVICE.into(), limits)]));
+        let base = BaseModels { names: vec!["m".into()], loads_per_s: BASE_LOADS_PER_S };
+        let service = EngineService { limits, base };
+        self.planner.set_services(HashMap::from([(SERVICE.into(), service)]));
         self.planner.set_backends(self.now_ms, &backends);
     }
 
@@ -481,6 +508,46 @@
     assert!(world.engine_of(1).is_some());
 }
 
+#[test]
+fn engines_that_start_empty_load_their_base_model() {
+    let mut world = World::new(4);
+    for engine in world.engines.values_mut() {
+        engine.base_ready_ms = u64::MAX;
+        engine.states.clear();
+    }
+    world.take_over(0);
+    world.run(BASE_LOAD_MS + 1_000);
+    world.place(1, request("m/a1"));
+    world.run(LOAD_MS + 100);
+    assert!(world.engine_of(1).is_some(), "an engine that has loaded its model isn't used");
+    world.run(8_000);
+    let mut loads_ms: Vec<u64> =
+        world.engines.values().flat_map(|engine| engine.base_loads_ms.clone()).collect();
+    loads_ms.sort_unstable();
+    assert_eq!(loads_ms.len(), 4, "each engine loads it once");
+    assert!(loads_ms.windows(2).all(|pair| pair[0] + 334 <= pair[1]), "{loads_ms:?}");
+}
+
+/// The new coordinator sees the engines load, and doesn't order the loads once more.
+#[test]
+fn base_models_that_are_coming_are_not_loaded_again_after_a_change_of_coordinator() {
+    let mut world = World::new(3);
+    for engine in world.engines.values_mut() {
+        engine.base_ready_ms = u64::MAX;
+        engine.states.clear();
+    }
+    world.take_over(0);
+    for _ in 0..20 {
+        world.run(400);
+        world.take_over(0);
+    }
+    world.run(3_000);
+    for engine in world.engines.values() {
+        assert_eq!(engine.base_loads_ms.len(), 1);
+        assert!(engine.base_ready_ms <= world.now_ms);
+    }
+}
+
 #[test]
 fn a_refusal_for_an_adapter_in_place_frees_no_slot() {
     let mut world = World::new(1);
