Look up the engines of an adapter by an index

Each pass went through all 140 engines for each waiting adapter, compared up to 100 names of recent drops for each engine, and the waiting requests for each adapter that might be dropped.

Change: an index of the engines of each adapter, built once a pass if holdings came or went; recent drops as a set; the adapters that entry processes use as counts.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -10,6 +10,7 @@
 
 mod base_models;
 mod engine;
+mod holders;
 mod loading;
 mod placing;
 mod store_limit;
@@ -26,6 +27,7 @@
 pub(super) use self::base_models::BaseModels;
 use self::{
     engine::{Engine, OrderState, Phase},
+    holders::{Holders, ReportedUse},
     store_limit::StoreLimit,
     waiting::Waiting,
 };
@@ -142,7 +144,9 @@
 pub(super) struct Planner {
     engines: BTreeMap<BackendKey, Engine>,
     services: HashMap<Box<str>, EngineService>,
+    holders: Holders,
     entries: HashMap<u64, EntryUse>,
+    reported_use: ReportedUse,
     pins: HashMap<(u64, u64), Pin>,
     waiting: Vec<Waiting>,
     versions: BTreeMap<ModelName, u64>,
@@ -163,7 +167,9 @@
         Planner {
             engines: BTreeMap::new(),
             services: HashMap::new(),
+            holders: Holders::default(),
             entries: HashMap::new(),
+            reported_use: ReportedUse::default(),
             pins: HashMap::new(),
             waiting: Vec::new(),
             versions: BTreeMap::new(),
@@ -190,6 +196,7 @@
     }
 
     pub(super) fn set_backends(&mut self, now_ms: u64, backends: &[Backend]) {
+        self.holders.invalidate();
         let listed: HashSet<BackendKey> = backends.iter().map(|backend| backend.key).collect();
         self.engines.retain(|key, _| listed.contains(key));
         for backend in backends {
@@ -228,6 +235,7 @@
             return;
         };
         engine.failed_reports = 0;
+        self.holders.invalidate();
         engine.take_report(now_ms, &report, &mut self.changes);
         // Only the report tells when a base model is in place.
         let interval_ms =
@@ -245,12 +253,22 @@
             }
         }
         let entry = self.entries.entry(entry).or_default();
+        for (key, model) in entry.in_use.drain() {
+            self.reported_use.remove(key, &model);
+        }
         entry.in_flight = report.in_flight.into_iter().collect();
         entry.in_use = report.in_use.into_iter().collect();
+        for (key, model) in &entry.in_use {
+            self.reported_use.add(*key, model);
+        }
     }
 
     pub(super) fn entry_gone(&mut self, now_ms: u64, entry: u64) {
-        self.entries.remove(&entry);
+        if let Some(gone) = self.entries.remove(&entry) {
+            for (key, model) in gone.in_use {
+                self.reported_use.remove(key, &model);
+            }
+        }
         self.waiting.retain(|waiting| waiting.entry != entry);
         let gone: Vec<_> = self.pins.keys().filter(|(owner, _)| *owner == entry).copied().collect();
         for (entry, id) in gone {
@@ -350,6 +368,7 @@
             return Vec::new();
         }
         self.next_pass_ms = now_ms + PASS_INTERVAL_MS;
+        self.holders.refresh(&self.engines);
         self.end_old_pins(now_ms);
         for engine in self.engines.values_mut() {
             engine.end_old_reading(now_ms);
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -91,6 +91,36 @@
     until_ms: u64,
 }
 
+/// The adapters that an engine dropped last.
+#[derive(Debug, Default)]
+struct RecentDrops {
+    /// The oldest first; an adapter stands here once more for each further drop.
+    order: VecDeque<ModelName>,
+    /// How often each adapter stands in the order.
+    counts: HashMap<ModelName, u32>,
+}
+
+impl RecentDrops {
+    fn contains(&self, model: &str) -> bool {
+        self.counts.contains_key(model)
+    }
+
+    fn add(&mut self, model: ModelName) {
+        *self.counts.entry(model.clone()).or_default() += 1;
+        self.order.push_back(model);
+        while self.counts.len() > MAX_DROPPED_LATELY
+            && let Some(oldest) = self.order.pop_front()
+        {
+            if let Some(count) = self.counts.get_mut(&oldest) {
+                *count -= 1;
+                if *count == 0 {
+                    self.counts.remove(&oldest);
+                }
+            }
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Engine {
     pub(super) backend: Backend,
@@ -106,7 +136,7 @@
     /// When the engine may have accepted an order for the last time.
     sequence_since_ms: u64,
     /// Adapters that the engine dropped, the oldest first; it still has the newest of them.
-    dropped_lately: VecDeque<ModelName>,
+    dropped_lately: RecentDrops,
     /// When the order was sent that has no answer yet.
     pub(super) order_sent_ms: Option<u64>,
     /// Until then the engine is taken for one that doesn't answer orders.
@@ -134,7 +164,7 @@
             holdings: HashMap::new(),
             sequence: None,
             sequence_since_ms: 0,
-            dropped_lately: VecDeque::new(),
+            dropped_lately: RecentDrops::default(),
             order_sent_ms: None,
             silent_to_orders_until_ms: 0,
             paused_until_ms: 0,
@@ -203,7 +233,7 @@
 
     /// Whether the engine has the adapter at hand, so that it need not come from the store.
     pub(super) fn held_lately(&self, model: &str) -> bool {
-        self.dropped_lately.iter().any(|dropped| **dropped == *model)
+        self.dropped_lately.contains(model)
     }
 
     /// Slots that are taken, also by loads and drops that have not ended.
@@ -288,11 +318,7 @@
     /// Forgets an adapter and its prompts.
     pub(super) fn forget(&mut self, model: &str) {
         self.holdings.remove(model);
-        self.dropped_lately.retain(|dropped| **dropped != *model);
-        self.dropped_lately.push_back(model.into());
-        if self.dropped_lately.len() > MAX_DROPPED_LATELY {
-            self.dropped_lately.pop_front();
-        }
+        self.dropped_lately.add(model.into());
         self.parts.retain(|(held, _)| **held != *model);
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -24,6 +24,7 @@
         order: &PlannedOrder,
         outcome: OrderOutcome,
     ) {
+        self.holders.invalidate();
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
         engine.order_sent_ms = None;
         let Some(holding) = engine.holdings.get_mut(&order.model) else { return };
@@ -103,6 +104,7 @@
         orders: &mut Vec<PlannedOrder>,
         order: PlannedOrder,
     ) {
+        self.holders.invalidate();
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
         engine.order_sent_ms = Some(now_ms);
         let phase = match order.kind {
@@ -174,14 +176,12 @@
     pub(super) fn drop_old_versions(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
         let mut due: Vec<PlannedOrder> = Vec::new();
         for (model, newest) in &self.versions {
-            for (key, engine) in &self.engines {
-                let is_unused_old = engine.holdings.get(model).is_some_and(|holding| {
-                    holding.phase == Phase::Ready
-                        && holding.version < *newest
-                        && holding.pins == 0
-                        && !self.in_use(*key, model)
-                });
-                let is_planned = due.iter().any(|order| order.engine == *key);
+            for (key, engine, holding) in self.holders.of(&self.engines, model) {
+                let is_unused_old = holding.phase == Phase::Ready
+                    && holding.version < *newest
+                    && holding.pins == 0
+                    && !self.reported_use.is_used(key, model);
+                let is_planned = due.iter().any(|order| order.engine == key);
                 if is_unused_old && engine.can_take_order(now_ms) && !is_planned {
                     due.push(engine.order(OrderKind::Unload, model.clone()));
                 }
@@ -214,7 +214,7 @@
         }
         // A first copy serves requests that can't be served otherwise.
         for model in missing.into_iter().chain(crowded) {
-            if let Some(order) = self.next_order_for(now_ms, &model) {
+            if let Some(order) = self.next_order_for(now_ms, &model, &seen) {
                 self.give(now_ms, orders, order);
             }
         }
@@ -224,8 +224,8 @@
     pub(super) fn copies(&self, now_ms: u64, model: &str) -> Copies {
         let newest = self.newest_version(model);
         let mut copies = Copies::None;
-        for engine in self.engines.values().filter(|engine| engine.takes_work()) {
-            let Some(holding) = engine.holdings.get(model) else { continue };
+        let holders = self.holders.of(&self.engines, model);
+        for (_, engine, holding) in holders.filter(|(_, engine, _)| engine.takes_work()) {
             match (holding.phase, &copies) {
                 _ if holding.version < newest => {}
                 (Phase::Coming, _)
@@ -244,7 +244,13 @@
     ///
     /// An engine that held the adapter lately is preferred, because its load doesn't take the
     /// weight store's time; the others follow in the order of the adapter's preference.
-    pub(super) fn next_order_for(&self, now_ms: u64, model: &str) -> Option<PlannedOrder> {
+    /// Adapters in `wanted` make no room.
+    pub(super) fn next_order_for(
+        &self,
+        now_ms: u64,
+        model: &str,
+        wanted: &HashSet<ModelName>,
+    ) -> Option<PlannedOrder> {
         let base = model.split('/').next().unwrap_or(model);
         let mut preferred: Vec<(bool, u64, BackendKey, u32)> = self
             .engines
@@ -269,7 +275,7 @@
             .filter(|(lately, _, _, placed)| {
                 *placed <= least + HOME_LOAD_SLACK && (*lately || store_is_free)
             })
-            .find_map(|(_, _, key, _)| match self.step_towards(now_ms, *key, model) {
+            .find_map(|(_, _, key, _)| match self.step_towards(now_ms, *key, model, wanted) {
                 Step::Order(order) => Some(Some(order)),
                 // The engine can take the adapter in a moment.
                 Step::Wait => Some(None),
@@ -278,7 +284,13 @@
             .flatten()
     }
 
-    pub(super) fn step_towards(&self, now_ms: u64, key: BackendKey, model: &str) -> Step {
+    fn step_towards(
+        &self,
+        now_ms: u64,
+        key: BackendKey,
+        model: &str,
+        wanted: &HashSet<ModelName>,
+    ) -> Step {
         let Some(engine) = self.engines.get(&key) else { return Step::Full };
         let kind = if engine.taken_slots() < engine.limits.adapter_slots {
             if engine.coming() >= MAX_COMING {
@@ -292,7 +304,7 @@
         };
         let model = match kind {
             OrderKind::Load => Some(ModelName::from(model)),
-            OrderKind::Unload => self.victim(now_ms, key, engine),
+            OrderKind::Unload => self.victim(now_ms, key, engine, wanted),
         };
         match model {
             Some(model) if engine.can_take_order(now_ms) => Step::Order(engine.order(kind, model)),
@@ -307,22 +319,18 @@
         now_ms: u64,
         key: BackendKey,
         engine: &Engine,
+        wanted: &HashSet<ModelName>,
     ) -> Option<ModelName> {
         let unused = engine.holdings.iter().filter(|(held, holding)| {
             held.contains('/')
                 && holding.phase == Phase::Ready
                 && holding.pins == 0
                 && holding.used_ms + RECENT_USE_MS <= now_ms
-                && !self.in_use(key, held)
-                && !self.waiting.iter().any(|waiting| waiting.request.model == **held)
+                && !self.reported_use.is_used(key, held)
+                && !wanted.contains(*held)
         });
         unused
             .min_by_key(|(held, holding)| (holding.used_ms, (*held).clone()))
             .map(|(held, _)| held.clone())
     }
-
-    pub(super) fn in_use(&self, key: BackendKey, model: &str) -> bool {
-        let used = (key, ModelName::from(model));
-        self.entries.values().any(|entry| entry.in_use.contains(&used))
-    }
 }
--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -92,19 +92,18 @@
     /// The engine that holds the adapter and starts the request first.
     pub(super) fn best_engine(&self, request: &PlaceRequest) -> Option<(BackendKey, Option<u64>)> {
         let newest = self.versions.get(&request.model).copied();
-        let engines = self.engines.iter();
-        let candidates = engines.filter_map(|(key, engine)| {
-            let holding = engine.holdings.get(&request.model)?;
+        let holders = self.holders.of(&self.engines, &request.model);
+        let candidates = holders.filter_map(|(key, engine, holding)| {
             let serves = holding.phase == Phase::Ready
                 && newest.is_none_or(|newest| holding.version >= newest)
                 && *engine.backend.service == *request.service
                 && engine.takes_work()
-                && !request.tried.contains(key)
+                && !request.tried.contains(&key)
                 && engine.has_room(request);
             serves.then(|| {
                 let fill = f64::from(engine.placed) / f64::from(engine.limits.slots.max(1));
                 let cost = engine.backlog_ms() + fill * FULL_BATCH_COST_MS;
-                (cost, *key, newest.map(|_| holding.version))
+                (cost, key, newest.map(|_| holding.version))
             })
         });
         candidates
--- a/crates/redwinglatch-fleet/src/ids.rs
+++ b/crates/redwinglatch-fleet/src/ids.rs
@@ -47,6 +47,13 @@
     value ^ (value >> 33)
 }
 
+/// A hash of a name.
+pub(crate) fn name_hash(name: &str) -> u64 {
+    let mut hash = Fnv::new();
+    hash.write(name.as_bytes());
+    hash.0
+}
+
 /// The preference of `name` for a backend server; the highest one is its home.
 pub(crate) fn rendezvous(name: &str, backend: BackendKey) -> u64 {
     let mut hash = Fnv::new();
