--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -45,6 +45,9 @@
 const TICK: Duration = Duration::from_millis(10);
 /// How often entry processes learn how busy the backend servers are.
 const LOADS_INTERVAL_MS: u64 = 250;
+/// How often entry processes learn which adapters have come or gone. They place requests by this only
+/// without a coordinator.
+const HOLDINGS_INTERVAL_MS: u64 = 100;
 /// How often a process that isn't a member of the log asks to become one.
 const JOIN_INTERVAL_MS: u64 = 250;
 /// A leader whose disk takes longer than this hands over to another replica.
@@ -156,6 +159,7 @@
     /// When the lead may be handed over again.
     transfer_due_ms: u64,
     loads_due_ms: u64,
+    holdings_due_ms: u64,
     idle_check_due_ms: u64,
 }
 
@@ -204,6 +208,7 @@
             holder_stopped_ms: None,
             stopping: false,
             loads_due_ms: 0,
+            holdings_due_ms: 0,
             idle_check_due_ms: 0,
             settings,
         };
--- a/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
@@ -14,7 +14,7 @@
     message::{Backend, CoreReply, FleetMessage, HoldingChange, PlaceReply},
 };
 
-use super::{Driver, FORMER_LEADER_MS, Input, LOADS_INTERVAL_MS};
+use super::{Driver, FORMER_LEADER_MS, HOLDINGS_INTERVAL_MS, Input, LOADS_INTERVAL_MS};
 
 impl Driver {
     /// Starts and ends the coordinator with leadership.
@@ -81,7 +81,11 @@
                 entry.sender.send(FleetMessage::PlaceReply { id, reply });
             }
         }
-        let changes: Vec<HoldingChange> = planner.take_changes();
+        let mut changes: Vec<HoldingChange> = Vec::new();
+        if self.holdings_due_ms <= now_ms {
+            changes = planner.take_changes();
+            self.holdings_due_ms = now_ms + HOLDINGS_INTERVAL_MS;
+        }
         for order in orders {
             self.give_order(epoch, order);
         }
