Learn the store's limit only from loads whose orders were answered

Change: an unanswered order at a silent engine takes no time of the store; only a load whose orders were all answered is a measure of it.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -374,7 +374,7 @@
             engine.end_old_reading(now_ms);
         }
         self.place_waiting(now_ms);
-        let coming = self.engines.values().map(Engine::coming_from_store).sum();
+        let coming = self.engines.values().map(|engine| engine.coming_from_store(now_ms)).sum();
         self.store.set_in_flight(coming);
         if now_ms < self.may_order_from_ms || !may_order {
             return Vec::new();
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -66,6 +66,8 @@
     pub(super) pins: u32,
     /// Whether a load takes it from the weight store, and not from the engine's own memory.
     pub(super) from_store: bool,
+    /// Whether all orders of the phase were answered, so that the end of a load is known in time.
+    pub(super) is_timed: bool,
 }
 
 impl Holding {
@@ -79,6 +81,7 @@
             used_ms: now_ms,
             pins: 0,
             from_store: false,
+            is_timed: true,
         }
     }
 }
@@ -226,8 +229,14 @@
         coming.filter(|(model, held)| model.contains('/') && held.phase == Phase::Coming).count()
     }
 
-    pub(super) fn coming_from_store(&self) -> usize {
-        let coming = |holding: &&Holding| holding.phase == Phase::Coming && holding.from_store;
+    /// Loads that take the weight store's time; an order without an answer may not be one.
+    pub(super) fn coming_from_store(&self, now_ms: u64) -> usize {
+        let is_silent = self.is_silent_to_orders(now_ms);
+        let coming = |holding: &&Holding| {
+            holding.phase == Phase::Coming
+                && holding.from_store
+                && (holding.order == OrderState::Accepted || !is_silent)
+        };
         self.holdings.values().filter(coming).count()
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -52,7 +52,7 @@
                 };
             }
             (OrderOutcome::Holds, OrderKind::Load) => {
-                if holding.phase == Phase::Coming && holding.from_store {
+                if holding.phase == Phase::Coming && holding.from_store && holding.is_timed {
                     self.store.load_took(now_ms.saturating_sub(holding.since_ms));
                 }
                 holding.phase = Phase::Ready;
@@ -74,11 +74,13 @@
                 if holding.order == OrderState::Sent {
                     holding.order = OrderState::Unanswered;
                 }
+                holding.is_timed = false;
                 holding.repeat_ms = now_ms + UNKNOWN_PAUSE_MS;
                 engine.order_unanswered(now_ms);
             }
             (OrderOutcome::Conflict, _) => {
                 // The engine has accepted orders that are not known here; its report counts them.
+                holding.is_timed = false;
                 holding.repeat_ms = now_ms + CONFLICT_PAUSE_MS;
                 engine.paused_until_ms = now_ms + CONFLICT_PAUSE_MS;
                 engine.report_due_ms = engine.report_due_ms.min(now_ms);
@@ -127,6 +129,7 @@
             }
             holding.phase = phase;
             holding.order = OrderState::Sent;
+            holding.is_timed = true;
             holding.since_ms = now_ms;
             if phase == Phase::Coming {
                 holding.from_store = from_store;
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -477,6 +477,41 @@
     assert!(world.engine_of(1).is_some_and(|engine| Some(engine) != home));
 }
 
+#[test]
+fn loads_without_an_answer_do_not_take_the_time_of_the_store() {
+    let mut world = World::new(20);
+    world.run(300);
+    for id in 0..8 {
+        world.place(id, request(&format!("m/a{id}")));
+    }
+    let mut orders = 0;
+    world.run_with(100, |world, order| {
+        orders += 1;
+        if orders <= 8 { OrderOutcome::Unknown } else { world.carry_out(order) }
+    });
+    assert!(world.loads() > 0, "the store counts as full with loads that nobody may have begun");
+}
+
+#[test]
+fn a_late_confirmation_does_not_show_a_busy_store() {
+    let mut world = World::new(1);
+    world.run(300);
+    world.place(1, request("m/a1"));
+    world.run(400);
+    let limit = world.planner.store.limit();
+    world.place(2, request("m/a2"));
+    world.run(30);
+    let mut lost = 3;
+    world.run_with(1_000, |world, order| {
+        if lost > 0 {
+            lost -= 1;
+            return OrderOutcome::Unknown;
+        }
+        world.carry_out(order)
+    });
+    assert!(world.planner.store.limit() >= limit);
+}
+
 #[test]
 fn an_order_that_is_long_in_flight_holds_up_no_other_load() {
     let mut world = World::new(2);
