Put only the newest of several committed configurations in force

Change: entries that are committed together are applied first; then the newest configuration and versions go to the entry processes, and then callers are answered.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -355,9 +355,7 @@
             if let Some(write) = effects.write {
                 self.start_write(write, effects);
             }
-            for entry in committed {
-                self.apply(entry);
-            }
+            self.apply(committed);
             for read in reads {
                 let Some(caller) = self.reads.remove(&read.id) else { continue };
                 match read.index {
@@ -415,35 +413,47 @@
         }
     }
 
-    fn apply(&mut self, entry: Entry) {
-        self.applied_index = entry.index;
-        self.applied_term = entry.term;
-        if let EntryKind::Data(data) = &entry.kind {
-            match postcard::from_bytes::<Command>(data) {
-                Ok(command) => self.apply_command(entry.index, command),
-                Err(error) => {
-                    log::error!("core: entry {} can't be read: {error}", entry.index);
-                    self.replica.halt();
+    /// Applies committed entries, tells the entry processes of what they change, and then answers
+    /// their callers.
+    ///
+    /// After a start many entries come at once, and only the newest configuration matters.
+    fn apply(&mut self, committed: Vec<Entry>) {
+        let mut configuration = false;
+        let mut versions = false;
+        let mut answers = Vec::new();
+        for entry in committed {
+            self.applied_index = entry.index;
+            self.applied_term = entry.term;
+            if let EntryKind::Data(data) = &entry.kind {
+                match postcard::from_bytes::<Command>(data) {
+                    Ok(command) => match self.state.apply(entry.index, command) {
+                        Applied::Configuration => configuration = true,
+                        Applied::Version => versions = true,
+                        Applied::Core => self.learn_cores(),
+                        Applied::Nothing => {}
+                    },
+                    Err(error) => {
+                        log::error!("core: entry {} can't be read: {error}", entry.index);
+                        self.replica.halt();
+                    }
                 }
             }
+            if let Some((term, caller)) = self.proposals.remove(&entry.index) {
+                let reply = if term == entry.term { CoreReply::Done } else { CoreReply::Unsure };
+                answers.push((caller, reply));
+            }
         }
-        if let Some((term, caller)) = self.proposals.remove(&entry.index) {
-            let reply = if term == entry.term { CoreReply::Done } else { CoreReply::Unsure };
-            caller.answer(reply);
+        if configuration {
+            self.configuration_changed();
         }
-    }
-
-    fn apply_command(&mut self, index: Index, command: Command) {
-        match self.state.apply(index, command) {
-            Applied::Configuration => self.configuration_changed(),
-            Applied::Version => {
-                self.send_entries(&self.versions_message());
-                if let Some((_, planner)) = &mut self.planner {
-                    planner.set_versions(&self.state.versions);
-                }
+        if versions {
+            self.send_entries(&self.versions_message());
+            if let Some((_, planner)) = &mut self.planner {
+                planner.set_versions(&self.state.versions);
             }
-            Applied::Core => self.learn_cores(),
-            Applied::Nothing => {}
+        }
+        for (caller, reply) in answers {
+            caller.answer(reply);
         }
     }
 
