Refuse requests for models and adapters that the service does not have

Cause: found in reading: a request for an adapter that doesn't exist was queued, its load was ordered and refused, and each refusal stopped all orders to that engine for 1 s. A few wrong names could keep every engine from loading.

Change: the entry process refuses such a request with 404 `unknown_model`, by the models and the number of adapters in the configuration. A model that states no number of adapters may have any.

A test with real processes sends eight wrong names; none leads to an order.

--- a/crates/redwinglatch-explain/src/cause.rs
+++ b/crates/redwinglatch-explain/src/cause.rs
@@ -76,6 +76,7 @@
     match outcome {
         "no_configuration" => "the process had no configuration yet",
         "no_route" => "no route of the configuration fits this host and path",
+        "unknown_model" => "the service has no such model or adapter",
         "malformed" => "the head can't be used, or the body broke off",
         "too_large" => "the body is larger than the configuration allows",
         "body_incomplete" => "the body did not arrive in time",
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -10,7 +10,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, Uri, body::Incoming, header::HOST, http::request::Parts,
 };
-use redwinglatch_routing::{RequestKind, Route, RouteKey, RouteTable};
+use redwinglatch_routing::{EngineSpec, RequestKind, Route, RouteKey, RouteTable};
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -105,6 +105,12 @@
     pub(crate) fn route(&self) -> &Route {
         self.table.route(self.route)
     }
+
+    /// What the engines of the service serve; `None` for a plain service.
+    fn engine_spec(&self) -> Option<&EngineSpec> {
+        let mut services = self.table.engine_services();
+        services.find(|(service, _)| service.name == self.service).map(|(_, spec)| spec)
+    }
 }
 
 /// How often a request was sent, and where.
@@ -173,7 +179,11 @@
     let host = host_of(&parts).ok_or(Reason::Malformed)?;
     let route = table.find(host, parts.uri.path()).ok_or(Reason::NoRoute)?;
     let body = read_body(body, table.configuration().limits.body_bytes).await?;
-    Ok(prepare(app, parts, body, table, route, received_at))
+    let prepared = prepare(app, parts, body, table, route, received_at);
+    match (&prepared.model, prepared.engine_spec()) {
+        (Some(model), Some(spec)) if !spec.serves(model) => Err(Reason::UnknownModel),
+        _ => Ok(prepared),
+    }
 }
 
 /// Whether a request is a stream that could not end before the process must.
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -16,6 +16,8 @@
     NoConfiguration,
     /// No route matches.
     NoRoute,
+    /// The service has no such model or adapter.
+    UnknownModel,
     /// The head can't be used.
     Malformed,
     /// The body is too large.
@@ -46,6 +48,7 @@
         match self {
             Reason::NoConfiguration => "no_configuration",
             Reason::NoRoute => "no_route",
+            Reason::UnknownModel => "unknown_model",
             Reason::Malformed => "malformed",
             Reason::TooLarge => "too_large",
             Reason::BodyIncomplete => "body_incomplete",
@@ -61,7 +64,7 @@
 
     fn status(self) -> StatusCode {
         match self {
-            Reason::NoRoute => StatusCode::NOT_FOUND,
+            Reason::NoRoute | Reason::UnknownModel => StatusCode::NOT_FOUND,
             Reason::Malformed => StatusCode::BAD_REQUEST,
             Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
--- a/crates/redwinglatch-routing/src/configuration.rs
+++ b/crates/redwinglatch-routing/src/configuration.rs
@@ -105,6 +105,31 @@
     pub models: Vec<ModelSpec>,
 }
 
+impl EngineSpec {
+    /// Whether the engines serve `name`, a model or MODEL/ADAPTER.
+    ///
+    /// Adapters are named a1, a2 and so on; a model that states no number of them may have any.
+    #[must_use]
+    pub fn serves(&self, name: &str) -> bool {
+        let (model, adapter) = match name.split_once('/') {
+            Some((model, adapter)) => (model, Some(adapter)),
+            None => (name, None),
+        };
+        let Some(spec) = self.models.iter().find(|spec| *spec.name == *model) else {
+            return false;
+        };
+        let number = adapter.and_then(|adapter| adapter.strip_prefix('a'));
+        match (adapter, number) {
+            (None, _) => true,
+            (Some(_), _) if spec.adapters == 0 => true,
+            (Some(_), Some(number)) if !number.starts_with(['0', '+']) => {
+                number.parse().is_ok_and(|number: u32| number <= spec.adapters)
+            }
+            _ => false,
+        }
+    }
+}
+
 /// A base model.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ModelSpec {
