Look for an empty engine once a pass; clearer names and comments

Cause: while as many base models are loaded as the store serves, each empty engine repeated the count of all models. Reading also found a method named like a predicate and unclear states of orders.

Change: the count is made once for each service.

Conclusion: no change of behaviour but for the time of a pass.

--- a/crates/redwinglatch-fleet/src/core/planner/base_models.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/base_models.rs
@@ -24,6 +24,7 @@
         (1_000.0 / self.loads_per_s).ceil() as u64
     }
 
+    /// 0 if the store allows no loads.
     fn most_at_a_time(&self) -> usize {
         (self.loads_per_s * AT_A_TIME_PER_RATE).ceil() as usize
     }
@@ -35,22 +36,22 @@
         if now_ms < self.next_base_load_ms {
             return;
         }
-        let order = self.engines.iter().find_map(|(key, engine)| {
-            let service = self.services.get(&engine.backend.service)?;
-            let needs_model = engine.is_empty() && engine.takes_work();
-            if !needs_model || !engine.can_take_order(now_ms) || service.base.loads_per_s <= 0.0 {
-                return None;
-            }
-            let model = self.neediest_model(&engine.backend.service, &service.base)?;
-            Some((service.base.interval_ms(), *key, model))
+        let needy = self.services.iter().find_map(|(name, service)| {
+            let engine = self.engines.values().find(|engine| {
+                *engine.backend.service == **name
+                    && engine.is_empty()
+                    && engine.takes_work()
+                    && engine.can_take_order(now_ms)
+            })?;
+            let model = self.neediest_model(name, &service.base)?;
+            Some((service.base.interval_ms(), engine, model))
         });
-        let Some((interval_ms, key, model)) = order else { return };
-        let Some(engine) = self.engines.get(&key) else { return };
+        let Some((interval_ms, engine, model)) = needy else { return };
         let order = engine.order(OrderKind::Load, model);
         log::info!(
             "coordinator: engine {} holds no model and loads {}",
             engine.backend.id,
-            order.model
+            order.model,
         );
         self.next_base_load_ms = now_ms + interval_ms;
         self.give(now_ms, orders, order);
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -41,14 +41,14 @@
     Going,
 }
 
-/// What is known of the order of a phase.
+/// What the engine has said to the order that began a phase.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OrderState {
-    /// The engine has not answered it yet.
+    /// Nothing yet, or it has refused it.
     Sent,
-    /// The engine may have accepted it.
+    /// The time for an answer has passed, so the engine may have accepted it or may do so later.
     Unanswered,
-    /// The engine has accepted it.
+    /// It has accepted it.
     Accepted,
 }
 
@@ -136,7 +136,7 @@
     /// How many orders the engine has accepted, once it has reported that. Every order names this
     /// number, so the engine carries none out whose plan rests on an older state.
     sequence: Option<u64>,
-    /// When the engine may have accepted an order for the last time.
+    /// When the last order was counted; reports from before may not count it.
     sequence_since_ms: u64,
     /// Adapters that the engine dropped, the oldest first; it still has the newest of them.
     dropped_lately: RecentDrops,
@@ -210,8 +210,8 @@
         PlannedOrder { engine: self.backend.key, kind, model, expected_sequence }
     }
 
-    /// The engine has accepted an order, or may have.
-    pub(super) fn accepted(&mut self, now_ms: u64, order: &PlannedOrder) {
+    /// Counts an order that the engine has accepted.
+    pub(super) fn count_accepted(&mut self, now_ms: u64, order: &PlannedOrder) {
         self.sequence = self.sequence.max(Some(order.expected_sequence + 1));
         self.sequence_since_ms = now_ms;
     }
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -58,7 +58,6 @@
                 holding.phase = Phase::Ready;
                 holding.order = OrderState::Accepted;
                 holding.since_ms = now_ms;
-
                 self.changes.push(HoldingChange::Ready(Held {
                     engine: order.engine,
                     model: order.model.clone(),
@@ -95,7 +94,7 @@
             }
         }
         if is_counted {
-            engine.accepted(now_ms, order);
+            engine.count_accepted(now_ms, order);
         }
     }
 
