Hand the store's limit to the next coordinator

Loads whose end a silent engine didn't tell counted as under way for up to a second.

Change: entry processes keep the last limit that a coordinator has measured and report it to the next one, which uses it until it has measured a slow load itself. At an engine that leaves orders without answers a load takes the store's time for 400 ms at most.

--- a/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinate.rs
@@ -105,6 +105,7 @@
         let loads = (self.loads_due_ms <= now_ms).then(|| FleetMessage::Loads {
             in_flight: planner.in_flight(),
             silent: planner.silent(),
+            store_limit: planner.store_limit(),
         });
         for (engine, address) in due {
             let (client, dialect) = (Arc::clone(&self.client), self.dialect);
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -252,6 +252,7 @@
                 holding.used_ms = now_ms;
             }
         }
+        self.store.hand_over(report.store_limit);
         let entry = self.entries.entry(entry).or_default();
         for (key, model) in entry.in_use.drain() {
             self.reported_use.remove(key, &model);
@@ -356,6 +357,11 @@
         sums.into_iter().collect()
     }
 
+    /// How many loads the weight store serves at a time, rounded down; 0 while it isn't known.
+    pub(super) fn store_limit(&self) -> u32 {
+        if self.store.was_reached() { self.store.limit() as u32 } else { 0 }
+    }
+
     /// Engines that do not answer.
     pub(super) fn silent(&self) -> Vec<BackendKey> {
         let engines = self.engines.iter();
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -25,6 +25,8 @@
 const MEMORY_SHARE: f64 = 0.92;
 /// How long an engine usually takes at most to answer an order.
 const USUAL_ANSWER_MS: u64 = 60;
+/// How long a load takes the weight store's time if its engine doesn't tell when it ends.
+const UNTOLD_LOAD_MS: u64 = 400;
 /// How long other engines are preferred to one that left an order without an answer.
 const SILENT_TO_ORDERS_MS: u64 = 1_000;
 /// Adapters beyond those in place that an engine has at hand.
@@ -229,13 +231,15 @@
         coming.filter(|(model, held)| model.contains('/') && held.phase == Phase::Coming).count()
     }
 
-    /// Loads that take the weight store's time; an order without an answer may not be one.
+    /// Loads that take the weight store's time. An order without an answer may not be one, and an
+    /// engine that leaves orders without answers doesn't tell when a load ends.
     pub(super) fn coming_from_store(&self, now_ms: u64) -> usize {
         let is_silent = self.is_silent_to_orders(now_ms);
         let coming = |holding: &&Holding| {
+            let may_have_ended = holding.since_ms + UNTOLD_LOAD_MS < now_ms;
             holding.phase == Phase::Coming
                 && holding.from_store
-                && (holding.order == OrderState::Accepted || !is_silent)
+                && (!is_silent || (holding.order == OrderState::Accepted && !may_have_ended))
         };
         self.holdings.values().filter(coming).count()
     }
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -50,6 +50,20 @@
         self.limit
     }
 
+    /// Whether a slow load has shown what the store serves.
+    pub(super) fn was_reached(&self) -> bool {
+        self.was_reached
+    }
+
+    /// Takes the limit that another coordinator has learned.
+    ///
+    /// It counts only until this one has measured a slow load itself.
+    pub(super) fn hand_over(&mut self, limit: u32) {
+        if !self.was_reached {
+            self.limit = self.limit.max(f64::from(limit).min(MAX_LIMIT));
+        }
+    }
+
     pub(super) fn has_room(&self) -> bool {
         (self.in_flight as f64) < self.limit.floor()
     }
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
@@ -30,6 +30,20 @@
     assert!(limit.limit >= FIRST_LIMIT);
 }
 
+#[test]
+fn a_limit_of_another_coordinator_counts_until_a_slow_load() {
+    let mut limit = StoreLimit::default();
+    limit.hand_over(60);
+    assert!(limit.limit >= 60.0);
+    limit.hand_over(0);
+    assert!(limit.limit >= 60.0);
+    limit.load_took(250);
+    limit.load_took(900);
+    let lowered = limit.limit;
+    limit.hand_over(100);
+    assert!(limit.limit <= lowered);
+}
+
 /// A new coordinator finds a busy store, and must not take many seconds to use it.
 #[test]
 fn the_first_rise_takes_a_few_loads() {
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -146,7 +146,9 @@
             }
         }
         FleetMessage::PlaceReply { id, reply } => app.view().place_replied(id, reply),
-        FleetMessage::Loads { in_flight, silent } => app.view().set_loads(&in_flight, &silent),
+        FleetMessage::Loads { in_flight, silent, store_limit } => {
+            app.view().set_loads(&in_flight, &silent, store_limit);
+        }
         other => log::debug!("entry: an unexpected message is ignored: {other:?}"),
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/view.rs
+++ b/crates/redwinglatch-fleet/src/entry/view.rs
@@ -70,6 +70,8 @@
     backends_digest: u64,
     holdings: HashMap<ModelName, SmallVec<[(BackendKey, u64); 2]>>,
     holdings_epoch: u64,
+    /// What the last coordinator has learned of the weight store, for the next one.
+    store_limit: u32,
     versions: HashMap<ModelName, u64>,
     cores: BTreeMap<SocketAddr, Option<LinkSender>>,
     coordinator: Option<SocketAddr>,
@@ -96,6 +98,7 @@
             backends_digest: 0,
             holdings: HashMap::new(),
             holdings_epoch: 0,
+            store_limit: 0,
             versions: HashMap::new(),
             cores: BTreeMap::new(),
             coordinator: None,
@@ -331,7 +334,15 @@
         }
     }
 
-    pub(crate) fn set_loads(&mut self, in_flight: &[(BackendKey, u32)], silent: &[BackendKey]) {
+    pub(crate) fn set_loads(
+        &mut self,
+        in_flight: &[(BackendKey, u32)],
+        silent: &[BackendKey],
+        store_limit: u32,
+    ) {
+        if store_limit > 0 {
+            self.store_limit = store_limit;
+        }
         let sums: HashMap<_, _> = in_flight.iter().copied().collect();
         let silent: HashSet<_> = silent.iter().copied().collect();
         for (key, known) in &mut self.backends {
@@ -354,6 +365,7 @@
                 .filter(|(_, _, epoch)| *epoch != self.holdings_epoch)
                 .map(|(key, model, _)| (*key, model.clone()))
                 .collect(),
+            store_limit: self.store_limit,
         }
     }
 
--- a/crates/redwinglatch-fleet/src/entry/view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/view/tests.rs
@@ -83,7 +83,7 @@
     let mut view = View::new(address(100));
     view.set_backends(1, vec![backend(1, "desk"), backend(2, "desk")]);
     let busy = backend(1, "desk").key;
-    view.set_loads(&[(busy, 5)], &[]);
+    view.set_loads(&[(busy, 5)], &[], 0);
     for _ in 0..50 {
         let choice = view.choose_plain(0, "desk", "hall-a", &[]);
         assert_eq!(chosen(&choice), Some(address(2)));
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -56,8 +56,9 @@
     /// What changed since the last message of the same epoch.
     HoldingChanges { epoch: u64, changes: Vec<HoldingChange> },
     /// How many requests of all entry processes each backend server has in flight, and which
-    /// servers do not answer the coordinator.
-    Loads { in_flight: Vec<(BackendKey, u32)>, silent: Vec<BackendKey> },
+    /// servers do not answer the coordinator. Entry processes hand `store_limit`, the loads that the
+    /// weight store serves at a time, to the next coordinator; 0 while the sender doesn't know.
+    Loads { in_flight: Vec<(BackendKey, u32)>, silent: Vec<BackendKey>, store_limit: u32 },
     /// A message of the replicated log.
     Log { from: ReplicaId, to: ReplicaId, message: Vec<u8> },
     /// A core process that isn't a member of the log asks to become one.
@@ -96,6 +97,8 @@
     pub(crate) in_flight: Vec<(BackendKey, u32)>,
     /// Adapters in use at each engine by requests that the coordinator has not placed.
     pub(crate) in_use: Vec<(BackendKey, ModelName)>,
+    /// Loads that the weight store serves at a time, as the last coordinator said; 0 if none did.
+    pub(crate) store_limit: u32,
 }
 
 /// A request for a model engine.
