--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -30,10 +30,19 @@
 const STOP_PAUSE: Duration = Duration::from_millis(300);
 
 /// Runs a core process.
+///
+/// Without a data folder it only waits for its end: a replica that forgets what it has acknowledged
+/// must not vote, and a process that ended at once would be started again and again.
 pub(crate) async fn run(
     settings: ProcessSettings,
     dialect: &'static Dialect,
 ) -> Result<(), FleetError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let Some(folder) = settings.data_dir.clone() else {
+        log::warn!("core: {} has no data folder, so the process stays idle", settings.name);
+        terminate.recv().await;
+        return Ok(());
+    };
     let clock = Clock::start();
     let control =
         settings.control.ok_or(SettingsError::Missing { section: "listen", key: "control" })?;
@@ -42,7 +51,7 @@
     let link_listener = http::bind(link)?;
     let (inputs, received) = mpsc::channel(INPUT_QUEUE);
     let (stop, stopped) = watch::channel(false);
-    let started = start::open(&settings, link, clock)?;
+    let started = start::open(&folder, &settings, link, clock)?;
     log::info!(
         "core: {} starts at {link} as replica {} of the log, joining={}",
         settings.name,
@@ -54,7 +63,6 @@
     if let Some(address) = settings.list_address {
         tokio::spawn(lister::run(address, inputs.clone(), dialect));
     }
-    let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     tokio::spawn(async move {
         while hangup.recv().await.is_some() {
--- a/crates/redwinglatch-fleet/src/core/start.rs
+++ b/crates/redwinglatch-fleet/src/core/start.rs
@@ -43,21 +43,18 @@
 
 /// Opens the data folder, or creates it on a new machine.
 pub(super) fn open(
+    folder: &Path,
     settings: &ProcessSettings,
     link: SocketAddr,
     clock: Clock,
 ) -> Result<Started, FleetError> {
-    let folder = match &settings.data_dir {
-        Some(folder) => folder.clone(),
-        None => std::env::temp_dir().join("redwinglatch-core"),
-    };
-    fs::create_dir_all(&folder)?;
+    fs::create_dir_all(folder)?;
     let seeds = first_cores(settings);
     let rank = seeds.iter().position(|seed| *seed == link);
     let log_folder = folder.join("log");
     let mut joining = false;
     let mut fleet_is_new = false;
-    let Identity { id, first_voters } = match read_identity(&folder)? {
+    let Identity { id, first_voters } = match read_identity(folder)? {
         Some(identity) => identity,
         None => {
             let identity = match rank {
@@ -68,7 +65,7 @@
             };
             joining = identity.first_voters == 0;
             fleet_is_new = !joining;
-            write_identity(&folder, &identity)?;
+            write_identity(folder, &identity)?;
             identity
         }
     };
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -150,7 +150,7 @@
             front: address("front", !core)?,
             ready: address("ready", !core)?,
             directory: address("directory", !core)?,
-            control: address("control", core)?,
+            control: address("control", core && read.text("fleet", "data_dir").is_some())?,
             metrics: read.optional("listen", "metrics", ADDRESS)?,
             link_port: read.required("fleet", "link_port", "a port")?,
             seeds: read.list("fleet", "seeds", ADDRESS)?,
