--- a/crates/redwinglatch-explain/src/explanation.rs
+++ b/crates/redwinglatch-explain/src/explanation.rs
@@ -42,12 +42,15 @@
         lines.sort_by(|left, right| left.time.cmp(&right.time));
         let cause = cause::find(&lines);
         let mut nearby = Vec::new();
-        let decided_ms = cause.and_then(|cause| lines[cause.line].time_of_day_ms());
-        if let Some(decided_ms) = decided_ms {
+        let deciding = cause.map(|cause| &lines[cause.line]);
+        if let Some(deciding) = deciding
+            && let Some(decided_ms) = deciding.time_of_day_ms()
+        {
             nearby = all()
                 .filter(|line| {
                     let time_ms = line.time_of_day_ms();
                     !line.is_about_a_request()
+                        && line.date() == deciding.date()
                         && time_ms.is_some_and(|time_ms| {
                             (decided_ms.saturating_sub(NEARBY_MS)..=decided_ms).contains(&time_ms)
                         })
@@ -78,6 +81,8 @@
     }
 
     /// What processes reported beside requests in the 2 s before the deciding line, the last ten.
+    ///
+    /// Lines of the day before are left out, also shortly after midnight.
     #[must_use]
     pub fn nearby(&self) -> &[LogLine] {
         &self.nearby
--- a/crates/redwinglatch-explain/src/log_line.rs
+++ b/crates/redwinglatch-explain/src/log_line.rs
@@ -1,5 +1,8 @@
 //! One line of a process's log.
 
+/// The length of a time without a fraction.
+const MIN_TIME_CHARS: usize = "2026-01-01T00:00:00Z".len();
+
 /// A line as a process writes it, `[TIME LEVEL TARGET] MESSAGE`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogLine {
@@ -51,6 +54,10 @@
         self.message.starts_with("request:")
     }
 
+    pub(crate) fn date(&self) -> Option<&str> {
+        self.time.split_once('T').map(|(date, _)| date)
+    }
+
     /// The time of day in milliseconds.
     pub(crate) fn time_of_day_ms(&self) -> Option<u64> {
         let (_, time) = self.time.split_once('T')?;
@@ -60,6 +67,3 @@
         Some(((hours * 60 + minutes) * 60 + seconds) * 1_000 + part().unwrap_or_default())
     }
 }
-
-/// The length of a time without a fraction.
-const MIN_TIME_CHARS: usize = "2026-01-01T00:00:00Z".len();
--- a/crates/redwinglatch-explain/tests/explain.rs
+++ b/crates/redwinglatch-explain/tests/explain.rs
@@ -113,6 +113,21 @@
     assert!(explanation.to_string().contains("No line tells of a failure"));
 }
 
+/// Logs may span days, and only the last seconds can explain a failure.
+#[test]
+fn events_of_other_days_are_not_near() {
+    let logs = log(&[
+        "[2026-01-01T10:00:00.000Z WARN  x] core: the day before",
+        "[2026-01-02T09:59:57.000Z WARN  x] core: too early",
+        "[2026-01-02T09:59:59.000Z WARN  x] core: near",
+        "[2026-01-02T10:00:00.000Z INFO  x] request: id=r1 outcome=overloaded after_ms=2",
+        "[2026-01-03T09:59:59.500Z WARN  x] core: the day after",
+    ]);
+    let explanation = Explanation::of("r1", &logs).expect("an explanation");
+    let nearby: Vec<&str> = explanation.nearby().iter().map(|line| &*line.message).collect();
+    assert_eq!(nearby, ["core: near"]);
+}
+
 #[test]
 fn an_id_names_only_its_own_lines() {
     let logs = log(&["[2026-01-01T00:00:00.001Z INFO  x] request: id=r12 outcome=failed"]);
