Install the handlers of signals before a process waits

Change: both roles install the handlers of SIGTERM and SIGHUP first. Conclusion: the same order guards an entry process that binds its listeners.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -39,6 +39,15 @@
     dialect: &'static Dialect,
 ) -> Result<(), FleetError> {
     let mut terminate = signal(SignalKind::terminate())?;
+    // Installed before anything that waits, because SIGHUP ends a process without a handler.
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            log::info!(
+                "core: SIGHUP received; a core process applies its settings only at startup"
+            );
+        }
+    });
     let Some(data_dir) = settings.data_dir.clone() else {
         log::warn!("core: {} has no data directory, so the process stays idle", settings.name);
         terminate.recv().await;
@@ -64,14 +73,6 @@
     if let Some(address) = settings.list_address {
         tokio::spawn(backend_list::run(address, events.clone(), dialect));
     }
-    let mut hangup = signal(SignalKind::hangup())?;
-    tokio::spawn(async move {
-        while hangup.recv().await.is_some() {
-            log::info!(
-                "core: SIGHUP received; a core process applies its settings only at startup"
-            );
-        }
-    });
     let metrics = Arc::new(Metrics::default());
     if let Some(address) = settings.metrics {
         let (listener, metrics) = (http::bind(address)?, Arc::clone(&metrics));
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -70,6 +70,14 @@
     settings: ProcessSettings,
     dialect: &'static Dialect,
 ) -> Result<(), FleetError> {
+    // Installed first, because a signal ends a process that has no handler for it.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            log::info!("entry: SIGHUP; new seeds apply at the next start");
+        }
+    });
     let missing = |key| SettingsError::Missing { section: "listen", key };
     let front = settings.front.ok_or(missing("front"))?;
     let ready = settings.ready.ok_or(missing("ready"))?;
@@ -122,13 +130,6 @@
             idle_context.client.close_expired();
         }
     });
-    let mut hangup = signal(SignalKind::hangup())?;
-    tokio::spawn(async move {
-        while hangup.recv().await.is_some() {
-            log::info!("entry: SIGHUP; new seeds apply at the next start");
-        }
-    });
-    let mut terminate = signal(SignalKind::terminate())?;
     terminate.recv().await;
     drain(&context, &stop).await;
     Ok(())
