Accept fractional bounds, and write the last log lines before an exit

Cause: retry_slack and holder_lease_ms were read as whole numbers, and the platform scales bounds with the size of a deployment; the process exited, and its reason was lost because a thread writes the lines. The share of the retry slack is no longer rounded down to a whole number for each process.

--- a/crates/redwinglatch-fleet/src/entry/budget.rs
+++ b/crates/redwinglatch-fleet/src/entry/budget.rs
@@ -43,7 +43,7 @@
         let (bounds, processes) = (self.bounds, self.processes);
         let window = self.window(now_ms, service);
         let from_requests = window.requests.len() as f64 * bounds.ratio * USABLE_SHARE;
-        let from_slack = (bounds.slack / processes) as f64 * USABLE_SHARE;
+        let from_slack = bounds.slack / processes as f64 * USABLE_SHARE;
         if (window.retries.len() as f64) + 1.0 > from_requests + from_slack {
             return false;
         }
--- a/crates/redwinglatch-fleet/src/entry/budget/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/budget/tests.rs
@@ -1,7 +1,7 @@
 use super::{MIN_PROCESSES, RetryBudget};
 use crate::RetryBudgetBounds;
 
-const BOUNDS: RetryBudgetBounds = RetryBudgetBounds { ratio: 0.2, slack: 64, window_ms: 10_000 };
+const BOUNDS: RetryBudgetBounds = RetryBudgetBounds { ratio: 0.2, slack: 64.0, window_ms: 10_000 };
 
 /// If all requests fail at once, the retries of all entry processes together stay within the shared
 /// limit in every window.
@@ -25,7 +25,7 @@
         let inside = |time_ms: &&u64| **time_ms <= end_ms && end_ms < **time_ms + 10_000;
         let requests = requests.iter().filter(inside).count() as f64;
         let retries = retries.iter().filter(inside).count() as f64;
-        let bound = requests * BOUNDS.ratio + BOUNDS.slack as f64;
+        let bound = requests * BOUNDS.ratio + BOUNDS.slack;
         assert!(
             retries <= bound,
             "{retries} retries exceed {bound} in the window that ends at {end_ms} ms"
--- a/crates/redwinglatch-fleet/src/logging.rs
+++ b/crates/redwinglatch-fleet/src/logging.rs
@@ -11,6 +11,7 @@
         atomic::{AtomicU64, Ordering},
         mpsc::{self, SyncSender, TrySendError},
     },
+    time::Duration,
 };
 
 use env_logger::{Builder, Env, Logger, Target};
@@ -25,6 +26,9 @@
 /// Maximum number of lines of placed requests per second.
 const MAX_PLACED_LINES_PER_S: u32 = 50;
 
+/// Maximum time for which an exiting process waits for its last lines to be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Number of lines dropped since the writer last reported them.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
@@ -34,12 +38,20 @@
 ///
 /// Fails if a logger is already installed or the thread cannot be started.
 pub fn init_logging() -> io::Result<()> {
-    let (lines, queue) = mpsc::sync_channel::<Vec<u8>>(QUEUE_LINES);
+    let (queue, queued) = mpsc::sync_channel::<LogOutput>(QUEUE_LINES);
     std::thread::Builder::new().name("log".to_owned()).spawn(move || {
         let mut out = io::stdout();
-        while let Ok(line) = queue.recv() {
+        while let Ok(output) = queued.recv() {
             // If standard output is closed, there is no place to report the error.
-            let _ = out.write_all(&line);
+            let _ = match output {
+                LogOutput::Line(line) => out.write_all(&line),
+                LogOutput::Flush(flushed) => {
+                    let result = out.flush();
+                    // The process may have stopped waiting.
+                    let _ = flushed.send(());
+                    result
+                }
+            };
             let dropped = DROPPED_LINES.swap(0, Ordering::Relaxed);
             if dropped > 0 {
                 let _ = writeln!(out, "log: {dropped} lines were dropped");
@@ -48,21 +60,30 @@
     })?;
     let logger = Builder::from_env(Env::default().default_filter_or("info"))
         .format_timestamp_millis()
-        .target(Target::Pipe(Box::new(LineQueue { lines })))
+        .target(Target::Pipe(Box::new(LineQueue { queue: queue.clone() })))
         .build();
     log::set_max_level(logger.filter());
-    let logger = RateLimitedLogger { logger, placed_limit: Mutex::new(LineRateLimit::default()) };
+    let placed_limit = Mutex::new(LineRateLimit::default());
+    let logger = QueueingLogger { logger, queue, placed_limit };
     log::set_boxed_logger(Box::new(logger)).map_err(io::Error::other)
 }
 
+/// An item of the queue to the writer thread.
+enum LogOutput {
+    Line(Vec<u8>),
+    /// All lines before it are to be written and then acknowledged.
+    Flush(SyncSender<()>),
+}
+
 /// Queues each line for the writer thread, or drops it if the queue is full.
 struct LineQueue {
-    lines: SyncSender<Vec<u8>>,
+    queue: SyncSender<LogOutput>,
 }
 
 impl Write for LineQueue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line.to_vec()) {
+        let output = LogOutput::Line(line.to_vec());
+        if let Err(TrySendError::Full(_)) = self.queue.try_send(output) {
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -95,13 +116,14 @@
     }
 }
 
-/// Logger that drops lines of placed requests above [`MAX_PLACED_LINES_PER_S`].
-struct RateLimitedLogger {
+/// Logger that drops lines of placed requests above [`MAX_PLACED_LINES_PER_S`] and queues the others.
+struct QueueingLogger {
     logger: Logger,
+    queue: SyncSender<LogOutput>,
     placed_limit: Mutex<LineRateLimit>,
 }
 
-impl Log for RateLimitedLogger {
+impl Log for QueueingLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
         self.logger.enabled(metadata)
     }
@@ -117,5 +139,12 @@
         self.logger.log(record);
     }
 
-    fn flush(&self) {}
+    /// Waits until the lines before this call are written, for at most [`FLUSH_TIMEOUT`].
+    fn flush(&self) {
+        let (flushed, is_flushed) = mpsc::sync_channel(1);
+        // A full queue belongs to a reader that doesn't read, for which the exit isn't delayed.
+        if self.queue.try_send(LogOutput::Flush(flushed)).is_ok() {
+            let _ = is_flushed.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -31,8 +31,9 @@
 pub struct RetryBudgetBounds {
     /// Number of retries allowed per request.
     pub ratio: f64,
-    /// Number of retries allowed beyond that, over all entry processes together.
-    pub slack: u64,
+    /// Number of retries allowed beyond that, over all entry processes together. The platform
+    /// scales it with the size of a deployment, so it may have a fraction.
+    pub slack: f64,
     /// The sliding window over which requests and retries are counted.
     pub window_ms: u64,
 }
@@ -81,10 +82,8 @@
 #[non_exhaustive]
 pub enum SettingsError {
     /// The file cannot be read or is not valid INI.
-    #[error("{path}: cannot read the settings: {reason}")]
+    #[error("cannot read the settings: {reason}")]
     Unreadable {
-        /// The path of the file.
-        path: Box<str>,
         /// The cause.
         reason: Box<str>,
     },
@@ -117,10 +116,8 @@
     ///
     /// Fails if the file cannot be read, or at the first key that is missing or malformed.
     pub fn from_file(path: &str, role: ProcessRole) -> Result<ProcessSettings, SettingsError> {
-        let ini = Ini::load_from_file(path).map_err(|error| SettingsError::Unreadable {
-            path: path.into(),
-            reason: error.to_string().into(),
-        })?;
+        let ini = Ini::load_from_file(path)
+            .map_err(|error| SettingsError::Unreadable { reason: error.to_string().into() })?;
         ProcessSettings::from_ini(&ini, role)
     }
 
@@ -130,10 +127,8 @@
     ///
     /// Fails if the text is not valid INI, or at the first key that is missing or malformed.
     pub fn from_text(text: &str, role: ProcessRole) -> Result<ProcessSettings, SettingsError> {
-        let ini = Ini::load_from_str(text).map_err(|error| SettingsError::Unreadable {
-            path: "settings".into(),
-            reason: error.to_string().into(),
-        })?;
+        let ini = Ini::load_from_str(text)
+            .map_err(|error| SettingsError::Unreadable { reason: error.to_string().into() })?;
         ProcessSettings::from_ini(&ini, role)
     }
 
@@ -157,8 +152,8 @@
             bootstrap: ini.or_default("fleet", "bootstrap", "true or false", false)?,
             data_dir: ini.optional("fleet", "data_dir", "a path")?,
             list_address: ini.optional("platform", "list_address", ADDRESS)?,
-            grace_ms: seconds_to_ms(ini.or_default("bounds", "grace_s", NUMBER, 8.0)?),
-            holder_lease_ms: ini.or_default("bounds", "holder_lease_ms", NUMBER, 3_000)?,
+            grace_ms: seconds_to_ms(ini.bound("grace_s", 8.0)?),
+            holder_lease_ms: ini.bound("holder_lease_ms", 3_000.0)?.ceil() as u64,
             engines_check_fencing: ini.or_default(
                 "bounds",
                 "check_fencing",
@@ -166,24 +161,21 @@
                 false,
             )?,
             retry_budget: RetryBudgetBounds {
-                ratio: ini.or_default("bounds", "retry_ratio", NUMBER, 0.2)?,
-                slack: ini.or_default("bounds", "retry_slack", NUMBER, 64)?,
-                window_ms: seconds_to_ms(ini.or_default(
-                    "bounds",
-                    "retry_window_s",
-                    NUMBER,
-                    10.0,
-                )?),
+                ratio: ini.bound("retry_ratio", 0.2)?,
+                slack: ini.bound("retry_slack", 64.0)?,
+                window_ms: seconds_to_ms(ini.bound("retry_window_s", 10.0)?),
             },
         })
     }
 }
 
 const ADDRESS: &str = "an address such as 192.0.2.1:7000";
-const NUMBER: &str = "a number";
+const NUMBER: &str = "a number from 0 to 1000000000";
+/// The largest value of a bound.
+const MAX_BOUND: f64 = 1e9;
 
 fn seconds_to_ms(seconds: f64) -> u64 {
-    (seconds.max(0.0) * 1_000.0) as u64
+    (seconds * 1_000.0) as u64
 }
 
 /// Reads typed values from an INI document; an empty value counts as missing.
@@ -222,6 +214,16 @@
         Ok(self.optional(section, key, expected)?.unwrap_or(default))
     }
 
+    /// Returns a bound, which may have a fraction.
+    fn bound(&self, key: &'static str, default: f64) -> Result<f64, SettingsError> {
+        let value = self.or_default("bounds", key, NUMBER, default)?;
+        if (0.0..=MAX_BOUND).contains(&value) {
+            return Ok(value);
+        }
+        let text = self.text("bounds", key).unwrap_or_default();
+        Err(malformed("bounds", key, text, NUMBER))
+    }
+
     fn required<T: FromStr>(
         &self,
         section: &'static str,
