--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -1,8 +1,10 @@
 //! A core process: the replicated log, the operators' API and the coordinator of engines.
 
 mod backend_list;
+mod compressed_configuration;
 mod control_api;
 mod driver;
+mod entry_links;
 mod links;
 mod orders;
 mod planner;
@@ -23,6 +25,7 @@
 };
 
 pub(crate) use backend_list::fetch as fetch_backend_list;
+pub(crate) use compressed_configuration::decompress as decompress_configuration;
 
 /// Capacity of the driver's event queue; senders wait while it is full.
 const EVENT_QUEUE_CAPACITY: usize = 16_384;
@@ -68,12 +71,12 @@
         start_state.replica.id(),
         start_state.is_joining,
     );
-    tokio::spawn(links::accept(link_listener, events.clone()));
+    let metrics = Arc::new(Metrics::default());
+    tokio::spawn(links::accept(link_listener, events.clone(), Arc::clone(&metrics)));
     tokio::spawn(control_api::run(control_listener, stopped, events.clone(), dialect));
     if let Some(address) = settings.list_address {
         tokio::spawn(backend_list::run(address, events.clone(), dialect));
     }
-    let metrics = Arc::new(Metrics::default());
     if let Some(address) = settings.metrics {
         let (listener, metrics) = (http::bind(address)?, Arc::clone(&metrics));
         let handler = move |request| metrics::serve_page(Arc::clone(&metrics), request);
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -29,12 +29,14 @@
     http::HttpClient,
     ids::BackendKey,
     link::LinkSender,
-    message::{Backend, EntryHello, FleetMessage, LeaderRequest, LeaderResponse},
+    message::{Backend, FleetMessage, LeaderRequest, LeaderResponse},
     metrics::Metrics,
     state::{FleetState, StateChange, StateCommand},
 };
 
 use super::{
+    compressed_configuration::CompressedConfiguration,
+    entry_links::EntryLinks,
     links::{self, CoreLinks},
     orders::OrderOutcome,
     planner::{PlannedOrder, Planner},
@@ -45,6 +47,9 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between messages to entry processes about the load of the backend servers.
 const BACKEND_LOADS_INTERVAL_MS: u64 = 250;
+/// Interval between such messages that include engines. Entry processes select engines by them only
+/// while there is no coordinator.
+const ENGINE_LOADS_INTERVAL_MS: u64 = 1_000;
 /// Interval between messages to entry processes about changes of model locations. They place
 /// requests by these only while there is no coordinator.
 const LOCATION_CHANGES_INTERVAL_MS: u64 = 100;
@@ -65,6 +70,8 @@
 const MIN_VOTERS: usize = 3;
 /// Interval between checks for idle connections to engines.
 const IDLE_CHECK_INTERVAL_MS: u64 = 1_000;
+/// Interval between log lines about the traffic on links.
+const TRAFFIC_LOG_INTERVAL_MS: u64 = 10_000;
 
 /// An event that the driver handles.
 #[derive(Debug)]
@@ -104,18 +111,12 @@
             // The operator may have disconnected.
             ResponseSender::Local(sender) => drop(sender.send(response)),
             ResponseSender::Remote { sender, id } => {
-                sender.send(FleetMessage::LeaderResponse { id, response });
+                sender.send(&FleetMessage::LeaderResponse { id, response });
             }
         }
     }
 }
 
-struct EntryLink {
-    sender: LinkSender,
-    hello: EntryHello,
-    is_ready: bool,
-}
-
 /// The state of a core process.
 pub(super) struct Driver {
     settings: ProcessSettings,
@@ -141,7 +142,8 @@
     last_message_ms: HashMap<u32, u64>,
     join_requested_ms: HashMap<u32, u64>,
     leader_since_ms: u64,
-    entries: HashMap<u64, EntryLink>,
+    entries: EntryLinks,
+    compressed_configuration: CompressedConfiguration,
     proposals: BTreeMap<Index, (Term, ResponseSender)>,
     reads: HashMap<ReadId, ResponseSender>,
     ready_reads: Vec<(Index, ResponseSender)>,
@@ -160,8 +162,10 @@
     /// Earliest time of the next attempt to transfer leadership.
     leadership_transfer_due_ms: u64,
     backend_loads_due_ms: u64,
+    engine_loads_due_ms: u64,
     location_changes_due_ms: u64,
     idle_check_due_ms: u64,
+    traffic_log_due_ms: u64,
 }
 
 impl Driver {
@@ -194,7 +198,8 @@
             last_message_ms: HashMap::new(),
             join_requested_ms: HashMap::new(),
             leader_since_ms: 0,
-            entries: HashMap::new(),
+            entries: EntryLinks::default(),
+            compressed_configuration: CompressedConfiguration::default(),
             proposals: BTreeMap::new(),
             reads: HashMap::new(),
             ready_reads: Vec::new(),
@@ -209,8 +214,10 @@
             other_coordinator_stopped_ms: None,
             is_stopping: false,
             backend_loads_due_ms: 0,
+            engine_loads_due_ms: 0,
             location_changes_due_ms: 0,
             idle_check_due_ms: 0,
+            traffic_log_due_ms: TRAFFIC_LOG_INTERVAL_MS,
             settings,
         };
         driver.load_configuration();
@@ -254,7 +261,8 @@
     fn dial(&mut self, address: SocketAddr) {
         if address != self.own_link && self.cores.add(address) {
             let own = (self.replica.id(), self.own_link);
-            tokio::spawn(links::dial(address, own, self.events.clone()));
+            let metrics = Arc::clone(&self.metrics);
+            tokio::spawn(links::dial(address, own, self.events.clone(), metrics));
         }
     }
 
@@ -335,6 +343,11 @@
         self.update_membership(now_ms);
         self.transfer_leadership_when_slow(now_ms);
         self.coordinate(now_ms);
+        self.entries.tick(now_ms);
+        if self.traffic_log_due_ms <= now_ms {
+            self.traffic_log_due_ms = now_ms + TRAFFIC_LOG_INTERVAL_MS;
+            log::info!("core: bytes sent on links by kind: {:?}", self.metrics.link_bytes());
+        }
         if self.idle_check_due_ms <= now_ms {
             self.idle_check_due_ms = now_ms + IDLE_CHECK_INTERVAL_MS;
             self.client.close_expired();
@@ -386,7 +399,7 @@
         match message.encode() {
             Ok(message) => {
                 let from = self.replica.id();
-                self.cores.send(*address, FleetMessage::Log { from, to, message });
+                self.cores.send(*address, &FleetMessage::Log { from, to, message });
             }
             Err(error) => log::error!("core: cannot encode a message to replica {to}: {error}"),
         }
@@ -412,7 +425,7 @@
                 self.applied_term = term;
                 self.update_core_addresses();
                 self.announce_configuration();
-                self.send_entries(&self.versions_message());
+                self.entries.broadcast(&self.versions_message());
             }
             Err(error) => {
                 log::error!("core: cannot restore the snapshot: {error}");
@@ -460,7 +473,7 @@
             self.announce_configuration();
         }
         if has_new_versions {
-            self.send_entries(&self.versions_message());
+            self.entries.broadcast(&self.versions_message());
             if let Some((_, planner)) = &mut self.planner {
                 planner.set_versions(&self.state.versions);
             }
@@ -476,13 +489,8 @@
             return;
         }
         log::info!("core: configuration {} is in force", self.state.version);
-        // The leader sends the whole configuration; the others only announce their version.
-        let message = if self.replica.is_leader() {
-            self.configuration_message()
-        } else {
-            FleetMessage::ConfigurationNotice { version: self.state.version }
-        };
-        self.send_entries(&message);
+        let version = self.state.version;
+        self.entries.broadcast(&FleetMessage::ConfigurationNotice { version });
     }
 
     fn load_configuration(&mut self) {
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -17,8 +17,8 @@
 };
 
 use super::{
-    BACKEND_LOADS_INTERVAL_MS, Driver, DriverEvent, FORMER_LEADER_TIMEOUT_MS,
-    LOCATION_CHANGES_INTERVAL_MS,
+    BACKEND_LOADS_INTERVAL_MS, Driver, DriverEvent, ENGINE_LOADS_INTERVAL_MS,
+    FORMER_LEADER_TIMEOUT_MS, LOCATION_CHANGES_INTERVAL_MS,
 };
 
 impl Driver {
@@ -85,9 +85,7 @@
             if matches!(reply, PlaceReply::Refused { .. }) {
                 self.metrics.record_refusal("not_placed");
             }
-            if let Some(entry) = self.entries.get(&entry) {
-                entry.sender.send(FleetMessage::PlaceReply { id, reply });
-            }
+            self.entries.send(entry, &FleetMessage::PlaceReply { id, reply });
         }
         let mut changes: Vec<ModelLocationChange> = Vec::new();
         if self.location_changes_due_ms <= now_ms {
@@ -98,7 +96,7 @@
             self.send_order(epoch, order);
         }
         if !changes.is_empty() {
-            self.send_entries(&FleetMessage::ModelLocationChanges { epoch, changes });
+            self.entries.broadcast(&FleetMessage::ModelLocationChanges { epoch, changes });
         }
     }
 
@@ -110,10 +108,24 @@
             .into_iter()
             .filter_map(|key| planner.backend(key).map(|backend| (key, engine_address(backend))))
             .collect();
-        let loads = (self.backend_loads_due_ms <= now_ms).then(|| FleetMessage::BackendLoads {
-            in_flight: planner.in_flight(),
-            unresponsive: planner.unresponsive(),
-            store_limit: planner.store_limit(),
+        let loads = (self.backend_loads_due_ms <= now_ms).then(|| {
+            let with_engines = self.engine_loads_due_ms <= now_ms;
+            let totals = planner.in_flight();
+            let included = self
+                .backends
+                .iter()
+                .filter(|backend| with_engines || planner.backend(backend.key).is_none());
+            let in_flight = included
+                .map(|backend| (backend.key, totals.get(&backend.key).copied().unwrap_or_default()))
+                .collect();
+            if with_engines {
+                self.engine_loads_due_ms = now_ms + ENGINE_LOADS_INTERVAL_MS;
+            }
+            FleetMessage::BackendLoads {
+                in_flight,
+                unresponsive: planner.unresponsive(),
+                store_limit: planner.store_limit(),
+            }
         });
         for (engine, address) in due {
             let (client, dialect) = (Arc::clone(&self.client), self.dialect);
@@ -126,7 +138,7 @@
         }
         if let Some(loads) = loads {
             self.backend_loads_due_ms = now_ms + BACKEND_LOADS_INTERVAL_MS;
-            self.send_entries(&loads);
+            self.entries.broadcast(&loads);
         }
     }
 
--- a/crates/redwinglatch-fleet/src/core/driver/leader_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/leader_requests.rs
@@ -26,7 +26,7 @@
         };
         let id = self.next_request_id;
         self.next_request_id += 1;
-        if self.cores.send(address, FleetMessage::LeaderRequest { id, request }) {
+        if self.cores.send(address, &FleetMessage::LeaderRequest { id, request }) {
             self.forwarded_requests.insert(id, reply);
         } else {
             let _ = reply.send(LeaderResponse::Unconfirmed);
--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -113,6 +113,6 @@
             self.core_addresses.insert(id, link);
             self.dial(link);
         }
-        self.send_entries(&self.core_addresses_message());
+        self.entries.broadcast(&self.core_addresses_message());
     }
 }
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -7,10 +7,13 @@
     BackendEntry,
     ids::{BackendKey, FnvHasher},
     link::LinkSender,
-    message::{Backend, EntryEndpoint, EntryHello, EntryStatus, FleetMessage},
+    message::{Backend, EntryHello, EntryStatus, FleetMessage},
 };
 
-use super::{Driver, EntryLink, ResponseSender};
+use super::{Driver, ResponseSender};
+
+/// Locations of models in one message; one takes about 30 bytes.
+const MAX_LOCATIONS_PER_MESSAGE: usize = 1_000;
 
 impl Driver {
     pub(super) fn handle_message(&mut self, link: u64, sender: LinkSender, message: FleetMessage) {
@@ -46,17 +49,15 @@
             }
             FleetMessage::ConfigurationRequest => {
                 if self.state.version > 0 {
-                    sender.send(self.configuration_message());
-                    sender.send(self.versions_message());
+                    sender.send_frame(self.compressed_configuration.frame(&self.state));
+                    sender.send(&self.versions_message());
                 }
             }
             FleetMessage::BackendsRequest => {
-                sender.send(self.backends_message());
+                sender.send(&self.backends_message());
             }
             FleetMessage::ModelLocationsRequest => {
-                if let Some(message) = self.model_locations_message() {
-                    sender.send(message);
-                }
+                self.send_model_locations(&sender);
             }
             FleetMessage::Log { from, to, message } if to == self.replica.id() => {
                 let now_ms = self.now_ms();
@@ -98,77 +99,43 @@
 
     pub(super) fn handle_entry_hello(&mut self, link: u64, sender: LinkSender, hello: EntryHello) {
         log::info!("core: entry process {} connected", hello.front);
-        // An older connection of the same process may still be open.
-        self.entries.retain(|_, entry| entry.hello.front != hello.front);
-        sender.send(self.core_addresses_message());
+        sender.send(&FleetMessage::CoreDataCentre(self.settings.data_centre.clone()));
+        sender.send(&self.core_addresses_message());
         if self.state.version > 0 {
-            sender.send(FleetMessage::ConfigurationNotice { version: self.state.version });
+            sender.send(&FleetMessage::ConfigurationNotice { version: self.state.version });
         }
-        sender.send(self.versions_message());
-        sender.send(FleetMessage::BackendsNotice { digest: self.backends_digest });
-        if let Some(message) = self.model_locations_message() {
-            sender.send(message);
-        }
-        self.entries.insert(link, EntryLink { sender, hello, is_ready: false });
-        self.send_entry_endpoints();
+        sender.send(&self.versions_message());
+        sender.send(&FleetMessage::BackendsNotice { digest: self.backends_digest });
+        self.send_model_locations(&sender);
+        self.entries.insert(link, sender, hello);
     }
 
     pub(super) fn handle_link_closed(&mut self, link: u64) {
         let now_ms = self.now_ms();
-        if let Some(entry) = self.entries.remove(&link) {
-            log::info!("core: entry process {} disconnected", entry.hello.front);
+        if let Some(front) = self.entries.remove(link) {
+            log::info!("core: entry process {front} disconnected");
             if let Some((_, planner)) = &mut self.planner {
                 planner.entry_disconnected(now_ms, link);
             }
-            self.send_entry_endpoints();
         }
     }
 
     pub(super) fn handle_entry_status(&mut self, link: u64, status: EntryStatus) {
         let now_ms = self.now_ms();
-        let Some(entry) = self.entries.get_mut(&link) else { return };
-        let is_ready = status.ready && !status.draining;
-        let has_changed = entry.is_ready != is_ready;
-        entry.is_ready = is_ready;
-        if has_changed {
-            self.send_entry_endpoints();
+        if !self.entries.set_ready(link, status.ready && !status.draining) {
+            return;
         }
         if let Some((_, planner)) = &mut self.planner {
             planner.entry_status(now_ms, link, status);
         }
     }
 
-    pub(super) fn send_entry_endpoints(&mut self) {
-        let mut endpoints: Vec<EntryEndpoint> = self
-            .entries
-            .values()
-            .filter(|entry| entry.is_ready)
-            .map(|entry| EntryEndpoint {
-                front: entry.hello.front,
-                data_centre: entry.hello.data_centre.clone(),
-            })
-            .collect();
-        endpoints.sort_unstable_by_key(|endpoint| endpoint.front);
-        self.send_entries(&FleetMessage::EntryEndpoints(endpoints));
-    }
-
-    pub(super) fn send_entries(&self, message: &FleetMessage) {
-        for entry in self.entries.values() {
-            entry.sender.send(message.clone());
-        }
-    }
-
     pub(super) fn core_addresses_message(&self) -> FleetMessage {
         let mut addresses: Vec<_> = self.cores.addresses().collect();
         addresses.push(self.own_link);
         FleetMessage::CoreAddresses(addresses)
     }
 
-    pub(super) fn configuration_message(&self) -> FleetMessage {
-        let (version, document) = (self.state.version, self.state.document.clone());
-        FleetMessage::Configuration { version, document }
-    }
-
     pub(super) fn versions_message(&self) -> FleetMessage {
         let versions = self.state.versions.iter();
         FleetMessage::Versions(versions.map(|(model, version)| (model.clone(), *version)).collect())
@@ -178,9 +145,18 @@
         FleetMessage::Backends { digest: self.backends_digest, entries: self.backends.clone() }
     }
 
-    pub(super) fn model_locations_message(&self) -> Option<FleetMessage> {
-        let (epoch, planner) = self.planner.as_ref()?;
-        Some(FleetMessage::ModelLocations { epoch: *epoch, locations: planner.model_locations() })
+    /// Sends the locations of all models if this process is the coordinator, in parts that leave
+    /// room for other messages.
+    fn send_model_locations(&self, sender: &LinkSender) {
+        let Some((epoch, planner)) = &self.planner else { return };
+        let locations = planner.model_locations();
+        for part in locations.chunks(MAX_LOCATIONS_PER_MESSAGE) {
+            let locations = part.to_vec();
+            sender.send(&FleetMessage::ModelLocations { epoch: *epoch, locations });
+        }
+        if locations.is_empty() {
+            sender.send(&FleetMessage::ModelLocations { epoch: *epoch, locations });
+        }
     }
 
     pub(super) fn handle_backend_list(&mut self, entries: Vec<BackendEntry>) {
@@ -206,6 +182,6 @@
         if let Some((_, planner)) = &mut self.planner {
             planner.set_backends(now_ms, &self.backends);
         }
-        self.send_entries(&FleetMessage::BackendsNotice { digest: self.backends_digest });
+        self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends_digest });
     }
 }
--- a/crates/redwinglatch-fleet/src/core/links.rs
+++ b/crates/redwinglatch-fleet/src/core/links.rs
@@ -1,6 +1,6 @@
 //! Links of a core process to entry processes and to other core processes.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use redwinglatch_core::ReplicaId;
 use tokio::{
@@ -9,8 +9,9 @@
 };
 
 use crate::{
-    link::{self, LinkSender},
+    link::{self, Frame, LinkSender},
     message::FleetMessage,
+    metrics::Metrics,
 };
 
 use super::driver::DriverEvent;
@@ -18,14 +19,22 @@
 /// Delay before the next attempt to accept or establish a link.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
 
+/// Frames that may wait for a slow core process: several batches of log entries with whole
+/// configurations.
+const MAX_QUEUED_BYTES: usize = 8 << 20;
+
 /// Accepts links of other processes.
-pub(super) async fn accept(listener: TcpListener, events: mpsc::Sender<DriverEvent>) {
+pub(super) async fn accept(
+    listener: TcpListener,
+    events: mpsc::Sender<DriverEvent>,
+    metrics: Arc<Metrics>,
+) {
     let mut next_link = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 next_link += 1;
-                tokio::spawn(receive(stream, next_link, events.clone()));
+                tokio::spawn(receive(stream, next_link, events.clone(), Arc::clone(&metrics)));
             }
             Err(error) => {
                 log::warn!("core: cannot accept a link: {error}");
@@ -35,11 +44,16 @@
     }
 }
 
-async fn receive(stream: TcpStream, link: u64, events: mpsc::Sender<DriverEvent>) {
+async fn receive(
+    stream: TcpStream,
+    link: u64,
+    events: mpsc::Sender<DriverEvent>,
+    metrics: Arc<Metrics>,
+) {
     if let Err(error) = link::set_tcp_timeouts(&stream, Duration::from_millis(1_500)) {
         log::debug!("core: cannot set the timeouts of a link: {error}");
     }
-    let (sender, mut reader) = link::split(stream);
+    let (sender, mut reader) = link::split(stream, MAX_QUEUED_BYTES, &metrics);
     let error = loop {
         match reader.next().await {
             Ok(FleetMessage::Ping) => {}
@@ -62,13 +76,14 @@
     address: SocketAddr,
     own: (ReplicaId, SocketAddr),
     events: mpsc::Sender<DriverEvent>,
+    metrics: Arc<Metrics>,
 ) {
     let (replica, own_link) = own;
     loop {
         match link::connect(address).await {
             Ok(stream) => {
-                let (sender, mut reader) = link::split(stream);
-                sender.send(FleetMessage::CoreHello { replica, link: own_link });
+                let (sender, mut reader) = link::split(stream, MAX_QUEUED_BYTES, &metrics);
+                sender.send(&FleetMessage::CoreHello { replica, link: own_link });
                 let event = DriverEvent::CoreConnected { address, sender: sender.clone() };
                 if events.send(event).await.is_err() {
                     return;
@@ -116,16 +131,15 @@
     }
 
     /// Sends a message if the link to `address` is established; returns whether it was queued.
-    pub(super) fn send(&self, address: SocketAddr, message: FleetMessage) -> bool {
+    pub(super) fn send(&self, address: SocketAddr, message: &FleetMessage) -> bool {
         let link = self.links.iter().find(|(linked, _)| *linked == address);
         link.and_then(|(_, sender)| sender.as_ref()).is_some_and(|sender| sender.send(message))
     }
 
     pub(super) fn send_all(&self, message: &FleetMessage) {
-        for (_, sender) in &self.links {
-            if let Some(sender) = sender {
-                sender.send(message.clone());
-            }
+        let frame = Frame::encode(message);
+        for sender in self.links.iter().filter_map(|(_, sender)| sender.as_ref()) {
+            sender.send_frame(frame.clone());
         }
     }
 }
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -358,14 +358,14 @@
     }
 
     /// Returns the requests in flight at each backend server, summed over all entry processes.
-    pub(super) fn in_flight(&self) -> Vec<(BackendKey, u32)> {
+    pub(super) fn in_flight(&self) -> BTreeMap<BackendKey, u32> {
         let mut sums: BTreeMap<BackendKey, u32> = BTreeMap::new();
         for entry in self.entries.values() {
             for (key, count) in &entry.in_flight {
                 *sums.entry(*key).or_default() += count;
             }
         }
-        sums.into_iter().collect()
+        sums
     }
 
     /// Returns the concurrent loads that the weight store sustains, rounded down; 0 while that
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -9,6 +9,7 @@
 mod in_flight;
 mod placement;
 mod refusal;
+mod state_sources;
 mod stream;
 
 use std::{
@@ -28,7 +29,7 @@
     metrics::{self, Metrics},
 };
 
-use self::{budget::RetryBudget, fleet_view::FleetView};
+use self::{budget::RetryBudget, fleet_view::FleetView, state_sources::StateSources};
 
 /// Time before the end of the grace period at which the process stops accepting connections.
 const STOP_ACCEPTING_MARGIN_MS: u64 = 1_600;
@@ -48,6 +49,7 @@
     pub(crate) metrics: Arc<Metrics>,
     fleet_view: Mutex<FleetView>,
     retry_budget: Mutex<RetryBudget>,
+    state_sources: Mutex<StateSources>,
 }
 
 impl EntryContext {
@@ -60,6 +62,10 @@
         self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn state_sources(&self) -> MutexGuard<'_, StateSources> {
+        self.state_sources.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn now_ms(&self) -> u64 {
         self.clock.now_ms()
     }
@@ -92,6 +98,7 @@
         client: HttpClient::new(),
         metrics: Arc::default(),
         fleet_view: Mutex::new(FleetView::new(front)),
+        state_sources: Mutex::new(StateSources::new(front, settings.data_centre.clone())),
         retry_budget: Mutex::new(RetryBudget::new(settings.retry_budget)),
         settings,
     });
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -12,7 +12,7 @@
     message::{Backend, EntryHello, FleetMessage},
 };
 
-use super::EntryContext;
+use super::{EntryContext, fleet_view::CoordinatorAcceptance};
 
 /// Delay before the next connection attempt.
 const RECONNECT_DELAY: Duration = Duration::from_millis(250);
@@ -20,9 +20,11 @@
 const LAG_TICK: Duration = Duration::from_millis(50);
 /// Number of ticks between status messages to the core processes.
 const TICKS_PER_STATUS: u32 = 5;
-/// Time for which the leader is expected to send the whole configuration after a notice, before it is
-/// requested from the sender of the notice.
-const CONFIGURATION_REQUEST_DELAY: Duration = Duration::from_millis(120);
+/// Number of ticks between status messages to core processes other than the coordinator, which only
+/// need to know whether this process is ready.
+const TICKS_PER_SHORT_STATUS: u32 = 40;
+/// Frames that may wait for a slow core process.
+const MAX_QUEUED_BYTES: usize = 1 << 20;
 /// Time without a link to any core process after which this process polls the backend list itself.
 const ISOLATED_AFTER_MS: u64 = 1_500;
 /// Interval between these polls.
@@ -38,11 +40,29 @@
     tokio::spawn(poll_list_when_isolated(Arc::clone(context)));
 }
 
-/// Sends the current status of this process to the core processes.
+/// Sends the current status of this process to the core processes: all of it to the coordinator, and
+/// to the others whether it is ready.
 pub(crate) fn send_status(context: &EntryContext) {
-    let mut view = context.fleet_view();
+    let view = context.fleet_view();
     let status = view.entry_status();
-    view.send_to_cores(&FleetMessage::EntryStatus(status));
+    let short = FleetMessage::EntryStatus(status.without_usage());
+    view.send_to_cores(&FleetMessage::EntryStatus(status), Some(&short));
+}
+
+/// Sends the current status of this process to the coordinator.
+fn send_status_to_coordinator(context: &EntryContext) {
+    let view = context.fleet_view();
+    view.send_to_coordinator(&FleetMessage::EntryStatus(view.entry_status()));
+}
+
+/// Requests a newer configuration if a core process has announced one.
+fn request_configuration(context: &EntryContext) {
+    let view = context.fleet_view();
+    let version = view.version();
+    let source = context.state_sources().take_configuration_request(context.now_ms(), version);
+    if let Some(link) = source.and_then(|core| view.core_link(core)) {
+        link.send(&FleetMessage::ConfigurationRequest);
+    }
 }
 
 fn add_core(context: &Arc<EntryContext>, address: SocketAddr) {
@@ -54,10 +74,14 @@
 async fn send_status_periodically(context: Arc<EntryContext>) {
     let mut lag = TimerLag::default();
     let mut was_overloaded = false;
+    let mut was_ready = false;
+    let mut ticks = 0u32;
     loop {
         for _ in 0..TICKS_PER_STATUS {
             tokio::time::sleep(LAG_TICK).await;
             lag.tick(context.now_ms(), LAG_TICK);
+            request_configuration(&context);
+            ticks += 1;
         }
         if lag.is_overloaded() != was_overloaded {
             was_overloaded = lag.is_overloaded();
@@ -66,7 +90,14 @@
             );
             context.fleet_view().set_overloaded(was_overloaded);
         }
-        send_status(&context);
+        let is_ready = context.fleet_view().entry_status().ready;
+        if is_ready != was_ready || ticks >= TICKS_PER_SHORT_STATUS {
+            was_ready = is_ready;
+            ticks = 0;
+            send_status(&context);
+        } else {
+            send_status_to_coordinator(&context);
+        }
     }
 }
 
@@ -81,9 +112,10 @@
     loop {
         match link::connect(address).await {
             Ok(stream) => {
-                let (sender, mut reader) = link::split(stream);
-                sender.send(FleetMessage::EntryHello(hello.clone()));
+                let (sender, mut reader) = link::split(stream, MAX_QUEUED_BYTES, &context.metrics);
+                sender.send(&FleetMessage::EntryHello(hello.clone()));
                 context.fleet_view().core_connected(address, sender.clone());
+                context.state_sources().connected(address);
                 log::info!("entry: connected to the core process at {address}");
                 send_status(&context);
                 let error = loop {
@@ -93,6 +125,7 @@
                     }
                 };
                 context.fleet_view().core_disconnected(address);
+                context.state_sources().disconnected(address);
                 log::warn!("entry: lost the core process at {address}: {error}");
             }
             Err(error) => log::debug!("entry: cannot connect to {address}: {error}"),
@@ -110,23 +143,35 @@
     match message {
         FleetMessage::Ping => {}
         FleetMessage::ConfigurationNotice { version } => {
-            if version > context.fleet_view().version() {
-                let (context, sender) = (Arc::clone(context), sender.clone());
-                tokio::spawn(async move {
-                    tokio::time::sleep(CONFIGURATION_REQUEST_DELAY).await;
-                    if version > context.fleet_view().version() {
-                        sender.send(FleetMessage::ConfigurationRequest);
-                    }
-                });
+            let now_ms = context.now_ms();
+            context.state_sources().configuration_announced(now_ms, core, version);
+            request_configuration(context);
+        }
+        FleetMessage::CompressedConfiguration { version, document } => {
+            match core::decompress_configuration(&document) {
+                Ok(document) => install_configuration(context, version, &document),
+                Err(error) => {
+                    log::error!("entry: cannot decompress configuration {version}: {error}");
+                }
             }
         }
+        FleetMessage::CoreDataCentre(data_centre) => {
+            context.state_sources().set_data_centre(core, data_centre);
+        }
         FleetMessage::Configuration { version, document } => {
             install_configuration(context, version, &document);
         }
         FleetMessage::Versions(versions) => context.fleet_view().set_versions(versions),
         FleetMessage::BackendsNotice { digest } => {
-            if digest != context.fleet_view().backends_digest() {
-                sender.send(FleetMessage::BackendsRequest);
+            let (own_digest, has_list) = {
+                let view = context.fleet_view();
+                (view.backends_digest(), view.has_backends())
+            };
+            let now_ms = context.now_ms();
+            if digest == own_digest {
+                context.state_sources().list_confirmed(now_ms, core);
+            } else if context.state_sources().should_request_list(now_ms, core, has_list) {
+                sender.send(&FleetMessage::BackendsRequest);
             }
         }
         FleetMessage::Backends { digest, entries } => {
@@ -140,21 +185,27 @@
             };
             context.retry_budget().set_processes(count);
         }
+        FleetMessage::EntryEndpointChanges(changes) => {
+            let count = {
+                let mut view = context.fleet_view();
+                view.change_entry_endpoints(core, changes);
+                view.ready_entry_addresses().len()
+            };
+            context.retry_budget().set_processes(count);
+        }
         FleetMessage::CoreAddresses(addresses) => {
             for address in addresses {
                 add_core(context, address);
             }
         }
         FleetMessage::ModelLocations { epoch, locations } => {
-            let mut view = context.fleet_view();
-            if view.accept_coordinator(core, epoch) {
-                view.merge_model_locations(locations);
+            if accept_coordinator(context, core, epoch) {
+                context.fleet_view().merge_model_locations(locations);
             }
         }
         FleetMessage::ModelLocationChanges { epoch, changes } => {
-            let mut view = context.fleet_view();
-            if view.accept_coordinator(core, epoch) {
-                view.apply_model_location_changes(changes);
+            if accept_coordinator(context, core, epoch) {
+                context.fleet_view().apply_model_location_changes(changes);
             }
         }
         FleetMessage::PlaceReply { id, reply } => {
@@ -167,6 +218,17 @@
     }
 }
 
+/// Accepts the sender of model locations as the coordinator unless it is outdated. A new one gets the
+/// status of this process at once, so that it knows which adapters are in use.
+fn accept_coordinator(context: &EntryContext, core: SocketAddr, epoch: u64) -> bool {
+    let acceptance = context.fleet_view().accept_coordinator(core, epoch);
+    if acceptance == CoordinatorAcceptance::New {
+        log::info!("entry: the core process at {core} is the coordinator of epoch {epoch}");
+        send_status_to_coordinator(context);
+    }
+    acceptance != CoordinatorAcceptance::Outdated
+}
+
 fn install_configuration(context: &EntryContext, version: u64, document: &[u8]) {
     if version <= context.fleet_view().version() {
         return;
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -14,8 +14,8 @@
     ids::{BackendKey, ModelName},
     link::LinkSender,
     message::{
-        Backend, EntryEndpoint, EntryStatus, FleetMessage, ModelLocation, ModelLocationChange,
-        PlaceReply, PlaceRequest,
+        Backend, EntryEndpoint, EntryEndpointChanges, EntryStatus, FleetMessage, ModelLocation,
+        ModelLocationChange, PlaceReply, PlaceRequest,
     },
 };
 
@@ -62,6 +62,17 @@
     Unavailable,
 }
 
+/// Result of a message from a process that is the coordinator of an epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CoordinatorAcceptance {
+    /// A newer coordinator is known, so the message is ignored.
+    Outdated,
+    /// The message is of the known coordinator.
+    Current,
+    /// The sender has become the coordinator, or is connected again.
+    New,
+}
+
 /// The state of the fleet as one entry process knows it.
 #[derive(Debug)]
 pub(crate) struct FleetView {
@@ -80,8 +91,10 @@
     /// The core processes, with the link of each one that is connected.
     cores: BTreeMap<SocketAddr, Option<LinkSender>>,
     coordinator_address: Option<SocketAddr>,
-    /// The entry processes that each core process reports.
-    entry_endpoints: HashMap<SocketAddr, Vec<EntryEndpoint>>,
+    /// The entry processes that each core process reports as ready.
+    entry_endpoints: HashMap<SocketAddr, BTreeMap<SocketAddr, Box<str>>>,
+    /// The union of the reported entry processes, with their data centres.
+    ready_entries: BTreeMap<SocketAddr, Box<str>>,
     /// Notifications for requests that wait until a model is loaded.
     load_notifiers: HashMap<ModelName, Arc<Notify>>,
     /// Receivers of the coordinator's replies, by the id of the placement.
@@ -113,6 +126,7 @@
             cores: BTreeMap::new(),
             coordinator_address: None,
             entry_endpoints: HashMap::new(),
+            ready_entries: BTreeMap::new(),
             load_notifiers: HashMap::new(),
             placement_replies: HashMap::new(),
             next_placement_id: 0,
@@ -184,6 +198,7 @@
         self.cores.insert(address, None);
         if self.connected_cores() > 0 {
             self.entry_endpoints.remove(&address);
+            self.update_ready_entries();
         }
         if self.coordinator_address == Some(address) {
             self.coordinator_address = None;
@@ -196,9 +211,18 @@
         self.cores.values().flatten().filter(|sender| !sender.is_closed()).count()
     }
 
-    pub(crate) fn send_to_cores(&self, message: &FleetMessage) {
-        for sender in self.cores.values().flatten() {
-            sender.send(message.clone());
+    /// Returns the link to a core process while it is connected.
+    pub(crate) fn core_link(&self, core: SocketAddr) -> Option<LinkSender> {
+        self.cores.get(&core).cloned().flatten()
+    }
+
+    /// Sends `full` to the coordinator, and `short` to the other core processes.
+    pub(crate) fn send_to_cores(&self, full: &FleetMessage, short: Option<&FleetMessage>) {
+        for (core, sender) in &self.cores {
+            let message = if self.coordinator_address == Some(*core) { Some(full) } else { short };
+            if let (Some(sender), Some(message)) = (sender, message) {
+                sender.send(message);
+            }
         }
     }
 
@@ -208,7 +232,7 @@
             .and_then(Option::as_ref)
     }
 
-    pub(crate) fn send_to_coordinator(&self, message: FleetMessage) -> bool {
+    pub(crate) fn send_to_coordinator(&self, message: &FleetMessage) -> bool {
         self.coordinator_link().is_some_and(|sender| sender.send(message))
     }
 
@@ -225,7 +249,7 @@
         }
         let id = self.next_placement_id;
         self.next_placement_id += 1;
-        if !self.send_to_coordinator(FleetMessage::Place { id, request }) {
+        if !self.send_to_coordinator(&FleetMessage::Place { id, request }) {
             return None;
         }
         self.placement_replies.insert(id, replies);
@@ -248,24 +272,51 @@
     }
 
     pub(crate) fn set_entry_endpoints(&mut self, core: SocketAddr, endpoints: Vec<EntryEndpoint>) {
-        self.entry_endpoints.insert(core, endpoints);
+        let endpoints =
+            endpoints.into_iter().map(|endpoint| (endpoint.front, endpoint.data_centre));
+        self.entry_endpoints.insert(core, endpoints.collect());
+        self.update_ready_entries();
+    }
+
+    pub(crate) fn change_entry_endpoints(
+        &mut self,
+        core: SocketAddr,
+        changes: EntryEndpointChanges,
+    ) {
+        let endpoints = self.entry_endpoints.entry(core).or_default();
+        for front in &changes.removed {
+            endpoints.remove(front);
+        }
+        for endpoint in changes.added {
+            endpoints.insert(endpoint.front, endpoint.data_centre);
+        }
+        self.update_ready_entries();
+    }
+
+    fn update_ready_entries(&mut self) {
+        let reported = self.entry_endpoints.values().flatten();
+        self.ready_entries =
+            reported.map(|(front, data_centre)| (*front, data_centre.clone())).collect();
     }
 
     /// Returns the addresses of all entry processes that a core process reports as ready, and of this
     /// process if it is ready. A process with too little CPU time leaves itself out if there are
     /// others.
     pub(crate) fn ready_entry_addresses(&self) -> Vec<SocketAddr> {
-        let mut entries: Vec<_> =
-            self.entry_endpoints.values().flatten().map(|endpoint| endpoint.front).collect();
-        entries.push(self.front);
-        entries.sort_unstable();
-        entries.dedup();
+        let mut entries: Vec<_> = self.ready_entries.keys().copied().collect();
+        if let Err(position) = entries.binary_search(&self.front) {
+            entries.insert(position, self.front);
+        }
         if !self.is_ready() || (self.is_overloaded && entries.len() > 1) {
             entries.retain(|front| *front != self.front);
         }
         entries
     }
 
+    pub(crate) fn has_backends(&self) -> bool {
+        !self.backends.is_empty()
+    }
+
     pub(crate) fn backends_digest(&self) -> u64 {
         self.backends_digest
     }
@@ -292,19 +343,23 @@
         }
     }
 
-    /// Accepts `core` as the coordinator of `epoch`, unless the epoch is outdated. Returns whether
-    /// its model locations are current.
-    pub(crate) fn accept_coordinator(&mut self, core: SocketAddr, epoch: u64) -> bool {
+    /// Accepts `core` as the coordinator of `epoch`, unless the epoch is outdated.
+    pub(crate) fn accept_coordinator(
+        &mut self,
+        core: SocketAddr,
+        epoch: u64,
+    ) -> CoordinatorAcceptance {
         if epoch < self.coordinator_epoch {
-            return false;
+            return CoordinatorAcceptance::Outdated;
         }
+        let is_known = epoch == self.coordinator_epoch && self.coordinator_address == Some(core);
         if epoch > self.coordinator_epoch {
             // Requests that wait for the previous coordinator are placed by this process instead.
             self.placement_replies.clear();
         }
         self.coordinator_epoch = epoch;
         self.coordinator_address = Some(core);
-        true
+        if is_known { CoordinatorAcceptance::Current } else { CoordinatorAcceptance::New }
     }
 
     pub(crate) fn merge_model_locations(&mut self, locations: Vec<ModelLocation>) {
@@ -364,14 +419,15 @@
         let totals: HashMap<_, _> = in_flight.iter().copied().collect();
         let unresponsive: HashSet<_> = unresponsive.iter().copied().collect();
         for (key, state) in &mut self.backends {
-            let total = totals.get(key).copied().unwrap_or_default();
-            state.others_in_flight = total.saturating_sub(state.own_in_flight);
+            if let Some(total) = totals.get(key) {
+                state.others_in_flight = total.saturating_sub(state.own_in_flight);
+            }
             state.is_unresponsive = unresponsive.contains(key);
         }
     }
 
     /// Returns the current state of this process for the core processes.
-    pub(crate) fn entry_status(&mut self) -> EntryStatus {
+    pub(crate) fn entry_status(&self) -> EntryStatus {
         let in_flight = self.backends.iter().filter(|(_, state)| state.own_in_flight > 0);
         EntryStatus {
             draining: self.draining_since_ms.is_some(),
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -43,7 +43,7 @@
 /// Number of output tokens assumed for a request that states no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 200;
 /// Maximum number of times that a request is sent, whether or not it was executed.
-const MAX_SENDS: u32 = 4;
+pub(crate) const MAX_SENDS: u32 = 4;
 /// Length to which paths are truncated in log lines.
 const MAX_LOGGED_PATH_CHARS: usize = 120;
 /// Time that a busy engine may need for the first event of a stream.
@@ -237,16 +237,12 @@
             return Err(final_reason(&attempts, RefusalReason::RefusedByBackends));
         }
         if attempts.sent > 0 {
-            context.metrics.record_retry(if attempts.maybe_executed > 0 {
-                "maybe_ran"
-            } else {
-                "not_run"
-            });
-        }
-        if attempts.sent > 0
-            && !context.retry_budget().try_take_retry(context.now_ms(), &prepared.service)
-        {
-            return Err(final_reason(&attempts, RefusalReason::RefusedByBackends));
+            let now_ms = context.now_ms();
+            if !context.retry_budget().try_take_retry(now_ms, &prepared.service) {
+                return Err(final_reason(&attempts, RefusalReason::RefusedByBackends));
+            }
+            let has_maybe_run = attempts.maybe_executed > 0;
+            context.metrics.record_retry(if has_maybe_run { "maybe_ran" } else { "not_run" });
         }
         context.metrics.record_placing_time(received_at.elapsed().as_millis());
         attempts.sent += 1;
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -185,7 +185,7 @@
             Some(model) => {
                 view.remove_model_location(selected.key, model);
                 let (engine, model) = (selected.key, model.clone());
-                view.send_to_coordinator(FleetMessage::ModelNotLoaded { engine, model });
+                view.send_to_coordinator(&FleetMessage::ModelNotLoaded { engine, model });
             }
             None => view.record_replacement(context.now_ms(), selected.key),
         }
--- a/crates/redwinglatch-fleet/src/entry/placement.rs
+++ b/crates/redwinglatch-fleet/src/entry/placement.rs
@@ -40,7 +40,7 @@
 impl PlacementGuard {
     /// Notifies the coordinator that the engine has processed the prompt.
     pub(crate) fn first_event(&self) {
-        self.context.fleet_view().send_to_coordinator(FleetMessage::FirstEvent { id: self.id });
+        self.context.fleet_view().send_to_coordinator(&FleetMessage::FirstEvent { id: self.id });
     }
 
     /// The coordinator's epoch.
@@ -53,7 +53,7 @@
     fn drop(&mut self) {
         let mut view = self.context.fleet_view();
         view.end_placement(self.id);
-        view.send_to_coordinator(FleetMessage::Release { id: self.id });
+        view.send_to_coordinator(&FleetMessage::Release { id: self.id });
     }
 }
 
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/state_sources.rs
@@ -0,0 +1,163 @@
+//! Selects the core process from which an entry process requests the shared state.
+
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
+
+use crate::ids::{mix_bits, name_hash};
+
+/// Time after a notice for which the preferred core process may still announce the same version.
+const PREFERRED_NOTICE_DELAY_MS: u64 = 150;
+/// Time after which an unanswered request for the configuration is sent to another core process.
+const CONFIGURATION_RESPONSE_MS: u64 = 700;
+/// Time without a notice of the preferred core process after which the backend lists of others are
+/// requested; core processes announce theirs every 700 ms.
+const PREFERRED_LIST_SILENCE_MS: u64 = 1_600;
+/// Time after which an unanswered request for a first backend list is sent again.
+const FIRST_LIST_RESPONSE_MS: u64 = 400;
+
+#[derive(Debug, Default)]
+struct Source {
+    data_centre: Option<Box<str>>,
+    /// The newest configuration that the core process has announced.
+    version: u64,
+}
+
+/// The connected core processes and what they have announced.
+///
+/// Each entry process requests state from one core process, in its own data centre if possible. When
+/// hundreds of entry processes learn of the same change, the core processes share the answers.
+#[derive(Debug)]
+pub(crate) struct StateSources {
+    front: SocketAddr,
+    data_centre: Box<str>,
+    sources: BTreeMap<SocketAddr, Source>,
+    /// The newest announced version, and the time of its first notice.
+    newest: (u64, u64),
+    requested: Option<(SocketAddr, u64)>,
+    preferred_list_notice_ms: Option<u64>,
+    list_requested_ms: Option<u64>,
+}
+
+impl StateSources {
+    pub(crate) fn new(front: SocketAddr, data_centre: Box<str>) -> StateSources {
+        StateSources {
+            front,
+            data_centre,
+            sources: BTreeMap::new(),
+            newest: (0, 0),
+            requested: None,
+            preferred_list_notice_ms: None,
+            list_requested_ms: None,
+        }
+    }
+
+    pub(crate) fn connected(&mut self, core: SocketAddr) {
+        self.sources.insert(core, Source::default());
+    }
+
+    pub(crate) fn disconnected(&mut self, core: SocketAddr) {
+        self.sources.remove(&core);
+        if self.requested.is_some_and(|(requested, _)| requested == core) {
+            self.requested = None;
+        }
+    }
+
+    pub(crate) fn set_data_centre(&mut self, core: SocketAddr, data_centre: Box<str>) {
+        if let Some(source) = self.sources.get_mut(&core) {
+            source.data_centre = Some(data_centre);
+        }
+    }
+
+    /// Returns the core process that is asked first: one in the own data centre, otherwise one that
+    /// differs between entry processes.
+    fn preferred(&self) -> Option<SocketAddr> {
+        let own = name_hash(&self.front.to_string());
+        let rank = |(core, source): &(&SocketAddr, &Source)| {
+            let is_remote = source.data_centre.as_deref() != Some(&*self.data_centre);
+            (is_remote, Reverse(mix_bits(own ^ name_hash(&core.to_string()))))
+        };
+        self.sources.iter().min_by_key(rank).map(|(core, _)| *core)
+    }
+
+    /// Records the version of a core process's configuration.
+    pub(crate) fn configuration_announced(&mut self, now_ms: u64, core: SocketAddr, version: u64) {
+        if let Some(source) = self.sources.get_mut(&core) {
+            source.version = source.version.max(version);
+        }
+        if version > self.newest.0 {
+            self.newest = (version, now_ms);
+        }
+    }
+
+    /// Returns the core process from which a configuration newer than `own_version` is to be
+    /// requested now, and records the request.
+    pub(crate) fn take_configuration_request(
+        &mut self,
+        now_ms: u64,
+        own_version: u64,
+    ) -> Option<SocketAddr> {
+        let newest = self.sources.values().map(|source| source.version).max()?;
+        let is_awaited =
+            self.requested.is_some_and(|(_, sent_ms)| now_ms < sent_ms + CONFIGURATION_RESPONSE_MS);
+        if newest <= own_version || is_awaited {
+            return None;
+        }
+        let last = self.requested.map(|(core, _)| core);
+        let mut holders: Vec<SocketAddr> = self
+            .sources
+            .iter()
+            .filter(|(_, source)| source.version == newest)
+            .map(|(core, _)| *core)
+            .collect();
+        if holders.len() > 1 {
+            holders.retain(|core| Some(*core) != last);
+        }
+        let preferred = self.preferred().filter(|preferred| holders.contains(preferred));
+        if preferred.is_none() && now_ms < self.newest.1 + PREFERRED_NOTICE_DELAY_MS {
+            return None;
+        }
+        let core = preferred.or_else(|| fastrand::choice(holders))?;
+        self.requested = Some((core, now_ms));
+        Some(core)
+    }
+
+    /// Returns whether to request the backend list of `core`, which has announced one that differs
+    /// from the list of this process.
+    ///
+    /// Lists of several core processes differ in age, so one that is older than the current list
+    /// would otherwise replace it for a moment.
+    pub(crate) fn should_request_list(
+        &mut self,
+        now_ms: u64,
+        core: SocketAddr,
+        has_list: bool,
+    ) -> bool {
+        let is_preferred = self.preferred() == Some(core);
+        if is_preferred {
+            self.preferred_list_notice_ms = Some(now_ms);
+        }
+        let is_preferred_silent = self
+            .preferred_list_notice_ms
+            .is_none_or(|notice_ms| notice_ms + PREFERRED_LIST_SILENCE_MS <= now_ms);
+        let is_awaited =
+            self.list_requested_ms.is_some_and(|sent_ms| now_ms < sent_ms + FIRST_LIST_RESPONSE_MS);
+        let is_due = if has_list {
+            is_preferred || is_preferred_silent
+        } else {
+            is_preferred || !is_awaited
+        };
+        if is_due {
+            self.list_requested_ms = Some(now_ms);
+        }
+        is_due
+    }
+
+    /// Records that `core` has announced the backend list that this process has.
+    pub(crate) fn list_confirmed(&mut self, now_ms: u64, core: SocketAddr) {
+        if self.preferred() == Some(core) {
+            self.preferred_list_notice_ms = Some(now_ms);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -28,8 +28,10 @@
 
 use super::{
     EntryContext,
-    forward::{PreparedRequest, RequestAttempts, StartedStream, find_backend},
+    fleet_view::SelectedBackend,
+    forward::{MAX_SENDS, PreparedRequest, RequestAttempts, StartedStream, find_backend},
     in_flight::{CallerRequest, InFlight},
+    placement::PlacementGuard,
     refusal::RefusalReason,
 };
 
@@ -86,12 +88,20 @@
 /// Result of reading a stream from one server.
 enum ReadResult {
     Complete,
-    /// The stream ended early or the server became unresponsive.
+    /// The stream ended early.
     Interrupted,
+    /// The server has sent nothing for [`RESUME_TIMEOUT`].
+    Silent,
     /// The caller disconnected, or the deadline passed.
     Stopped,
 }
 
+/// A server that goes on with a stream.
+struct Successor {
+    selected: SelectedBackend,
+    placement: Option<PlacementGuard>,
+}
+
 /// Starts forwarding a stream and returns the response for the caller.
 pub(crate) fn forward(
     context: &Arc<EntryContext>,
@@ -161,29 +171,37 @@
         self.attempts.maybe_executed += 1;
         let is_resumable = self.prepared.route().kind.may_repeat();
         loop {
-            let StartedStream { body, lease, in_flight, .. } = started;
-            let result = self.forward_body(body, is_resumable, &in_flight).await;
+            let StartedStream { mut body, lease, in_flight, .. } = started;
             let backend = in_flight.backend();
-            drop(in_flight);
-            match result {
-                ReadResult::Complete => {
-                    lease.reuse();
-                    self.record_completion(backend);
-                    // The caller may have disconnected.
-                    let _ = self.sender.send(StreamChunk::End).await;
-                    return;
+            // A silent server may still go on, so it is left only for one that takes the stream over.
+            let successor = loop {
+                match self.forward_body(&mut body, is_resumable, &in_flight).await {
+                    ReadResult::Complete => {
+                        lease.reuse();
+                        self.record_completion(backend);
+                        // The caller may have disconnected.
+                        let _ = self.sender.send(StreamChunk::End).await;
+                        return;
+                    }
+                    ReadResult::Stopped => return,
+                    ReadResult::Interrupted => break None,
+                    ReadResult::Silent => match self.find_successor().await {
+                        Ok(successor) => break Some(successor),
+                        Err(why) => self.log_silence(backend, why),
+                    },
                 }
-                ReadResult::Stopped => return,
-                ReadResult::Interrupted => {}
-            }
+            };
+            drop(in_flight);
             drop(lease);
             self.context.fleet_view().record_failure(self.context.now_ms(), backend);
             log::info!(
-                "request: id={} stream broke off, resumable={is_resumable}",
+                "request: id={} stream broke off, resumable={is_resumable} silent={}",
                 self.prepared.request_id.as_deref().unwrap_or("-"),
+                successor.is_some(),
             );
             self.partial.clear();
-            let resumed = if is_resumable { self.resume().await } else { Err("not_resumable") };
+            let resumed =
+                if is_resumable { self.resume(successor).await } else { Err("not_resumable") };
             match resumed {
                 Ok(next) => started = next,
                 Err(why) => return self.record_interruption(why),
@@ -191,6 +209,15 @@
         }
     }
 
+    /// Logs that a silent stream stays at its server.
+    fn log_silence(&self, backend: BackendKey, why: &str) {
+        log::info!(
+            "request: id={} backend={:x} is silent; the stream can't be resumed elsewhere: {why}",
+            self.prepared.request_id.as_deref().unwrap_or("-"),
+            backend.0,
+        );
+    }
+
     /// Counts and logs a stream that ends without its last event.
     fn record_interruption(&self, why: &str) {
         self.context.metrics.record_refusal(BROKEN_OFF_OUTCOME);
@@ -226,14 +253,14 @@
     /// Forwards the body of one server's response; only complete events if the stream is resumable.
     async fn forward_body(
         &mut self,
-        mut body: Incoming,
+        body: &mut Incoming,
         is_resumable: bool,
         in_flight: &InFlight,
     ) -> ReadResult {
         let mut is_first = true;
         let mut read_at = Instant::now();
         loop {
-            let limit = if is_resumable { RESUME_TIMEOUT } else { Duration::MAX };
+            let limit = if self.may_send_again() { RESUME_TIMEOUT } else { Duration::MAX };
             let next = async {
                 tokio::select! {
                     frame = timeout(limit, body.frame()) => Some(frame),
@@ -242,7 +269,7 @@
             };
             let frame = match timeout_at(self.prepared.deadline, next).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return ReadResult::Interrupted,
+                Ok(Some(Err(_))) => return ReadResult::Silent,
                 Ok(None) | Err(_) => return ReadResult::Stopped,
             };
             if std::mem::take(&mut is_first) {
@@ -286,28 +313,42 @@
         events
     }
 
+    /// Returns whether the route allows another send of this stream.
+    fn may_send_again(&self) -> bool {
+        let route = self.prepared.route();
+        route.kind.may_repeat()
+            && self.attempts.maybe_executed < route.max_attempts
+            && self.attempts.sent < MAX_SENDS
+    }
+
+    /// Finds another server that can go on with the stream, and charges the retry budget.
+    async fn find_successor(&self) -> Result<Successor, &'static str> {
+        if !self.may_send_again() {
+            return Err("attempts_used");
+        }
+        let found =
+            find_backend(&self.context, &self.prepared, &self.attempts.excluded, self.received_at)
+                .await;
+        let (selected, placement) = found.map_err(|reason| reason.code())?;
+        let now_ms = self.context.now_ms();
+        if !self.context.retry_budget().try_take_retry(now_ms, &self.prepared.service) {
+            return Err("no_budget");
+        }
+        Ok(Successor { selected, placement })
+    }
+
     /// Resumes the stream at another server after the last complete event, or returns why it cannot.
-    async fn resume(&mut self) -> Result<StartedStream, &'static str> {
+    async fn resume(
+        &mut self,
+        mut successor: Option<Successor>,
+    ) -> Result<StartedStream, &'static str> {
         loop {
-            if self.attempts.maybe_executed >= self.prepared.route().max_attempts {
-                return Err("attempts_used");
-            }
-            let found = find_backend(
-                &self.context,
-                &self.prepared,
-                &self.attempts.excluded,
-                self.received_at,
-            )
-            .await;
-            let (selected, placement) = found.map_err(|reason| reason.code())?;
-            if !self
-                .context
-                .retry_budget()
-                .try_take_retry(self.context.now_ms(), &self.prepared.service)
-            {
-                return Err("no_budget");
-            }
+            let Successor { selected, placement } = match successor.take() {
+                Some(successor) => successor,
+                None => self.find_successor().await?,
+            };
             self.context.metrics.record_retry("stream_resumed");
+            self.attempts.sent += 1;
             self.attempts.excluded.push(selected.key);
             let last_event_id =
                 self.last_event_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok());
--- a/crates/redwinglatch-fleet/src/link.rs
+++ b/crates/redwinglatch-fleet/src/link.rs
@@ -4,7 +4,12 @@
 //! sends at least one message every [`PING_INTERVAL`], so a connection on which nothing arrives for
 //! [`UNRESPONSIVE_TIMEOUT`] is closed.
 
-use std::{io, net::SocketAddr, time::Duration};
+mod frame;
+mod queue;
+#[cfg(test)]
+mod tests;
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -13,11 +18,15 @@
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::mpsc,
     time::timeout,
 };
 
-use crate::message::FleetMessage;
+use crate::{message::FleetMessage, metrics::Metrics};
+
+pub(crate) use self::{
+    frame::Frame,
+    queue::{LinkQueue, LinkSender},
+};
 
 /// Interval between pings on an idle link.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
@@ -26,33 +35,11 @@
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time limit of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Queued messages for a slow peer beyond which sending fails.
-const SEND_QUEUE_MESSAGES: usize = 4_096;
 /// Maximum frame size; the largest messages are whole configurations and batches of log entries.
 const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Frames are coalesced into one write until it reaches this size.
 const MAX_BATCH_BYTES: usize = 64 << 10;
 
-/// Sends messages on one link.
-#[derive(Debug, Clone)]
-pub(crate) struct LinkSender {
-    queue: mpsc::Sender<FleetMessage>,
-}
-
-impl LinkSender {
-    /// Queues a message and returns whether it was accepted.
-    ///
-    /// A peer whose queue is full is treated as disconnected, because waiting for it would delay
-    /// all other work.
-    pub(crate) fn send(&self, message: FleetMessage) -> bool {
-        self.queue.try_send(message).is_ok()
-    }
-
-    pub(crate) fn is_closed(&self) -> bool {
-        self.queue.is_closed()
-    }
-}
-
 /// Connects to a process of the fleet.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
@@ -77,11 +64,17 @@
 }
 
 /// Starts the writer of a link and returns its sender and reader.
-pub(crate) fn split(stream: TcpStream) -> (LinkSender, LinkReader) {
+///
+/// `max_queued_bytes` limits the frames that wait for a slow peer.
+pub(crate) fn split(
+    stream: TcpStream,
+    max_queued_bytes: usize,
+    metrics: &Arc<Metrics>,
+) -> (LinkSender, LinkReader) {
     let (read, write) = stream.into_split();
-    let (queue, messages) = mpsc::channel(SEND_QUEUE_MESSAGES);
-    tokio::spawn(write_messages(write, messages));
-    (LinkSender { queue }, LinkReader { read: BufReader::new(read) })
+    let (sender, queue) = queue::bounded(max_queued_bytes, Arc::clone(metrics));
+    tokio::spawn(write_frames(write, queue));
+    (sender, LinkReader { read: BufReader::new(read) })
 }
 
 /// Reads messages from one link.
@@ -120,32 +113,30 @@
     }
 }
 
-async fn write_messages(mut write: OwnedWriteHalf, mut messages: mpsc::Receiver<FleetMessage>) {
+/// Writes queued frames until the link is closed, fails, or its queue has overflowed.
+async fn write_frames(mut write: OwnedWriteHalf, mut queue: LinkQueue) {
+    let ping = Frame::encode(&FleetMessage::Ping);
     let mut batch = Vec::new();
     loop {
-        let message = match timeout(PING_INTERVAL, messages.recv()).await {
-            Ok(Some(message)) => message,
+        let frame = match timeout(PING_INTERVAL, queue.next()).await {
+            Ok(Some(frame)) => frame,
             Ok(None) => return,
-            Err(_) => FleetMessage::Ping,
+            Err(_) => ping.clone(),
         };
         batch.clear();
-        append_frame(&mut batch, &message);
+        batch.extend_from_slice(frame.bytes());
         while batch.len() < MAX_BATCH_BYTES {
-            let Ok(message) = messages.try_recv() else { break };
-            append_frame(&mut batch, &message);
+            let Some(frame) = queue.try_next() else { break };
+            batch.extend_from_slice(frame.bytes());
         }
-        if let Err(error) = write.write_all(&batch).await {
+        // A slow peer must not keep the writer from noticing the overflow.
+        let written = tokio::select! {
+            written = write.write_all(&batch) => written,
+            () = queue.overflowed() => return,
+        };
+        if let Err(error) = written {
             log::debug!("fleet: writing to a link failed: {error}");
             return;
         }
     }
 }
-
-fn append_frame(batch: &mut Vec<u8>, message: &FleetMessage) {
-    let start = batch.len();
-    batch.extend_from_slice(&[0; 4]);
-    let body = postcard::to_allocvec(message).expect("messages encode into memory");
-    batch.extend_from_slice(&body);
-    let length = u32::try_from(body.len()).expect("a message fits a frame");
-    batch[start..start + 4].copy_from_slice(&length.to_le_bytes());
-}
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -55,8 +55,8 @@
     ModelLocations { epoch: u64, locations: Vec<ModelLocation> },
     /// Changes to the model locations since the previous message of the same epoch.
     ModelLocationChanges { epoch: u64, changes: Vec<ModelLocationChange> },
-    /// The number of requests that all entry processes together have in flight at each backend
-    /// server, and the servers that do not respond to the coordinator. `store_limit` is the number
+    /// The number of requests that all entry processes together have in flight at some of the backend
+    /// servers, and the servers that do not respond to the coordinator. `store_limit` is the number
     /// of concurrent loads that the weight store sustains, or 0 while the sender has no estimate;
     /// entry processes pass it on to the next coordinator.
     BackendLoads {
@@ -74,6 +74,59 @@
     LeaderRequest { id: u64, request: LeaderRequest },
     /// The response to a `LeaderRequest`.
     LeaderResponse { id: u64, response: LeaderResponse },
+    /// The data centre of the sending core process; its first message to an entry process.
+    CoreDataCentre(Box<str>),
+    /// Changes to the sender's entry processes since its previous message about them.
+    EntryEndpointChanges(EntryEndpointChanges),
+    /// The sender's configuration, compressed with deflate.
+    CompressedConfiguration { version: u64, document: Vec<u8> },
+}
+
+impl FleetMessage {
+    /// Returns the kind of the message, for counters.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            FleetMessage::EntryHello(_) => "entry_hello",
+            FleetMessage::CoreHello { .. } => "core_hello",
+            FleetMessage::Ping => "ping",
+            FleetMessage::EntryStatus(_) => "entry_status",
+            FleetMessage::Place { .. } => "place",
+            FleetMessage::FirstEvent { .. } => "first_event",
+            FleetMessage::Release { .. } => "release",
+            FleetMessage::ModelNotLoaded { .. } => "model_not_loaded",
+            FleetMessage::PlaceReply { .. } => "place_reply",
+            FleetMessage::ConfigurationRequest
+            | FleetMessage::BackendsRequest
+            | FleetMessage::ModelLocationsRequest => "state_request",
+            FleetMessage::ConfigurationNotice { .. } | FleetMessage::BackendsNotice { .. } => {
+                "state_notice"
+            }
+            FleetMessage::Configuration { .. } | FleetMessage::CompressedConfiguration { .. } => {
+                "configuration"
+            }
+            FleetMessage::Versions(_) => "versions",
+            FleetMessage::Backends { .. } => "backends",
+            FleetMessage::EntryEndpoints(_) | FleetMessage::EntryEndpointChanges(_) => {
+                "entry_endpoints"
+            }
+            FleetMessage::CoreAddresses(_) | FleetMessage::CoreDataCentre(_) => "core_addresses",
+            FleetMessage::ModelLocations { .. } => "model_locations",
+            FleetMessage::ModelLocationChanges { .. } => "model_location_changes",
+            FleetMessage::BackendLoads { .. } => "backend_loads",
+            FleetMessage::Log { .. } => "log",
+            FleetMessage::Join { .. } => "join",
+            FleetMessage::CoordinatorStopping => "coordinator_stopping",
+            FleetMessage::LeaderRequest { .. } => "leader_request",
+            FleetMessage::LeaderResponse { .. } => "leader_response",
+        }
+    }
+}
+
+/// Entry processes that have become ready, and addresses of those that no longer are.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntryEndpointChanges {
+    pub(crate) added: Vec<EntryEndpoint>,
+    pub(crate) removed: Vec<SocketAddr>,
 }
 
 /// Identifies an entry process when it connects.
@@ -108,6 +161,13 @@
     pub(crate) store_limit: u32,
 }
 
+impl EntryStatus {
+    /// Returns the status for core processes that don't coordinate.
+    pub(crate) fn without_usage(&self) -> EntryStatus {
+        EntryStatus { in_flight: Vec::new(), in_use: Vec::new(), ..*self }
+    }
+}
+
 /// A request that the coordinator is asked to place on a model engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlaceRequest {
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -77,6 +77,23 @@
         self.increment("orders", outcome);
     }
 
+    /// Counts the bytes of a message that is sent to another process of the fleet.
+    pub(crate) fn record_link_bytes(&self, kind: &'static str, bytes: usize) {
+        *self.lock().counters.entry(("link_bytes", kind)).or_default() += bytes as u64;
+    }
+
+    /// Counts a link that is closed because its peer is slow, by the message that didn't fit.
+    pub(crate) fn record_link_overflow(&self, kind: &'static str) {
+        self.increment("link_overflows", kind);
+    }
+
+    /// Returns the bytes sent to other processes of the fleet, by the kind of the message.
+    pub(crate) fn link_bytes(&self) -> Vec<(&'static str, u64)> {
+        let values = self.lock();
+        let counters = values.counters.iter().filter(|((name, _), _)| *name == "link_bytes");
+        counters.map(|((_, kind), bytes)| (*kind, *bytes)).collect()
+    }
+
     /// Records the time to the complete response, or to the head of a streamed response.
     pub(crate) fn record_response_time(&self, time_ms: u128) {
         self.record_latency("answer_ms", time_ms);
