Load adapters by the requests that a load can still serve, and refuse with the time

Cause: waiting adapters were loaded in the order of arrival, so that in a backlog every load served a request that was late already; a cap of 24 adapters refused popular ones as well as rare ones, with a random Retry-After; a refused caller met the same queue. Requests without a configuration or a coordinator were refused within 0 and 400 ms, often twice while the core was elected (442 times no_configuration in the 2 s after all processes were killed). Change: demand.rs orders loads by the number of requests that are still on time after a load, then returning callers, then others; a request whose adapter can't be loaded before its caller leaves is refused at once with the time at which it will be, and the adapter is loaded for the return. How long a request may wait follows from its objectives (Dialect::caller_patience_ms) instead of 1.5 s. A process that has just started waits up to 1.4 s for its state. The store's limit starts at what its rate of base models suggests. A summary of the queue is logged each second while requests wait.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -10,11 +10,13 @@
 //! them: a backlog of prompts delays the events of all streams that the engine generates.
 
 mod base_models;
+mod demand;
 mod engine;
 mod loading;
 mod model_index;
 mod placing;
 mod store_limit;
+mod summary;
 mod waiting_request;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -30,6 +32,7 @@
     engine::{Engine, ModelPhase, OrderState},
     model_index::{ModelIndex, ReportedUse},
     store_limit::StoreLimit,
+    summary::Summary,
     waiting_request::WaitingRequest,
 };
 
@@ -68,11 +71,13 @@
 const PIN_EXPIRY_SLACK_MS: u64 = 2_000;
 /// Extra cost of an engine whose slots are all occupied, compared with an empty engine.
 const FULL_BATCH_COST_MS: f64 = 100.0;
-/// Number of waiting adapters from which requests for further adapters are refused at once, where
-/// the limit by store loads is lower.
-const MIN_WAITING_ADAPTER_LIMIT: usize = 24;
-/// Waiting adapters allowed for each concurrent load that the weight store sustains.
-const WAITING_ADAPTERS_PER_STORE_LOAD: f64 = 1.5;
+/// Range of the random time that is added to the expected completion of a load, after which a refused
+/// caller may retry.
+const LOAD_RETRY_MARGIN_MS: std::ops::Range<u64> = 100..500;
+/// Time after that for which the adapter is kept for the caller.
+const RETURN_SLACK_MS: u64 = 1_500;
+/// Adapters that are loaded for refused callers, for each concurrent load that the store sustains.
+const EXPECTED_ADAPTERS_PER_STORE_LOAD: f64 = 2.0;
 /// Range of the random delay after which a refused caller may retry.
 const RETRY_AFTER_RANGE_MS: std::ops::Range<u64> = 600..2_400;
 
@@ -119,6 +124,7 @@
 }
 
 /// Whether an adapter is loaded or loading on any available engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CopyStatus {
     None,
     Loading,
@@ -153,8 +159,11 @@
     reported_use: ReportedUse,
     pins: HashMap<(u64, u64), Pin>,
     waiting: Vec<WaitingRequest>,
+    /// Adapters of refused requests whose callers are expected to return, and until when.
+    expected: BTreeMap<ModelName, u64>,
     versions: BTreeMap<ModelName, u64>,
     store: StoreLimit,
+    summary: Summary,
     /// No order is sent before this time, because the former coordinator may still send orders.
     earliest_order_ms: u64,
     /// Time of the next placement pass.
@@ -176,8 +185,10 @@
             reported_use: ReportedUse::default(),
             pins: HashMap::new(),
             waiting: Vec::new(),
+            expected: BTreeMap::new(),
             versions: BTreeMap::new(),
             store: StoreLimit::default(),
+            summary: Summary::default(),
             earliest_order_ms,
             next_placement_ms: 0,
             next_base_load_ms: 0,
@@ -188,6 +199,9 @@
 
     pub(super) fn set_services(&mut self, services: HashMap<Box<str>, EngineService>) {
         self.services = services;
+        for service in self.services.values() {
+            self.store.expect_rate(service.base_models.loads_per_s);
+        }
         for engine in self.engines.values_mut() {
             if let Some(service) = self.services.get(&engine.backend.service) {
                 engine.limits = service.limits;
@@ -395,6 +409,8 @@
         self.place_waiting(now_ms);
         let loads = self.engines.values().map(|engine| engine.store_loads_in_flight(now_ms)).sum();
         self.store.set_in_flight(loads);
+        let demands = self.refuse_unservable(now_ms);
+        self.log_summary(now_ms, &demands);
         if now_ms < self.earliest_order_ms || !can_order {
             return Vec::new();
         }
@@ -402,7 +418,7 @@
         self.load_base_models(now_ms, &mut orders);
         self.resend_due_orders(now_ms, &mut orders);
         self.unload_old_versions(now_ms, &mut orders);
-        self.load_for_waiting(now_ms, &mut orders);
+        self.load_for_waiting(now_ms, &demands, &mut orders);
         orders
     }
 
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/planner/demand.rs
@@ -0,0 +1,69 @@
+//! The order in which the adapters of waiting requests are loaded.
+
+use std::{cmp::Reverse, collections::HashMap};
+
+use crate::ids::ModelName;
+
+use super::{STORE_LOAD_MS, waiting_request::WaitingRequest};
+
+/// What the requests that wait for one adapter lose if it isn't loaded next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct AdapterDemand {
+    pub(super) model: ModelName,
+    /// Requests whose first event would still be on time after a load that starts now.
+    on_time: u32,
+    /// Late requests of callers that were refused before. A second refusal ends their request.
+    returned: u32,
+    waiting: u32,
+    first_received_ms: u64,
+    /// The latest time at which a waiting request can be placed.
+    pub(super) last_start_ms: u64,
+    /// Whether a request was found servable before.
+    pub(super) is_admitted: bool,
+}
+
+/// Returns the adapters of the waiting requests in the order in which they are loaded.
+///
+/// Answers the load at which requests wait for more adapters than the store delivers in time, as after
+/// a start, a shift of popularity or the loss of the coordinator. Loading in order of arrival then
+/// makes every request late. Here each load goes to the adapter with the most requests that it can
+/// still serve on time; late requests follow, those of returning callers first.
+pub(super) fn load_order(now_ms: u64, waiting: &[WaitingRequest]) -> Vec<AdapterDemand> {
+    let mut demands: HashMap<&ModelName, AdapterDemand> = HashMap::new();
+    for request in waiting {
+        let model = &request.request.model;
+        let demand = demands.entry(model).or_insert_with(|| AdapterDemand {
+            model: model.clone(),
+            on_time: 0,
+            returned: 0,
+            waiting: 0,
+            first_received_ms: u64::MAX,
+            last_start_ms: 0,
+            is_admitted: false,
+        });
+        let is_on_time = !request.is_late(now_ms + STORE_LOAD_MS);
+        demand.on_time += u32::from(is_on_time);
+        demand.returned += u32::from(!is_on_time && request.is_returned());
+        demand.waiting += 1;
+        demand.is_admitted |= request.is_admitted;
+        demand.first_received_ms = demand.first_received_ms.min(request.ranked_ms());
+        demand.last_start_ms = demand.last_start_ms.max(request.last_start_ms);
+    }
+    let mut order: Vec<AdapterDemand> = demands.into_values().collect();
+    order.sort_unstable_by(|left, right| left.rank().cmp(&right.rank()));
+    order
+}
+
+impl AdapterDemand {
+    fn rank(&self) -> (Reverse<u32>, Reverse<u32>, Reverse<u32>, u64, &ModelName) {
+        let late = if self.on_time > 0 { 0 } else { self.waiting };
+        let returned = if self.on_time > 0 { 0 } else { self.returned };
+        (
+            Reverse(self.on_time),
+            Reverse(returned),
+            Reverse(late),
+            self.first_received_ms,
+            &self.model,
+        )
+    }
+}
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -1,6 +1,6 @@
 //! Orders loads and unloads of adapters.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use crate::{
     OrderKind,
@@ -14,6 +14,7 @@
     MAX_LOADS_PER_ENGINE, ORDER_CONFLICT_DELAY_MS, PlannedOrder, Planner, RECENT_USE_MS,
     REFUSED_ORDER_DELAY_MS, REQUEST_COUNT_SLACK, STORE_LOAD_MS, UNANSWERED_ORDER_DELAY_MS,
     UNLOAD_CHECK_INTERVAL_MS,
+    demand::AdapterDemand,
     engine::{Engine, ModelPhase, ModelState, OrderState},
 };
 
@@ -124,6 +125,12 @@
         let is_from_store = !is_base_model && !engine.was_recently_unloaded(&order.model);
         let newest = self.versions.get(&order.model).copied().unwrap_or_default().max(1);
         let is_new = !engine.models.contains_key(&order.model);
+        if is_new && is_from_store && order.kind == OrderKind::Load {
+            let has_copy =
+                self.model_index.engines_with(&self.engines, &order.model).next().is_some();
+            self.summary.count_load(&order.model, has_copy);
+        }
+        let Some(engine) = self.engines.get_mut(&order.engine) else { return };
         let model_state = engine
             .models
             .entry(order.model.clone())
@@ -204,34 +211,57 @@
         }
     }
 
-    /// Loads the adapters of waiting requests, the most urgent first.
-    pub(super) fn load_for_waiting(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        let mut requested: HashSet<ModelName> = HashSet::new();
-        let mut missing = Vec::new();
-        let mut overloaded = Vec::new();
-        for waiting in &self.waiting {
-            let model = &waiting.request.model;
-            if !requested.insert(model.clone()) {
-                continue;
-            }
-            match self.copy_status(now_ms, model) {
-                CopyStatus::None => missing.push(model.clone()),
-                CopyStatus::Loaded { since_ms } => {
-                    if waiting.received_ms.max(since_ms) + EXTRA_COPY_WAIT_MS <= now_ms {
-                        overloaded.push(model.clone());
-                    }
-                }
-                CopyStatus::Loading => {}
-            }
-        }
+    /// Loads the adapters of waiting requests in the order of `demands`, then further copies of
+    /// adapters whose engines are busy, then adapters for the return of refused callers.
+    pub(super) fn load_for_waiting(
+        &mut self,
+        now_ms: u64,
+        demands: &[(AdapterDemand, CopyStatus)],
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        self.expected.retain(|_, until_ms| now_ms < *until_ms);
+        let requested: HashSet<ModelName> = demands
+            .iter()
+            .map(|(demand, _)| demand.model.clone())
+            .chain(self.expected.keys().cloned())
+            .collect();
         // First copies take precedence, because their requests can't be served otherwise.
-        for model in missing.into_iter().chain(overloaded) {
+        let missing = demands.iter().filter(|(_, status)| *status == CopyStatus::None);
+        let mut models: Vec<ModelName> = missing.map(|(demand, _)| demand.model.clone()).collect();
+        models.extend(self.overloaded_models(now_ms, demands));
+        let is_requested =
+            |model: &&ModelName| demands.iter().any(|(demand, _)| demand.model == **model);
+        let expected = self.expected.keys().filter(|model| {
+            !is_requested(model) && self.copy_status(now_ms, model) == CopyStatus::None
+        });
+        models.extend(expected.cloned());
+        for model in models {
             if let Some(order) = self.next_order_for(now_ms, &model, &requested) {
                 self.push_order(now_ms, orders, order);
             }
         }
     }
 
+    /// Returns the adapters whose requests have waited too long for the engines that have them.
+    fn overloaded_models(
+        &self,
+        now_ms: u64,
+        demands: &[(AdapterDemand, CopyStatus)],
+    ) -> Vec<ModelName> {
+        let mut first_received_ms: HashMap<&ModelName, u64> = HashMap::new();
+        for waiting in &self.waiting {
+            let first = first_received_ms.entry(&waiting.request.model).or_insert(u64::MAX);
+            *first = waiting.received_ms.min(*first);
+        }
+        let overloaded = demands.iter().filter(|(demand, status)| {
+            let CopyStatus::Loaded { since_ms } = status else { return false };
+            first_received_ms
+                .get(&demand.model)
+                .is_some_and(|first| (*first).max(*since_ms) + EXTRA_COPY_WAIT_MS <= now_ms)
+        });
+        overloaded.map(|(demand, _)| demand.model.clone()).collect()
+    }
+
     /// Returns whether an available engine has the adapter loaded or loading.
     pub(super) fn copy_status(&self, now_ms: u64, model: &str) -> CopyStatus {
         let newest = self.newest_version(model);
--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -1,6 +1,6 @@
 //! Places requests on engines that have their adapter loaded.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use crate::{
     ids::{BackendKey, ModelName},
@@ -8,8 +8,10 @@
 };
 
 use super::{
-    AddressedPlaceReply, FULL_BATCH_COST_MS, MIN_WAITING_ADAPTER_LIMIT, PIN_EXPIRY_SLACK_MS, Pin,
-    Planner, RETRY_AFTER_RANGE_MS, WAITING_ADAPTERS_PER_STORE_LOAD, engine::ModelPhase,
+    AddressedPlaceReply, CopyStatus, EXPECTED_ADAPTERS_PER_STORE_LOAD, FULL_BATCH_COST_MS,
+    LOAD_RETRY_MARGIN_MS, PIN_EXPIRY_SLACK_MS, Pin, Planner, RETRY_AFTER_RANGE_MS, RETURN_SLACK_MS,
+    demand::{AdapterDemand, load_order},
+    engine::ModelPhase,
     waiting_request::WaitingRequest,
 };
 
@@ -32,7 +34,6 @@
             !is_done
         });
         self.waiting = waiting;
-        self.refuse_excess(now_ms);
     }
 
     /// Places a request, or refuses it if it has timed out; returns whether it no longer waits.
@@ -52,6 +53,7 @@
                 expires_ms: now_ms + request.remaining_ms + PIN_EXPIRY_SLACK_MS,
             };
             self.pins.insert(id, pin);
+            self.summary.count_placed();
             self.push_reply(waiting, PlaceReply::Placed { engine: key, version });
             return true;
         }
@@ -63,6 +65,9 @@
     }
 
     pub(super) fn push_reply(&mut self, waiting: &WaitingRequest, reply: PlaceReply) {
+        if matches!(reply, PlaceReply::Refused { .. }) {
+            self.summary.count_refused();
+        }
         self.replies.push(AddressedPlaceReply { entry: waiting.entry, id: waiting.id, reply });
     }
 
@@ -71,25 +76,62 @@
         self.push_reply(waiting, PlaceReply::Refused { retry_after_ms });
     }
 
-    /// Refuses the least urgent requests at once when requests wait for more adapters than can be
-    /// loaded in time.
-    pub(super) fn refuse_excess(&mut self, now_ms: u64) {
-        let store_limit = (self.store.limit() * WAITING_ADAPTERS_PER_STORE_LOAD) as usize;
-        let max_adapters = store_limit.max(MIN_WAITING_ADAPTER_LIMIT);
-        let mut adapters: HashSet<ModelName> = HashSet::new();
+    /// Refuses the requests whose adapter can't be loaded before their callers leave, and returns the
+    /// adapters of the others in the order in which they are loaded.
+    ///
+    /// Answers the load at which more adapters are requested than the store delivers: what can't be
+    /// served is rejected at once with the time at which the adapter will be loaded, and the adapter
+    /// is loaded for the caller's return.
+    pub(super) fn refuse_unservable(&mut self, now_ms: u64) -> Vec<(AdapterDemand, CopyStatus)> {
+        let orders_from_ms = self.earliest_order_ms.saturating_sub(now_ms);
+        let mut loads_ahead = 0;
+        let mut completions: HashMap<ModelName, u64> = HashMap::new();
+        let mut kept = Vec::new();
+        for demand in load_order(now_ms, &self.waiting) {
+            let status = self.copy_status(now_ms, &demand.model);
+            if status == CopyStatus::None {
+                let completion_ms = now_ms + orders_from_ms + self.store.completion_ms(loads_ahead);
+                completions.insert(demand.model.clone(), completion_ms);
+                if completion_ms > demand.last_start_ms && !demand.is_admitted {
+                    continue;
+                }
+                loads_ahead += 1;
+            }
+            kept.push((demand, status));
+        }
         let waiting = std::mem::take(&mut self.waiting);
-        for waiting in waiting {
-            let is_counted = adapters.contains(&waiting.request.model);
-            if !is_counted && adapters.len() >= max_adapters {
-                log::debug!(
-                    "coordinator: request refused at {now_ms}; requests wait for too many adapters"
-                );
-                self.refuse(&waiting);
-                continue;
+        for mut waiting in waiting {
+            match completions.get(&waiting.request.model) {
+                Some(completion_ms)
+                    if *completion_ms > waiting.last_start_ms && !waiting.is_admitted =>
+                {
+                    self.refuse_until_loaded(now_ms, *completion_ms, &waiting);
+                }
+                _ => {
+                    waiting.is_admitted = true;
+                    self.waiting.push(waiting);
+                }
             }
-            adapters.insert(waiting.request.model.clone());
-            self.waiting.push(waiting);
         }
+        kept
+    }
+
+    /// Refuses a request with the time at which its adapter will be loaded.
+    fn refuse_until_loaded(&mut self, now_ms: u64, completion_ms: u64, waiting: &WaitingRequest) {
+        let retry_after_ms =
+            completion_ms.saturating_sub(now_ms) + fastrand::u64(LOAD_RETRY_MARGIN_MS);
+        log::debug!(
+            "coordinator: a request for {} is refused; the adapter can be loaded in {} ms",
+            waiting.request.model,
+            completion_ms.saturating_sub(now_ms),
+        );
+        let max_expected = (self.store.limit() * EXPECTED_ADAPTERS_PER_STORE_LOAD) as usize;
+        if self.expected.len() < max_expected || self.expected.contains_key(&waiting.request.model)
+        {
+            let until_ms = now_ms + retry_after_ms + RETURN_SLACK_MS;
+            self.expected.insert(waiting.request.model.clone(), until_ms);
+        }
+        self.push_reply(waiting, PlaceReply::Refused { retry_after_ms });
     }
 
     /// Returns the engine, and the version of the adapter on it, that can start the request first.
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -1,7 +1,11 @@
 //! Estimates how many concurrent loads the weight store sustains.
 
+use super::STORE_LOAD_MS;
+
 /// Initial limit; the smallest store serves this many loads at full speed.
 const INITIAL_LIMIT: f64 = 8.0;
+/// Concurrent adapter loads for each base model load per second that the configuration allows.
+const LOADS_PER_BASE_RATE: f64 = 1.4;
 /// Lower bound of the limit.
 const MIN_LIMIT: f64 = 4.0;
 /// Upper bound of the limit.
@@ -12,6 +16,9 @@
 const SLOW_FACTOR: f64 = 1.3;
 /// A load within this factor of the fastest one shows that the store has spare capacity.
 const FAST_FACTOR: f64 = 1.12;
+/// Usual time from the start of a load to the start of the next one in its place, as a multiple of the
+/// fastest load.
+const USUAL_LOAD_FACTOR: f64 = 1.2;
 /// Increase of the limit for each fast load before the first slow one; it doubles the limit within
 /// the duration of a load.
 const INITIAL_INCREASE: f64 = 1.0;
@@ -45,6 +52,10 @@
         self.in_flight = in_flight;
     }
 
+    pub(super) fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
     /// Returns the estimated number of loads that the store serves at full speed.
     pub(super) fn limit(&self) -> f64 {
         self.limit
@@ -64,6 +75,19 @@
         }
     }
 
+    /// Returns the time until a load completes before which `loads_ahead` others are started.
+    pub(super) fn completion_ms(&self, loads_ahead: usize) -> u64 {
+        let fastest_ms = if self.fastest_ms == u64::MAX { STORE_LOAD_MS } else { self.fastest_ms };
+        let load_ms = fastest_ms as f64 * USUAL_LOAD_FACTOR;
+        let queued = ((loads_ahead + self.in_flight + 1) as f64 - self.limit.floor()).max(0.0);
+        (load_ms * (1.0 + queued / self.limit)) as u64
+    }
+
+    /// Raises the limit to what a store with this rate of base model loads usually sustains.
+    pub(super) fn expect_rate(&mut self, base_loads_per_s: f64) {
+        self.adopt((base_loads_per_s * LOADS_PER_BASE_RATE).clamp(0.0, MAX_LIMIT) as u32);
+    }
+
     pub(super) fn has_capacity(&self) -> bool {
         (self.in_flight as f64) < self.limit.floor()
     }
--- a/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
@@ -11,6 +11,11 @@
     pub(super) received_ms: u64,
     /// Time by which the first event should reach the caller.
     pub(super) objective_ms: u64,
+    /// Latest time of the placement; after it the caller would leave before the first event.
+    pub(super) last_start_ms: u64,
+    /// Whether the request was found servable when it arrived. The estimate varies while loads are in
+    /// flight, so such a request is refused only once it is too late to place it.
+    pub(super) is_admitted: bool,
 }
 
 /// Delay of a request compared with one of the next more urgent priority.
@@ -19,8 +24,8 @@
 const MIN_FIRST_EVENT_MS: u64 = 120;
 /// A caller that has used more of its latency objective than this was refused before.
 const MAX_FIRST_ATTEMPT_MS: u64 = 300;
-/// Maximum time that a request waits to be placed.
-const MAX_WAIT_MS: u64 = 1_500;
+/// Time before a caller leaves at which its request is refused, so that it learns when to return.
+const FIRST_EVENT_MARGIN_MS: u64 = 400;
 
 impl WaitingRequest {
     pub(super) fn new(now_ms: u64, entry: u64, id: u64, request: PlaceRequest) -> WaitingRequest {
@@ -29,7 +34,13 @@
             entry,
             id,
             received_ms: now_ms,
+            is_admitted: false,
             objective_ms: now_ms + remaining_ms,
+            last_start_ms: now_ms
+                + request
+                    .patience_ms
+                    .min(request.remaining_ms)
+                    .saturating_sub(FIRST_EVENT_MARGIN_MS),
             request,
         }
     }
@@ -43,18 +54,26 @@
     /// Returns the sort key of placement: requests that can be on time come first, then those of
     /// callers that were refused before, then the others.
     pub(super) fn rank(&self, now_ms: u64) -> (u8, u64) {
-        let group = match (self.is_late(now_ms), self.request.spent_ms > MAX_FIRST_ATTEMPT_MS) {
+        let group = match (self.is_late(now_ms), self.is_returned()) {
             (false, _) => 0,
             (true, true) => 1,
             (true, false) => 2,
         };
-        let priority_delay_ms = u64::from(self.request.priority) * PRIORITY_STEP_MS;
-        (group, self.received_ms + priority_delay_ms)
+        (group, self.ranked_ms())
     }
 
-    /// Returns whether the request has waited for the maximum time or its deadline has passed.
+    /// Returns whether the caller was refused before.
+    pub(super) fn is_returned(&self) -> bool {
+        self.request.spent_ms > MAX_FIRST_ATTEMPT_MS
+    }
+
+    /// Returns the time of arrival, delayed for less urgent requests.
+    pub(super) fn ranked_ms(&self) -> u64 {
+        self.received_ms + u64::from(self.request.priority) * PRIORITY_STEP_MS
+    }
+
+    /// Returns whether it is too late to place the request.
     pub(super) fn has_timed_out(&self, now_ms: u64) -> bool {
-        self.received_ms + MAX_WAIT_MS <= now_ms
-            || self.received_ms + self.request.remaining_ms <= now_ms
+        self.last_start_ms <= now_ms
     }
 }
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -32,6 +32,9 @@
     pub encode_order: fn(&Order) -> Vec<u8>,
     /// Encodes the addresses for callers and the time for which callers may cache them.
     pub encode_addresses: fn(&[SocketAddr], keep_for_s: u64) -> Vec<u8>,
+    /// Returns how long a caller waits for the first event of a stream, by the route's objectives for
+    /// the first event and for the gaps between events, all in milliseconds.
+    pub caller_patience_ms: fn(objective_ms: u64, gap_objective_ms: u64) -> u64,
     /// Encodes the body of an error response.
     pub encode_error: fn(message: &str) -> Vec<u8>,
 }
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -34,8 +34,15 @@
 
 /// Time limit for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time that a request waits for a new coordinator if its adapter is loaded on no engine.
-const COORDINATOR_WAIT: Duration = Duration::from_millis(400);
+/// Shortest time that a request waits for a new coordinator if its adapter is loaded on no engine.
+const MIN_COORDINATOR_WAIT: Duration = Duration::from_millis(400);
+/// Time that remains after this wait until the caller leaves: a load, a prompt and the first event.
+const COORDINATOR_WAIT_MARGIN: Duration = Duration::from_millis(900);
+/// Time that a request waits for the first configuration and backend list of a process that has just
+/// started; after the loss of all core processes, their election takes about as long.
+const STATE_WAIT: Duration = Duration::from_millis(1_400);
+/// Interval between checks during that time.
+const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between placement requests during that time.
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before a request that an engine rejected is retried.
@@ -67,6 +74,9 @@
     pub(crate) deadline: Instant,
     /// The part of the route's timeout that the caller's earlier attempts used.
     pub(crate) spent_ms: u64,
+    /// Time from the arrival of the request until the caller leaves unless the first event has
+    /// arrived.
+    pub(crate) patience_ms: u64,
     prompt_tokens: u32,
     output_tokens: u32,
     max_output_tokens: u32,
@@ -99,6 +109,7 @@
             output_tokens: self.output_tokens,
             prompt_parts: self.prompt_parts.clone(),
             excluded_engines: excluded.to_vec(),
+            patience_ms: self.patience_ms.saturating_sub(elapsed_ms),
         }
     }
 
@@ -180,8 +191,8 @@
     body: Incoming,
     received_at: Instant,
 ) -> Result<PreparedRequest, RefusalReason> {
-    let table = context.fleet_view().table().ok_or(RefusalReason::NoConfiguration)?;
     let host = host_of(&parts).ok_or(RefusalReason::Malformed)?;
+    let table = wait_for_state(context, received_at).await.ok_or(RefusalReason::NoConfiguration)?;
     let route = table.find(host, parts.uri.path()).ok_or(RefusalReason::NoRoute)?;
     let body = read_body(body, table.configuration().limits.body_bytes).await?;
     let prepared = prepare(context, parts, body, table, route, received_at);
@@ -191,6 +202,20 @@
     }
 }
 
+/// Returns the configuration; a process that has just started waits for it and for the backend list.
+async fn wait_for_state(context: &EntryContext, received_at: Instant) -> Option<Arc<RouteTable>> {
+    loop {
+        {
+            let view = context.fleet_view();
+            let has_waited = received_at.elapsed() >= STATE_WAIT;
+            if (view.table().is_some() && view.has_backends()) || has_waited {
+                return view.table();
+            }
+        }
+        tokio::time::sleep(STATE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Returns whether the process is draining and the request is a stream that might not end in time.
 fn cannot_end_before_stop(context: &EntryContext, prepared: &PreparedRequest) -> bool {
     let draining_since_ms = context.fleet_view().draining_since_ms();
@@ -280,10 +305,16 @@
             }
             AttemptOutcome::NotSent => {}
             AttemptOutcome::NotRun if prepared.model.is_some() => {
-                // The engine is executing an order for the adapter or has unloaded it; it may accept
-                // the request soon.
-                attempts.excluded.pop();
-                tokio::time::sleep(NOT_RUN_RETRY_DELAY).await;
+                // The engine is full, is executing an order for the adapter or has unloaded it. It
+                // may accept the request soon, so it stays a candidate if there is no other.
+                let has_other = matches!(
+                    select_backend(context, &prepared, &attempts.excluded),
+                    BackendSelection::Selected(_)
+                );
+                if !has_other {
+                    attempts.excluded.pop();
+                    tokio::time::sleep(NOT_RUN_RETRY_DELAY).await;
+                }
             }
             AttemptOutcome::NotRun => {}
             AttemptOutcome::MaybeRan => attempts.maybe_executed += 1,
@@ -291,15 +322,19 @@
     }
 }
 
-/// Finds a backend server for a request. If its adapter is loaded on no engine, waits for up to
-/// [`COORDINATOR_WAIT`] for a coordinator or the load.
+/// Finds a backend server for a request. If its adapter is loaded on no engine, waits for a coordinator
+/// or the load as long as the caller would still get its first event.
 pub(crate) async fn find_backend(
     context: &Arc<EntryContext>,
     prepared: &PreparedRequest,
     excluded: &[BackendKey],
     received_at: Instant,
 ) -> Result<(SelectedBackend, Option<PlacementGuard>), RefusalReason> {
-    let wait_until = Instant::now() + COORDINATOR_WAIT;
+    let patience = Duration::from_millis(prepared.patience_ms);
+    let wait_until = (received_at + patience)
+        .checked_sub(COORDINATOR_WAIT_MARGIN)
+        .unwrap_or(received_at)
+        .max(Instant::now() + MIN_COORDINATOR_WAIT);
     loop {
         if prepared.model.is_some() {
             match placement::request_placement(
@@ -395,8 +430,12 @@
     let tokens = headers::tokens(&parts.headers, names);
     // A caller that retries states its remaining time.
     let spent_ms = asked_ms.map_or(0, |asked_ms| timeout_ms.saturating_sub(asked_ms));
+    let route_spec = table.route(route);
+    let patience_ms =
+        (context.dialect.caller_patience_ms)(route_spec.objective_ms, route_spec.gap_objective_ms);
     PreparedRequest {
         spent_ms,
+        patience_ms: patience_ms.min(limit_ms),
         prompt_tokens: tokens.prompt,
         output_tokens: tokens.expected_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
         max_output_tokens: tokens.max_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
--- a/crates/redwinglatch-fleet/src/entry/placement.rs
+++ b/crates/redwinglatch-fleet/src/entry/placement.rs
@@ -13,8 +13,9 @@
 
 /// Time limit for the coordinator's first reply, after which this process selects the engine itself.
 const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(80);
-/// Time limit for a queued request; the coordinator normally rejects it earlier.
-const QUEUED_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after a queued request's caller has left at which it is given up; the coordinator normally
+/// rejects it earlier.
+const QUEUED_TIMEOUT_MARGIN: Duration = Duration::from_millis(200);
 /// Time for which no placements are requested from a coordinator that did not reply.
 const COORDINATOR_SUSPECT_MS: u64 = 400;
 /// Maximum number of replies to a placement request: `Queued` and the decision.
@@ -63,13 +64,14 @@
     request: PlaceRequest,
 ) -> PlacementDecision {
     let (sender, mut replies) = mpsc::channel(MAX_REPLIES);
+    let queued_timeout = Duration::from_millis(request.patience_ms) + QUEUED_TIMEOUT_MARGIN;
     let started = context.fleet_view().start_placement(context.now_ms(), sender, request);
     let Some((id, epoch)) = started else { return PlacementDecision::NoCoordinator };
     let placement = PlacementGuard { context: Arc::clone(context), id, epoch };
     let mut limit = FIRST_REPLY_TIMEOUT;
     loop {
         match timeout(limit, replies.recv()).await {
-            Ok(Some(PlaceReply::Queued)) => limit = QUEUED_TIMEOUT,
+            Ok(Some(PlaceReply::Queued)) => limit = queued_timeout,
             Ok(Some(PlaceReply::Placed { engine, version })) => {
                 return PlacementDecision::Placed { engine, version, placement };
             }
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -83,7 +83,7 @@
     /// that callers do not retry at the same time.
     fn retry_after_ms(self) -> Option<(u64, u64)> {
         match self {
-            RefusalReason::NoConfiguration => Some((500, 500)),
+            RefusalReason::NoConfiguration => Some((700, 800)),
             RefusalReason::Draining => Some((0, 50)),
             RefusalReason::NoBackend | RefusalReason::RefusedByBackends => Some((200, 600)),
             RefusalReason::NotLoaded => Some((1_000, 2_000)),
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -188,6 +188,8 @@
     pub(crate) prompt_parts: Vec<(u64, u32)>,
     /// Engines that must not receive the request.
     pub(crate) excluded_engines: Vec<BackendKey>,
+    /// The remaining time until the caller leaves unless the first event has arrived.
+    pub(crate) patience_ms: u64,
 }
 
 impl PlaceRequest {
