Keep engines that lose orders in use, and bound the cost of a planning pass

Cause: (1) an engine that left one order unanswered was not used for 1 s and blocked for 450 ms, so while orders are lost (applied_late) 8 of 9 engines were excluded and the store ran at a third of its rate. (2) A load waited for the first engine of its rendezvous order even if that was between two orders. (3) Further copies were loaded onto engines that were as full as the others. (4) With 1,000 requests waiting a pass cost milliseconds: for each busy adapter all 117 engines were ranked each 4 ms; a coordinator with 0.32 cores never caught up.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -39,6 +39,8 @@
 /// Interval between placement passes over the waiting requests; each pass costs a look-up for each
 /// waiting adapter and engine.
 const PLACEMENT_INTERVAL_MS: u64 = 4;
+/// Waiting requests for which the interval grows by a millisecond.
+const WAITING_REQUESTS_PER_MS: u64 = 100;
 /// Interval between report requests to an engine.
 const REPORT_INTERVAL_MS: u64 = 1_000;
 /// Delay before a failed report request is retried.
@@ -50,7 +52,7 @@
 /// Delay before the next order to an engine that refused one.
 const REFUSED_ORDER_DELAY_MS: u64 = 1_000;
 /// Delay before the next order to an engine that left one unanswered.
-const UNANSWERED_ORDER_DELAY_MS: u64 = 150;
+const UNANSWERED_ORDER_DELAY_MS: u64 = 40;
 /// Delay before the next order to an engine that reported a conflict.
 const ORDER_CONFLICT_DELAY_MS: u64 = 100;
 /// Duration of a load from the engine's own memory.
@@ -168,6 +170,8 @@
     earliest_order_ms: u64,
     /// Time of the next placement pass.
     next_placement_ms: u64,
+    /// Time of the next pass over the adapters whose engines are busy.
+    copies_due_ms: u64,
     /// Earliest time of the next load of a base model.
     next_base_load_ms: u64,
     changes: Vec<ModelLocationChange>,
@@ -191,6 +195,7 @@
             summary: Summary::default(),
             earliest_order_ms,
             next_placement_ms: 0,
+            copies_due_ms: 0,
             next_base_load_ms: 0,
             changes: Vec::new(),
             replies: Vec::new(),
@@ -400,7 +405,8 @@
         if now_ms < self.next_placement_ms {
             return Vec::new();
         }
-        self.next_placement_ms = now_ms + PLACEMENT_INTERVAL_MS;
+        self.next_placement_ms =
+            now_ms + PLACEMENT_INTERVAL_MS + self.waiting.len() as u64 / WAITING_REQUESTS_PER_MS;
         self.model_index.refresh(&self.engines);
         self.expire_pins(now_ms);
         for engine in self.engines.values_mut() {
--- a/crates/redwinglatch-fleet/src/core/planner/demand.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/demand.rs
@@ -10,12 +10,16 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct AdapterDemand {
     pub(super) model: ModelName,
+    pub(super) model_hash: u64,
     /// Requests whose first event would still be on time after a load that starts now.
     on_time: u32,
     /// Late requests of callers that were refused before. A second refusal ends their request.
     returned: u32,
     waiting: u32,
-    first_received_ms: u64,
+    /// Arrival of the first request, delayed for less urgent ones.
+    first_ranked_ms: u64,
+    /// Arrival of the first request.
+    pub(super) first_received_ms: u64,
     /// The latest time at which a waiting request can be placed.
     pub(super) last_start_ms: u64,
     /// Whether a request was found servable before.
@@ -29,14 +33,15 @@
 /// makes every request late. Here each load goes to the adapter with the most requests that it can
 /// still serve on time; late requests follow, those of returning callers first.
 pub(super) fn load_order(now_ms: u64, waiting: &[WaitingRequest]) -> Vec<AdapterDemand> {
-    let mut demands: HashMap<&ModelName, AdapterDemand> = HashMap::new();
+    let mut demands: HashMap<u64, AdapterDemand> = HashMap::new();
     for request in waiting {
-        let model = &request.request.model;
-        let demand = demands.entry(model).or_insert_with(|| AdapterDemand {
-            model: model.clone(),
+        let demand = demands.entry(request.model_hash).or_insert_with(|| AdapterDemand {
+            model: request.request.model.clone(),
+            model_hash: request.model_hash,
             on_time: 0,
             returned: 0,
             waiting: 0,
+            first_ranked_ms: u64::MAX,
             first_received_ms: u64::MAX,
             last_start_ms: 0,
             is_admitted: false,
@@ -46,7 +51,8 @@
         demand.returned += u32::from(!is_on_time && request.is_returned());
         demand.waiting += 1;
         demand.is_admitted |= request.is_admitted;
-        demand.first_received_ms = demand.first_received_ms.min(request.ranked_ms());
+        demand.first_ranked_ms = demand.first_ranked_ms.min(request.ranked_ms());
+        demand.first_received_ms = demand.first_received_ms.min(request.received_ms);
         demand.last_start_ms = demand.last_start_ms.max(request.last_start_ms);
     }
     let mut order: Vec<AdapterDemand> = demands.into_values().collect();
@@ -58,12 +64,6 @@
     fn rank(&self) -> (Reverse<u32>, Reverse<u32>, Reverse<u32>, u64, &ModelName) {
         let late = if self.on_time > 0 { 0 } else { self.waiting };
         let returned = if self.on_time > 0 { 0 } else { self.returned };
-        (
-            Reverse(self.on_time),
-            Reverse(returned),
-            Reverse(late),
-            self.first_received_ms,
-            &self.model,
-        )
+        (Reverse(self.on_time), Reverse(returned), Reverse(late), self.first_ranked_ms, &self.model)
     }
 }
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -29,8 +29,9 @@
 /// Time for which a load counts against the weight store if its engine doesn't report when it
 /// completes.
 const UNCONFIRMED_LOAD_MS: u64 = 400;
-/// Time for which other engines are preferred to one that left an order unanswered.
-const UNRESPONSIVE_TO_ORDERS_MS: u64 = 1_000;
+/// Time for which other engines are preferred to one that left an order unanswered, by the number of
+/// unanswered orders in a row. An engine that loses some orders is still of use; one that hangs is not.
+const UNRESPONSIVE_TO_ORDERS_MS: [u64; 3] = [100, 400, 1_000];
 /// Recently unloaded adapters that an engine keeps in its own memory.
 const MAX_RECENT_UNLOADS: usize = 100;
 /// Cached prompt parts that are remembered for each engine.
@@ -150,6 +151,8 @@
     pub(super) order_sent_ms: Option<u64>,
     /// End of the time during which the engine counts as not answering orders.
     unresponsive_to_orders_until_ms: u64,
+    /// Orders in a row that were not answered.
+    unanswered_orders: usize,
     pub(super) orders_paused_until_ms: u64,
     pub(super) report_due_ms: u64,
     pub(super) report_in_flight: bool,
@@ -176,6 +179,7 @@
             recent_unloads: RecentUnloads::default(),
             order_sent_ms: None,
             unresponsive_to_orders_until_ms: 0,
+            unanswered_orders: 0,
             orders_paused_until_ms: 0,
             report_due_ms: now_ms,
             report_in_flight: false,
@@ -204,10 +208,17 @@
     /// Records that an order was not answered.
     pub(super) fn record_unanswered_order(&mut self, now_ms: u64) {
         self.orders_paused_until_ms = now_ms + UNANSWERED_ORDER_DELAY_MS;
-        self.unresponsive_to_orders_until_ms = now_ms + UNRESPONSIVE_TO_ORDERS_MS;
+        let step = self.unanswered_orders.min(UNRESPONSIVE_TO_ORDERS_MS.len() - 1);
+        self.unanswered_orders += 1;
+        self.unresponsive_to_orders_until_ms = now_ms + UNRESPONSIVE_TO_ORDERS_MS[step];
         self.report_due_ms = self.report_due_ms.min(now_ms);
     }
 
+    /// Records that the engine has answered an order.
+    pub(super) fn record_answered_order(&mut self) {
+        self.unanswered_orders = 0;
+    }
+
     /// Returns whether the engine leaves orders unanswered, so that other engines are preferred for
     /// loads.
     pub(super) fn is_unresponsive_to_orders(&self, now_ms: u64) -> bool {
@@ -269,6 +280,11 @@
         self.models.keys().filter(|model| model.contains('/')).count()
     }
 
+    /// Returns the share of the request slots that placed requests occupy.
+    pub(super) fn fill(&self) -> f64 {
+        f64::from(self.placed_requests) / f64::from(self.limits.slots.max(1))
+    }
+
     /// Returns how long a prompt that is sent now waits for the prompts before it.
     pub(super) fn prefill_backlog_ms(&self) -> f64 {
         f64::from(self.prefill_tokens()) / PROMPT_TOKENS_PER_MS
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -1,6 +1,6 @@
 //! Orders loads and unloads of adapters.
 
-use std::collections::{HashMap, HashSet};
+use std::{cmp::Reverse, collections::HashSet};
 
 use crate::{
     OrderKind,
@@ -18,6 +18,39 @@
     engine::{Engine, ModelPhase, ModelState, OrderState},
 };
 
+/// An engine that could load an adapter.
+struct LoadCandidate {
+    key: BackendKey,
+    /// The engine has left orders unanswered lately.
+    is_unresponsive: bool,
+    /// The engine has the adapter in its own memory.
+    is_cached: bool,
+    weight: u64,
+    placed_requests: u32,
+}
+
+/// Interval between passes over the adapters whose engines are busy.
+const COPIES_INTERVAL_MS: u64 = 20;
+/// Share of an engine's slots up to which it gets the only copy of an adapter.
+const MAX_FIRST_FILL: f64 = 1.0;
+/// Share of an engine's slots up to which it gets a further copy of an adapter. A fuller engine could
+/// hardly take a request from the others, and a load and a slot would be lost for nothing.
+const MAX_COPY_FILL: f64 = 0.7;
+
+/// Returns the adapters whose requests have waited too long for the engines that have them.
+fn overloaded_models(
+    now_ms: u64,
+    demands: &[(AdapterDemand, CopyStatus)],
+) -> impl Iterator<Item = &ModelName> {
+    let overloaded = demands.iter().filter(move |(demand, status)| match status {
+        CopyStatus::Loaded { since_ms } => {
+            demand.first_received_ms.max(*since_ms) + EXTRA_COPY_WAIT_MS <= now_ms
+        }
+        CopyStatus::None | CopyStatus::Loading => false,
+    });
+    overloaded.map(|(demand, _)| &demand.model)
+}
+
 impl Planner {
     /// Applies the outcome of an order.
     pub(in crate::core) fn order_finished(
@@ -29,6 +62,9 @@
         self.model_index.invalidate();
         let Some(engine) = self.engines.get_mut(&order.engine) else { return };
         engine.order_sent_ms = None;
+        if outcome != OrderOutcome::Unknown {
+            engine.record_answered_order();
+        }
         let Some(model_state) = engine.models.get_mut(&order.model) else { return };
         // The engine counts an order that is sent again only once, and doesn't count a load of an
         // adapter that is already loaded.
@@ -227,39 +263,31 @@
             .collect();
         // First copies take precedence, because their requests can't be served otherwise.
         let missing = demands.iter().filter(|(_, status)| *status == CopyStatus::None);
-        let mut models: Vec<ModelName> = missing.map(|(demand, _)| demand.model.clone()).collect();
-        models.extend(self.overloaded_models(now_ms, demands));
+        let models: Vec<ModelName> = missing.map(|(demand, _)| demand.model.clone()).collect();
         let is_requested =
             |model: &&ModelName| demands.iter().any(|(demand, _)| demand.model == **model);
         let expected = self.expected.keys().filter(|model| {
             !is_requested(model) && self.copy_status(now_ms, model) == CopyStatus::None
         });
-        models.extend(expected.cloned());
+        let expected: Vec<ModelName> = expected.cloned().collect();
         for model in models {
-            if let Some(order) = self.next_order_for(now_ms, &model, &requested) {
+            if let Some(order) = self.next_order_for(now_ms, &model, &requested, MAX_FIRST_FILL) {
                 self.push_order(now_ms, orders, order);
             }
         }
-    }
-
-    /// Returns the adapters whose requests have waited too long for the engines that have them.
-    fn overloaded_models(
-        &self,
-        now_ms: u64,
-        demands: &[(AdapterDemand, CopyStatus)],
-    ) -> Vec<ModelName> {
-        let mut first_received_ms: HashMap<&ModelName, u64> = HashMap::new();
-        for waiting in &self.waiting {
-            let first = first_received_ms.entry(&waiting.request.model).or_insert(u64::MAX);
-            *first = waiting.received_ms.min(*first);
+        if self.copies_due_ms <= now_ms {
+            self.copies_due_ms = now_ms + COPIES_INTERVAL_MS;
+            for model in overloaded_models(now_ms, demands) {
+                if let Some(order) = self.next_order_for(now_ms, model, &requested, MAX_COPY_FILL) {
+                    self.push_order(now_ms, orders, order);
+                }
+            }
+        }
+        for model in expected {
+            if let Some(order) = self.next_order_for(now_ms, &model, &requested, MAX_FIRST_FILL) {
+                self.push_order(now_ms, orders, order);
+            }
         }
-        let overloaded = demands.iter().filter(|(demand, status)| {
-            let CopyStatus::Loaded { since_ms } = status else { return false };
-            first_received_ms
-                .get(&demand.model)
-                .is_some_and(|first| (*first).max(*since_ms) + EXTRA_COPY_WAIT_MS <= now_ms)
-        });
-        overloaded.map(|(demand, _)| demand.model.clone()).collect()
     }
 
     /// Returns whether an available engine has the adapter loaded or loading.
@@ -286,53 +314,59 @@
     }
 
     /// Returns the next order towards another copy of `model`: a load, or an unload that makes room
-    /// for it.
+    /// for it. Engines whose slots are occupied beyond `max_fill` are not considered.
     ///
     /// An engine that unloaded the adapter recently is preferred, because its load doesn't use the
-    /// weight store; the others follow in the adapter's rendezvous order. Models in `protected` are
-    /// not evicted.
+    /// weight store; the others follow in the adapter's rendezvous order, those that leave orders
+    /// unanswered last. Models in `protected` are not evicted.
+    ///
+    /// Answers the load at which the weight store is the bottleneck and many engines are between two
+    /// orders: a load that would wait for its first choice goes to the next engine instead, so that
+    /// the store isn't idle.
     pub(super) fn next_order_for(
         &self,
         now_ms: u64,
         model: &str,
         protected: &HashSet<ModelName>,
+        max_fill: f64,
     ) -> Option<PlannedOrder> {
+        let has_store_capacity = self.store.has_capacity();
         let base = model.split('/').next().unwrap_or(model);
-        let mut candidates: Vec<(bool, u64, BackendKey, u32)> = self
+        let mut candidates: Vec<LoadCandidate> = self
             .engines
             .iter()
             .filter(|(_, engine)| {
                 engine.is_available()
-                    && !engine.is_unresponsive_to_orders(now_ms)
+                    && engine.fill() <= max_fill
+                    && (has_store_capacity || engine.was_recently_unloaded(model))
                     && engine.base_models.iter().any(|base_model| **base_model == *base)
                     && !engine.models.contains_key(model)
             })
-            .map(|(key, engine)| {
-                (
-                    engine.was_recently_unloaded(model),
-                    rendezvous_weight(model, *key),
-                    *key,
-                    engine.placed_requests,
-                )
+            .map(|(key, engine)| LoadCandidate {
+                key: *key,
+                is_unresponsive: engine.is_unresponsive_to_orders(now_ms),
+                is_cached: engine.was_recently_unloaded(model),
+                weight: rendezvous_weight(model, *key),
+                placed_requests: engine.placed_requests,
             })
             .collect();
-        candidates.sort_unstable_by_key(|(is_cached, weight, ..)| {
-            std::cmp::Reverse((*is_cached, *weight))
+        candidates.sort_unstable_by_key(|candidate| {
+            (candidate.is_unresponsive, Reverse((candidate.is_cached, candidate.weight)))
         });
-        let min_placed = candidates.iter().map(|(.., placed)| *placed).min()?;
-        let has_store_capacity = self.store.has_capacity();
-        candidates
-            .iter()
-            .filter(|(is_cached, _, _, placed)| {
-                *placed <= min_placed + REQUEST_COUNT_SLACK && (*is_cached || has_store_capacity)
-            })
-            .find_map(|(_, _, key, _)| match self.next_step(now_ms, *key, model, protected) {
-                LoadStep::Order(order) => Some(Some(order)),
-                // The engine can load the adapter in a moment.
-                LoadStep::Wait => Some(None),
-                LoadStep::AllInUse => None,
-            })
-            .flatten()
+        let min_placed = candidates.iter().map(|candidate| candidate.placed_requests).min()?;
+        for candidate in candidates {
+            let is_busy = candidate.placed_requests > min_placed + REQUEST_COUNT_SLACK;
+            if is_busy {
+                continue;
+            }
+            match self.next_step(now_ms, candidate.key, model, protected) {
+                LoadStep::Order(order) => return Some(order),
+                // The engine can load the adapter in a moment, and needs no load from the store.
+                LoadStep::Wait if candidate.is_cached && !candidate.is_unresponsive => return None,
+                LoadStep::Wait | LoadStep::AllInUse => {}
+            }
+        }
+        None
     }
 
     fn next_step(
--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::{
-    ids::{BackendKey, ModelName},
+    ids::BackendKey,
     message::{PlaceReply, PlaceRequest},
 };
 
@@ -20,16 +20,16 @@
     /// and refuses those that have timed out.
     pub(super) fn place_waiting(&mut self, now_ms: u64) {
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiting| waiting.rank(now_ms));
+        waiting.sort_by_cached_key(|waiting| waiting.rank(now_ms));
         // If the most urgent request for an adapter can't be placed, the others can't either.
-        let mut blocked: HashSet<ModelName> = HashSet::new();
+        let mut blocked: HashSet<u64> = HashSet::new();
         waiting.retain(|waiting| {
-            if blocked.contains(&waiting.request.model) && !waiting.has_timed_out(now_ms) {
+            if blocked.contains(&waiting.model_hash) && !waiting.has_timed_out(now_ms) {
                 return true;
             }
             let is_done = self.try_place(now_ms, waiting);
             if !is_done {
-                blocked.insert(waiting.request.model.clone());
+                blocked.insert(waiting.model_hash);
             }
             !is_done
         });
@@ -85,13 +85,13 @@
     pub(super) fn refuse_unservable(&mut self, now_ms: u64) -> Vec<(AdapterDemand, CopyStatus)> {
         let orders_from_ms = self.earliest_order_ms.saturating_sub(now_ms);
         let mut loads_ahead = 0;
-        let mut completions: HashMap<ModelName, u64> = HashMap::new();
+        let mut completions: HashMap<u64, u64> = HashMap::new();
         let mut kept = Vec::new();
         for demand in load_order(now_ms, &self.waiting) {
             let status = self.copy_status(now_ms, &demand.model);
             if status == CopyStatus::None {
                 let completion_ms = now_ms + orders_from_ms + self.store.completion_ms(loads_ahead);
-                completions.insert(demand.model.clone(), completion_ms);
+                completions.insert(demand.model_hash, completion_ms);
                 if completion_ms > demand.last_start_ms && !demand.is_admitted {
                     continue;
                 }
@@ -101,7 +101,7 @@
         }
         let waiting = std::mem::take(&mut self.waiting);
         for mut waiting in waiting {
-            match completions.get(&waiting.request.model) {
+            match completions.get(&waiting.model_hash) {
                 Some(completion_ms)
                     if *completion_ms > waiting.last_start_ms && !waiting.is_admitted =>
                 {
@@ -146,9 +146,7 @@
                 && !request.excluded_engines.contains(&key)
                 && engine.has_capacity(request);
             is_suitable.then(|| {
-                let fill =
-                    f64::from(engine.placed_requests) / f64::from(engine.limits.slots.max(1));
-                let cost = engine.prefill_backlog_ms() + fill * FULL_BATCH_COST_MS;
+                let cost = engine.prefill_backlog_ms() + engine.fill() * FULL_BATCH_COST_MS;
                 (cost, key, newest.map(|_| model_state.version))
             })
         });
--- a/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
@@ -1,6 +1,6 @@
 //! Requests that wait to be placed, and the order in which they are placed.
 
-use crate::message::PlaceRequest;
+use crate::{ids::name_hash, message::PlaceRequest};
 
 /// A request that could not be placed immediately.
 #[derive(Debug, Clone)]
@@ -8,6 +8,8 @@
     pub(super) entry: u64,
     pub(super) id: u64,
     pub(super) request: PlaceRequest,
+    /// Hash of the adapter's name, which groups requests without comparing names.
+    pub(super) model_hash: u64,
     pub(super) received_ms: u64,
     /// Time by which the first event should reach the caller.
     pub(super) objective_ms: u64,
@@ -35,6 +37,7 @@
             id,
             received_ms: now_ms,
             is_admitted: false,
+            model_hash: name_hash(&request.model),
             objective_ms: now_ms + remaining_ms,
             last_start_ms: now_ms
                 + request
