Load the base model of an engine with a copy of its own at once

Change: reports tell which models an engine has in its memory or on its disk; such a load isn't paced. All others keep the store's interval. Conclusion: only loads from the store need its pace.

--- a/crates/redwinglatch-fleet/src/core/planner/base_models.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/base_models.rs
@@ -31,49 +31,77 @@
 }
 
 impl Planner {
-    /// Orders at most one load: loads that keep their interval stay within the store's rate limit
-    /// in every time window.
+    /// Orders base models for engines without one.
+    ///
+    /// Answers the return of many engines after a crash: those that still have a copy of their own
+    /// load it at once, because that doesn't use the weight store. Of the other loads at most one is
+    /// ordered at a time; loads that keep their interval stay within the store's rate limit in every
+    /// time window.
     pub(super) fn load_base_models(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
-        if now_ms < self.next_base_load_ms {
-            return;
+        let mut loads: Vec<PlannedOrder> = Vec::new();
+        let mut next_base_load_ms = self.next_base_load_ms;
+        for engine in self.engines.values() {
+            let is_idle =
+                engine.is_empty() && engine.is_available() && engine.can_take_order(now_ms);
+            let Some(service) = self.services.get(&engine.backend.service) else { continue };
+            if !is_idle {
+                continue;
+            }
+            let models = &service.base_models;
+            let name = &engine.backend.service;
+            let is_copied = |model: &&ModelName| engine.local_copies.contains(model);
+            let copied = self.most_requested_model(name, models.names.iter().filter(is_copied));
+            let model = match copied {
+                Some(model) => model,
+                None if next_base_load_ms <= now_ms
+                    && self.base_loads_in_flight(name) < models.max_concurrent_loads() =>
+                {
+                    let Some(model) = self.most_requested_model(name, models.names.iter()) else {
+                        continue;
+                    };
+                    next_base_load_ms = now_ms + models.interval_ms();
+                    model
+                }
+                None => continue,
+            };
+            log::info!(
+                "coordinator: engine {} has no model loaded; loading {model}, own copy={}",
+                engine.backend.id,
+                engine.local_copies.contains(&model),
+            );
+            loads.push(engine.new_order(OrderKind::Load, model));
+        }
+        self.next_base_load_ms = next_base_load_ms;
+        for order in loads {
+            self.push_order(now_ms, orders, order);
         }
-        let next_load = self.services.iter().find_map(|(name, service)| {
-            let engine = self.engines.values().find(|engine| {
-                *engine.backend.service == **name
-                    && engine.is_empty()
-                    && engine.is_available()
-                    && engine.can_take_order(now_ms)
-            })?;
-            let model = self.most_requested_model(name, &service.base_models)?;
-            Some((service.base_models.interval_ms(), engine, model))
-        });
-        let Some((interval_ms, engine, model)) = next_load else { return };
-        let order = engine.new_order(OrderKind::Load, model);
-        log::info!(
-            "coordinator: engine {} has no model loaded; loading {}",
-            engine.backend.id,
-            order.model,
-        );
-        self.next_base_load_ms = now_ms + interval_ms;
-        self.push_order(now_ms, orders, order);
     }
 
-    /// Returns the model with the most requests for each engine on which it is loaded or loading;
-    /// `None` while the maximum number of concurrent loads is in flight.
-    fn most_requested_model(&self, service: &str, base_models: &BaseModels) -> Option<ModelName> {
-        let mut loading = 0;
+    /// Returns the base models that the engines of a service are loading.
+    fn base_loads_in_flight(&self, service: &str) -> usize {
+        let engines = self.engines.values().filter(|engine| *engine.backend.service == *service);
+        engines
+            .flat_map(|engine| &engine.models)
+            .filter(|(model, model_state)| {
+                !model.contains('/') && model_state.phase == ModelPhase::Loading
+            })
+            .count()
+    }
+
+    /// Returns the model with the most requests for each engine on which it is loaded or loading.
+    fn most_requested_model<'a>(
+        &self,
+        service: &str,
+        models: impl Iterator<Item = &'a ModelName>,
+    ) -> Option<ModelName> {
+        let mut models = models.peekable();
+        models.peek()?;
         let mut engine_counts: HashMap<&str, u32> = HashMap::new();
         for engine in self.engines.values().filter(|engine| *engine.backend.service == *service) {
-            for (model, model_state) in &engine.models {
-                if !model.contains('/') {
-                    loading += usize::from(model_state.phase == ModelPhase::Loading);
-                    *engine_counts.entry(model).or_default() += 1;
-                }
+            for model in engine.models.keys().filter(|model| !model.contains('/')) {
+                *engine_counts.entry(model).or_default() += 1;
             }
         }
-        if loading >= base_models.max_concurrent_loads() {
-            return None;
-        }
         let mut request_counts: HashMap<&str, u32> = HashMap::new();
         let waiting = self.waiting.iter().map(|waiting| &waiting.request.model);
         for model in waiting.chain(self.pins.values().map(|pin| &pin.model)) {
@@ -85,10 +113,6 @@
             let engines = engine_counts.get(&**name).copied().unwrap_or_default();
             f64::from(requests + 1) / f64::from(engines + 1)
         };
-        base_models
-            .names
-            .iter()
-            .max_by(|left, right| demand(left).total_cmp(&demand(right)))
-            .cloned()
+        models.max_by(|left, right| demand(left).total_cmp(&demand(right))).cloned()
     }
 }
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -136,6 +136,8 @@
     pub(super) limits: EngineLimits,
     /// The base models loaded on the engine, by its last report.
     pub(super) base_models: Vec<ModelName>,
+    /// The models of which the engine has a copy of its own, by its last report.
+    pub(super) local_copies: Vec<ModelName>,
     /// Whether the engine is loading or unloading a base model.
     is_changing_base_model: bool,
     pub(super) models: HashMap<ModelName, ModelState>,
@@ -172,6 +174,7 @@
             backend,
             limits,
             base_models: Vec::new(),
+            local_copies: Vec::new(),
             is_changing_base_model: false,
             models: HashMap::new(),
             sequence: None,
@@ -378,6 +381,7 @@
     ) {
         let report_made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
         self.base_models = report.models.iter().map(|model| model.name.clone()).collect();
+        self.local_copies.clone_from(&report.local_copies);
         let last_sequence = self.sequence;
         let is_old = last_sequence.is_some_and(|last| report.sequence < last);
         if is_old && report_made_ms < self.sequence_updated_ms {
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -34,6 +34,8 @@
     /// `u64::MAX` if it is not loaded.
     base_ready_ms: u64,
     base_loads_ms: Vec<u64>,
+    /// Whether the engine reports a copy of the base model on its own disk.
+    has_own_copy: bool,
     sequence: u64,
     /// Reports, the oldest first, with the time from which each is current.
     states: Vec<(u64, EngineReport)>,
@@ -96,7 +98,15 @@
             .map(|(model, _)| LoadedAdapter { name: model.clone(), version: 1 })
             .collect();
         let sequence = self.sequence;
-        let report = EngineReport { models, loading, sequence, busy, ..EngineReport::default() };
+        let local_copies = if self.has_own_copy { vec!["m".into()] } else { Vec::new() };
+        let report = EngineReport {
+            models,
+            loading,
+            sequence,
+            busy,
+            local_copies,
+            ..EngineReport::default()
+        };
         self.states.push((now_ms, report));
         let old = self.states.iter().rposition(|(since_ms, _)| since_ms + LAG_MS <= now_ms);
         self.states.drain(..old.unwrap_or_default());
--- a/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
@@ -221,6 +221,24 @@
     assert!(loads_ms.windows(2).all(|pair| pair[0] + 334 <= pair[1]), "{loads_ms:?}");
 }
 
+/// Half of the engines crash at once and return with copies of the model on their own disks, so none of
+/// them waits for the weight store.
+#[test]
+fn engines_with_an_own_copy_load_their_base_model_at_once() {
+    let mut simulation = Simulation::new(20);
+    for engine in simulation.engines.values_mut() {
+        engine.base_ready_ms = u64::MAX;
+        engine.has_own_copy = true;
+        engine.states.clear();
+    }
+    simulation.replace_planner(0);
+    simulation.run(BASE_LOAD_MS + 800);
+    for engine in simulation.engines.values() {
+        assert!(engine.base_ready_ms <= simulation.now_ms);
+        assert_eq!(engine.base_loads_ms.len(), 1);
+    }
+}
+
 /// A new coordinator sees that the engines are loading and must not order the loads again.
 #[test]
 fn loading_base_models_are_not_loaded_again_after_a_change_of_coordinator() {
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -168,6 +168,9 @@
     pub models: Vec<LoadedModel>,
     /// The adapters that are loading; their names have the form MODEL/ADAPTER.
     pub loading: Vec<LoadedAdapter>,
+    /// The models of which the engine has a copy in its own memory or on its disk, so that it need not
+    /// load them from the weight store.
+    pub local_copies: Vec<Box<str>>,
 }
 
 /// The kind of an order to an engine.
