--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -74,16 +74,17 @@
     let metrics = Arc::new(Metrics::default());
     tokio::spawn(links::accept(link_listener, events.clone(), Arc::clone(&metrics)));
     tokio::spawn(control_api::run(control_listener, stopped, events.clone(), dialect));
+    let (coordinator_state, is_coordinator) = watch::channel(false);
     if let Some(address) = settings.list_address {
-        tokio::spawn(backend_list::run(address, events.clone(), dialect));
+        tokio::spawn(backend_list::run(address, events.clone(), dialect, is_coordinator));
     }
     if let Some(address) = settings.metrics {
         let (listener, metrics) = (http::bind(address)?, Arc::clone(&metrics));
         let handler = move |request| metrics::serve_page(Arc::clone(&metrics), request);
         tokio::spawn(http::serve(listener, ServerLimits::default, stop.subscribe(), handler));
     }
-    let driver =
-        driver::Driver::new(settings, dialect, (clock, metrics), link, start_state, events.clone());
+    let context = driver::DriverContext { dialect, clock, metrics, coordinator_state };
+    let driver = driver::Driver::new(settings, context, link, start_state, events.clone());
     let driver = driver.run(received);
     tokio::pin!(driver);
     tokio::select! {
--- a/crates/redwinglatch-fleet/src/core/backend_list.rs
+++ b/crates/redwinglatch-fleet/src/core/backend_list.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode, header::HOST};
 use thiserror::Error;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::{
     BackendEntry, Dialect,
@@ -17,6 +17,11 @@
 
 /// Interval between fetches; a leaving server must be known well within 3 s.
 const POLL_INTERVAL: Duration = Duration::from_millis(700);
+/// Interval between fetches of a long list by core processes that don't coordinate. Each page counts
+/// against the rate of calls that the platform allows to all processes together.
+const LONG_LIST_POLL_INTERVAL: Duration = Duration::from_millis(1_400);
+/// Entries from which a list is long.
+const LONG_LIST_ENTRIES: usize = 60;
 /// Timeout of the request for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum number of pages; a longer list is taken for an endless one.
@@ -40,11 +45,13 @@
     address: SocketAddr,
     events: mpsc::Sender<DriverEvent>,
     dialect: &'static Dialect,
+    is_coordinator: watch::Receiver<bool>,
 ) {
     let client = HttpClient::new();
     let mut is_failing = false;
     let mut last_malformed = 0;
     loop {
+        let mut interval = POLL_INTERVAL;
         match fetch(&client, address, dialect).await {
             Ok((entries, malformed)) => {
                 if malformed != last_malformed {
@@ -57,6 +64,9 @@
                     log::info!("platform: the backend list is available again");
                 }
                 is_failing = false;
+                if entries.len() >= LONG_LIST_ENTRIES && !*is_coordinator.borrow() {
+                    interval = LONG_LIST_POLL_INTERVAL;
+                }
                 if events.send(DriverEvent::BackendsListed(entries)).await.is_err() {
                     return;
                 }
@@ -70,7 +80,7 @@
                 is_failing = true;
             }
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
 }
 
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -19,7 +19,7 @@
 };
 use redwinglatch_routing::RouteTable;
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time::MissedTickBehavior,
 };
 
@@ -117,10 +117,20 @@
     }
 }
 
+/// The parts of a core process that its tasks share.
+pub(super) struct DriverContext {
+    pub(super) dialect: &'static Dialect,
+    pub(super) clock: Clock,
+    pub(super) metrics: Arc<Metrics>,
+    /// Tells the other tasks whether this process is the coordinator.
+    pub(super) coordinator_state: watch::Sender<bool>,
+}
+
 /// The state of a core process.
 pub(super) struct Driver {
     settings: ProcessSettings,
     dialect: &'static Dialect,
+    coordinator_state: watch::Sender<bool>,
     clock: Clock,
     metrics: Arc<Metrics>,
     own_link: SocketAddr,
@@ -171,14 +181,15 @@
 impl Driver {
     pub(super) fn new(
         settings: ProcessSettings,
-        dialect: &'static Dialect,
-        (clock, metrics): (Clock, Arc<Metrics>),
+        context: DriverContext,
         own_link: SocketAddr,
         start_state: StartState,
         events: mpsc::Sender<DriverEvent>,
     ) -> Driver {
+        let DriverContext { dialect, clock, metrics, coordinator_state } = context;
         let mut driver = Driver {
             dialect,
+            coordinator_state,
             clock,
             metrics,
             own_link,
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -57,6 +57,9 @@
             log::info!("core: replica {} is no longer the leader", self.replica.id());
             self.planner = None;
         }
+        let is_coordinator = self.planner.is_some();
+        self.coordinator_state
+            .send_if_modified(|state| std::mem::replace(state, is_coordinator) != is_coordinator);
     }
 
     /// Returns the time from which this process may send orders, so that it doesn't send them
--- a/crates/redwinglatch-fleet/src/logging.rs
+++ b/crates/redwinglatch-fleet/src/logging.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use env_logger::{Builder, Env, Logger, Target};
+use env_logger::{Builder, Env, Logger, Target, fmt::Formatter};
 use log::{Log, Metadata, Record};
 use tokio::time::Instant;
 
@@ -58,8 +58,9 @@
             }
         }
     })?;
+    let started_at = Instant::now();
     let logger = Builder::from_env(Env::default().default_filter_or("info"))
-        .format_timestamp_millis()
+        .format(move |line, record| write_line(line, record, started_at.elapsed()))
         .target(Target::Pipe(Box::new(LineQueue { queue: queue.clone() })))
         .build();
     log::set_max_level(logger.filter());
@@ -68,6 +69,20 @@
     log::set_boxed_logger(Box::new(logger)).map_err(io::Error::other)
 }
 
+/// Writes a line with the time of day, for a comparison with other machines, and the uptime, which
+/// orders the lines of a process also while the time of day jumps.
+fn write_line(line: &mut Formatter, record: &Record<'_>, uptime: Duration) -> io::Result<()> {
+    let time = line.timestamp_millis();
+    writeln!(
+        line,
+        "[{time} {:<5} {} up_s={:.3}] {}",
+        record.level(),
+        record.target(),
+        uptime.as_secs_f64(),
+        record.args()
+    )
+}
+
 /// An item of the queue to the writer thread.
 enum LogOutput {
     Line(Vec<u8>),
