--- a/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
@@ -273,3 +273,52 @@
     assert!(simulation.engine_of(99).is_some());
     assert_eq!(simulation.most_adapters(), SLOTS);
 }
+
+/// Engines lose a third of all orders, and the requests of a shifted popularity wait for 60 adapters. The
+/// loads still start at half of the rate that the store sustains, 8 each 250 ms.
+#[test]
+fn the_store_is_kept_busy_while_engines_lose_orders() {
+    for seed in 0..20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut simulation = Simulation::new(9);
+        simulation.run(300);
+        for id in 0..60 {
+            simulation.place(id, request(&format!("m/a{id}")));
+        }
+        // A lost order takes its timeout of 120 ms; here its outcome is known at once, so each lost
+        // order is followed by the pause alone.
+        simulation.run_with(1_000, |simulation, order| {
+            if rng.u32(0..3) == 0 { OrderOutcome::Unknown } else { simulation.carry_out(order) }
+        });
+        assert!(simulation.loads() >= 16, "seed {seed}: {} loads", simulation.loads());
+    }
+}
+
+/// A load that finds its first engine between two orders goes to another one.
+#[test]
+fn a_load_does_not_wait_for_a_busy_engine() {
+    let mut simulation = Simulation::new(6);
+    simulation.run(300);
+    for id in 0..8 {
+        simulation.place(id, request(&format!("m/a{id}")));
+    }
+    simulation.now_ms += 5;
+    let orders = simulation.planner.plan(simulation.now_ms, true);
+    let engines: HashSet<_> = orders.iter().map(|order| order.engine).collect();
+    assert_eq!(engines.len(), 6, "every engine gets an order in the first pass");
+}
+
+/// All engines are nearly full, so that a further copy of a busy adapter could take no request.
+#[test]
+fn a_full_engine_gets_no_further_copy() {
+    let mut simulation = Simulation::new(2);
+    simulation.run(300);
+    for engine in simulation.planner.engines.values_mut() {
+        engine.limits.slots = 4;
+    }
+    for id in 0..12 {
+        simulation.place(id, request(&format!("m/a{}", id % 2)));
+    }
+    simulation.run_with_first_events(1_000, 12);
+    assert_eq!(simulation.loads(), 2);
+}
