Don't exceed an engine's slots with a repeated load, and back off from lost orders

Change: while an engine's slots are overcommitted its loads that aren't accepted are forgotten; the pause after unanswered orders grows from 40 ms to 1 s; orders time out after 200 ms; loads are first checked after their usual duration; the limit of a store whose rate is known no longer jumps; locations go out each 250 ms; ending a placed request no longer scans the waiting ones. Tests: a_load_is_not_sent_again_after_its_slot_was_taken and orders_without_answers_become_rare fail before.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -52,7 +52,7 @@
 const ENGINE_LOADS_INTERVAL_MS: u64 = 1_000;
 /// Interval between messages to entry processes about changes of model locations. They place
 /// requests by these only while there is no coordinator.
-const LOCATION_CHANGES_INTERVAL_MS: u64 = 100;
+const LOCATION_CHANGES_INTERVAL_MS: u64 = 250;
 /// Interval between requests to join the log while the process isn't a voter.
 const JOIN_INTERVAL_MS: u64 = 250;
 /// A leader transfers leadership when a write takes longer than this.
--- a/crates/redwinglatch-fleet/src/core/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/orders.rs
@@ -12,7 +12,7 @@
 use crate::{Dialect, EngineReport, Order, http::HttpClient};
 
 /// Timeout of an order; engines answer at once or not at all.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(120);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout of a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -51,8 +51,10 @@
 const MAX_LOADS_PER_ENGINE: usize = 4;
 /// Delay before the next order to an engine that refused one.
 const REFUSED_ORDER_DELAY_MS: u64 = 1_000;
-/// Delay before the next order to an engine that left one unanswered.
-const UNANSWERED_ORDER_DELAY_MS: u64 = 40;
+/// Delay before the next order to an engine that left one unanswered, by the number of unanswered orders
+/// in a row. Repeated at a fixed short interval, the orders of a coordinator that is itself too slow to
+/// read the answers would take all its processor time.
+const UNANSWERED_ORDER_DELAYS_MS: [u64; 4] = [40, 150, 400, 1_000];
 /// Delay before the next order to an engine that reported a conflict.
 const ORDER_CONFLICT_DELAY_MS: u64 = 100;
 /// Duration of a load from the engine's own memory.
@@ -308,8 +310,7 @@
     /// Places or queues a request; [`Planner::take_replies`] returns the replies.
     pub(super) fn place(&mut self, now_ms: u64, entry: u64, id: u64, request: PlaceRequest) {
         let waiting = WaitingRequest::new(now_ms, entry, id, request);
-        let model = &waiting.request.model;
-        let is_first = !self.waiting.iter().any(|other| other.request.model == *model);
+        let is_first = !self.waiting.iter().any(|other| other.model_hash == waiting.model_hash);
         if is_first && self.try_place(now_ms, &waiting) {
             return;
         }
@@ -319,8 +320,10 @@
 
     /// Ends a request, whether it is placed or still waiting.
     pub(super) fn release(&mut self, now_ms: u64, entry: u64, id: u64) {
-        self.waiting.retain(|waiting| (waiting.entry, waiting.id) != (entry, id));
-        let Some(pin) = self.pins.remove(&(entry, id)) else { return };
+        let Some(pin) = self.pins.remove(&(entry, id)) else {
+            self.waiting.retain(|waiting| (waiting.entry, waiting.id) != (entry, id));
+            return;
+        };
         if let Some(engine) = self.engines.get_mut(&pin.engine) {
             engine.remove_request(now_ms, (entry, id), &pin.model, pin.tokens);
         }
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -8,7 +8,7 @@
     message::{Backend, ModelLocation, ModelLocationChange, PlaceRequest},
 };
 
-use super::{EngineLimits, PlannedOrder, UNANSWERED_ORDER_DELAY_MS};
+use super::{EngineLimits, PlannedOrder, UNANSWERED_ORDER_DELAYS_MS};
 
 /// Maximum lag of a report behind the engine's answers to orders.
 const REPORT_LAG_MS: u64 = 1_000;
@@ -210,7 +210,8 @@
 
     /// Records that an order was not answered.
     pub(super) fn record_unanswered_order(&mut self, now_ms: u64) {
-        self.orders_paused_until_ms = now_ms + UNANSWERED_ORDER_DELAY_MS;
+        let delay = self.unanswered_orders.min(UNANSWERED_ORDER_DELAYS_MS.len() - 1);
+        self.orders_paused_until_ms = now_ms + UNANSWERED_ORDER_DELAYS_MS[delay];
         let step = self.unanswered_orders.min(UNRESPONSIVE_TO_ORDERS_MS.len() - 1);
         self.unanswered_orders += 1;
         self.unresponsive_to_orders_until_ms = now_ms + UNRESPONSIVE_TO_ORDERS_MS[step];
@@ -288,6 +289,22 @@
         f64::from(self.placed_requests) / f64::from(self.limits.slots.max(1))
     }
 
+    /// Removes loads that the engine hasn't accepted while its slots are overcommitted.
+    ///
+    /// That happens after another order that was taken for lost has been carried out and used the
+    /// slot. It advanced the sequence, so the orders of the removed loads can't take effect any more;
+    /// sent again with the new sequence they would exceed the slots.
+    pub(super) fn remove_superseded_loads(&mut self) {
+        let is_overcommitted = self.used_slots() > self.limits.adapter_slots;
+        if is_overcommitted && self.order_sent_ms.is_none() {
+            self.models.retain(|model, model_state| {
+                !model.contains('/')
+                    || model_state.phase != ModelPhase::Loading
+                    || model_state.order == OrderState::Accepted
+            });
+        }
+    }
+
     /// Returns how long a prompt that is sent now waits for the prompts before it.
     pub(super) fn prefill_backlog_ms(&self) -> f64 {
         f64::from(self.prefill_tokens()) / PROMPT_TOKENS_PER_MS
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -12,8 +12,7 @@
 use super::{
     CACHED_LOAD_MS, CopyStatus, EXTRA_COPY_WAIT_MS, LOAD_CHECK_INTERVAL_MS, LoadStep,
     MAX_LOADS_PER_ENGINE, ORDER_CONFLICT_DELAY_MS, PlannedOrder, Planner, RECENT_USE_MS,
-    REFUSED_ORDER_DELAY_MS, REQUEST_COUNT_SLACK, STORE_LOAD_MS, UNANSWERED_ORDER_DELAY_MS,
-    UNLOAD_CHECK_INTERVAL_MS,
+    REFUSED_ORDER_DELAY_MS, REQUEST_COUNT_SLACK, UNLOAD_CHECK_INTERVAL_MS,
     demand::AdapterDemand,
     engine::{Engine, ModelPhase, ModelState, OrderState},
 };
@@ -89,7 +88,8 @@
                 model_state.resend_ms = if age_ms < CACHED_LOAD_MS {
                     model_state.since_ms + CACHED_LOAD_MS
                 } else {
-                    (model_state.since_ms + STORE_LOAD_MS).max(now_ms + LOAD_CHECK_INTERVAL_MS)
+                    (model_state.since_ms + self.store.usual_load_ms())
+                        .max(now_ms + LOAD_CHECK_INTERVAL_MS)
                 };
             }
             (OrderOutcome::InEffect, OrderKind::Load) => {
@@ -118,7 +118,8 @@
                     model_state.order = OrderState::Unanswered;
                 }
                 model_state.is_duration_known = false;
-                model_state.resend_ms = now_ms + UNANSWERED_ORDER_DELAY_MS;
+                // The engine's pause decides when the order is sent again.
+                model_state.resend_ms = now_ms;
                 engine.record_unanswered_order(now_ms);
             }
             (OrderOutcome::Conflict, _) => {
@@ -194,6 +195,9 @@
 
     /// Sends orders again whose completion is due to be checked.
     pub(super) fn resend_due_orders(&mut self, now_ms: u64, orders: &mut Vec<PlannedOrder>) {
+        for engine in self.engines.values_mut() {
+            engine.remove_superseded_loads();
+        }
         let due: Vec<PlannedOrder> = self
             .engines
             .values()
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -19,13 +19,15 @@
 /// Usual time from the start of a load to the start of the next one in its place, as a multiple of the
 /// fastest load.
 const USUAL_LOAD_FACTOR: f64 = 1.2;
-/// Increase of the limit for each fast load before the first slow one; it doubles the limit within
-/// the duration of a load.
+/// Increase of the limit for each fast load before the first slow one, if the rate of the store isn't
+/// known; it doubles the limit within the duration of a load.
 const INITIAL_INCREASE: f64 = 1.0;
 /// Increase of the limit for each fast load after the first slow one.
 const INCREASE: f64 = 0.25;
 /// Decrease of the limit for each slow load.
 const DECREASE: f64 = 0.25;
+/// Weight of the newest load in the average duration.
+const DURATION_WEIGHT: f64 = 0.1;
 /// Share of the limit that must be in use before a fast load raises it.
 const MIN_USED_SHARE: f64 = 0.8;
 
@@ -38,12 +40,22 @@
     limit: f64,
     in_flight: usize,
     fastest_ms: u64,
+    /// Exponential moving average of the duration of loads.
+    usual_ms: f64,
+    is_rate_known: bool,
     was_reached: bool,
 }
 
 impl Default for StoreLimit {
     fn default() -> StoreLimit {
-        StoreLimit { limit: INITIAL_LIMIT, in_flight: 0, fastest_ms: u64::MAX, was_reached: false }
+        StoreLimit {
+            limit: INITIAL_LIMIT,
+            in_flight: 0,
+            fastest_ms: u64::MAX,
+            usual_ms: STORE_LOAD_MS as f64,
+            is_rate_known: false,
+            was_reached: false,
+        }
     }
 }
 
@@ -52,6 +64,11 @@
         self.in_flight = in_flight;
     }
 
+    /// Returns the usual duration of a load at present, at which its completion is first checked.
+    pub(super) fn usual_load_ms(&self) -> u64 {
+        self.usual_ms as u64
+    }
+
     pub(super) fn in_flight(&self) -> usize {
         self.in_flight
     }
@@ -86,6 +103,7 @@
     /// Raises the limit to what a store with this rate of base model loads usually sustains.
     pub(super) fn expect_rate(&mut self, base_loads_per_s: f64) {
         self.adopt((base_loads_per_s * LOADS_PER_BASE_RATE).clamp(0.0, MAX_LIMIT) as u32);
+        self.is_rate_known = base_loads_per_s * LOADS_PER_BASE_RATE > INITIAL_LIMIT;
     }
 
     pub(super) fn has_capacity(&self) -> bool {
@@ -102,12 +120,14 @@
             return;
         }
         self.fastest_ms = self.fastest_ms.min(duration_ms.max(1));
+        self.usual_ms += (duration_ms as f64 - self.usual_ms) * DURATION_WEIGHT;
         let slowdown = duration_ms as f64 / self.fastest_ms as f64;
         if slowdown > SLOW_FACTOR {
             self.was_reached = true;
             self.limit = (self.limit - DECREASE).max(MIN_LIMIT);
         } else if slowdown < FAST_FACTOR && self.in_flight as f64 >= self.limit * MIN_USED_SHARE {
-            let increase = if self.was_reached { INCREASE } else { INITIAL_INCREASE };
+            let is_explored = self.was_reached || self.is_rate_known;
+            let increase = if is_explored { INCREASE } else { INITIAL_INCREASE };
             self.limit = (self.limit + increase).min(MAX_LIMIT);
         }
     }
--- a/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
@@ -322,3 +322,77 @@
     simulation.run_with_first_events(1_000, 12);
     assert_eq!(simulation.loads(), 2);
 }
+
+/// A lost load is carried out late, after its slot was given to another load whose order is lost as well.
+/// Sending that one again with the new sequence would exceed the slots. Found as LIMIT in scale-1 of a
+/// fleet whose engines lost a third of the orders.
+#[test]
+fn a_load_is_not_sent_again_after_its_slot_was_taken() {
+    let mut simulation = Simulation::new(1);
+    simulation.run(300);
+    for id in 0..SLOTS as u64 - 1 {
+        simulation.place(id, request(&format!("m/a{id}")));
+        simulation.run(400);
+        assert!(simulation.engine_of(id).is_some());
+        simulation.planner.first_event(1, id);
+    }
+    simulation.place(50, request("m/late"));
+    let mut late = None;
+    simulation.run_with(1_500, |_, order| {
+        late = Some(order.clone());
+        OrderOutcome::Unknown
+    });
+    let late = late.expect("a load is ordered");
+    simulation.planner.release(simulation.now_ms, 1, 50);
+    simulation.place(60, request("m/next"));
+    let mut next = None;
+    for _ in 0..300 {
+        simulation.now_ms += 5;
+        simulation.deliver_reports();
+        for order in simulation.planner.plan(simulation.now_ms, true) {
+            if *order.model == *"m/next" {
+                next = Some(order);
+            } else {
+                let lost = OrderOutcome::Unknown;
+                simulation.planner.order_finished(simulation.now_ms, &order, lost);
+            }
+        }
+        if next.is_some() {
+            break;
+        }
+    }
+    let next = next.expect("the slot is given to the next adapter");
+    simulation.carry_out(&late);
+    let is_reported = |simulation: &Simulation| {
+        let mut engines = simulation.planner.engines.values();
+        engines.any(|engine| engine.models.contains_key("m/late"))
+    };
+    simulation.planner.engines.values_mut().for_each(|engine| engine.report_due_ms = 0);
+    simulation.now_ms += LAG_MS + 5;
+    while !is_reported(&simulation) {
+        simulation.now_ms += 5;
+        simulation.deliver_reports();
+        simulation.planner.engines.values_mut().for_each(|engine| engine.report_due_ms = 0);
+    }
+    simulation.planner.order_finished(simulation.now_ms, &next, OrderOutcome::Unknown);
+    simulation.run(2_000);
+    assert!(simulation.most_adapters() <= SLOTS, "too many adapters");
+}
+
+/// Nothing answers, as for a coordinator that gets too little processor time to read the answers. The
+/// orders become rarer, so that they don't take the time that is left.
+#[test]
+fn orders_without_answers_become_rare() {
+    let mut simulation = Simulation::new(20);
+    simulation.run(300);
+    for id in 0..60 {
+        simulation.place(id, request(&format!("m/a{id}")));
+    }
+    let mut orders = 0;
+    simulation.run_with(3_000, |_, _| {
+        orders += 1;
+        OrderOutcome::Unknown
+    });
+    // Each engine sends four orders in the first 590 ms and then one each second.
+    assert!(orders <= 20 * 7, "{orders} orders to 20 engines in 3 s");
+}
