Judge the store only by loads whose start is known, and bound the coordinator's messages

Cause: the store's limit fell to 4 and stayed there (8 loads a second of 190): an adapter whose first order was taken for lost was under way when it was ordered again, so it looked twice as fast as any other, and all others looked slow. Each load was checked up to five times, the coordinator got 800 reports of use and sent 2,800 broadcasts a second on 200 links, and an answer that had arrived counted as lost while the process had no time to read it. Change: loads of adapters with a lost order aren't measured; the second fastest load is the measure; a store of known rate keeps half of the limit that this suggests; broadcasts, reports of use and planning passes become rarer with the size of the fleet (3 ms a link, 50 ms for 16 entry processes, 1 ms for 32 engines); a call reads for 20 ms more after its time limit. Tests: a_load_that_was_under_way_does_not_lower_the_limit and a_store_of_known_rate_keeps_half_of_its_limit fail before.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -47,12 +47,14 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between messages to entry processes about the load of the backend servers.
 const BACKEND_LOADS_INTERVAL_MS: u64 = 250;
+/// Interval between messages to all entry processes for each of them, where that is longer.
+const BROADCAST_INTERVAL_MS_PER_LINK: u64 = 3;
 /// Interval between such messages that include engines. Entry processes select engines by them only
 /// while there is no coordinator.
 const ENGINE_LOADS_INTERVAL_MS: u64 = 1_000;
 /// Interval between messages to entry processes about changes of model locations. They place
 /// requests by these only while there is no coordinator.
-const LOCATION_CHANGES_INTERVAL_MS: u64 = 250;
+const LOCATION_CHANGES_INTERVAL_MS: u64 = 300;
 /// Interval between requests to join the log while the process isn't a voter.
 const JOIN_INTERVAL_MS: u64 = 250;
 /// A leader transfers leadership when a write takes longer than this.
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -17,8 +17,8 @@
 };
 
 use super::{
-    BACKEND_LOADS_INTERVAL_MS, Driver, DriverEvent, ENGINE_LOADS_INTERVAL_MS,
-    FORMER_LEADER_TIMEOUT_MS, LOCATION_CHANGES_INTERVAL_MS,
+    BACKEND_LOADS_INTERVAL_MS, BROADCAST_INTERVAL_MS_PER_LINK, Driver, DriverEvent,
+    ENGINE_LOADS_INTERVAL_MS, FORMER_LEADER_TIMEOUT_MS, LOCATION_CHANGES_INTERVAL_MS,
 };
 
 impl Driver {
@@ -81,6 +81,7 @@
 
     /// Sends orders, replies to placement requests and sends location changes to entry processes.
     pub(super) fn plan(&mut self, now_ms: u64) {
+        let interval_ms = self.broadcast_interval_ms();
         let Some((epoch, planner)) = &mut self.planner else { return };
         let epoch = *epoch;
         let orders = planner.plan(now_ms, self.replica.leader_lease_valid(now_ms));
@@ -93,7 +94,7 @@
         let mut changes: Vec<ModelLocationChange> = Vec::new();
         if self.location_changes_due_ms <= now_ms {
             changes = planner.take_changes();
-            self.location_changes_due_ms = now_ms + LOCATION_CHANGES_INTERVAL_MS;
+            self.location_changes_due_ms = now_ms + LOCATION_CHANGES_INTERVAL_MS.max(interval_ms);
         }
         for order in orders {
             self.send_order(epoch, order);
@@ -103,9 +104,17 @@
         }
     }
 
+    /// Returns the interval between messages to all entry processes, which grows with their number, so
+    /// that a coordinator of a large fleet keeps its processor time for requests.
+    fn broadcast_interval_ms(&self) -> u64 {
+        BACKEND_LOADS_INTERVAL_MS.max(self.entries.len() as u64 * BROADCAST_INTERVAL_MS_PER_LINK)
+    }
+
     /// Requests reports from engines and sends the load of the backend servers to entry processes.
     pub(super) fn coordinate(&mut self, now_ms: u64) {
-        let Some((_, planner)) = &mut self.planner else { return };
+        let interval_ms = self.broadcast_interval_ms();
+        let Some((epoch, planner)) = &mut self.planner else { return };
+        let epoch = *epoch;
         let due: Vec<_> = planner
             .take_due_reports(now_ms)
             .into_iter()
@@ -140,7 +149,13 @@
             });
         }
         if let Some(loads) = loads {
-            self.backend_loads_due_ms = now_ms + BACKEND_LOADS_INTERVAL_MS;
+            self.backend_loads_due_ms = now_ms + interval_ms;
+            // Sent together with the loads, so that they share a write on each link.
+            let changes = planner.take_changes();
+            self.location_changes_due_ms = now_ms + LOCATION_CHANGES_INTERVAL_MS.max(interval_ms);
+            if !changes.is_empty() {
+                self.entries.broadcast(&FleetMessage::ModelLocationChanges { epoch, changes });
+            }
             self.entries.broadcast(&loads);
         }
     }
--- a/crates/redwinglatch-fleet/src/core/entry_links.rs
+++ b/crates/redwinglatch-fleet/src/core/entry_links.rs
@@ -37,6 +37,10 @@
 }
 
 impl EntryLinks {
+    pub(super) fn len(&self) -> usize {
+        self.links.len()
+    }
+
     /// Adds the link of an entry process, which replaces an older one of the same process.
     pub(super) fn insert(&mut self, link: u64, sender: LinkSender, hello: EntryHello) {
         sender.set_max_queued_bytes(MAX_QUEUED_BYTES);
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -39,6 +39,8 @@
 /// Interval between placement passes over the waiting requests; each pass costs a look-up for each
 /// waiting adapter and engine.
 const PLACEMENT_INTERVAL_MS: u64 = 4;
+/// Engines for which the interval grows by a millisecond.
+const ENGINES_PER_MS: usize = 32;
 /// Waiting requests for which the interval grows by a millisecond.
 const WAITING_REQUESTS_PER_MS: u64 = 100;
 /// Interval between report requests to an engine.
@@ -408,8 +410,10 @@
         if now_ms < self.next_placement_ms {
             return Vec::new();
         }
-        self.next_placement_ms =
-            now_ms + PLACEMENT_INTERVAL_MS + self.waiting.len() as u64 / WAITING_REQUESTS_PER_MS;
+        self.next_placement_ms = now_ms
+            + PLACEMENT_INTERVAL_MS
+            + (self.engines.len() / ENGINES_PER_MS) as u64
+            + self.waiting.len() as u64 / WAITING_REQUESTS_PER_MS;
         self.model_index.refresh(&self.engines);
         self.expire_pins(now_ms);
         for engine in self.engines.values_mut() {
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -34,6 +34,8 @@
 const UNRESPONSIVE_TO_ORDERS_MS: [u64; 3] = [100, 400, 1_000];
 /// Recently unloaded adapters that an engine keeps in its own memory.
 const MAX_RECENT_UNLOADS: usize = 100;
+/// Adapters of an engine whose loads are remembered as uncertain.
+const MAX_UNCERTAIN_LOADS: usize = 1_000;
 /// Cached prompt parts that are remembered for each engine.
 const MAX_CACHED_PARTS: usize = 4_096;
 
@@ -153,6 +155,9 @@
     pub(super) order_sent_ms: Option<u64>,
     /// End of the time during which the engine counts as not answering orders.
     unresponsive_to_orders_until_ms: u64,
+    /// Adapters whose load may have begun with an order that was not answered, so that the duration of
+    /// a later load isn't known.
+    uncertain_loads: HashSet<ModelName>,
     /// Orders in a row that were not answered.
     unanswered_orders: usize,
     pub(super) orders_paused_until_ms: u64,
@@ -182,6 +187,7 @@
             recent_unloads: RecentUnloads::default(),
             order_sent_ms: None,
             unresponsive_to_orders_until_ms: 0,
+            uncertain_loads: HashSet::new(),
             unanswered_orders: 0,
             orders_paused_until_ms: 0,
             report_due_ms: now_ms,
@@ -218,6 +224,19 @@
         self.report_due_ms = self.report_due_ms.min(now_ms);
     }
 
+    /// Records that a load of the adapter may be under way without an answer.
+    pub(super) fn record_uncertain_load(&mut self, model: &ModelName) {
+        if self.uncertain_loads.len() >= MAX_UNCERTAIN_LOADS {
+            self.uncertain_loads.clear();
+        }
+        self.uncertain_loads.insert(model.clone());
+    }
+
+    /// Returns whether a load of the adapter begins with the order that is sent for it now.
+    pub(super) fn is_load_certain(&self, model: &str) -> bool {
+        !self.uncertain_loads.contains(model)
+    }
+
     /// Records that the engine has answered an order.
     pub(super) fn record_answered_order(&mut self) {
         self.unanswered_orders = 0;
@@ -382,6 +401,7 @@
     /// Removes an adapter and its cached prompt parts.
     pub(super) fn remove_model(&mut self, model: &str) {
         self.models.remove(model);
+        self.uncertain_loads.remove(model);
         self.recent_unloads.add(model.into());
         self.cached_parts.retain(|(name, _)| **name != *model);
     }
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -121,6 +121,9 @@
                 // The engine's pause decides when the order is sent again.
                 model_state.resend_ms = now_ms;
                 engine.record_unanswered_order(now_ms);
+                if order.kind == OrderKind::Load {
+                    engine.record_uncertain_load(&order.model);
+                }
             }
             (OrderOutcome::Conflict, _) => {
                 // The engine has accepted orders that this coordinator doesn't know of; its report
@@ -161,6 +164,7 @@
         let is_base_model = !order.model.contains('/');
         let is_from_store = !is_base_model && !engine.was_recently_unloaded(&order.model);
         let newest = self.versions.get(&order.model).copied().unwrap_or_default().max(1);
+        let is_load_certain = engine.is_load_certain(&order.model);
         let is_new = !engine.models.contains_key(&order.model);
         if is_new && is_from_store && order.kind == OrderKind::Load {
             let has_copy =
@@ -180,7 +184,7 @@
             }
             model_state.phase = phase;
             model_state.order = OrderState::Sent;
-            model_state.is_duration_known = true;
+            model_state.is_duration_known = is_load_certain;
             model_state.since_ms = now_ms;
             if phase == ModelPhase::Loading {
                 model_state.is_from_store = is_from_store;
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -1,23 +1,31 @@
 //! Estimates how many concurrent loads the weight store sustains.
 
+use smallvec::SmallVec;
+
 use super::STORE_LOAD_MS;
 
 /// Initial limit; the smallest store serves this many loads at full speed.
 const INITIAL_LIMIT: f64 = 8.0;
 /// Concurrent adapter loads for each base model load per second that the configuration allows.
 const LOADS_PER_BASE_RATE: f64 = 1.4;
-/// Lower bound of the limit.
+/// Lower bound of the limit of a store whose rate isn't known.
 const MIN_LIMIT: f64 = 4.0;
+/// Lower bound of the limit, as a share of what the rate of the store suggests.
+const MIN_EXPECTED_SHARE: f64 = 0.5;
+/// Fastest loads that are kept. Once there are as many, the second fastest is the duration of an
+/// unhindered load, so that no single measurement decides it.
+const FASTEST_LOADS: usize = 3;
 /// Upper bound of the limit.
 const MAX_LIMIT: f64 = 256.0;
-/// A faster load was served from the engine's own memory.
-const MIN_STORE_LOAD_MS: u64 = 120;
-/// A load slower than the fastest one by this factor shows that too many loads are in flight.
+/// A faster load was served from the engine's own memory, or was under way already because an order that
+/// was taken for lost had begun it.
+const MIN_STORE_LOAD_MS: u64 = 180;
+/// A load slower than an unhindered one by this factor shows that too many loads are in flight.
 const SLOW_FACTOR: f64 = 1.3;
-/// A load within this factor of the fastest one shows that the store has spare capacity.
+/// A load within this factor of an unhindered one shows that the store has spare capacity.
 const FAST_FACTOR: f64 = 1.12;
 /// Usual time from the start of a load to the start of the next one in its place, as a multiple of the
-/// fastest load.
+/// duration of an unhindered load.
 const USUAL_LOAD_FACTOR: f64 = 1.2;
 /// Increase of the limit for each fast load before the first slow one, if the rate of the store isn't
 /// known; it doubles the limit within the duration of a load.
@@ -39,10 +47,12 @@
 pub(super) struct StoreLimit {
     limit: f64,
     in_flight: usize,
-    fastest_ms: u64,
+    /// The fastest loads, in ascending order.
+    fastest_ms: SmallVec<[u64; FASTEST_LOADS]>,
     /// Exponential moving average of the duration of loads.
     usual_ms: f64,
-    is_rate_known: bool,
+    /// The limit that the rate of the store suggests, if that is known.
+    expected_limit: Option<f64>,
     was_reached: bool,
 }
 
@@ -51,9 +61,9 @@
         StoreLimit {
             limit: INITIAL_LIMIT,
             in_flight: 0,
-            fastest_ms: u64::MAX,
+            fastest_ms: SmallVec::new(),
             usual_ms: STORE_LOAD_MS as f64,
-            is_rate_known: false,
+            expected_limit: None,
             was_reached: false,
         }
     }
@@ -92,18 +102,29 @@
         }
     }
 
+    fn unhindered_ms(&self) -> f64 {
+        let unhindered_ms = match self.fastest_ms[..] {
+            [_, second, _] => second,
+            [first, ..] => first,
+            [] => STORE_LOAD_MS,
+        };
+        unhindered_ms as f64
+    }
+
     /// Returns the time until a load completes before which `loads_ahead` others are started.
     pub(super) fn completion_ms(&self, loads_ahead: usize) -> u64 {
-        let fastest_ms = if self.fastest_ms == u64::MAX { STORE_LOAD_MS } else { self.fastest_ms };
-        let load_ms = fastest_ms as f64 * USUAL_LOAD_FACTOR;
+        let load_ms = self.unhindered_ms() * USUAL_LOAD_FACTOR;
         let queued = ((loads_ahead + self.in_flight + 1) as f64 - self.limit.floor()).max(0.0);
         (load_ms * (1.0 + queued / self.limit)) as u64
     }
 
     /// Raises the limit to what a store with this rate of base model loads usually sustains.
     pub(super) fn expect_rate(&mut self, base_loads_per_s: f64) {
-        self.adopt((base_loads_per_s * LOADS_PER_BASE_RATE).clamp(0.0, MAX_LIMIT) as u32);
-        self.is_rate_known = base_loads_per_s * LOADS_PER_BASE_RATE > INITIAL_LIMIT;
+        let expected = (base_loads_per_s * LOADS_PER_BASE_RATE).clamp(0.0, MAX_LIMIT);
+        if expected > INITIAL_LIMIT {
+            self.expected_limit = Some(expected);
+            self.adopt(expected as u32);
+        }
     }
 
     pub(super) fn has_capacity(&self) -> bool {
@@ -119,14 +140,18 @@
         if duration_ms < MIN_STORE_LOAD_MS {
             return;
         }
-        self.fastest_ms = self.fastest_ms.min(duration_ms.max(1));
-        self.usual_ms += (duration_ms as f64 - self.usual_ms) * DURATION_WEIGHT;
-        let slowdown = duration_ms as f64 / self.fastest_ms as f64;
+        let position = self.fastest_ms.partition_point(|fastest| *fastest <= duration_ms);
+        self.fastest_ms.insert(position, duration_ms);
+        self.fastest_ms.truncate(FASTEST_LOADS);
+        let duration_ms = duration_ms as f64;
+        self.usual_ms += (duration_ms - self.usual_ms) * DURATION_WEIGHT;
+        let slowdown = duration_ms / self.unhindered_ms();
         if slowdown > SLOW_FACTOR {
             self.was_reached = true;
-            self.limit = (self.limit - DECREASE).max(MIN_LIMIT);
+            let expected = self.expected_limit.unwrap_or_default();
+            self.limit = (self.limit - DECREASE).max(MIN_LIMIT.max(expected * MIN_EXPECTED_SHARE));
         } else if slowdown < FAST_FACTOR && self.in_flight as f64 >= self.limit * MIN_USED_SHARE {
-            let is_explored = self.was_reached || self.is_rate_known;
+            let is_explored = self.was_reached || self.expected_limit.is_some();
             let increase = if is_explored { INCREASE } else { INITIAL_INCREASE };
             self.limit = (self.limit + increase).min(MAX_LIMIT);
         }
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
@@ -60,3 +60,34 @@
     }
     assert!(waves <= 5, "{waves} waves of loads");
 }
+
+/// A load that was under way already, because its first order was taken for lost, looks fast. It must not
+/// make all other loads look slow: then the limit fell to its lower bound and stayed there.
+#[test]
+fn a_load_that_was_under_way_does_not_lower_the_limit() {
+    let mut store = StoreLimit::default();
+    store.expect_rate(33.0);
+    let before = store.limit();
+    store.set_in_flight(20);
+    store.record_load(265);
+    store.record_load(130);
+    store.record_load(185);
+    for _ in 0..200 {
+        store.record_load(265);
+    }
+    assert!(store.limit() >= before, "{} after {before}", store.limit());
+}
+
+/// Loads that the coordinator doesn't know of make all others slow for a while.
+#[test]
+fn a_store_of_known_rate_keeps_half_of_its_limit() {
+    let mut store = StoreLimit::default();
+    store.expect_rate(33.0);
+    let before = store.limit();
+    store.set_in_flight(40);
+    store.record_load(250);
+    for _ in 0..1_000 {
+        store.record_load(600);
+    }
+    assert!(store.limit() >= before / 2.0);
+}
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -18,8 +18,11 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(250);
 /// Interval between measurements of the timer lag.
 const LAG_TICK: Duration = Duration::from_millis(50);
-/// Number of ticks between status messages to the core processes.
-const TICKS_PER_STATUS: u32 = 5;
+/// Smallest number of ticks between status messages to the coordinator.
+const MIN_TICKS_PER_STATUS: u32 = 5;
+/// Entry processes for which it grows by a tick, so that the coordinator gets a bounded number of
+/// messages a second.
+const ENTRIES_PER_TICK: usize = 16;
 /// Number of ticks between status messages to core processes other than the coordinator, which only
 /// need to know whether this process is ready.
 const TICKS_PER_SHORT_STATUS: u32 = 40;
@@ -77,7 +80,10 @@
     let mut was_ready = false;
     let mut ticks = 0u32;
     loop {
-        for _ in 0..TICKS_PER_STATUS {
+        let entries = context.fleet_view().ready_entry_addresses().len();
+        let status_ticks = MIN_TICKS_PER_STATUS
+            .max(u32::try_from(entries / ENTRIES_PER_TICK).unwrap_or(MIN_TICKS_PER_STATUS));
+        for _ in 0..status_ticks {
             tokio::time::sleep(LAG_TICK).await;
             lag.tick(context.now_ms(), LAG_TICK);
             request_configuration(&context);
--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -33,6 +33,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// A connection is no longer reused this long before the server closes it.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(800);
+/// Time after the time limit of a call for reading a response that has arrived.
+const LATE_READ_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum size of a response body that is buffered.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -183,7 +185,13 @@
             lease.reuse();
             Ok((parts.status, parts.headers, body))
         };
-        match timeout(limit, call).await {
+        tokio::pin!(call);
+        if let Ok(result) = timeout(limit, &mut call).await {
+            return result;
+        }
+        // A process that gets too little processor time may have received the response and not read it
+        // yet.
+        match timeout(LATE_READ_TIMEOUT, call).await {
             Ok(result) => result,
             Err(_) => Err(CallError::TimedOut { address, timeout_ms: limit.as_millis() }),
         }
