Plan loads by the engines that can take an order

Change: load_choice.rs ranks only engines that can take an order, ends a pass when there are none or 16 adapters in a row found none, and looks at all engines only for an adapter that one of them still has in its memory (UnloadedAdapters).

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -12,6 +12,7 @@
 mod base_models;
 mod demand;
 mod engine;
+mod load_choice;
 mod loading;
 mod model_index;
 mod placing;
@@ -30,7 +31,7 @@
 pub(super) use self::base_models::BaseModels;
 use self::{
     engine::{Engine, ModelPhase, OrderState},
-    model_index::{ModelIndex, ReportedUse},
+    model_index::{ModelIndex, ReportedUse, UnloadedAdapters},
     store_limit::StoreLimit,
     summary::Summary,
     waiting_request::WaitingRequest,
@@ -161,6 +162,7 @@
     engines: BTreeMap<BackendKey, Engine>,
     services: HashMap<Box<str>, EngineService>,
     model_index: ModelIndex,
+    unloaded_adapters: UnloadedAdapters,
     entries: HashMap<u64, EntryUse>,
     reported_use: ReportedUse,
     pins: HashMap<(u64, u64), Pin>,
@@ -189,6 +191,7 @@
             engines: BTreeMap::new(),
             services: HashMap::new(),
             model_index: ModelIndex::default(),
+            unloaded_adapters: UnloadedAdapters::default(),
             entries: HashMap::new(),
             reported_use: ReportedUse::default(),
             pins: HashMap::new(),
@@ -225,7 +228,11 @@
     pub(super) fn set_backends(&mut self, now_ms: u64, backends: &[Backend]) {
         self.model_index.invalidate();
         let listed: HashSet<BackendKey> = backends.iter().map(|backend| backend.key).collect();
+        let engines_before = self.engines.len();
         self.engines.retain(|key, _| listed.contains(key));
+        if self.engines.len() != engines_before {
+            self.unloaded_adapters.rebuild(self.engines.values());
+        }
         for backend in backends {
             let Some(service) = self.services.get(&backend.service) else { continue };
             let engine = self
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -8,7 +8,9 @@
     message::{Backend, ModelLocation, ModelLocationChange, PlaceRequest},
 };
 
-use super::{EngineLimits, PlannedOrder, UNANSWERED_ORDER_DELAYS_MS};
+use super::{
+    EngineLimits, PlannedOrder, UNANSWERED_ORDER_DELAYS_MS, model_index::UnloadedAdapters,
+};
 
 /// Maximum lag of a report behind the engine's answers to orders.
 const REPORT_LAG_MS: u64 = 1_000;
@@ -116,8 +118,13 @@
         self.counts.contains_key(model)
     }
 
-    fn add(&mut self, model: ModelName) {
-        *self.counts.entry(model.clone()).or_default() += 1;
+    /// Adds an adapter, and records in `index` which adapters have come and gone.
+    fn add(&mut self, model: ModelName, index: &mut UnloadedAdapters) {
+        let count = self.counts.entry(model.clone()).or_default();
+        if *count == 0 {
+            index.add(&model);
+        }
+        *count += 1;
         self.order.push_back(model);
         while self.counts.len() > MAX_RECENT_UNLOADS
             && let Some(oldest) = self.order.pop_front()
@@ -126,6 +133,7 @@
                 *count -= 1;
                 if *count == 0 {
                     self.counts.remove(&oldest);
+                    index.remove(&oldest);
                 }
             }
         }
@@ -291,6 +299,11 @@
         self.models.values().filter(is_store_load).count()
     }
 
+    /// Returns the adapters that the engine has unloaded and still has in its own memory.
+    pub(super) fn unloaded_adapters(&self) -> impl Iterator<Item = &ModelName> {
+        self.recent_unloads.counts.keys()
+    }
+
     /// Returns whether the engine has the adapter in its own memory, so that it need not be loaded
     /// from the weight store.
     pub(super) fn was_recently_unloaded(&self, model: &str) -> bool {
@@ -399,10 +412,10 @@
     }
 
     /// Removes an adapter and its cached prompt parts.
-    pub(super) fn remove_model(&mut self, model: &str) {
+    pub(super) fn remove_model(&mut self, model: &str, index: &mut UnloadedAdapters) {
         self.models.remove(model);
         self.uncertain_loads.remove(model);
-        self.recent_unloads.add(model.into());
+        self.recent_unloads.add(model.into(), index);
         self.cached_parts.retain(|(name, _)| **name != *model);
     }
 
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
@@ -0,0 +1,271 @@
+//! Chooses the engines that load adapters.
+
+use std::{cmp::Reverse, collections::HashSet};
+
+use smallvec::SmallVec;
+
+use crate::{
+    OrderKind,
+    ids::{BackendKey, ModelName, name_hash, rendezvous_weight},
+};
+
+use super::{
+    CopyStatus, EXTRA_COPY_WAIT_MS, LoadStep, MAX_LOADS_PER_ENGINE, PlannedOrder, Planner,
+    RECENT_USE_MS, REQUEST_COUNT_SLACK,
+    demand::AdapterDemand,
+    engine::{Engine, ModelPhase},
+};
+
+/// Adapters in a pass for which no engine can be found although the store has capacity, after which the
+/// others wait for the next pass.
+const MAX_FAILED_ATTEMPTS: u32 = 16;
+/// Interval between passes over the adapters whose engines are busy.
+const COPIES_INTERVAL_MS: u64 = 20;
+/// Share of an engine's slots up to which it gets the only copy of an adapter.
+const MAX_FIRST_FILL: f64 = 1.0;
+/// Share of an engine's slots up to which it gets a further copy of an adapter. A fuller engine could
+/// hardly take a request from the others, and a load and a slot would be lost for nothing.
+const MAX_COPY_FILL: f64 = 0.7;
+
+/// Returns the adapters whose requests have waited too long for the engines that have them.
+fn overloaded_models(
+    now_ms: u64,
+    demands: &[(AdapterDemand, CopyStatus)],
+) -> impl Iterator<Item = &ModelName> {
+    let overloaded = demands.iter().filter(move |(demand, status)| match status {
+        CopyStatus::Loaded { since_ms } => {
+            demand.first_received_ms.max(*since_ms) + EXTRA_COPY_WAIT_MS <= now_ms
+        }
+        CopyStatus::None | CopyStatus::Loading => false,
+    });
+    overloaded.map(|(demand, _)| &demand.model)
+}
+
+/// An engine that could load an adapter.
+struct LoadCandidate {
+    key: BackendKey,
+    /// The engine has left orders unanswered lately.
+    is_unresponsive: bool,
+    /// The engine has the adapter in its own memory.
+    is_cached: bool,
+    weight: u64,
+    placed_requests: u32,
+    fill: f64,
+}
+
+/// State of one pass over the adapters to load.
+struct LoadPass {
+    /// The engines that can take an order now.
+    free_engines: Vec<BackendKey>,
+    /// Models that must not be evicted.
+    protected: HashSet<ModelName>,
+    failed_attempts: u32,
+}
+
+impl Planner {
+    /// Loads the adapters of waiting requests in the order of `demands`, then further copies of
+    /// adapters whose engines are busy, then adapters for the return of refused callers.
+    ///
+    /// Answers the load at which requests wait for hundreds of adapters and most engines can't take an
+    /// order: the pass costs time by the engines that can, and ends when there are none.
+    pub(super) fn load_for_waiting(
+        &mut self,
+        now_ms: u64,
+        demands: &[(AdapterDemand, CopyStatus)],
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        self.expected.retain(|_, until_ms| now_ms < *until_ms);
+        let requested: HashSet<ModelName> = demands
+            .iter()
+            .map(|(demand, _)| demand.model.clone())
+            .chain(self.expected.keys().cloned())
+            .collect();
+        let mut pass = LoadPass {
+            free_engines: self
+                .engines
+                .iter()
+                .filter(|(_, engine)| engine.is_available() && engine.can_take_order(now_ms))
+                .map(|(key, _)| *key)
+                .collect(),
+            protected: requested,
+            failed_attempts: 0,
+        };
+        // First copies take precedence, because their requests can't be served otherwise.
+        let missing = demands.iter().filter(|(_, status)| *status == CopyStatus::None);
+        for (demand, _) in missing {
+            self.load_one(now_ms, &demand.model, MAX_FIRST_FILL, &mut pass, orders);
+        }
+        pass.failed_attempts = 0;
+        if self.copies_due_ms <= now_ms {
+            self.copies_due_ms = now_ms + COPIES_INTERVAL_MS;
+            for model in overloaded_models(now_ms, demands) {
+                self.load_one(now_ms, model, MAX_COPY_FILL, &mut pass, orders);
+            }
+        }
+        if self.store.has_capacity() {
+            let waiting: HashSet<u64> =
+                demands.iter().map(|(demand, _)| demand.model_hash).collect();
+            let expected = self.expected.keys().filter(|model| {
+                !waiting.contains(&name_hash(model))
+                    && self.copy_status(now_ms, model) == CopyStatus::None
+            });
+            for model in expected.cloned().collect::<Vec<_>>() {
+                self.load_one(now_ms, &model, MAX_FIRST_FILL, &mut pass, orders);
+            }
+        }
+    }
+
+    /// Plans the next order towards another copy of `model`, if there is one.
+    fn load_one(
+        &mut self,
+        now_ms: u64,
+        model: &ModelName,
+        max_fill: f64,
+        pass: &mut LoadPass,
+        orders: &mut Vec<PlannedOrder>,
+    ) {
+        if pass.free_engines.is_empty() || pass.failed_attempts >= MAX_FAILED_ATTEMPTS {
+            return;
+        }
+        match self.next_order_for(now_ms, model, max_fill, pass) {
+            Some(order) => {
+                pass.free_engines.retain(|key| *key != order.engine);
+                self.push_order(now_ms, orders, order);
+            }
+            None if self.store.has_capacity() => pass.failed_attempts += 1,
+            None => {}
+        }
+    }
+
+    /// Returns the next order towards another copy of `model`: a load, or an unload that makes room
+    /// for it. Engines whose slots are occupied beyond `max_fill` are not considered.
+    ///
+    /// An engine that unloaded the adapter recently is preferred, because its load doesn't use the
+    /// weight store; the others follow in the adapter's rendezvous order, those that leave orders
+    /// unanswered last. Models in `protected` are not evicted.
+    ///
+    /// Answers the load at which the weight store is the bottleneck and many engines are between two
+    /// orders: a load that would wait for its first choice goes to the next engine instead, so that
+    /// the store isn't idle.
+    fn next_order_for(
+        &self,
+        now_ms: u64,
+        model: &str,
+        max_fill: f64,
+        pass: &LoadPass,
+    ) -> Option<PlannedOrder> {
+        let has_store_capacity = self.store.has_capacity();
+        let is_cached = self.unloaded_adapters.contains(model);
+        if !has_store_capacity && !is_cached {
+            return None;
+        }
+        let mut candidates: SmallVec<[LoadCandidate; 32]> = if is_cached {
+            self.engines
+                .iter()
+                .filter_map(|(key, engine)| self.load_candidate(now_ms, *key, engine, model))
+                .collect()
+        } else {
+            let free_engines = pass.free_engines.iter();
+            free_engines
+                .filter_map(|key| self.load_candidate(now_ms, *key, self.engines.get(key)?, model))
+                .collect()
+        };
+        candidates.retain(|candidate| {
+            candidate.fill <= max_fill && (has_store_capacity || candidate.is_cached)
+        });
+        candidates.sort_unstable_by_key(|candidate| {
+            (candidate.is_unresponsive, Reverse((candidate.is_cached, candidate.weight)))
+        });
+        let min_placed = candidates.iter().map(|candidate| candidate.placed_requests).min()?;
+        for candidate in candidates {
+            if candidate.placed_requests > min_placed + REQUEST_COUNT_SLACK {
+                continue;
+            }
+            match self.next_step(now_ms, candidate.key, model, &pass.protected) {
+                LoadStep::Order(order) => return Some(order),
+                // The engine can load the adapter in a moment, and needs no load from the store.
+                LoadStep::Wait if candidate.is_cached && !candidate.is_unresponsive => return None,
+                LoadStep::Wait | LoadStep::AllInUse => {}
+            }
+        }
+        None
+    }
+
+    /// Returns an engine as a candidate for a copy of `model`, unless it can't have one.
+    fn load_candidate(
+        &self,
+        now_ms: u64,
+        key: BackendKey,
+        engine: &Engine,
+        model: &str,
+    ) -> Option<LoadCandidate> {
+        let base = model.split('/').next().unwrap_or(model);
+        let is_possible = engine.is_available()
+            && engine.base_models.iter().any(|base_model| **base_model == *base)
+            && !engine.models.contains_key(model);
+        is_possible.then(|| LoadCandidate {
+            key,
+            is_unresponsive: engine.is_unresponsive_to_orders(now_ms),
+            is_cached: engine.was_recently_unloaded(model),
+            weight: rendezvous_weight(model, key),
+            placed_requests: engine.placed_requests,
+            fill: engine.fill(),
+        })
+    }
+
+    fn next_step(
+        &self,
+        now_ms: u64,
+        key: BackendKey,
+        model: &str,
+        protected: &HashSet<ModelName>,
+    ) -> LoadStep {
+        let Some(engine) = self.engines.get(&key) else { return LoadStep::AllInUse };
+        let kind = if engine.used_slots() < engine.limits.adapter_slots {
+            if engine.adapter_loads() >= MAX_LOADS_PER_ENGINE {
+                return LoadStep::Wait;
+            }
+            OrderKind::Load
+        } else if engine
+            .models
+            .values()
+            .any(|model_state| model_state.phase == ModelPhase::Unloading)
+        {
+            return LoadStep::Wait;
+        } else {
+            OrderKind::Unload
+        };
+        let model = match kind {
+            OrderKind::Load => Some(ModelName::from(model)),
+            OrderKind::Unload => self.eviction_candidate(now_ms, key, engine, protected),
+        };
+        match model {
+            Some(model) if engine.can_take_order(now_ms) => {
+                LoadStep::Order(engine.new_order(kind, model))
+            }
+            Some(_) => LoadStep::Wait,
+            None => LoadStep::AllInUse,
+        }
+    }
+
+    /// Returns the adapter to evict: the one that has been unused for the longest time.
+    pub(super) fn eviction_candidate(
+        &self,
+        now_ms: u64,
+        key: BackendKey,
+        engine: &Engine,
+        protected: &HashSet<ModelName>,
+    ) -> Option<ModelName> {
+        let unused = engine.models.iter().filter(|(name, model_state)| {
+            name.contains('/')
+                && model_state.phase == ModelPhase::Loaded
+                && model_state.pins == 0
+                && model_state.last_used_ms + RECENT_USE_MS <= now_ms
+                && !self.reported_use.is_used(key, name)
+                && !protected.contains(*name)
+        });
+        unused
+            .min_by_key(|(name, model_state)| (model_state.last_used_ms, (*name).clone()))
+            .map(|(name, _)| name.clone())
+    }
+}
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -1,55 +1,17 @@
 //! Orders loads and unloads of adapters.
 
-use std::{cmp::Reverse, collections::HashSet};
-
 use crate::{
     OrderKind,
     core::orders::OrderOutcome,
-    ids::{BackendKey, ModelName, rendezvous_weight},
     message::{ModelLocation, ModelLocationChange},
 };
 
 use super::{
-    CACHED_LOAD_MS, CopyStatus, EXTRA_COPY_WAIT_MS, LOAD_CHECK_INTERVAL_MS, LoadStep,
-    MAX_LOADS_PER_ENGINE, ORDER_CONFLICT_DELAY_MS, PlannedOrder, Planner, RECENT_USE_MS,
-    REFUSED_ORDER_DELAY_MS, REQUEST_COUNT_SLACK, UNLOAD_CHECK_INTERVAL_MS,
-    demand::AdapterDemand,
-    engine::{Engine, ModelPhase, ModelState, OrderState},
+    CACHED_LOAD_MS, CopyStatus, LOAD_CHECK_INTERVAL_MS, ORDER_CONFLICT_DELAY_MS, PlannedOrder,
+    Planner, REFUSED_ORDER_DELAY_MS, UNLOAD_CHECK_INTERVAL_MS,
+    engine::{ModelPhase, ModelState, OrderState},
 };
 
-/// An engine that could load an adapter.
-struct LoadCandidate {
-    key: BackendKey,
-    /// The engine has left orders unanswered lately.
-    is_unresponsive: bool,
-    /// The engine has the adapter in its own memory.
-    is_cached: bool,
-    weight: u64,
-    placed_requests: u32,
-}
-
-/// Interval between passes over the adapters whose engines are busy.
-const COPIES_INTERVAL_MS: u64 = 20;
-/// Share of an engine's slots up to which it gets the only copy of an adapter.
-const MAX_FIRST_FILL: f64 = 1.0;
-/// Share of an engine's slots up to which it gets a further copy of an adapter. A fuller engine could
-/// hardly take a request from the others, and a load and a slot would be lost for nothing.
-const MAX_COPY_FILL: f64 = 0.7;
-
-/// Returns the adapters whose requests have waited too long for the engines that have them.
-fn overloaded_models(
-    now_ms: u64,
-    demands: &[(AdapterDemand, CopyStatus)],
-) -> impl Iterator<Item = &ModelName> {
-    let overloaded = demands.iter().filter(move |(demand, status)| match status {
-        CopyStatus::Loaded { since_ms } => {
-            demand.first_received_ms.max(*since_ms) + EXTRA_COPY_WAIT_MS <= now_ms
-        }
-        CopyStatus::None | CopyStatus::Loading => false,
-    });
-    overloaded.map(|(demand, _)| &demand.model)
-}
-
 impl Planner {
     /// Applies the outcome of an order.
     pub(in crate::core) fn order_finished(
@@ -112,7 +74,9 @@
                 model_state.order = OrderState::Accepted;
                 model_state.resend_ms = now_ms + UNLOAD_CHECK_INTERVAL_MS;
             }
-            (OrderOutcome::InEffect, OrderKind::Unload) => engine.remove_model(&order.model),
+            (OrderOutcome::InEffect, OrderKind::Unload) => {
+                engine.remove_model(&order.model, &mut self.unloaded_adapters);
+            }
             (OrderOutcome::Unknown, _) => {
                 if model_state.order == OrderState::Sent {
                     model_state.order = OrderState::Unanswered;
@@ -255,49 +219,6 @@
         }
     }
 
-    /// Loads the adapters of waiting requests in the order of `demands`, then further copies of
-    /// adapters whose engines are busy, then adapters for the return of refused callers.
-    pub(super) fn load_for_waiting(
-        &mut self,
-        now_ms: u64,
-        demands: &[(AdapterDemand, CopyStatus)],
-        orders: &mut Vec<PlannedOrder>,
-    ) {
-        self.expected.retain(|_, until_ms| now_ms < *until_ms);
-        let requested: HashSet<ModelName> = demands
-            .iter()
-            .map(|(demand, _)| demand.model.clone())
-            .chain(self.expected.keys().cloned())
-            .collect();
-        // First copies take precedence, because their requests can't be served otherwise.
-        let missing = demands.iter().filter(|(_, status)| *status == CopyStatus::None);
-        let models: Vec<ModelName> = missing.map(|(demand, _)| demand.model.clone()).collect();
-        let is_requested =
-            |model: &&ModelName| demands.iter().any(|(demand, _)| demand.model == **model);
-        let expected = self.expected.keys().filter(|model| {
-            !is_requested(model) && self.copy_status(now_ms, model) == CopyStatus::None
-        });
-        let expected: Vec<ModelName> = expected.cloned().collect();
-        for model in models {
-            if let Some(order) = self.next_order_for(now_ms, &model, &requested, MAX_FIRST_FILL) {
-                self.push_order(now_ms, orders, order);
-            }
-        }
-        if self.copies_due_ms <= now_ms {
-            self.copies_due_ms = now_ms + COPIES_INTERVAL_MS;
-            for model in overloaded_models(now_ms, demands) {
-                if let Some(order) = self.next_order_for(now_ms, model, &requested, MAX_COPY_FILL) {
-                    self.push_order(now_ms, orders, order);
-                }
-            }
-        }
-        for model in expected {
-            if let Some(order) = self.next_order_for(now_ms, &model, &requested, MAX_FIRST_FILL) {
-                self.push_order(now_ms, orders, order);
-            }
-        }
-    }
-
     /// Returns whether an available engine has the adapter loaded or loading.
     pub(super) fn copy_status(&self, now_ms: u64, model: &str) -> CopyStatus {
         let newest = self.newest_version(model);
@@ -320,116 +241,4 @@
         }
         copy_status
     }
-
-    /// Returns the next order towards another copy of `model`: a load, or an unload that makes room
-    /// for it. Engines whose slots are occupied beyond `max_fill` are not considered.
-    ///
-    /// An engine that unloaded the adapter recently is preferred, because its load doesn't use the
-    /// weight store; the others follow in the adapter's rendezvous order, those that leave orders
-    /// unanswered last. Models in `protected` are not evicted.
-    ///
-    /// Answers the load at which the weight store is the bottleneck and many engines are between two
-    /// orders: a load that would wait for its first choice goes to the next engine instead, so that
-    /// the store isn't idle.
-    pub(super) fn next_order_for(
-        &self,
-        now_ms: u64,
-        model: &str,
-        protected: &HashSet<ModelName>,
-        max_fill: f64,
-    ) -> Option<PlannedOrder> {
-        let has_store_capacity = self.store.has_capacity();
-        let base = model.split('/').next().unwrap_or(model);
-        let mut candidates: Vec<LoadCandidate> = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| {
-                engine.is_available()
-                    && engine.fill() <= max_fill
-                    && (has_store_capacity || engine.was_recently_unloaded(model))
-                    && engine.base_models.iter().any(|base_model| **base_model == *base)
-                    && !engine.models.contains_key(model)
-            })
-            .map(|(key, engine)| LoadCandidate {
-                key: *key,
-                is_unresponsive: engine.is_unresponsive_to_orders(now_ms),
-                is_cached: engine.was_recently_unloaded(model),
-                weight: rendezvous_weight(model, *key),
-                placed_requests: engine.placed_requests,
-            })
-            .collect();
-        candidates.sort_unstable_by_key(|candidate| {
-            (candidate.is_unresponsive, Reverse((candidate.is_cached, candidate.weight)))
-        });
-        let min_placed = candidates.iter().map(|candidate| candidate.placed_requests).min()?;
-        for candidate in candidates {
-            let is_busy = candidate.placed_requests > min_placed + REQUEST_COUNT_SLACK;
-            if is_busy {
-                continue;
-            }
-            match self.next_step(now_ms, candidate.key, model, protected) {
-                LoadStep::Order(order) => return Some(order),
-                // The engine can load the adapter in a moment, and needs no load from the store.
-                LoadStep::Wait if candidate.is_cached && !candidate.is_unresponsive => return None,
-                LoadStep::Wait | LoadStep::AllInUse => {}
-            }
-        }
-        None
-    }
-
-    fn next_step(
-        &self,
-        now_ms: u64,
-        key: BackendKey,
-        model: &str,
-        protected: &HashSet<ModelName>,
-    ) -> LoadStep {
-        let Some(engine) = self.engines.get(&key) else { return LoadStep::AllInUse };
-        let kind = if engine.used_slots() < engine.limits.adapter_slots {
-            if engine.adapter_loads() >= MAX_LOADS_PER_ENGINE {
-                return LoadStep::Wait;
-            }
-            OrderKind::Load
-        } else if engine
-            .models
-            .values()
-            .any(|model_state| model_state.phase == ModelPhase::Unloading)
-        {
-            return LoadStep::Wait;
-        } else {
-            OrderKind::Unload
-        };
-        let model = match kind {
-            OrderKind::Load => Some(ModelName::from(model)),
-            OrderKind::Unload => self.eviction_candidate(now_ms, key, engine, protected),
-        };
-        match model {
-            Some(model) if engine.can_take_order(now_ms) => {
-                LoadStep::Order(engine.new_order(kind, model))
-            }
-            Some(_) => LoadStep::Wait,
-            None => LoadStep::AllInUse,
-        }
-    }
-
-    /// Returns the adapter to evict: the one that has been unused for the longest time.
-    pub(super) fn eviction_candidate(
-        &self,
-        now_ms: u64,
-        key: BackendKey,
-        engine: &Engine,
-        protected: &HashSet<ModelName>,
-    ) -> Option<ModelName> {
-        let unused = engine.models.iter().filter(|(name, model_state)| {
-            name.contains('/')
-                && model_state.phase == ModelPhase::Loaded
-                && model_state.pins == 0
-                && model_state.last_used_ms + RECENT_USE_MS <= now_ms
-                && !self.reported_use.is_used(key, name)
-                && !protected.contains(*name)
-        });
-        unused
-            .min_by_key(|(name, model_state)| (model_state.last_used_ms, (*name).clone()))
-            .map(|(name, _)| name.clone())
-    }
 }
--- a/crates/redwinglatch-fleet/src/core/planner/model_index.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/model_index.rs
@@ -79,3 +79,43 @@
         self.users.get(&engine).is_some_and(|models| models.contains_key(model))
     }
 }
+
+/// Number of engines that have each unloaded adapter in their own memory, by the hash of its name.
+///
+/// Engines that have left still count until [`UnloadedAdapters::rebuild`], so the index may name an
+/// adapter that no engine has any more.
+#[derive(Debug, Default)]
+pub(super) struct UnloadedAdapters {
+    counts: HashMap<u64, u32>,
+}
+
+impl UnloadedAdapters {
+    pub(super) fn add(&mut self, model: &str) {
+        *self.counts.entry(name_hash(model)).or_default() += 1;
+    }
+
+    pub(super) fn remove(&mut self, model: &str) {
+        let hash = name_hash(model);
+        if let Some(count) = self.counts.get_mut(&hash) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&hash);
+            }
+        }
+    }
+
+    /// Returns whether an engine may have the adapter in its own memory.
+    pub(super) fn contains(&self, model: &str) -> bool {
+        self.counts.contains_key(&name_hash(model))
+    }
+
+    /// Counts the adapters of the given engines anew.
+    pub(super) fn rebuild<'a>(&mut self, engines: impl Iterator<Item = &'a Engine>) {
+        self.counts.clear();
+        for engine in engines {
+            for model in engine.unloaded_adapters() {
+                *self.counts.entry(name_hash(model)).or_default() += 1;
+            }
+        }
+    }
+}
