Don't measure loads whose checks had to wait for a lost order

Cause: an engine gets one order at a time, so a lost one delays the checks of its other loads by up to 240 ms; they looked slow and lowered the store's limit. Change: their duration counts as unknown, and so does that of a load whose check was more than 30 ms late. Test: lost_orders_do_not_lower_the_store_limit.

--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -230,6 +230,10 @@
         self.unanswered_orders += 1;
         self.unresponsive_to_orders_until_ms = now_ms + UNRESPONSIVE_TO_ORDERS_MS[step];
         self.report_due_ms = self.report_due_ms.min(now_ms);
+        // The checks of the other loads had to wait for this order.
+        for model_state in self.models.values_mut() {
+            model_state.is_duration_known = false;
+        }
     }
 
     /// Records that a load of the adapter may be under way without an answer.
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -12,6 +12,9 @@
     engine::{ModelPhase, ModelState, OrderState},
 };
 
+/// Delay of a check of a load beyond which the duration of the load isn't known.
+const LATE_CHECK_MS: u64 = 30;
+
 impl Planner {
     /// Applies the outcome of an order.
     pub(in crate::core) fn order_finished(
@@ -140,6 +143,9 @@
             .models
             .entry(order.model.clone())
             .or_insert_with(|| ModelState::new(0, phase, now_ms));
+        if model_state.resend_ms.saturating_add(LATE_CHECK_MS) < now_ms {
+            model_state.is_duration_known = false;
+        }
         model_state.resend_ms = u64::MAX;
         if is_new || model_state.phase != phase {
             if model_state.phase == ModelPhase::Loaded {
--- a/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/orders.rs
@@ -396,3 +396,46 @@
     // Each engine sends four orders in the first 590 ms and then one each second.
     assert!(orders <= 20 * 7, "{orders} orders to 20 engines in 3 s");
 }
+
+/// Checks of loads wait while another order to the engine is unanswered, so that the loads look slow. The
+/// store's limit must not fall by that: at the lower limit the store is idle.
+#[test]
+fn lost_orders_do_not_lower_the_store_limit() {
+    for seed in 0..10 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut simulation = Simulation::new(12);
+        simulation.run(300);
+        let before = simulation.planner.store.limit();
+        let mut answers: Vec<(u64, PlannedOrder, OrderOutcome)> = Vec::new();
+        for id in 0..200 {
+            simulation.place(id, request(&format!("m/a{id}")));
+            for _ in 0..6 {
+                simulation.now_ms += 5;
+                simulation.deliver_reports();
+                for order in simulation.planner.plan(simulation.now_ms, true) {
+                    // A lost answer is noticed after the timeout of an order.
+                    let (after_ms, outcome) = if rng.u32(0..3) == 0 {
+                        (200, OrderOutcome::Unknown)
+                    } else {
+                        (0, simulation.carry_out(&order))
+                    };
+                    answers.push((simulation.now_ms + after_ms, order, outcome));
+                }
+                let now_ms = simulation.now_ms;
+                let due = answers.iter().filter(|(due_ms, ..)| *due_ms <= now_ms);
+                for (_, order, outcome) in due.cloned().collect::<Vec<_>>() {
+                    simulation.planner.order_finished(now_ms, &order, outcome);
+                }
+                answers.retain(|(due_ms, ..)| now_ms < *due_ms);
+                for reply in simulation.planner.take_replies() {
+                    simulation.planner.first_event(reply.entry, reply.id);
+                    if matches!(reply.reply, PlaceReply::Placed { .. }) {
+                        simulation.planner.release(now_ms, reply.entry, reply.id);
+                    }
+                }
+            }
+        }
+        let after = simulation.planner.store.limit();
+        assert!(after >= before, "seed {seed}: {after} after {before}");
+    }
+}
