Check a load below its usual duration, so that checks don't raise it

Change: the first check is at 0.8 of the average, and not before 245 ms. Test: time_of_the_first_check_follows_the_loads fails before.

--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -53,7 +53,7 @@
                 model_state.resend_ms = if age_ms < CACHED_LOAD_MS {
                     model_state.since_ms + CACHED_LOAD_MS
                 } else {
-                    (model_state.since_ms + self.store.usual_load_ms())
+                    (model_state.since_ms + self.store.first_check_ms())
                         .max(now_ms + LOAD_CHECK_INTERVAL_MS)
                 };
             }
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit.rs
@@ -34,6 +34,8 @@
 const INCREASE: f64 = 0.25;
 /// Decrease of the limit for each slow load.
 const DECREASE: f64 = 0.25;
+/// Share of the usual duration of a load after which its completion is first checked.
+const FIRST_CHECK_SHARE: f64 = 0.8;
 /// Weight of the newest load in the average duration.
 const DURATION_WEIGHT: f64 = 0.1;
 /// Share of the limit that must be in use before a fast load raises it.
@@ -74,9 +76,12 @@
         self.in_flight = in_flight;
     }
 
-    /// Returns the usual duration of a load at present, at which its completion is first checked.
-    pub(super) fn usual_load_ms(&self) -> u64 {
-        self.usual_ms as u64
+    /// Returns the time after the start of a load at which its completion is first checked.
+    ///
+    /// It is well below the usual duration, because a check can't measure a duration shorter than its
+    /// own time: checks at the average would raise the average.
+    pub(super) fn first_check_ms(&self) -> u64 {
+        STORE_LOAD_MS.max((self.usual_ms * FIRST_CHECK_SHARE) as u64)
     }
 
     pub(super) fn in_flight(&self) -> usize {
--- a/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/store_limit/tests.rs
@@ -91,3 +91,18 @@
     }
     assert!(store.limit() >= before / 2.0);
 }
+
+/// A load is seen complete at the first check after its end. The time of the first check follows the
+/// measured durations, and must not raise them in turn.
+#[test]
+fn time_of_the_first_check_follows_the_loads() {
+    let mut store = StoreLimit::default();
+    for _ in 0..300 {
+        store.record_load(500);
+    }
+    assert!(store.first_check_ms() > 350);
+    for _ in 0..300 {
+        store.record_load(250.max(store.first_check_ms() + 5));
+    }
+    assert!(store.first_check_ms() <= 250, "{}", store.first_check_ms());
+}
