--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -61,6 +61,9 @@
 const SLOW_WRITE_MS: u64 = 400;
 /// Interval between a slow leader's attempts to transfer leadership.
 const LEADERSHIP_TRANSFER_INTERVAL_MS: u64 = 2_000;
+/// Shortest time of leadership after which an overloaded leader transfers it, so that a load which is too
+/// high for every core process doesn't make them take turns.
+const MIN_LEADERSHIP_MS: u64 = 1_500;
 /// A former leader that was unresponsive for this long has stopped or is partitioned.
 const FORMER_LEADER_TIMEOUT_MS: u64 = 500;
 /// A voter that is unresponsive for this long is removed if a replica has joined since then.
--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -5,11 +5,11 @@
 use redwinglatch_core::ReplicaId;
 use redwinglatch_log::MembershipChange;
 
-use crate::state::StateCommand;
+use crate::{clock::CORE_OVERLOAD_LAG_MS, state::StateCommand};
 
 use super::{
-    Driver, LEADERSHIP_TRANSFER_INTERVAL_MS, MIN_VOTERS, REPLACED_VOTER_TIMEOUT_MS, SLOW_WRITE_MS,
-    VOTER_TIMEOUT_MS,
+    Driver, LEADERSHIP_TRANSFER_INTERVAL_MS, MIN_LEADERSHIP_MS, MIN_VOTERS,
+    REPLACED_VOTER_TIMEOUT_MS, SLOW_WRITE_MS, VOTER_TIMEOUT_MS,
 };
 
 impl Driver {
@@ -89,9 +89,10 @@
     pub(super) fn transfer_leadership_when_slow(&mut self, now_ms: u64) {
         let is_write_slow =
             self.storage.is_none() && self.write_started_ms + SLOW_WRITE_MS < now_ms;
-        if !(is_write_slow || self.lag.is_overloaded())
+        if !(is_write_slow || self.lag.is_above(CORE_OVERLOAD_LAG_MS))
             || !self.replica.is_leader()
             || now_ms < self.leadership_transfer_due_ms
+            || (!is_write_slow && now_ms < self.leader_since_ms + MIN_LEADERSHIP_MS)
         {
             return;
         }
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -5,7 +5,7 @@
 use redwinglatch_routing::RouteTable;
 
 use crate::{
-    clock::TimerLag,
+    clock::{ENTRY_OVERLOAD_LAG_MS, TimerLag},
     core,
     ids::BackendKey,
     link,
@@ -89,8 +89,8 @@
             request_configuration(&context);
             ticks += 1;
         }
-        if lag.is_overloaded() != was_overloaded {
-            was_overloaded = lag.is_overloaded();
+        if lag.is_above(ENTRY_OVERLOAD_LAG_MS) != was_overloaded {
+            was_overloaded = lag.is_above(ENTRY_OVERLOAD_LAG_MS);
             log::warn!(
                 "entry: the process is slow: {was_overloaded}; updating the addresses for callers"
             );
