--- a/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
@@ -138,11 +138,11 @@
     }
 
     /// Returns the next order towards another copy of `model`: a load, or an unload that makes room
-    /// for it. Engines whose slots are occupied beyond `max_fill` are not considered.
+    /// for it. Engines whose request slots are occupied beyond the share `max_fill` are not considered.
     ///
     /// An engine that unloaded the adapter recently is preferred, because its load doesn't use the
     /// weight store; the others follow in the adapter's rendezvous order, those that leave orders
-    /// unanswered last. Models in `protected` are not evicted.
+    /// unanswered last. Models that the pass protects are not evicted.
     ///
     /// Answers the load at which the weight store is the bottleneck and many engines are between two
     /// orders: a load that would wait for its first choice goes to the next engine instead, so that
--- a/crates/redwinglatch-fleet/src/link/frame.rs
+++ b/crates/redwinglatch-fleet/src/link/frame.rs
@@ -16,9 +16,8 @@
 
 impl Frame {
     pub(crate) fn encode(message: &FleetMessage) -> Frame {
-        let bytes = postcard::to_extend(message, vec![0; LENGTH_BYTES])
+        let mut bytes = postcard::to_extend(message, vec![0; LENGTH_BYTES])
             .expect("messages encode into memory");
-        let mut bytes = bytes;
         let length = u32::try_from(bytes.len() - LENGTH_BYTES).expect("a message fits a frame");
         bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
         Frame { bytes: bytes.into(), kind: message.kind() }
