--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -8,6 +8,7 @@
 mod front;
 mod in_flight;
 mod placement;
+mod ready_entries;
 mod refusal;
 mod state_sources;
 mod stream;
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc};
 
+use super::ready_entries::ReadyEntries;
 use crate::{
     ids::{BackendKey, ModelName},
     link::LinkSender,
@@ -91,10 +92,7 @@
     /// The core processes, with the link of each one that is connected.
     cores: BTreeMap<SocketAddr, Option<LinkSender>>,
     coordinator_address: Option<SocketAddr>,
-    /// The entry processes that each core process reports as ready.
-    entry_endpoints: HashMap<SocketAddr, BTreeMap<SocketAddr, Box<str>>>,
-    /// The union of the reported entry processes, with their data centres.
-    ready_entries: BTreeMap<SocketAddr, Box<str>>,
+    ready_entries: ReadyEntries,
     /// Notifications for requests that wait until a model is loaded.
     load_notifiers: HashMap<ModelName, Arc<Notify>>,
     /// Receivers of the coordinator's replies, by the id of the placement.
@@ -125,8 +123,7 @@
             versions: HashMap::new(),
             cores: BTreeMap::new(),
             coordinator_address: None,
-            entry_endpoints: HashMap::new(),
-            ready_entries: BTreeMap::new(),
+            ready_entries: ReadyEntries::default(),
             load_notifiers: HashMap::new(),
             placement_replies: HashMap::new(),
             next_placement_id: 0,
@@ -197,8 +194,7 @@
     pub(crate) fn core_disconnected(&mut self, address: SocketAddr) {
         self.cores.insert(address, None);
         if self.connected_cores() > 0 {
-            self.entry_endpoints.remove(&address);
-            self.update_ready_entries();
+            self.ready_entries.remove(address);
         }
         if self.coordinator_address == Some(address) {
             self.coordinator_address = None;
@@ -272,10 +268,7 @@
     }
 
     pub(crate) fn set_entry_endpoints(&mut self, core: SocketAddr, endpoints: Vec<EntryEndpoint>) {
-        let endpoints =
-            endpoints.into_iter().map(|endpoint| (endpoint.front, endpoint.data_centre));
-        self.entry_endpoints.insert(core, endpoints.collect());
-        self.update_ready_entries();
+        self.ready_entries.set(core, endpoints);
     }
 
     pub(crate) fn change_entry_endpoints(
@@ -283,27 +276,14 @@
         core: SocketAddr,
         changes: EntryEndpointChanges,
     ) {
-        let endpoints = self.entry_endpoints.entry(core).or_default();
-        for front in &changes.removed {
-            endpoints.remove(front);
-        }
-        for endpoint in changes.added {
-            endpoints.insert(endpoint.front, endpoint.data_centre);
-        }
-        self.update_ready_entries();
-    }
-
-    fn update_ready_entries(&mut self) {
-        let reported = self.entry_endpoints.values().flatten();
-        self.ready_entries =
-            reported.map(|(front, data_centre)| (*front, data_centre.clone())).collect();
+        self.ready_entries.change(core, changes);
     }
 
     /// Returns the addresses of all entry processes that a core process reports as ready, and of this
     /// process if it is ready. A process with too little CPU time leaves itself out if there are
     /// others.
     pub(crate) fn ready_entry_addresses(&self) -> Vec<SocketAddr> {
-        let mut entries: Vec<_> = self.ready_entries.keys().copied().collect();
+        let mut entries = self.ready_entries.addresses().to_vec();
         if let Err(position) = entries.binary_search(&self.front) {
             entries.insert(position, self.front);
         }
