Spread the reports and loads of thousands of engines over time

Change: above 150 engines reports are fetched at most 600 times a second at the start and 150 times a second after; the loads of engines are sent at most at 300 B/ms; a backend list is encoded once; queues hold 1 MiB. Test: reports_of_thousands_of_engines_are_spread_over_time.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -28,7 +28,7 @@
     clock::{Clock, TimerLag},
     http::HttpClient,
     ids::BackendKey,
-    link::LinkSender,
+    link::{Frame, LinkSender},
     message::{Backend, FleetMessage, LeaderRequest, LeaderResponse},
     metrics::Metrics,
     state::{FleetState, StateChange, StateCommand},
@@ -52,6 +52,10 @@
 /// Interval between such messages that include engines. Entry processes select engines by them only
 /// while there is no coordinator.
 const ENGINE_LOADS_INTERVAL_MS: u64 = 1_000;
+/// Size of the load of one engine in such a message.
+const ENGINE_LOAD_BYTES: u64 = 12;
+/// Traffic of these messages to all entry processes beyond which the interval grows.
+const MAX_ENGINE_LOAD_BYTES_PER_MS: u64 = 300;
 /// Interval between messages to entry processes about changes of model locations. They place
 /// requests by these only while there is no coordinator.
 const LOCATION_CHANGES_INTERVAL_MS: u64 = 300;
@@ -166,6 +170,8 @@
     next_request_id: u64,
     backends: Vec<Backend>,
     backends_digest: u64,
+    /// The message with the newest backend list, encoded once for all entry processes.
+    backends_frame: Option<(u64, Frame)>,
     planner: Option<(Term, Planner)>,
     /// Time at which another process was last known to be the leader.
     other_coordinator_ms: Option<u64>,
@@ -223,6 +229,7 @@
             next_request_id: 0,
             backends: Vec::new(),
             backends_digest: 0,
+            backends_frame: None,
             planner: None,
             other_coordinator_ms: (!start_state.is_new_fleet).then(|| clock.now_ms()),
             lag: TimerLag::default(),
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -18,7 +18,8 @@
 
 use super::{
     BACKEND_LOADS_INTERVAL_MS, BROADCAST_INTERVAL_MS_PER_LINK, Driver, DriverEvent,
-    ENGINE_LOADS_INTERVAL_MS, FORMER_LEADER_TIMEOUT_MS, LOCATION_CHANGES_INTERVAL_MS,
+    ENGINE_LOAD_BYTES, ENGINE_LOADS_INTERVAL_MS, FORMER_LEADER_TIMEOUT_MS,
+    LOCATION_CHANGES_INTERVAL_MS, MAX_ENGINE_LOAD_BYTES_PER_MS,
 };
 
 impl Driver {
@@ -131,7 +132,10 @@
                 .map(|backend| (backend.key, totals.get(&backend.key).copied().unwrap_or_default()))
                 .collect();
             if with_engines {
-                self.engine_loads_due_ms = now_ms + ENGINE_LOADS_INTERVAL_MS;
+                let message_bytes = self.backends.len() as u64 * ENGINE_LOAD_BYTES;
+                let traffic_ms =
+                    message_bytes * self.entries.len() as u64 / MAX_ENGINE_LOAD_BYTES_PER_MS;
+                self.engine_loads_due_ms = now_ms + ENGINE_LOADS_INTERVAL_MS.max(traffic_ms);
             }
             FleetMessage::BackendLoads {
                 in_flight,
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -6,7 +6,7 @@
 use crate::{
     BackendEntry,
     ids::{BackendKey, FnvHasher},
-    link::LinkSender,
+    link::{Frame, LinkSender},
     message::{Backend, EntryHello, EntryStatus, FleetMessage},
 };
 
@@ -54,7 +54,8 @@
                 }
             }
             FleetMessage::BackendsRequest => {
-                sender.send(&self.backends_message());
+                let frame = self.backends_frame();
+                sender.send_frame(frame);
             }
             FleetMessage::ModelLocationsRequest => {
                 self.send_model_locations(&sender);
@@ -141,8 +142,17 @@
         FleetMessage::Versions(versions.map(|(model, version)| (model.clone(), *version)).collect())
     }
 
-    pub(super) fn backends_message(&self) -> FleetMessage {
-        FleetMessage::Backends { digest: self.backends_digest, entries: self.backends.clone() }
+    fn backends_frame(&mut self) -> Frame {
+        let digest = self.backends_digest;
+        if let Some((encoded, frame)) = &self.backends_frame
+            && *encoded == digest
+        {
+            return frame.clone();
+        }
+        let entries = self.backends.clone();
+        let frame = Frame::encode(&FleetMessage::Backends { digest, entries });
+        self.backends_frame = Some((digest, frame.clone()));
+        frame
     }
 
     /// Sends the locations of all models if this process is the coordinator, in parts that leave
--- a/crates/redwinglatch-fleet/src/core/entry_links.rs
+++ b/crates/redwinglatch-fleet/src/core/entry_links.rs
@@ -13,9 +13,9 @@
 /// Interval between messages about entry processes that have become ready or no longer are. It
 /// bounds the messages while a whole fleet starts or restarts.
 const ENDPOINT_CHANGES_INTERVAL_MS: u64 = 250;
-/// Frames that may wait for one slow entry process. With a link to each of 380 entry processes, they
-/// take up to 95 MB of a core process's memory.
-const MAX_QUEUED_BYTES: usize = 256 << 10;
+/// Frames that may wait for one slow entry process: the whole state of a fleet with thousands of engines.
+/// The lists and configurations among them are held once for all links.
+const MAX_QUEUED_BYTES: usize = 1 << 20;
 
 struct EntryLink {
     sender: LinkSender,
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -46,6 +46,11 @@
 const WAITING_REQUESTS_PER_MS: u64 = 100;
 /// Interval between report requests to an engine.
 const REPORT_INTERVAL_MS: u64 = 1_000;
+/// Report requests a second beyond which the interval grows with the number of engines, so that thousands
+/// of engines leave the coordinator time for requests.
+const MAX_REPORTS_PER_S: u64 = 150;
+/// Due report requests that a coordinator of more than [`MAX_REPORTS_PER_S`] engines sends at a time.
+const MAX_REPORTS_AT_A_TIME: usize = 6;
 /// Delay before a failed report request is retried.
 const REPORT_RETRY_MS: u64 = 250;
 /// An adapter whose use was reported more recently than this isn't evicted.
@@ -245,8 +250,13 @@
 
     /// Returns the engines whose report is due, and marks their reports as in flight.
     pub(super) fn take_due_reports(&mut self, now_ms: u64) -> Vec<BackendKey> {
+        let is_large = self.engines.len() as u64 > MAX_REPORTS_PER_S;
+        let max_due = if is_large { MAX_REPORTS_AT_A_TIME } else { usize::MAX };
         let mut due = Vec::new();
         for (key, engine) in &mut self.engines {
+            if due.len() >= max_due {
+                break;
+            }
             if !engine.report_in_flight && engine.report_due_ms <= now_ms {
                 engine.report_in_flight = true;
                 due.push(*key);
@@ -266,6 +276,8 @@
         key: BackendKey,
         report: Option<EngineReport>,
     ) {
+        let report_interval_ms =
+            REPORT_INTERVAL_MS.max(self.engines.len() as u64 * 1_000 / MAX_REPORTS_PER_S);
         let Some(engine) = self.engines.get_mut(&key) else { return };
         engine.report_in_flight = false;
         let Some(report) = report else {
@@ -278,7 +290,7 @@
         engine.apply_report(now_ms, &report, &mut self.changes);
         // Only the report shows when a base model is loaded.
         let interval_ms =
-            if engine.base_models.is_empty() { REPORT_RETRY_MS } else { REPORT_INTERVAL_MS };
+            if engine.base_models.is_empty() { REPORT_RETRY_MS } else { report_interval_ms };
         engine.report_due_ms = now_ms + interval_ms;
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -573,3 +573,22 @@
         }
     }
 }
+
+/// A fleet with thousands of engines: their reports must not take the coordinator's processor time.
+#[test]
+fn reports_of_thousands_of_engines_are_spread_over_time() {
+    let mut simulation = Simulation::new(2_000);
+    let mut fetched = 0;
+    for now_ms in (0..20_000).step_by(10) {
+        for key in simulation.planner.take_due_reports(now_ms) {
+            let report = EngineReport {
+                models: vec![LoadedModel { name: "m".into(), adapters: Vec::new() }],
+                ..EngineReport::default()
+            };
+            simulation.planner.engine_report(now_ms, key, Some(report));
+            fetched += 1;
+        }
+    }
+    // Each engine reports at the start and at most once more within its interval of 13 s.
+    assert!((2_000..=4_000).contains(&fetched), "{fetched} reports in 20 s");
+}
