--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -223,7 +223,8 @@
 }
 
 fn backend(number: u16) -> Backend {
-    let address = format!("192.0.2.{number}:80").parse().expect("an address");
+    let [high, low] = number.to_be_bytes();
+    let address = std::net::SocketAddr::from(([192, 0, 2 + high, low], 80));
     let id = format!("engine-{number}");
     Backend {
         key: BackendKey::new(&id, address, 0),
