Bound the refusals of a flood by what the store completes, and say four comments plainly

Cause: the test that replaced a_flood_of_rare_adapters_is_refused_at_once allowed 40 to 70 refusals, wider than the store's published rate asks. Change: 49 to 57, from 8 loads each 250 ms in the 1,600 ms before callers leave, and from the planner's margin of 1.2; comments without 'Whether' and 'What'.

--- a/crates/redwinglatch-fleet/src/core/planner/demand.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/demand.rs
@@ -6,7 +6,7 @@
 
 use super::{STORE_LOAD_MS, waiting_request::WaitingRequest};
 
-/// What the requests that wait for one adapter lose if it isn't loaded next.
+/// The requests that wait for one adapter.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct AdapterDemand {
     pub(super) model: ModelName,
@@ -22,7 +22,7 @@
     pub(super) first_received_ms: u64,
     /// The latest time at which a waiting request can be placed.
     pub(super) last_start_ms: u64,
-    /// Whether a request was found servable before.
+    /// A request was found servable before.
     pub(super) is_admitted: bool,
 }
 
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -34,7 +34,7 @@
     /// `u64::MAX` if it is not loaded.
     base_ready_ms: u64,
     base_loads_ms: Vec<u64>,
-    /// Whether the engine reports a copy of the base model on its own disk.
+    /// The engine reports a copy of the base model on its own disk.
     has_own_copy: bool,
     sequence: u64,
     /// Reports, the oldest first, with the time from which each is current.
@@ -393,7 +393,9 @@
             _ => None,
         })
         .collect();
-    assert!((40..70).contains(&refused.len()), "{} refused", refused.len());
+    // In the 1,600 ms before their callers leave, the store completes 51 loads of 250 ms, and 43 if each
+    // place is taken again after 1.2 times the duration of a load.
+    assert!((49..=57).contains(&refused.len()), "{} refused", refused.len());
     assert!(refused.iter().all(|retry_after_ms| (1_500..4_000).contains(retry_after_ms)));
     simulation.run_with_first_events(2_000, 100);
     let placed =
--- a/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
@@ -15,7 +15,7 @@
     pub(super) objective_ms: u64,
     /// Latest time of the placement; after it the caller would leave before the first event.
     pub(super) last_start_ms: u64,
-    /// Whether the request was found servable when it arrived. The estimate varies while loads are in
+    /// The request was found servable when it arrived. The estimate varies while loads are in
     /// flight, so such a request is refused only once it is too late to place it.
     pub(super) is_admitted: bool,
 }
