Log and count how each server's stream ends

An entry process now scans the events of every stream, counts each end by framing and kind (stream_ends), and logs all but delimited bodies that end between events. What it decides is as before.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -16,7 +16,7 @@
         EntryContext, fleet_view::SelectedBackend, in_flight::InFlight, placement::PlacementGuard,
         refusal::full_body,
     },
-    http::{Body, ConnectionLease, SendError},
+    http::{Body, BodyFraming, ConnectionLease, SendError},
     message::FleetMessage,
 };
 
@@ -59,6 +59,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Incoming,
+    pub(crate) framing: BodyFraming,
     pub(crate) lease: ConnectionLease,
     pub(crate) in_flight: InFlight,
 }
@@ -102,6 +103,7 @@
             self.log_failure("the response has no response stamp or has a content encoding");
             return AttemptOutcome::MaybeRan;
         }
+        let framing = BodyFraming::of(&parts.headers);
         let headers = headers::for_caller(parts.headers);
         if is_success && prepared.route().kind.is_stream() {
             let status = parts.status;
@@ -109,6 +111,7 @@
                 status,
                 headers,
                 body,
+                framing,
                 lease,
                 in_flight,
             });
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -22,12 +22,13 @@
 
 use crate::{
     entry::forward::{AttemptOutcome, BackendAttempt},
-    http::Body,
+    http::{Body, BodyFraming},
     ids::BackendKey,
 };
 
 use super::{
     EntryContext,
+    event_scanner::EventScanner,
     fleet_view::SelectedBackend,
     forward::{MAX_SENDS, PreparedRequest, RequestAttempts, StartedStream, find_backend},
     in_flight::{CallerRequest, InFlight},
@@ -85,6 +86,32 @@
     }
 }
 
+/// How the body of a stream from one server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    BetweenEvents,
+    InsideEvent,
+    /// Reading failed, for example because the connection was reset.
+    Error,
+}
+
+impl BodyEnd {
+    /// Returns the label of a body's framing and end in the metrics.
+    fn label(self, framing: BodyFraming) -> &'static str {
+        match (framing, self) {
+            (BodyFraming::Length, BodyEnd::BetweenEvents) => "length_between_events",
+            (BodyFraming::Length, BodyEnd::InsideEvent) => "length_inside_event",
+            (BodyFraming::Length, BodyEnd::Error) => "length_error",
+            (BodyFraming::Chunked, BodyEnd::BetweenEvents) => "chunked_between_events",
+            (BodyFraming::Chunked, BodyEnd::InsideEvent) => "chunked_inside_event",
+            (BodyFraming::Chunked, BodyEnd::Error) => "chunked_error",
+            (BodyFraming::ConnectionClose, BodyEnd::BetweenEvents) => "close_between_events",
+            (BodyFraming::ConnectionClose, BodyEnd::InsideEvent) => "close_inside_event",
+            (BodyFraming::ConnectionClose, BodyEnd::Error) => "close_error",
+        }
+    }
+}
+
 /// Result of reading a stream from one server.
 enum ReadResult {
     Complete,
@@ -123,6 +150,7 @@
         received_at,
         timings: StreamTimings::default(),
         partial: BytesMut::new(),
+        scanner: EventScanner::default(),
         last_event_id: None,
         _caller: caller,
     };
@@ -161,6 +189,8 @@
     sender: mpsc::Sender<StreamChunk>,
     /// Data received after the last complete event.
     partial: BytesMut,
+    /// Finds the ends of events in the current server's body.
+    scanner: EventScanner,
     last_event_id: Option<Bytes>,
     _caller: CallerRequest,
 }
@@ -171,11 +201,12 @@
         self.attempts.maybe_executed += 1;
         let is_resumable = self.prepared.route().kind.may_repeat();
         loop {
-            let StartedStream { mut body, lease, in_flight, .. } = started;
+            let StartedStream { mut body, framing, lease, in_flight, .. } = started;
+            self.scanner = EventScanner::default();
             let backend = in_flight.backend();
             // A silent server may still go on, so it is left only for one that takes the stream over.
             let successor = loop {
-                match self.forward_body(&mut body, is_resumable, &in_flight).await {
+                match self.forward_body(&mut body, framing, is_resumable, &in_flight).await {
                     ReadResult::Complete => {
                         lease.reuse();
                         self.record_completion(backend);
@@ -209,6 +240,33 @@
         }
     }
 
+    /// Counts how a server's body ended, and logs it unless the body was delimited and ended between
+    /// events.
+    fn record_body_end(
+        &self,
+        backend: BackendKey,
+        framing: BodyFraming,
+        error: Option<&hyper::Error>,
+    ) {
+        let end = match error {
+            Some(_) => BodyEnd::Error,
+            None if self.scanner.is_inside_event() => BodyEnd::InsideEvent,
+            None => BodyEnd::BetweenEvents,
+        };
+        self.context.metrics.record_stream_end(end.label(framing));
+        if end == BodyEnd::BetweenEvents && framing != BodyFraming::ConnectionClose {
+            return;
+        }
+        log::info!(
+            "request: id={} backend={:x} body_end={} events={} error={}",
+            self.prepared.request_id.as_deref().unwrap_or("-"),
+            backend.0,
+            end.label(framing),
+            self.scanner.events(),
+            error.map_or_else(|| "-".to_owned(), ToString::to_string),
+        );
+    }
+
     /// Logs that a silent stream stays at its server.
     fn log_silence(&self, backend: BackendKey, why: &str) {
         log::info!(
@@ -254,6 +312,7 @@
     async fn forward_body(
         &mut self,
         body: &mut Incoming,
+        framing: BodyFraming,
         is_resumable: bool,
         in_flight: &InFlight,
     ) -> ReadResult {
@@ -277,10 +336,15 @@
             }
             self.timings.record_arrival(&mut read_at, self.received_at);
             let data = match frame {
-                None if self.partial.is_empty() => return ReadResult::Complete,
-                None => return ReadResult::Interrupted,
+                None => {
+                    self.record_body_end(in_flight.backend(), framing, None);
+                    if self.partial.is_empty() {
+                        return ReadResult::Complete;
+                    }
+                    return ReadResult::Interrupted;
+                }
                 Some(Err(error)) => {
-                    log::debug!("request: reading the stream from the server failed: {error}");
+                    self.record_body_end(in_flight.backend(), framing, Some(&error));
                     return ReadResult::Interrupted;
                 }
                 Some(Ok(frame)) => match frame.into_data() {
@@ -288,6 +352,7 @@
                     Err(_) => continue,
                 },
             };
+            self.scanner.scan(&data);
             let ready = if is_resumable { self.take_complete_events(&data) } else { data };
             if !ready.is_empty() && self.sender.send(StreamChunk::Data(ready)).await.is_err() {
                 return ReadResult::Stopped;
--- a/crates/redwinglatch-fleet/src/http.rs
+++ b/crates/redwinglatch-fleet/src/http.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 client with one connection per request in flight, and HTTP/1.1 servers.
 
 mod client;
+mod framing;
 mod server;
 
 pub(crate) use client::{CallError, ConnectionLease, HttpClient, SendError};
+pub(crate) use framing::BodyFraming;
 pub(crate) use server::{Body, ServerLimits, bind, serve};
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -72,6 +72,11 @@
         self.increment("repeats", reason);
     }
 
+    /// Counts a server's stream by its framing and its end.
+    pub(crate) fn record_stream_end(&self, end: &'static str) {
+        self.increment("stream_ends", end);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, outcome: &'static str) {
         self.increment("orders", outcome);
