Don't end a stream as complete when its server stopped inside an event

Cause: the end of the transport was taken for the end of the message. hyper ends a body without length or chunks at the end of its connection, without an error; on routes that may not be resumed, events weren't looked at, so the entry process ended its own chunked answer properly.

Fix: a stream is complete only if it ends between two events, whatever its framing, and, without length or chunks, only if it had an event at all.

--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -96,6 +96,15 @@
 }
 
 impl BodyEnd {
+    /// Returns whether a body that ended like this is a complete stream of `events` events.
+    ///
+    /// No framing proves it: a server, or something between, may end its chunks or close its connection
+    /// inside an event. Without length or chunks, a body without events looks like a crash before the first.
+    fn is_complete(self, framing: BodyFraming, events: u64) -> bool {
+        let has_proven_length = framing != BodyFraming::ConnectionClose;
+        self == BodyEnd::BetweenEvents && (has_proven_length || events > 0)
+    }
+
     /// Returns the label of a body's framing and end in the metrics.
     fn label(self, framing: BodyFraming) -> &'static str {
         match (framing, self) {
@@ -240,31 +249,35 @@
         }
     }
 
-    /// Counts how a server's body ended, and logs it unless the body was delimited and ended between
-    /// events.
-    fn record_body_end(
+    /// Counts how a server's body ended, logs it unless the body was delimited and ended between events,
+    /// and returns whether the stream is complete.
+    fn end_body(
         &self,
         backend: BackendKey,
         framing: BodyFraming,
         error: Option<&hyper::Error>,
-    ) {
+    ) -> ReadResult {
         let end = match error {
             Some(_) => BodyEnd::Error,
             None if self.scanner.is_inside_event() => BodyEnd::InsideEvent,
             None => BodyEnd::BetweenEvents,
         };
         self.context.metrics.record_stream_end(end.label(framing));
-        if end == BodyEnd::BetweenEvents && framing != BodyFraming::ConnectionClose {
-            return;
+        let events = self.scanner.events();
+        if end != BodyEnd::BetweenEvents || framing == BodyFraming::ConnectionClose {
+            log::info!(
+                "request: id={} backend={:x} body_end={} events={events} error={}",
+                self.prepared.request_id.as_deref().unwrap_or("-"),
+                backend.0,
+                end.label(framing),
+                error.map_or_else(|| "-".to_owned(), ToString::to_string),
+            );
+        }
+        if end.is_complete(framing, events) {
+            ReadResult::Complete
+        } else {
+            ReadResult::Interrupted
         }
-        log::info!(
-            "request: id={} backend={:x} body_end={} events={} error={}",
-            self.prepared.request_id.as_deref().unwrap_or("-"),
-            backend.0,
-            end.label(framing),
-            self.scanner.events(),
-            error.map_or_else(|| "-".to_owned(), ToString::to_string),
-        );
     }
 
     /// Logs that a silent stream stays at its server.
@@ -336,16 +349,9 @@
             }
             self.timings.record_arrival(&mut read_at, self.received_at);
             let data = match frame {
-                None => {
-                    self.record_body_end(in_flight.backend(), framing, None);
-                    if self.partial.is_empty() {
-                        return ReadResult::Complete;
-                    }
-                    return ReadResult::Interrupted;
-                }
+                None => return self.end_body(in_flight.backend(), framing, None),
                 Some(Err(error)) => {
-                    self.record_body_end(in_flight.backend(), framing, Some(&error));
-                    return ReadResult::Interrupted;
+                    return self.end_body(in_flight.backend(), framing, Some(&error));
                 }
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
