Find the ends of events with any line ending, and don't resume after a part of one

What callers saw: nothing yet, as today's servers end lines with LF. A complete resumable stream whose lines end with CR LF was held back and then broken off; an event above 256 KiB was forwarded in parts, and when its server failed, the event came again whole from the next one, so that pieces of two runs were joined.

The ends of events were guessed from two LF, and a part that had been forwarded was forgotten. EventBuffer follows the events of every stream with one scanner.

Evidence: stream_of_events_with_any_line_ending_is_complete failed before and passes; stream_is_not_resumed_after_a_part_of_an_event_was_forwarded is new (the old code had no such state).

--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod core_links;
 mod directory;
+mod event_buffer;
 mod event_scanner;
 mod fleet_view;
 mod forward;
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
     Response,
@@ -28,7 +28,7 @@
 
 use super::{
     EntryContext,
-    event_scanner::EventScanner,
+    event_buffer::EventBuffer,
     fleet_view::SelectedBackend,
     forward::{MAX_SENDS, PreparedRequest, RequestAttempts, StartedStream, find_backend},
     in_flight::{CallerRequest, InFlight},
@@ -40,8 +40,6 @@
 const QUEUE_CHUNKS: usize = 64;
 /// Time without data after which a resumable stream is resumed at another server.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Size above which an event is forwarded in parts.
-const MAX_EVENT_BYTES: usize = 256 << 10;
 /// The outcome of a stream that ends without its last event, in log lines and counters.
 const BROKEN_OFF_OUTCOME: &str = "broken_off";
 
@@ -151,6 +149,7 @@
     let mut response = Response::new(StreamBody { chunks, is_ended: false }.boxed());
     *response.status_mut() = started.status;
     *response.headers_mut() = started.headers.clone();
+    let is_resumable = prepared.route().kind.may_repeat();
     let forwarder = StreamForwarder {
         context: Arc::clone(context),
         prepared,
@@ -158,9 +157,7 @@
         sender,
         received_at,
         timings: StreamTimings::default(),
-        partial: BytesMut::new(),
-        scanner: EventScanner::default(),
-        last_event_id: None,
+        events: EventBuffer::new(is_resumable),
         _caller: caller,
     };
     tokio::spawn(forwarder.run(started));
@@ -196,11 +193,7 @@
     received_at: Instant,
     timings: StreamTimings,
     sender: mpsc::Sender<StreamChunk>,
-    /// Data received after the last complete event.
-    partial: BytesMut,
-    /// Finds the ends of events in the current server's body.
-    scanner: EventScanner,
-    last_event_id: Option<Bytes>,
+    events: EventBuffer,
     _caller: CallerRequest,
 }
 
@@ -208,14 +201,13 @@
     /// Forwards the stream until it is complete, cannot be resumed or is no longer wanted.
     async fn run(mut self, mut started: StartedStream) {
         self.attempts.maybe_executed += 1;
-        let is_resumable = self.prepared.route().kind.may_repeat();
         loop {
             let StartedStream { mut body, framing, lease, in_flight, .. } = started;
-            self.scanner = EventScanner::default();
+            self.events.start_body();
             let backend = in_flight.backend();
             // A silent server may still go on, so it is left only for one that takes the stream over.
             let successor = loop {
-                match self.forward_body(&mut body, framing, is_resumable, &in_flight).await {
+                match self.forward_body(&mut body, framing, &in_flight).await {
                     ReadResult::Complete => {
                         lease.reuse();
                         self.record_completion(backend);
@@ -234,14 +226,14 @@
             drop(in_flight);
             drop(lease);
             self.context.fleet_view().record_failure(self.context.now_ms(), backend);
+            let can_resume = self.events.can_resume();
             log::info!(
-                "request: id={} stream broke off, resumable={is_resumable} silent={}",
+                "request: id={} stream broke off, resumable={can_resume} silent={}",
                 self.prepared.request_id.as_deref().unwrap_or("-"),
                 successor.is_some(),
             );
-            self.partial.clear();
             let resumed =
-                if is_resumable { self.resume(successor).await } else { Err("not_resumable") };
+                if can_resume { self.resume(successor).await } else { Err("not_resumable") };
             match resumed {
                 Ok(next) => started = next,
                 Err(why) => return self.record_interruption(why),
@@ -259,11 +251,11 @@
     ) -> ReadResult {
         let end = match error {
             Some(_) => BodyEnd::Error,
-            None if self.scanner.is_inside_event() => BodyEnd::InsideEvent,
+            None if self.events.is_inside_event() => BodyEnd::InsideEvent,
             None => BodyEnd::BetweenEvents,
         };
         self.context.metrics.record_stream_end(end.label(framing));
-        let events = self.scanner.events();
+        let events = self.events.events();
         if end != BodyEnd::BetweenEvents || framing == BodyFraming::ConnectionClose {
             log::info!(
                 "request: id={} backend={:x} body_end={} events={events} error={}",
@@ -321,12 +313,11 @@
         );
     }
 
-    /// Forwards the body of one server's response; only complete events if the stream is resumable.
+    /// Forwards the body of one server's response.
     async fn forward_body(
         &mut self,
         body: &mut Incoming,
         framing: BodyFraming,
-        is_resumable: bool,
         in_flight: &InFlight,
     ) -> ReadResult {
         let mut is_first = true;
@@ -358,36 +349,17 @@
                     Err(_) => continue,
                 },
             };
-            self.scanner.scan(&data);
-            let ready = if is_resumable { self.take_complete_events(&data) } else { data };
+            let ready = self.events.push(data);
             if !ready.is_empty() && self.sender.send(StreamChunk::Data(ready)).await.is_err() {
                 return ReadResult::Stopped;
             }
         }
     }
 
-    /// Appends `data` and returns the received data up to the end of the last complete event.
-    fn take_complete_events(&mut self, data: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(data);
-        let end = self.partial.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-        let end = match end {
-            Some(end) => end,
-            None if self.partial.len() > MAX_EVENT_BYTES => self.partial.len(),
-            None => return Bytes::new(),
-        };
-        let events = self.partial.split_to(end).freeze();
-        let ids = events.split(|byte| *byte == b'\n').rev();
-        let last = ids.filter_map(|line| line.strip_prefix(b"id:")).next();
-        if let Some(id) = last {
-            self.last_event_id = Some(Bytes::copy_from_slice(id.trim_ascii()));
-        }
-        events
-    }
-
     /// Returns whether the route allows another send of this stream.
     fn may_send_again(&self) -> bool {
         let route = self.prepared.route();
-        route.kind.may_repeat()
+        self.events.can_resume()
             && self.attempts.maybe_executed < route.max_attempts
             && self.attempts.sent < MAX_SENDS
     }
@@ -422,7 +394,7 @@
             self.attempts.sent += 1;
             self.attempts.excluded.push(selected.key);
             let last_event_id =
-                self.last_event_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok());
+                self.events.last_event_id().and_then(|id| HeaderValue::from_bytes(id).ok());
             let attempt = BackendAttempt {
                 context: &self.context,
                 prepared: &self.prepared,
