Reset the connection of an HTTP/1.0 caller whose stream broke off

A response of unknown length to HTTP/1.0 has no chunks and ends with its connection; hyper drops the connection of a failed body, and the kernel closes it like one that is complete.

Evidence: connection_of_an_http_1_0_caller_is_reset_when_its_stream_breaks_off failed before (the caller read the head and the events up to a part of the second, and then an ordinary end).

Fix: when serving such a connection fails, it is reset.

--- a/crates/redwinglatch-fleet/src/http/server.rs
+++ b/crates/redwinglatch-fleet/src/http/server.rs
@@ -1,10 +1,19 @@
 //! HTTP server.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{Request, Response, Version, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
@@ -98,21 +107,39 @@
     if let Err(error) = set_tcp_timeouts(&stream, ACKNOWLEDGE_TIMEOUT) {
         log::debug!("server: cannot set the timeouts of a connection: {error}");
     }
-    let service = service_fn(move |request| {
+    // HTTP/1.0 knows no chunks: the end of the connection delimits a response of unknown length.
+    let is_http_1_0 = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        is_http_1_0.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+    let result = tokio::select! {
+        result = &mut connection => Some(result),
+        _ = stop.wait_for(|stop| *stop) => None,
+    };
+    let result = match result {
+        Some(result) => result,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let Err(error) = result else { return };
+    log::trace!("server: a connection failed: {error}");
+    if is_http_1_0.load(Ordering::Relaxed) {
+        reset_connection(connection.into_parts().io.into_inner());
     }
-    if let Err(error) = connection.await {
-        log::trace!("server: a connection failed: {error}");
+}
+
+/// Closes a connection in a way that its peer can't take for the end of a response.
+fn reset_connection(stream: TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::warn!("server: cannot reset the connection of a response that broke off: {error}");
     }
 }
