--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -1,5 +1,6 @@
 //! Entry process, which serves callers and forwards their requests to backend servers.
 
+mod backend_health;
 mod budget;
 mod core_links;
 mod directory;
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/backend_health.rs
@@ -0,0 +1,40 @@
+//! Health of a backend server, as its answers and failures show it.
+
+/// Time for which a backend server is avoided after its first failure; doubled with each further one.
+const INITIAL_AVOID_MS: u64 = 300;
+/// Longest time for which a backend server is avoided.
+const MAX_AVOID_MS: u64 = 4_000;
+/// Number of consecutive failures after which the time no longer doubles.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Whether a backend server should get requests.
+#[derive(Debug, Default)]
+pub(super) struct BackendHealth {
+    failures: u32,
+    avoid_until_ms: u64,
+}
+
+impl BackendHealth {
+    /// Records that the server responded.
+    pub(super) fn record_response(&mut self) {
+        self.failures = 0;
+        self.avoid_until_ms = 0;
+    }
+
+    /// Records that the server did not respond; it is avoided for some time.
+    pub(super) fn record_failure(&mut self, now_ms: u64) {
+        let avoid_ms = INITIAL_AVOID_MS << self.failures.min(MAX_DOUBLINGS);
+        self.failures += 1;
+        self.avoid_until_ms = now_ms + avoid_ms.min(MAX_AVOID_MS);
+    }
+
+    /// Records that another server has taken over the address.
+    pub(super) fn record_replacement(&mut self, now_ms: u64) {
+        self.avoid_until_ms = now_ms + MAX_AVOID_MS;
+    }
+
+    /// Returns whether the server should get requests only if there is no other.
+    pub(super) fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoid_until_ms
+    }
+}
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc};
 
-use super::ready_entries::ReadyEntries;
+use super::{backend_health::BackendHealth, ready_entries::ReadyEntries};
 use crate::{
     ids::{BackendKey, ModelName},
     link::LinkSender,
@@ -20,12 +20,6 @@
     },
 };
 
-/// Time for which a backend server is avoided after its first failure; doubled with each further one.
-const INITIAL_AVOID_MS: u64 = 300;
-/// Longest time for which a backend server is avoided.
-const MAX_AVOID_MS: u64 = 4_000;
-/// Number of consecutive failures after which the time no longer doubles.
-const MAX_DOUBLINGS: u32 = 4;
 /// Load per slot that is added to servers in other data centres, so that they are selected only if
 /// they are that much less loaded.
 const REMOTE_DATA_CENTRE_PENALTY: f64 = 0.02;
@@ -38,8 +32,7 @@
     others_in_flight: u32,
     /// The server does not respond to the coordinator.
     is_unresponsive: bool,
-    failures: u32,
-    avoid_until_ms: u64,
+    health: BackendHealth,
 }
 
 /// A backend server that is selected for a request.
@@ -315,8 +308,7 @@
                     own_in_flight: 0,
                     others_in_flight: 0,
                     is_unresponsive: false,
-                    failures: 0,
-                    avoid_until_ms: 0,
+                    health: BackendHealth::default(),
                 },
             };
             self.backends.insert(key, state);
@@ -459,24 +451,21 @@
     /// Records that a backend server responded.
     pub(crate) fn record_response(&mut self, key: BackendKey) {
         if let Some(state) = self.backends.get_mut(&key) {
-            state.failures = 0;
-            state.avoid_until_ms = 0;
+            state.health.record_response();
         }
     }
 
     /// Records that a backend server did not respond, and avoids it for some time.
     pub(crate) fn record_failure(&mut self, now_ms: u64, key: BackendKey) {
         if let Some(state) = self.backends.get_mut(&key) {
-            let avoid_ms = INITIAL_AVOID_MS << state.failures.min(MAX_DOUBLINGS);
-            state.failures += 1;
-            state.avoid_until_ms = now_ms + avoid_ms.min(MAX_AVOID_MS);
+            state.health.record_failure(now_ms);
         }
     }
 
     /// Records that another server has taken over the address of a backend server.
     pub(crate) fn record_replacement(&mut self, now_ms: u64, key: BackendKey) {
         if let Some(state) = self.backends.get_mut(&key) {
-            state.avoid_until_ms = now_ms + MAX_AVOID_MS;
+            state.health.record_replacement(now_ms);
         }
     }
 
@@ -567,7 +556,7 @@
             if state.backend.leaving || excluded.contains(&key) {
                 continue;
             }
-            let is_avoided = state.is_unresponsive || now_ms < state.avoid_until_ms;
+            let is_avoided = state.is_unresponsive || state.health.is_avoided(now_ms);
             let in_flight = f64::from(state.own_in_flight + state.others_in_flight);
             let remote_penalty = if *state.backend.data_centre == *data_centre {
                 0.0
