Send nothing to a server that announced its stop in an answer

Before, only the backend list told, which lags.

An entry process records the header of every answer, also of errors and rejections, until the server is gone from the list; it names such engines to the coordinator with each request. The coordinator records it from reports and orders, and places and loads nothing there. No message between processes changes.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -38,7 +38,7 @@
     compressed_configuration::CompressedConfiguration,
     entry_links::EntryLinks,
     links::{self, CoreLinks},
-    orders::OrderOutcome,
+    orders::{EngineAnswer, OrderOutcome},
     planner::{PlannedOrder, Planner},
     start::StartState,
 };
@@ -98,9 +98,9 @@
     /// The platform's list of backend servers was fetched.
     BackendsListed(Vec<BackendEntry>),
     /// A report request ended; `None` if it failed.
-    ReportFetched { engine: BackendKey, report: Option<EngineReport> },
+    ReportFetched { engine: BackendKey, answer: EngineAnswer<Option<EngineReport>> },
     /// An order was answered or timed out.
-    OrderFinished { order: PlannedOrder, outcome: OrderOutcome },
+    OrderFinished { order: PlannedOrder, answer: EngineAnswer<OrderOutcome> },
     /// The process is shutting down.
     Stopping,
     /// A write to the log's storage ended.
@@ -305,14 +305,18 @@
                 self.handle_operator_request(request, reply);
             }
             DriverEvent::BackendsListed(entries) => self.handle_backend_list(entries),
-            DriverEvent::ReportFetched { engine, report } => {
+            DriverEvent::ReportFetched { engine, answer } => {
                 let now_ms = self.now_ms();
                 if let Some((_, planner)) = &mut self.planner {
-                    planner.engine_report(now_ms, engine, report);
+                    if answer.is_leaving {
+                        planner.engine_leaving(engine);
+                    }
+                    planner.engine_report(now_ms, engine, answer.result);
                 }
             }
-            DriverEvent::OrderFinished { order, outcome } => {
+            DriverEvent::OrderFinished { order, answer } => {
                 let now_ms = self.now_ms();
+                let outcome = answer.result;
                 log::debug!("coordinator: {order:?} ended: {outcome:?}");
                 self.metrics.record_order(outcome.code());
                 if outcome == OrderOutcome::Fenced {
@@ -321,6 +325,9 @@
                     );
                 }
                 if let Some((_, planner)) = &mut self.planner {
+                    if answer.is_leaving {
+                        planner.engine_leaving(order.engine);
+                    }
                     planner.order_finished(now_ms, &order, outcome);
                 }
             }
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -147,9 +147,9 @@
             let (client, dialect) = (Arc::clone(&self.client), self.dialect);
             let events = self.events.clone();
             tokio::spawn(async move {
-                let report = orders::fetch_report(&client, &address, dialect).await;
+                let answer = orders::fetch_report(&client, &address, dialect).await;
                 // The driver ends only with the process.
-                let _ = events.send(DriverEvent::ReportFetched { engine, report }).await;
+                let _ = events.send(DriverEvent::ReportFetched { engine, answer }).await;
             });
         }
         if let Some(loads) = loads {
@@ -184,9 +184,9 @@
         let (client, dialect) = (Arc::clone(&self.client), self.dialect);
         let events = self.events.clone();
         tokio::spawn(async move {
-            let outcome = orders::send(&client, &address, &order, dialect).await;
+            let answer = orders::send(&client, &address, &order, dialect).await;
             // The driver ends only with the process.
-            let _ = events.send(DriverEvent::OrderFinished { order: planned, outcome }).await;
+            let _ = events.send(DriverEvent::OrderFinished { order: planned, answer }).await;
         });
     }
 
--- a/crates/redwinglatch-fleet/src/core/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/orders.rs
@@ -54,13 +54,28 @@
     pub(super) id: Box<str>,
 }
 
+/// The result of a call to an engine.
+#[derive(Debug)]
+pub(super) struct EngineAnswer<T> {
+    pub(super) result: T,
+    /// The engine announced that it is about to stop.
+    pub(super) is_leaving: bool,
+}
+
+impl<T> EngineAnswer<T> {
+    /// The result of a call that the engine didn't answer.
+    fn none(result: T) -> EngineAnswer<T> {
+        EngineAnswer { result, is_leaving: false }
+    }
+}
+
 /// Sends an order to an engine.
 pub(super) async fn send(
     client: &Arc<HttpClient>,
     engine: &EngineAddress,
     order: &Order,
     dialect: &Dialect,
-) -> OrderOutcome {
+) -> EngineAnswer<OrderOutcome> {
     let request = Request::post(dialect.order_path)
         .header(HOST, engine.address.to_string())
         .header(CONTENT_TYPE, "application/json")
@@ -70,60 +85,65 @@
         Ok(request) => request,
         Err(error) => {
             log::error!("coordinator: cannot build an order to engine {}: {error}", engine.id);
-            return OrderOutcome::Refused;
+            return EngineAnswer::none(OrderOutcome::Refused);
         }
     };
     match client.call(engine.address, request, ORDER_TIMEOUT).await {
-        Ok((status, _, body)) => match status {
-            StatusCode::OK => OrderOutcome::InEffect,
-            StatusCode::ACCEPTED => OrderOutcome::Accepted,
-            StatusCode::CONFLICT => OrderOutcome::Conflict,
-            StatusCode::PRECONDITION_FAILED => OrderOutcome::Fenced,
-            status => {
-                let text = String::from_utf8_lossy(&body);
-                log::warn!(
-                    "coordinator: engine {} responded {status} to {order:?}: {text}",
-                    engine.id
-                );
-                OrderOutcome::Refused
-            }
-        },
+        Ok((status, headers, body)) => {
+            let result = match status {
+                StatusCode::OK => OrderOutcome::InEffect,
+                StatusCode::ACCEPTED => OrderOutcome::Accepted,
+                StatusCode::CONFLICT => OrderOutcome::Conflict,
+                StatusCode::PRECONDITION_FAILED => OrderOutcome::Fenced,
+                status => {
+                    let text = String::from_utf8_lossy(&body);
+                    log::warn!(
+                        "coordinator: engine {} responded {status} to {order:?}: {text}",
+                        engine.id
+                    );
+                    OrderOutcome::Refused
+                }
+            };
+            EngineAnswer { result, is_leaving: dialect.headers.state_leaving(&headers) }
+        }
         Err(error) => {
             log::info!("coordinator: order to engine {} was not answered: {error}", engine.id);
-            OrderOutcome::Unknown
+            EngineAnswer::none(OrderOutcome::Unknown)
         }
     }
 }
 
-/// Fetches the report of an engine; `None` if it can't be fetched or decoded.
+/// Fetches the report of an engine; the result is `None` if it can't be fetched or decoded.
 pub(super) async fn fetch_report(
     client: &Arc<HttpClient>,
     engine: &EngineAddress,
     dialect: &Dialect,
-) -> Option<EngineReport> {
+) -> EngineAnswer<Option<EngineReport>> {
     let request = Request::get(dialect.report_path)
         .header(HOST, engine.address.to_string())
         .header(&dialect.headers.expected_backend, &*engine.id)
-        .body(Full::new(Bytes::new()))
-        .ok()?;
-    match client.call(engine.address, request, REPORT_TIMEOUT).await {
-        Ok((StatusCode::OK, _, body)) => match (dialect.decode_report)(&body) {
-            Ok(report) => Some(report),
-            Err(error) => {
-                log::warn!(
-                    "coordinator: cannot decode the report of engine {}: {error}",
-                    engine.id
-                );
-                None
-            }
-        },
-        Ok((status, _, _)) => {
-            log::debug!("coordinator: engine {} responded {status} to a report request", engine.id);
-            None
+        .body(Full::new(Bytes::new()));
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => {
+            log::error!("coordinator: cannot ask engine {} for its report: {error}", engine.id);
+            return EngineAnswer::none(None);
         }
+    };
+    let (status, headers, body) = match client.call(engine.address, request, REPORT_TIMEOUT).await {
+        Ok(answer) => answer,
         Err(error) => {
             log::debug!("coordinator: cannot fetch the report of engine {}: {error}", engine.id);
-            None
+            return EngineAnswer::none(None);
         }
+    };
+    let is_leaving = dialect.headers.state_leaving(&headers);
+    if status != StatusCode::OK {
+        log::debug!("coordinator: engine {} responded {status} to a report request", engine.id);
+        return EngineAnswer { result: None, is_leaving };
     }
+    let report = (dialect.decode_report)(&body).inspect_err(|error| {
+        log::warn!("coordinator: cannot decode the report of engine {}: {error}", engine.id);
+    });
+    EngineAnswer { result: report.ok(), is_leaving }
 }
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -269,6 +269,17 @@
         self.engines.get(&key).map(|engine| &engine.backend)
     }
 
+    /// Records that an engine announced that it is about to stop: it gets neither requests nor loads.
+    ///
+    /// Answers a release of engines while the backend list lags: requests that are placed on an engine
+    /// in its last second have to be placed again.
+    pub(super) fn engine_leaving(&mut self, key: BackendKey) {
+        let Some(engine) = self.engines.get_mut(&key) else { return };
+        if !std::mem::replace(&mut engine.has_announced_stop, true) {
+            log::info!("coordinator: engine {} announced its stop", engine.backend.id);
+        }
+    }
+
     /// Applies an engine's report; `None` means that the report request failed.
     pub(super) fn engine_report(
         &mut self,
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -143,6 +143,8 @@
 #[derive(Debug)]
 pub(super) struct Engine {
     pub(super) backend: Backend,
+    /// The engine announced in an answer that it is about to stop; the backend list tells it later.
+    pub(super) has_announced_stop: bool,
     pub(super) limits: EngineLimits,
     /// The base models loaded on the engine, by its last report.
     pub(super) base_models: Vec<ModelName>,
@@ -185,6 +187,7 @@
     pub(super) fn new(backend: Backend, limits: EngineLimits, now_ms: u64) -> Engine {
         Engine {
             backend,
+            has_announced_stop: false,
             limits,
             base_models: Vec::new(),
             local_copies: Vec::new(),
@@ -274,7 +277,7 @@
     }
 
     pub(super) fn is_available(&self) -> bool {
-        !self.backend.leaving && !self.is_unresponsive()
+        !self.backend.leaving && !self.has_announced_stop && !self.is_unresponsive()
     }
 
     pub(super) fn is_unresponsive(&self) -> bool {
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -11,6 +11,7 @@
 
 use super::{BaseModels, EngineLimits, EngineService, PlannedOrder, Planner};
 
+mod leaving;
 mod orders;
 
 const SERVICE: &str = "scope-writer";
@@ -528,24 +529,6 @@
     assert_eq!(simulation.loads(), 1);
 }
 
-#[test]
-fn a_leaving_engine_gets_no_requests() {
-    let mut simulation = Simulation::new(2);
-    simulation.place(1, request("m/a1"));
-    simulation.run(400);
-    let home = simulation.engine_of(1).expect("the request was placed");
-    let backends: Vec<Backend> = (0..2)
-        .map(backend)
-        .map(|backend| Backend { leaving: backend.key == home, ..backend })
-        .collect();
-    simulation.planner.set_backends(simulation.now_ms, &backends);
-    simulation.planner.first_event(1, 1);
-    simulation.place(2, request("m/a1"));
-    simulation.run(400);
-    assert_ne!(simulation.engine_of(2), Some(home));
-    assert!(simulation.engine_of(2).is_some());
-}
-
 /// Under random requests and ends of requests, an engine never has more adapters than slots, and no
 /// adapter with a request in flight is unloaded.
 #[test]
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hyper::{Method, header::HeaderName};
+use hyper::{HeaderMap, Method, header::HeaderName};
 use redwinglatch_routing::Configuration;
 
 /// The names and message formats of a platform.
@@ -52,6 +52,8 @@
     pub expected_backend: HeaderName,
     /// States that the request was not executed.
     pub not_run: HeaderName,
+    /// States with the value `1` that the backend server is about to stop.
+    pub leaving: HeaderName,
     /// The model or adapter that the request uses.
     pub model: HeaderName,
     /// The priority of a request at an engine, where lower numbers are more urgent.
@@ -70,6 +72,13 @@
     pub reserved: Vec<HeaderName>,
 }
 
+impl HeaderNames {
+    /// Returns whether a response states that its backend server is about to stop.
+    pub(crate) fn state_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.get(&self.leaving).is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+    }
+}
+
 /// An operation that an operator requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ControlCall {
--- a/crates/redwinglatch-fleet/src/entry/backend_health.rs
+++ b/crates/redwinglatch-fleet/src/entry/backend_health.rs
@@ -12,6 +12,7 @@
 pub(super) struct BackendHealth {
     failures: u32,
     avoid_until_ms: u64,
+    is_leaving: bool,
 }
 
 impl BackendHealth {
@@ -33,6 +34,18 @@
         self.avoid_until_ms = now_ms + MAX_AVOID_MS;
     }
 
+    /// Records that the server announced its stop; returns whether that is new.
+    ///
+    /// A server doesn't take this back: one that starts again has another key.
+    pub(super) fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Returns whether the server announced its stop in an answer; the backend list tells it later.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// Returns whether the server should get requests only if there is no other.
     pub(super) fn is_avoided(&self, now_ms: u64) -> bool {
         now_ms < self.avoid_until_ms
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -35,6 +35,13 @@
     health: BackendHealth,
 }
 
+impl BackendState {
+    /// Returns whether the server is about to stop, by the backend list or by its own answers.
+    fn is_leaving(&self) -> bool {
+        self.backend.leaving || self.health.is_leaving()
+    }
+}
+
 /// A backend server that is selected for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct SelectedBackend {
@@ -469,6 +476,20 @@
         }
     }
 
+    /// Records that a backend server announced its stop; returns whether that is new.
+    pub(crate) fn record_leaving(&mut self, key: BackendKey) -> bool {
+        self.backends.get_mut(&key).is_some_and(|state| state.health.record_leaving())
+    }
+
+    /// Returns the servers of a service that announced their stop, which the coordinator may not know.
+    pub(crate) fn leaving_backends(&self, service: &str) -> SmallVec<[BackendKey; 4]> {
+        let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let is_leaving = |key: &&BackendKey| {
+            self.backends.get(*key).is_some_and(|state| state.health.is_leaving())
+        };
+        keys.iter().filter(is_leaving).copied().collect()
+    }
+
     /// Selects a server of a service without engines.
     pub(crate) fn select_plain_backend(
         &self,
@@ -489,7 +510,7 @@
     /// leaving.
     pub(crate) fn placed_engine(&self, key: BackendKey, version: Option<u64>) -> BackendSelection {
         match self.backends.get(&key) {
-            Some(state) if !state.backend.leaving => self.selection(key, version),
+            Some(state) if !state.is_leaving() => self.selection(key, version),
             _ => BackendSelection::Unavailable,
         }
     }
@@ -517,8 +538,7 @@
             return self.selection(best, version.filter(|_| newest.is_some()));
         }
         let has_usable_engine = self.services.get(service).is_some_and(|keys| {
-            keys.iter()
-                .any(|key| self.backends.get(key).is_some_and(|state| !state.backend.leaving))
+            keys.iter().any(|key| self.backends.get(key).is_some_and(|state| !state.is_leaving()))
         });
         if !has_usable_engine {
             return BackendSelection::Unavailable;
@@ -553,7 +573,7 @@
         let mut best: Option<((bool, f64), BackendKey)> = None;
         for key in candidates {
             let Some(state) = self.backends.get(&key) else { continue };
-            if state.backend.leaving || excluded.contains(&key) {
+            if state.is_leaving() || excluded.contains(&key) {
                 continue;
             }
             let is_avoided = state.is_unresponsive || state.health.is_avoided(now_ms);
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
@@ -57,6 +57,30 @@
     }
 }
 
+/// Guards against requests to a server that announced its stop, while the backend list still shows it as
+/// ready.
+#[test]
+fn server_that_announced_its_stop_receives_no_requests() {
+    let mut view = FleetView::new(address(100));
+    view.set_backends(1, vec![backend(1, "desk"), backend(2, "desk")]);
+    let leaving = backend(1, "desk").key;
+    assert!(view.record_leaving(leaving));
+    assert!(!view.record_leaving(leaving), "it is logged once");
+    view.record_response(leaving);
+    view.set_backends(2, vec![backend(1, "desk"), backend(2, "desk")]);
+    assert_eq!(view.leaving_backends("desk").as_slice(), [leaving]);
+    for _ in 0..50 {
+        let selection = view.select_plain_backend(0, "desk", "hall-a", &[]);
+        assert_eq!(selected_address(&selection), Some(address(2)));
+    }
+    assert_eq!(selected_address(&view.placed_engine(leaving, None)), None);
+    // A server that starts again under the same id has another key.
+    let restarted = BackendKey::new("s-1", address(1), 77);
+    view.set_backends(3, vec![Backend { key: restarted, ..backend(1, "desk") }]);
+    let selection = view.select_plain_backend(0, "desk", "hall-a", &[]);
+    assert_eq!(selected_address(&selection), Some(address(1)));
+}
+
 #[test]
 fn failed_server_is_avoided_temporarily() {
     let mut view = FleetView::new(address(100));
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -337,12 +337,10 @@
         .max(Instant::now() + MIN_COORDINATOR_WAIT);
     loop {
         if prepared.model.is_some() {
-            match placement::request_placement(
-                context,
-                prepared.place_request(excluded, received_at),
-            )
-            .await
-            {
+            let mut unusable = context.fleet_view().leaving_backends(&prepared.service);
+            unusable.extend_from_slice(excluded);
+            let request = prepared.place_request(&unusable, received_at);
+            match placement::request_placement(context, request).await {
                 PlacementDecision::Placed { engine, version, placement } => {
                     if let BackendSelection::Selected(selected) =
                         context.fleet_view().placed_engine(engine, version)
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -85,6 +85,7 @@
         };
         let names = &context.dialect.headers;
         let (parts, body) = response.into_parts();
+        self.record_announcements(&parts.headers);
         if !self.has_own_request_id(&parts.headers) {
             self.log_failure("the response has the id of another request");
             return AttemptOutcome::MaybeRan;
@@ -162,6 +163,19 @@
         request
     }
 
+    /// Records what a response says of its server, whatever becomes of the request.
+    fn record_announcements(&self, headers: &HeaderMap) {
+        let BackendAttempt { context, selected, .. } = self;
+        if context.dialect.headers.state_leaving(headers)
+            && context.fleet_view().record_leaving(selected.key)
+        {
+            log::info!(
+                "entry: server {} announced its stop and gets no more requests",
+                selected.id
+            );
+        }
+    }
+
     fn has_own_request_id(&self, headers: &HeaderMap) -> bool {
         let response_id = headers.get(&self.context.dialect.headers.request_id);
         match (response_id, &self.prepared.request_id) {
