Leave a server alone for the time that it states with status 503

Before, the header was ignored: a full server was chosen again by the next request, and an engine that rejected one got it again after 25 ms if it was the only one.

An entry process keeps the end of the pause for each server, whatever other answers arrive meanwhile, and selects it for nothing before; engines in a pause of more than 300 ms are excluded from the coordinator's placements for this process. If all servers of a service want nothing, a request waits up to 400 ms if its caller stays that long (entry/hold), and else is refused at once with the time at which the first one takes requests again (backends_on_hold).

The selection of servers moves to a file of its own.

--- a/crates/redwinglatch-fleet/src/entry/backend_health.rs
+++ b/crates/redwinglatch-fleet/src/entry/backend_health.rs
@@ -12,6 +12,7 @@
 pub(super) struct BackendHealth {
     failures: u32,
     avoid_until_ms: u64,
+    hold_until_ms: u64,
     is_leaving: bool,
 }
 
@@ -34,6 +35,16 @@
         self.avoid_until_ms = now_ms + MAX_AVOID_MS;
     }
 
+    /// Records that the server wants no requests before `until_ms`. Other responses don't end that time.
+    pub(super) fn record_hold(&mut self, until_ms: u64) {
+        self.hold_until_ms = self.hold_until_ms.max(until_ms);
+    }
+
+    /// Returns until when the server wants no requests.
+    pub(super) fn hold_end_ms(&self, now_ms: u64) -> Option<u64> {
+        (now_ms < self.hold_until_ms).then_some(self.hold_until_ms)
+    }
+
     /// Records that the server announced its stop; returns whether that is new.
     ///
     /// A server doesn't take this back: one that starts again has another key.
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -1,5 +1,7 @@
 //! The state of the fleet as an entry process knows it, and the selection of backend servers.
 
+mod selection;
+
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
@@ -10,6 +12,7 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc};
 
+pub(crate) use self::selection::{BackendSelection, SelectedBackend};
 use super::{backend_health::BackendHealth, ready_entries::ReadyEntries};
 use crate::{
     ids::{BackendKey, ModelName},
@@ -20,10 +23,6 @@
     },
 };
 
-/// Load per slot that is added to servers in other data centres, so that they are selected only if
-/// they are that much less loaded.
-const REMOTE_DATA_CENTRE_PENALTY: f64 = 0.02;
-
 /// State of a backend server as this process knows it.
 #[derive(Debug)]
 struct BackendState {
@@ -35,34 +34,6 @@
     health: BackendHealth,
 }
 
-impl BackendState {
-    /// Returns whether the server is about to stop, by the backend list or by its own answers.
-    fn is_leaving(&self) -> bool {
-        self.backend.leaving || self.health.is_leaving()
-    }
-}
-
-/// A backend server that is selected for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct SelectedBackend {
-    pub(crate) key: BackendKey,
-    pub(crate) id: Box<str>,
-    pub(crate) address: SocketAddr,
-    /// The version of the adapter that the server must have, if the adapter has versions.
-    pub(crate) version: Option<u64>,
-}
-
-/// Result of selecting a backend server.
-#[derive(Debug)]
-pub(crate) enum BackendSelection {
-    /// The request can be sent to this server.
-    Selected(SelectedBackend),
-    /// The adapter must be loaded first; the notification fires once it is.
-    AwaitLoad(Arc<Notify>),
-    /// No server can take the request.
-    Unavailable,
-}
-
 /// Result of a message from a process that is the coordinator of an epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CoordinatorAcceptance {
@@ -469,6 +440,13 @@
         }
     }
 
+    /// Records that a backend server wants no requests from this process before `until_ms`.
+    pub(crate) fn record_hold(&mut self, key: BackendKey, until_ms: u64) {
+        if let Some(state) = self.backends.get_mut(&key) {
+            state.health.record_hold(until_ms);
+        }
+    }
+
     /// Records that another server has taken over the address of a backend server.
     pub(crate) fn record_replacement(&mut self, now_ms: u64, key: BackendKey) {
         if let Some(state) = self.backends.get_mut(&key) {
@@ -480,120 +458,6 @@
     pub(crate) fn record_leaving(&mut self, key: BackendKey) -> bool {
         self.backends.get_mut(&key).is_some_and(|state| state.health.record_leaving())
     }
-
-    /// Returns the servers of a service that announced their stop, which the coordinator may not know.
-    pub(crate) fn leaving_backends(&self, service: &str) -> SmallVec<[BackendKey; 4]> {
-        let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        let is_leaving = |key: &&BackendKey| {
-            self.backends.get(*key).is_some_and(|state| state.health.is_leaving())
-        };
-        keys.iter().filter(is_leaving).copied().collect()
-    }
-
-    /// Selects a server of a service without engines.
-    pub(crate) fn select_plain_backend(
-        &self,
-        now_ms: u64,
-        service: &str,
-        data_centre: &str,
-        excluded: &[BackendKey],
-    ) -> BackendSelection {
-        let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        let candidates = keys.iter().copied();
-        match self.least_loaded(now_ms, candidates, data_centre, excluded) {
-            Some(key) => self.selection(key, None),
-            None => BackendSelection::Unavailable,
-        }
-    }
-
-    /// Returns the engine that the coordinator selected, if this process knows it and it is not
-    /// leaving.
-    pub(crate) fn placed_engine(&self, key: BackendKey, version: Option<u64>) -> BackendSelection {
-        match self.backends.get(&key) {
-            Some(state) if !state.is_leaving() => self.selection(key, version),
-            _ => BackendSelection::Unavailable,
-        }
-    }
-
-    /// Selects an engine on which the newest known version of `model` is loaded.
-    pub(crate) fn select_engine(
-        &mut self,
-        now_ms: u64,
-        service: &str,
-        model: &ModelName,
-        data_centre: &str,
-        excluded: &[BackendKey],
-    ) -> BackendSelection {
-        let newest = self.versions.get(model).copied();
-        let locations = self.model_locations.get(model).map(SmallVec::as_slice).unwrap_or_default();
-        let candidates = locations.iter().filter(|(key, version)| {
-            newest.is_none_or(|newest| *version >= newest)
-                && self.backends.get(key).is_some_and(|state| *state.backend.service == *service)
-        });
-        let best =
-            self.least_loaded(now_ms, candidates.map(|(key, _)| *key), data_centre, excluded);
-        if let Some(best) = best {
-            let version =
-                locations.iter().find(|(key, _)| *key == best).map(|(_, version)| *version);
-            return self.selection(best, version.filter(|_| newest.is_some()));
-        }
-        let has_usable_engine = self.services.get(service).is_some_and(|keys| {
-            keys.iter().any(|key| self.backends.get(key).is_some_and(|state| !state.is_leaving()))
-        });
-        if !has_usable_engine {
-            return BackendSelection::Unavailable;
-        }
-        BackendSelection::AwaitLoad(Arc::clone(
-            self.load_notifiers.entry(model.clone()).or_default(),
-        ))
-    }
-
-    fn selection(&self, key: BackendKey, version: Option<u64>) -> BackendSelection {
-        match self.backends.get(&key) {
-            Some(state) => BackendSelection::Selected(SelectedBackend {
-                key,
-                id: state.backend.id.clone(),
-                address: state.backend.address,
-                version,
-            }),
-            None => BackendSelection::Unavailable,
-        }
-    }
-
-    /// Returns the usable server with the lowest number of requests per slot.
-    ///
-    /// Unresponsive servers and those that failed recently are selected only if there is no other.
-    fn least_loaded(
-        &self,
-        now_ms: u64,
-        candidates: impl Iterator<Item = BackendKey>,
-        data_centre: &str,
-        excluded: &[BackendKey],
-    ) -> Option<BackendKey> {
-        let mut best: Option<((bool, f64), BackendKey)> = None;
-        for key in candidates {
-            let Some(state) = self.backends.get(&key) else { continue };
-            if state.is_leaving() || excluded.contains(&key) {
-                continue;
-            }
-            let is_avoided = state.is_unresponsive || state.health.is_avoided(now_ms);
-            let in_flight = f64::from(state.own_in_flight + state.others_in_flight);
-            let remote_penalty = if *state.backend.data_centre == *data_centre {
-                0.0
-            } else {
-                REMOTE_DATA_CENTRE_PENALTY
-            };
-            // Noise below one request keeps entry processes that see the same counts from selecting
-            // the same server.
-            let noise = fastrand::f64() * 0.5;
-            let cost = (in_flight + noise) / f64::from(state.backend.slots.max(1)) + remote_penalty;
-            let rank = (is_avoided, cost);
-            if best.as_ref().is_none_or(|(lowest, _)| rank < *lowest) {
-                best = Some((rank, key));
-            }
-        }
-        best.map(|(_, key)| key)
-    }
 }
 
 #[cfg(test)]
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
@@ -34,7 +34,9 @@
 fn selected_address(selection: &BackendSelection) -> Option<SocketAddr> {
     match selection {
         BackendSelection::Selected(selected) => Some(selected.address),
-        BackendSelection::AwaitLoad(_) | BackendSelection::Unavailable => None,
+        BackendSelection::AwaitLoad(_)
+        | BackendSelection::OnHold { .. }
+        | BackendSelection::Unavailable => None,
     }
 }
 
@@ -68,12 +70,12 @@
     assert!(!view.record_leaving(leaving), "it is logged once");
     view.record_response(leaving);
     view.set_backends(2, vec![backend(1, "desk"), backend(2, "desk")]);
-    assert_eq!(view.leaving_backends("desk").as_slice(), [leaving]);
+    assert_eq!(view.unusable_engines(0, "desk").as_slice(), [leaving]);
     for _ in 0..50 {
         let selection = view.select_plain_backend(0, "desk", "hall-a", &[]);
         assert_eq!(selected_address(&selection), Some(address(2)));
     }
-    assert_eq!(selected_address(&view.placed_engine(leaving, None)), None);
+    assert_eq!(selected_address(&view.placed_engine(0, leaving, None)), None);
     // A server that starts again under the same id has another key.
     let restarted = BackendKey::new("s-1", address(1), 77);
     view.set_backends(3, vec![Backend { key: restarted, ..backend(1, "desk") }]);
@@ -81,6 +83,49 @@
     assert_eq!(selected_address(&selection), Some(address(1)));
 }
 
+/// Guards against requests to an overloaded server that has asked for a pause; neither its other answers
+/// nor a newer backend list end the pause.
+#[test]
+fn server_that_wants_no_requests_is_left_alone_until_then() {
+    let mut view = FleetView::new(address(100));
+    view.set_backends(1, vec![backend(1, "desk"), backend(2, "desk")]);
+    let [held, other] = [1, 2].map(|number| backend(number, "desk").key);
+    view.record_hold(held, 2_000);
+    view.record_hold(held, 1_500);
+    view.record_response(held);
+    view.set_backends(2, vec![backend(1, "desk"), backend(2, "desk")]);
+    for now_ms in (1_000..2_000).step_by(20) {
+        let selection = view.select_plain_backend(now_ms, "desk", "hall-a", &[]);
+        assert_eq!(selected_address(&selection), Some(address(2)));
+    }
+    let selection = view.select_plain_backend(1_000, "desk", "hall-a", &[other]);
+    assert!(matches!(selection, BackendSelection::OnHold { until_ms: 2_000 }));
+    let selection = view.select_plain_backend(2_000, "desk", "hall-a", &[other]);
+    assert_eq!(selected_address(&selection), Some(address(1)));
+    assert_eq!(view.service_hold_end_ms(1_000, "desk"), None);
+    view.record_hold(other, 1_800);
+    assert_eq!(view.service_hold_end_ms(1_000, "desk"), Some(1_800));
+}
+
+/// An engine in a long pause gets no placements of this process; a short one is waited for.
+#[test]
+fn engine_that_wants_no_requests_is_unusable_during_a_long_pause() {
+    let mut view = FleetView::new(address(100));
+    view.set_backends(1, vec![backend(1, "writer")]);
+    let engine = backend(1, "writer").key;
+    view.record_hold(engine, 2_000);
+    assert_eq!(view.unusable_engines(1_000, "writer").as_slice(), [engine]);
+    assert!(view.unusable_engines(1_800, "writer").is_empty());
+    let selection = view.placed_engine(1_800, engine, None);
+    assert!(matches!(selection, BackendSelection::OnHold { until_ms: 2_000 }));
+    assert_eq!(selected_address(&view.placed_engine(2_000, engine, None)), Some(address(1)));
+    let model = ModelName::from("m/a1");
+    let location = ModelLocation { engine, model: model.clone(), version: 1 };
+    view.merge_model_locations(vec![location]);
+    let selection = view.select_engine(1_000, "writer", &model, "hall-a", &[]);
+    assert!(matches!(selection, BackendSelection::OnHold { until_ms: 2_000 }));
+}
+
 #[test]
 fn failed_server_is_avoided_temporarily() {
     let mut view = FleetView::new(address(100));
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -25,6 +25,7 @@
 use super::{
     EntryContext,
     fleet_view::{BackendSelection, SelectedBackend},
+    hold,
     in_flight::CallerRequest,
     placement::{self, PlacementDecision, PlacementGuard},
     refusal::{RefusalReason, refusal_response},
@@ -47,6 +48,8 @@
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before a request that an engine rejected is retried.
 const NOT_RUN_RETRY_DELAY: Duration = Duration::from_millis(25);
+/// Range of the random time that a request waits beyond the end of a server's hold.
+const HOLD_JITTER_MS: std::ops::Range<u64> = 1..40;
 /// Number of output tokens assumed for a request that states no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 200;
 /// Maximum number of times that a request is sent, whether or not it was executed.
@@ -337,14 +340,21 @@
         .max(Instant::now() + MIN_COORDINATOR_WAIT);
     loop {
         if prepared.model.is_some() {
-            let mut unusable = context.fleet_view().leaving_backends(&prepared.service);
+            let now_ms = context.now_ms();
+            let mut unusable = context.fleet_view().unusable_engines(now_ms, &prepared.service);
             unusable.extend_from_slice(excluded);
             let request = prepared.place_request(&unusable, received_at);
             match placement::request_placement(context, request).await {
                 PlacementDecision::Placed { engine, version, placement } => {
-                    if let BackendSelection::Selected(selected) =
-                        context.fleet_view().placed_engine(engine, version)
+                    let placed =
+                        || context.fleet_view().placed_engine(context.now_ms(), engine, version);
+                    let mut selection = placed();
+                    if let BackendSelection::OnHold { until_ms } = selection
+                        && wait_for_hold(context, prepared, until_ms, received_at).await.is_ok()
                     {
+                        selection = placed();
+                    }
+                    if let BackendSelection::Selected(selected) = selection {
                         return Ok((selected, Some(placement)));
                     }
                 }
@@ -356,7 +366,10 @@
         }
         match select_backend(context, prepared, excluded) {
             BackendSelection::Selected(selected) => return Ok((selected, None)),
-            BackendSelection::Unavailable => return Err(RefusalReason::NoBackend),
+            BackendSelection::OnHold { until_ms } => {
+                wait_for_hold(context, prepared, until_ms, received_at).await?;
+            }
+            BackendSelection::Unavailable => return Err(unavailable_reason(context, prepared)),
             BackendSelection::AwaitLoad(loaded) => {
                 if Instant::now() >= wait_until {
                     return Err(RefusalReason::NotLoaded);
@@ -369,6 +382,42 @@
     }
 }
 
+/// Waits until a server takes requests again.
+///
+/// # Errors
+///
+/// Fails at once if that takes too long for the request.
+async fn wait_for_hold(
+    context: &EntryContext,
+    prepared: &PreparedRequest,
+    until_ms: u64,
+    received_at: Instant,
+) -> Result<(), RefusalReason> {
+    let hold_ms = until_ms.saturating_sub(context.now_ms());
+    let leaves_at = if prepared.route().kind.is_stream() {
+        received_at + Duration::from_millis(prepared.patience_ms)
+    } else {
+        prepared.deadline
+    };
+    let patience = leaves_at.saturating_duration_since(Instant::now());
+    let patience_ms = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
+    let wait_ms = hold::wait_ms(hold_ms, patience_ms)?;
+    let jitter_ms = fastrand::u64(HOLD_JITTER_MS);
+    tokio::time::sleep(Duration::from_millis(wait_ms + jitter_ms)).await;
+    Ok(())
+}
+
+/// Returns why no server of the service can take a request.
+fn unavailable_reason(context: &EntryContext, prepared: &PreparedRequest) -> RefusalReason {
+    let now_ms = context.now_ms();
+    match context.fleet_view().service_hold_end_ms(now_ms, &prepared.service) {
+        Some(until_ms) => {
+            RefusalReason::BackendsOnHold { retry_after_ms: until_ms.saturating_sub(now_ms) }
+        }
+        None => RefusalReason::NoBackend,
+    }
+}
+
 /// Returns whether a stream that starts now ends before the draining process must stop.
 fn can_end_before_stop(draining_ms: u64, grace_ms: u64, output_tokens: u32) -> bool {
     let longest_ms = BUSY_FIRST_EVENT_MS + u64::from(output_tokens) * BUSY_TOKEN_MS;
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -16,7 +16,7 @@
         EntryContext, fleet_view::SelectedBackend, in_flight::InFlight, placement::PlacementGuard,
         refusal::full_body,
     },
-    http::{Body, BodyFraming, ConnectionLease, SendError},
+    http::{Body, BodyFraming, ConnectionLease, SendError, unavailable_for_ms},
     message::FleetMessage,
 };
 
@@ -85,7 +85,7 @@
         };
         let names = &context.dialect.headers;
         let (parts, body) = response.into_parts();
-        self.record_announcements(&parts.headers);
+        self.record_announcements(parts.status, &parts.headers);
         if !self.has_own_request_id(&parts.headers) {
             self.log_failure("the response has the id of another request");
             return AttemptOutcome::MaybeRan;
@@ -164,7 +164,7 @@
     }
 
     /// Records what a response says of its server, whatever becomes of the request.
-    fn record_announcements(&self, headers: &HeaderMap) {
+    fn record_announcements(&self, status: StatusCode, headers: &HeaderMap) {
         let BackendAttempt { context, selected, .. } = self;
         if context.dialect.headers.state_leaving(headers)
             && context.fleet_view().record_leaving(selected.key)
@@ -174,6 +174,10 @@
                 selected.id
             );
         }
+        if let Some(hold_ms) = unavailable_for_ms(status, headers) {
+            context.fleet_view().record_hold(selected.key, context.now_ms() + hold_ms);
+            log::info!("entry: server {} wants no requests for {hold_ms} ms", selected.id);
+        }
     }
 
     fn has_own_request_id(&self, headers: &HeaderMap) -> bool {
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -35,6 +35,11 @@
         /// The delay after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// All backend servers want no requests for some time.
+    BackendsOnHold {
+        /// The delay after which one of them takes requests again.
+        retry_after_ms: u64,
+    },
     /// Backend servers rejected the request without executing it.
     RefusedByBackends,
     /// The request may have been executed, but there is no response.
@@ -56,6 +61,7 @@
             RefusalReason::NoBackend => "no_backend",
             RefusalReason::NotLoaded => "not_loaded",
             RefusalReason::Overloaded { .. } => "overloaded",
+            RefusalReason::BackendsOnHold { .. } => "backends_on_hold",
             RefusalReason::RefusedByBackends => "refused_by_backends",
             RefusalReason::Failed => "failed",
             RefusalReason::TimedOut => "timed_out",
@@ -75,6 +81,7 @@
             | RefusalReason::NoBackend
             | RefusalReason::NotLoaded
             | RefusalReason::Overloaded { .. }
+            | RefusalReason::BackendsOnHold { .. }
             | RefusalReason::RefusedByBackends => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -88,6 +95,7 @@
             RefusalReason::NoBackend | RefusalReason::RefusedByBackends => Some((200, 600)),
             RefusalReason::NotLoaded => Some((1_000, 2_000)),
             RefusalReason::Overloaded { retry_after_ms } => Some((retry_after_ms, 1)),
+            RefusalReason::BackendsOnHold { retry_after_ms } => Some((retry_after_ms, 200)),
             _ => None,
         }
     }
