End a body as complete only if its source says so

The channel body of http_body_util asks for a chunk and then, separately, whether its sender has gone. A sender on another thread that sends its last chunk and ends between the two loses the chunk, and the body ends as complete. The end of the source was taken for the end of the message.

Evidence: stream_ends_with_its_last_event failed before (stream 985 of 20,000 was empty, and ended without an error) and passes.

Fix: redwinglatch-body has one body for all: chunks and the end come over one channel, and a body whose sender is dropped before it is finished ends with an error. The fleet's own type of this kind moves there. A clean end of a fake engine is explicit now.

--- a/crates/redwinglatch-callers/src/render.rs
+++ b/crates/redwinglatch-callers/src/render.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::channel::Channel;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::Response;
-use hyper::body::Frame;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use redwinglatch_body::{BodySender, body_channel};
 use redwinglatch_core::{Refusal, RunStatus};
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -68,9 +67,9 @@
         }
         CallerResponse::Refused { refusal, entries } => refusal_response(&refusal, &entries),
         CallerResponse::Stream { served_by, events } => {
-            let (sender, body) = Channel::new(STREAM_BUFFER_FRAMES);
+            let (sender, body) = body_channel(STREAM_BUFFER_FRAMES);
             tokio::spawn(write_events(events, sender, keep_alive, write_stall));
-            let mut response = Response::new(body.boxed());
+            let mut response = Response::new(body.map_err(std::io::Error::other).boxed());
             set_content_type(&mut response, "text/event-stream");
             add_served_by_headers(&mut response, &served_by);
             response
@@ -137,9 +136,10 @@
     }
 }
 
+/// Writes the events of a stream, which is complete only with its last one.
 async fn write_events(
     mut events: mpsc::Receiver<CallerEvent>,
-    mut sender: http_body_util::channel::Sender<Bytes, std::io::Error>,
+    sender: BodySender,
     keep_alive: Duration,
     write_stall: Duration,
 ) {
@@ -150,17 +150,22 @@
         let (frame, is_last) = tokio::select! {
             event = events.recv() => match event {
                 Some(event) => render_event(&event),
-                // The source ended without a last event; the aborted body signals this to the
-                // caller.
-                None => break sender.abort(std::io::Error::other("the stream ended early")),
+                None => {
+                    log::info!("callers: a stream breaks off; its source ended early");
+                    return;
+                }
             },
             _ = keep_alive_ticks.tick() => (Bytes::from_static(b": keep-alive\n\n"), false),
         };
         keep_alive_ticks.reset();
-        match timeout(write_stall, sender.send(Frame::data(frame))).await {
-            Ok(Ok(())) if !is_last => {}
-            Ok(_) => break,
-            Err(_) => break sender.abort(std::io::Error::other("the caller stopped reading")),
+        match timeout(write_stall, sender.send(frame)).await {
+            Ok(Ok(())) if is_last => return sender.finish(),
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return,
+            Err(_) => {
+                log::info!("callers: a stream breaks off; its caller stopped reading");
+                return;
+            }
         }
     }
 }
@@ -183,3 +188,6 @@
     frame.extend_from_slice(b"\n\n");
     Bytes::from(frame)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/redwinglatch-fakes/src/engine_stream.rs
+++ b/crates/redwinglatch-fakes/src/engine_stream.rs
@@ -1,10 +1,11 @@
 //! Writes the server-sent events of one stream, including injected faults.
 
-use std::{convert::Infallible, fmt::Write as _, sync::Arc};
+use std::{fmt::Write as _, sync::Arc};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, channel::Channel};
+use http_body_util::BodyExt as _;
 use hyper::Response;
+use redwinglatch_body::body_channel;
 use tokio::time::{Duration, timeout};
 
 use crate::{
@@ -69,7 +70,7 @@
     from: u32,
 ) -> Response<ResponseBody> {
     let boot_id = source.boot_id.clone();
-    let (mut sender, body) = Channel::<Bytes, Infallible>::new(CHANNEL_CAPACITY);
+    let (sender, body) = body_channel(CHANNEL_CAPACITY);
     let keep_alive = Duration::from_millis(context.state().settings.keep_alive_ms);
     tokio::spawn(async move {
         let adapter_json =
@@ -89,14 +90,14 @@
             }
             if !writer.chunk.is_empty() {
                 let chunk = Bytes::from(std::mem::take(&mut writer.chunk));
-                if sender.send_data(chunk).await.is_err() {
+                if sender.send(chunk).await.is_err() {
                     return;
                 }
                 context.record_delivered(writer.source.record_index, writer.index);
             }
             match next_action {
                 NextAction::Continue => {}
-                NextAction::End => return,
+                NextAction::End => return sender.finish(),
                 NextAction::Stall => connection.stall(),
                 NextAction::Reset => return connection.reset(),
             }
@@ -106,7 +107,7 @@
                 Ok(Err(_)) => return connection.reset(),
                 Err(_) => {
                     let comment = Bytes::from_static(b": keep-alive\n\n");
-                    if sender.send_data(comment).await.is_err() {
+                    if sender.send(comment).await.is_err() {
                         return;
                     }
                 }
--- a/crates/redwinglatch-fakes/src/response.rs
+++ b/crates/redwinglatch-fakes/src/response.rs
@@ -1,7 +1,6 @@
 //! Bodies and responses that all fakes share.
 
 use std::{
-    convert::Infallible,
     pin::Pin,
     task::{Context, Poll},
 };
@@ -12,12 +11,13 @@
     Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
 };
+use redwinglatch_body::BodyInterrupted;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::connection_control::RequestGuard;
 
 /// The body of every response.
-pub(crate) type ResponseBody = BoxBody<Bytes, Infallible>;
+pub(crate) type ResponseBody = BoxBody<Bytes, BodyInterrupted>;
 
 /// The largest request body that a fake reads; above the 1 MiB limit of the client.
 const REQUEST_LIMIT_BYTES: usize = 4 << 20;
@@ -34,7 +34,7 @@
 pub(crate) fn raw_json(body: String) -> Response<ResponseBody> {
     Response::builder()
         .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(body)).boxed())
+        .body(Full::new(Bytes::from(body)).map_err(|never| match never {}).boxed())
         .expect("the headers are valid")
 }
 
@@ -83,12 +83,12 @@
 
 impl Body for GuardedBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BodyInterrupted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyInterrupted>>> {
         Pin::new(&mut self.inner).poll_frame(cx)
     }
 
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -1,24 +1,11 @@
 //! Forwards the events of a stream to the caller as they arrive.
 
-use std::{
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{
-    Response,
-    body::{Body as HttpBody, Frame, Incoming},
-    header::HeaderValue,
-};
-use thiserror::Error;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout, timeout_at},
-};
+use hyper::{Response, body::Incoming, header::HeaderValue};
+use redwinglatch_body::{BodySender, body_channel};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     entry::forward::{AttemptOutcome, BackendAttempt},
@@ -43,47 +30,6 @@
 /// The outcome of a stream that ends without its last event, in log lines and counters.
 const BROKEN_OFF_OUTCOME: &str = "broken_off";
 
-/// A part of a streamed response.
-enum StreamChunk {
-    Data(Bytes),
-    /// The response is complete.
-    End,
-}
-
-/// Error of a response body that ends before the stream is complete.
-#[derive(Debug, Error)]
-#[error("the stream broke off")]
-struct StreamInterrupted;
-
-/// A response body that is complete only after [`StreamChunk::End`]; otherwise it ends with an error.
-struct StreamBody {
-    chunks: mpsc::Receiver<StreamChunk>,
-    is_ended: bool,
-}
-
-impl HttpBody for StreamBody {
-    type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        if self.is_ended {
-            return Poll::Ready(None);
-        }
-        match self.chunks.poll_recv(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(StreamChunk::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
-            Poll::Ready(Some(StreamChunk::End)) => {
-                self.is_ended = true;
-                Poll::Ready(None)
-            }
-            Poll::Ready(None) => Poll::Ready(Some(Err(Box::new(StreamInterrupted)))),
-        }
-    }
-}
-
 /// How the body of a stream from one server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum BodyEnd {
@@ -145,8 +91,8 @@
     caller: CallerRequest,
     received_at: Instant,
 ) -> Response<Body> {
-    let (sender, chunks) = mpsc::channel(QUEUE_CHUNKS);
-    let mut response = Response::new(StreamBody { chunks, is_ended: false }.boxed());
+    let (sender, body) = body_channel(QUEUE_CHUNKS);
+    let mut response = Response::new(body.map_err(Into::into).boxed());
     *response.status_mut() = started.status;
     *response.headers_mut() = started.headers.clone();
     let is_resumable = prepared.route().kind.may_repeat();
@@ -192,7 +138,7 @@
     attempts: RequestAttempts,
     received_at: Instant,
     timings: StreamTimings,
-    sender: mpsc::Sender<StreamChunk>,
+    sender: BodySender,
     events: EventBuffer,
     _caller: CallerRequest,
 }
@@ -211,9 +157,7 @@
                     ReadResult::Complete => {
                         lease.reuse();
                         self.record_completion(backend);
-                        // The caller may have disconnected.
-                        let _ = self.sender.send(StreamChunk::End).await;
-                        return;
+                        return self.sender.finish();
                     }
                     ReadResult::Stopped => return,
                     ReadResult::Interrupted => break None,
@@ -350,7 +294,7 @@
                 },
             };
             let ready = self.events.push(data);
-            if !ready.is_empty() && self.sender.send(StreamChunk::Data(ready)).await.is_err() {
+            if !ready.is_empty() && self.sender.send(ready).await.is_err() {
                 return ReadResult::Stopped;
             }
         }
