Give the stream benchmark's customer limits above what it sends

The benchmark sends requests one after the other without a pause; on an idle machine these are more than the 1,000 requests/s of the usual contract of the tests, so the instance was right to refuse, and the benchmark is wrong. Its contract now allows 20,000 requests/s and their tokens; what it measures doesn't depend on the limits.

--- a/crates/redwinglatch/src/bench/stream.rs
+++ b/crates/redwinglatch/src/bench/stream.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hyper::Method;
-use redwinglatch_core::Revision;
+use redwinglatch_core::{Contract, Revision};
 use redwinglatch_fakes::{CallerRequest, FakeCaller};
 use redwinglatch_local::{Deployment, Fakes, FakesOptions, Timing};
 use redwinglatch_report::{Measurement, ReportSection, Table, format_number};
@@ -26,6 +26,7 @@
 const SHORT_REQUESTS: u32 = 50;
 const FEW_TOKENS: u32 = 1;
 const MANY_TOKENS: u32 = 401;
+const REQUEST_RATE_PER_S: u32 = 20_000;
 const TIMEOUT: Duration = Duration::from_secs(180);
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -123,7 +124,12 @@
 impl Routes {
     /// Waits until a request through the instance succeeds, which also loads the adapter.
     async fn prepare(&mut self, deployment: &Deployment) -> io::Result<()> {
-        let contract = Deployment::contract(CUSTOMER, "district-");
+        // Requests follow each other without a pause, faster than the usual limits allow.
+        let contract = Contract {
+            request_rate_per_s: REQUEST_RATE_PER_S,
+            token_rate_per_s: REQUEST_RATE_PER_S * MANY_TOKENS,
+            ..Deployment::contract(CUSTOMER, "district-")
+        };
         let operator = deployment.operator();
         let deadline = Instant::now() + START_TIMEOUT;
         loop {
