Send the changes of the backend list instead of the whole list

A core process keeps the last 64 changes, and the list that each link got last. A request is answered with the joined changes since then. An entry process whose list came from elsewhere ignores them and requests again, and gets the whole list. The request is as before, so entry processes are still replaced before core processes.

Tests: random changes lead to the same list as the whole list does; one change of 3,000 servers costs less than a thousandth of the bytes for 300 entry processes.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -1,5 +1,6 @@
 //! A core process: the replicated log, the operators' API and the coordinator of engines.
 
+mod announced_backends;
 mod backend_list;
 mod compressed_configuration;
 mod control_api;
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -28,13 +28,14 @@
     clock::{Clock, TimerLag},
     http::HttpClient,
     ids::BackendKey,
-    link::{Frame, LinkSender},
-    message::{Backend, FleetMessage, LeaderRequest, LeaderResponse},
+    link::LinkSender,
+    message::{FleetMessage, LeaderRequest, LeaderResponse},
     metrics::Metrics,
     state::{FleetState, StateChange, StateCommand},
 };
 
 use super::{
+    announced_backends::AnnouncedBackends,
     compressed_configuration::CompressedConfiguration,
     entry_links::EntryLinks,
     links::{self, CoreLinks},
@@ -168,10 +169,7 @@
     ready_reads: Vec<(Index, ResponseSender)>,
     forwarded_requests: HashMap<u64, oneshot::Sender<LeaderResponse>>,
     next_request_id: u64,
-    backends: Vec<Backend>,
-    backends_digest: u64,
-    /// The message with the newest backend list, encoded once for all entry processes.
-    backends_frame: Option<(u64, Frame)>,
+    backends: AnnouncedBackends,
     planner: Option<(Term, Planner)>,
     /// Time at which another process was last known to be the leader.
     other_coordinator_ms: Option<u64>,
@@ -227,9 +225,7 @@
             ready_reads: Vec::new(),
             forwarded_requests: HashMap::new(),
             next_request_id: 0,
-            backends: Vec::new(),
-            backends_digest: 0,
-            backends_frame: None,
+            backends: AnnouncedBackends::default(),
             planner: None,
             other_coordinator_ms: (!start_state.is_new_fleet).then(|| clock.now_ms()),
             lag: TimerLag::default(),
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -5,8 +5,8 @@
 
 use crate::{
     BackendEntry,
-    ids::{BackendKey, FnvHasher},
-    link::{Frame, LinkSender},
+    ids::BackendKey,
+    link::LinkSender,
     message::{Backend, EntryHello, EntryStatus, FleetMessage},
 };
 
@@ -54,8 +54,7 @@
                 }
             }
             FleetMessage::BackendsRequest => {
-                let frame = self.backends_frame();
-                sender.send_frame(frame);
+                sender.send_frame(self.backends.frame_for(link));
             }
             FleetMessage::ModelLocationsRequest => {
                 self.send_model_locations(&sender);
@@ -106,13 +105,14 @@
             sender.send(&FleetMessage::ConfigurationNotice { version: self.state.version });
         }
         sender.send(&self.versions_message());
-        sender.send(&FleetMessage::BackendsNotice { digest: self.backends_digest });
+        sender.send(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
         self.send_model_locations(&sender);
         self.entries.insert(link, sender, hello);
     }
 
     pub(super) fn handle_link_closed(&mut self, link: u64) {
         let now_ms = self.now_ms();
+        self.backends.link_closed(link);
         if let Some(front) = self.entries.remove(link) {
             log::info!("core: entry process {front} disconnected");
             if let Some((_, planner)) = &mut self.planner {
@@ -142,19 +142,6 @@
         FleetMessage::Versions(versions.map(|(model, version)| (model.clone(), *version)).collect())
     }
 
-    fn backends_frame(&mut self) -> Frame {
-        let digest = self.backends_digest;
-        if let Some((encoded, frame)) = &self.backends_frame
-            && *encoded == digest
-        {
-            return frame.clone();
-        }
-        let entries = self.backends.clone();
-        let frame = Frame::encode(&FleetMessage::Backends { digest, entries });
-        self.backends_frame = Some((digest, frame.clone()));
-        frame
-    }
-
     /// Sends the locations of all models if this process is the coordinator, in parts that leave
     /// room for other messages.
     fn send_model_locations(&self, sender: &LinkSender) {
@@ -171,7 +158,7 @@
 
     pub(super) fn handle_backend_list(&mut self, entries: Vec<BackendEntry>) {
         let now_ms = self.now_ms();
-        let mut backends: Vec<Backend> = entries
+        let backends = entries
             .into_iter()
             .map(|entry| Backend {
                 key: BackendKey::new(&entry.id, entry.address, entry.started_unix_ms),
@@ -183,15 +170,10 @@
                 leaving: entry.leaving,
             })
             .collect();
-        backends.sort_unstable_by_key(|backend| backend.key);
-        backends.dedup_by_key(|backend| backend.key);
-        let mut digest = FnvHasher::new();
-        digest.write(&postcard::to_allocvec(&backends).expect("the list encodes into memory"));
-        self.backends_digest = digest.0;
-        self.backends = backends;
+        self.backends.set(backends);
         if let Some((_, planner)) = &mut self.planner {
-            planner.set_backends(now_ms, &self.backends);
+            planner.set_backends(now_ms, self.backends.backends());
         }
-        self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends_digest });
+        self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
     }
 }
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -34,7 +34,8 @@
     metrics::{self, Metrics},
 };
 
-use self::{budget::RetryBudget, fleet_view::FleetView, state_sources::StateSources};
+pub(crate) use self::fleet_view::FleetView;
+use self::{budget::RetryBudget, state_sources::StateSources};
 
 /// Time before the end of the grace period at which the process stops accepting connections.
 const STOP_ACCEPTING_MARGIN_MS: u64 = 1_600;
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -183,6 +183,12 @@
         FleetMessage::Backends { digest, entries } => {
             context.fleet_view().set_backends(digest, entries);
         }
+        FleetMessage::BackendChanges(changes) => {
+            if !context.fleet_view().change_backends(changes) {
+                log::debug!("entry: the list changes of {core} start from another list");
+                sender.send(&FleetMessage::BackendsRequest);
+            }
+        }
         FleetMessage::EntryEndpoints(endpoints) => {
             let count = {
                 let mut view = context.fleet_view();
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -18,8 +18,8 @@
     ids::{BackendKey, ModelName},
     link::LinkSender,
     message::{
-        Backend, EntryEndpoint, EntryEndpointChanges, EntryStatus, FleetMessage, ModelLocation,
-        ModelLocationChange, PlaceReply, PlaceRequest,
+        Backend, BackendChanges, EntryEndpoint, EntryEndpointChanges, EntryStatus, FleetMessage,
+        ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest,
     },
 };
 
@@ -277,22 +277,51 @@
         let mut previous = std::mem::take(&mut self.backends);
         self.services.clear();
         for backend in entries {
-            let key = backend.key;
-            self.services.entry(backend.service.clone()).or_default().push(key);
-            let state = match previous.remove(&key) {
-                Some(state) => BackendState { backend, ..state },
-                None => BackendState {
-                    backend,
-                    own_in_flight: 0,
-                    others_in_flight: 0,
-                    is_unresponsive: false,
-                    health: BackendHealth::default(),
-                },
-            };
-            self.backends.insert(key, state);
+            let state = previous.remove(&backend.key);
+            self.insert_backend(backend, state);
         }
     }
 
+    /// Applies changes of the backend list; returns false, and changes nothing, if they start from another
+    /// list.
+    pub(crate) fn change_backends(&mut self, changes: BackendChanges) -> bool {
+        if changes.from != self.backends_digest {
+            return false;
+        }
+        self.backends_digest = changes.digest;
+        let replaced = changes.changed.iter().map(|backend| backend.key);
+        let mut previous: HashMap<BackendKey, BackendState> = HashMap::new();
+        for key in changes.removed.into_iter().chain(replaced) {
+            let Some(state) = self.backends.remove(&key) else { continue };
+            if let Some(keys) = self.services.get_mut(&state.backend.service) {
+                keys.retain(|other| *other != key);
+            }
+            previous.insert(key, state);
+        }
+        for backend in changes.changed {
+            let state = previous.remove(&backend.key);
+            self.insert_backend(backend, state);
+        }
+        true
+    }
+
+    /// Adds a server, with its state if it was listed before.
+    fn insert_backend(&mut self, backend: Backend, previous: Option<BackendState>) {
+        let key = backend.key;
+        self.services.entry(backend.service.clone()).or_default().push(key);
+        let state = match previous {
+            Some(state) => BackendState { backend, ..state },
+            None => BackendState {
+                backend,
+                own_in_flight: 0,
+                others_in_flight: 0,
+                is_unresponsive: false,
+                health: BackendHealth::default(),
+            },
+        };
+        self.backends.insert(key, state);
+    }
+
     /// Accepts `core` as the coordinator of `epoch`, unless the epoch is outdated.
     pub(crate) fn accept_coordinator(
         &mut self,
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
@@ -25,6 +25,19 @@
     }
 }
 
+impl FleetView {
+    /// Returns the listed servers in the order of their keys.
+    pub(crate) fn listed_backends(&self) -> Vec<Backend> {
+        let mut listed: Vec<Backend> =
+            self.backends.values().map(|state| state.backend.clone()).collect();
+        listed.sort_unstable_by_key(|backend| backend.key);
+        let mut keys: Vec<BackendKey> = self.services.values().flatten().copied().collect();
+        keys.sort_unstable();
+        assert!(keys.iter().eq(listed.iter().map(|backend| &backend.key)), "services are indexed");
+        listed
+    }
+}
+
 fn table(version: u64) -> RouteTable {
     let limits = RequestLimits::default();
     let configuration = Configuration { version, routes: vec![], services: vec![], limits };
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -80,6 +80,8 @@
     EntryEndpointChanges(EntryEndpointChanges),
     /// The sender's configuration, compressed with deflate.
     CompressedConfiguration { version: u64, document: Vec<u8> },
+    /// The changes since the backend list that the sender sent last on this link.
+    BackendChanges(BackendChanges),
 }
 
 impl FleetMessage {
@@ -105,7 +107,7 @@
                 "configuration"
             }
             FleetMessage::Versions(_) => "versions",
-            FleetMessage::Backends { .. } => "backends",
+            FleetMessage::Backends { .. } | FleetMessage::BackendChanges(_) => "backends",
             FleetMessage::EntryEndpoints(_) | FleetMessage::EntryEndpointChanges(_) => {
                 "entry_endpoints"
             }
@@ -228,6 +230,18 @@
     pub(crate) leaving: bool,
 }
 
+/// The difference between two backend lists.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct BackendChanges {
+    /// The digest of the list to which the changes apply.
+    pub(crate) from: u64,
+    /// The digest of the list that they lead to.
+    pub(crate) digest: u64,
+    /// Servers that are new or differ.
+    pub(crate) changed: Vec<Backend>,
+    pub(crate) removed: Vec<BackendKey>,
+}
+
 /// A model or adapter that is loaded on an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ModelLocation {
