Forward an answer of another type on a stream route

answer_of_another_type_on_a_stream_route_is_forwarded failed before (the caller's connection was closed in the middle) and passes.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_ENCODING, HeaderValue},
+    header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderValue},
 };
 use tokio::time::Instant;
 
@@ -106,7 +106,7 @@
         }
         let framing = BodyFraming::of(&parts.headers);
         let headers = headers::for_caller(parts.headers);
-        if is_success && prepared.route().kind.is_stream() {
+        if is_success && prepared.route().kind.is_stream() && may_be_event_stream(&headers) {
             let status = parts.status;
             return AttemptOutcome::Stream(StartedStream {
                 status,
@@ -221,6 +221,12 @@
     }
 }
 
+/// Returns whether the body may consist of events; one of another type is complete by its framing alone.
+fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    content_type.is_none_or(|value| value.trim_start().starts_with("text/event-stream"))
+}
+
 /// Reads a short response to its end, so that the connection can be reused.
 async fn drain_body(body: Incoming, lease: ConnectionLease) {
     const MAX_REJECTION_BYTES: usize = 64 << 10;
