Keep what a server announced while it is missing from the list

Found by reading the change once more: the lists of several core processes differ in age, so a server can drop out of an entry process's list and come back under the same key. Its announcement (that it leaves, or wants no requests for a time) was lost with its state, and it would have got requests.

An entry process keeps the announcements of the last 256 servers that it no longer lists. server_that_announced_its_stop_receives_no_requests, extended by such a list, failed before.

--- a/crates/redwinglatch-fleet/src/core/announced_backends.rs
+++ b/crates/redwinglatch-fleet/src/core/announced_backends.rs
@@ -60,11 +60,7 @@
         }
         let mut digest = FnvHasher::new();
         digest.write(&postcard::to_allocvec(&backends).expect("the list encodes into memory"));
-        let find = |list: &[Backend], key| {
-            list.binary_search_by_key(&key, |backend| backend.key).ok().map(|at| list[at].clone())
-        };
-        let changed =
-            backends.iter().filter(|new| find(&self.backends, new.key).as_ref() != Some(new));
+        let changed = backends.iter().filter(|new| find(&self.backends, new.key) != Some(*new));
         let removed = self.backends.iter().filter(|old| find(&backends, old.key).is_none());
         self.changes.push_back(ListChange {
             from: self.digest,
@@ -122,5 +118,11 @@
     }
 }
 
+/// Finds a server in a list that is in the order of the keys.
+fn find(backends: &[Backend], key: BackendKey) -> Option<&Backend> {
+    let at = backends.binary_search_by_key(&key, |backend| backend.key).ok()?;
+    Some(&backends[at])
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/redwinglatch-fleet/src/entry/backend_health.rs
+++ b/crates/redwinglatch-fleet/src/entry/backend_health.rs
@@ -57,6 +57,11 @@
         self.is_leaving
     }
 
+    /// Returns whether the server ever announced its stop or asked for no requests.
+    pub(super) fn has_announcement(&self) -> bool {
+        self.is_leaving || self.hold_until_ms > 0
+    }
+
     /// Returns whether the server should get requests only if there is no other.
     pub(super) fn is_avoided(&self, now_ms: u64) -> bool {
         now_ms < self.avoid_until_ms
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -3,7 +3,7 @@
 mod selection;
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
 };
@@ -23,6 +23,9 @@
     },
 };
 
+/// Maximum number of servers whose announcements are kept although they are no longer listed.
+const MAX_UNLISTED: usize = 256;
+
 /// State of a backend server as this process knows it.
 #[derive(Debug)]
 struct BackendState {
@@ -52,6 +55,9 @@
     table: Option<Arc<RouteTable>>,
     backends: HashMap<BackendKey, BackendState>,
     services: HashMap<Box<str>, Vec<BackendKey>>,
+    /// What servers that are no longer listed have announced, the oldest first. The lists of several core
+    /// processes differ in age, so a server may be listed again.
+    unlisted: VecDeque<(BackendKey, BackendHealth)>,
     backends_digest: u64,
     /// The engines on which each model or adapter is loaded, with its version.
     model_locations: HashMap<ModelName, SmallVec<[(BackendKey, u64); 2]>>,
@@ -87,6 +93,7 @@
             table: None,
             backends: HashMap::new(),
             services: HashMap::new(),
+            unlisted: VecDeque::new(),
             backends_digest: 0,
             model_locations: HashMap::new(),
             coordinator_epoch: 0,
@@ -280,6 +287,7 @@
             let state = previous.remove(&backend.key);
             self.insert_backend(backend, state);
         }
+        self.remember_unlisted(previous);
     }
 
     /// Applies changes of the backend list; returns false, and changes nothing, if they start from another
@@ -302,9 +310,24 @@
             let state = previous.remove(&backend.key);
             self.insert_backend(backend, state);
         }
+        self.remember_unlisted(previous);
         true
     }
 
+    /// Keeps what removed servers have announced.
+    fn remember_unlisted(&mut self, removed: HashMap<BackendKey, BackendState>) {
+        let announced = removed.into_iter().filter(|(_, state)| state.health.has_announcement());
+        self.unlisted.extend(announced.map(|(key, state)| (key, state.health)));
+        let surplus = self.unlisted.len().saturating_sub(MAX_UNLISTED);
+        self.unlisted.drain(..surplus);
+    }
+
+    /// Returns what a server that is listed again has announced before.
+    fn take_unlisted(&mut self, key: BackendKey) -> Option<BackendHealth> {
+        let at = self.unlisted.iter().position(|(unlisted, _)| *unlisted == key)?;
+        self.unlisted.remove(at).map(|(_, health)| health)
+    }
+
     /// Adds a server, with its state if it was listed before.
     fn insert_backend(&mut self, backend: Backend, previous: Option<BackendState>) {
         let key = backend.key;
@@ -316,7 +339,7 @@
                 own_in_flight: 0,
                 others_in_flight: 0,
                 is_unresponsive: false,
-                health: BackendHealth::default(),
+                health: self.take_unlisted(key).unwrap_or_default(),
             },
         };
         self.backends.insert(key, state);
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
@@ -89,9 +89,13 @@
         assert_eq!(selected_address(&selection), Some(address(2)));
     }
     assert_eq!(selected_address(&view.placed_engine(0, leaving, None)), None);
+    // An older list of another core process doesn't have the server yet.
+    view.set_backends(3, vec![backend(2, "desk")]);
+    view.set_backends(4, vec![backend(1, "desk"), backend(2, "desk")]);
+    assert_eq!(view.unusable_engines(0, "desk").as_slice(), [leaving]);
     // A server that starts again under the same id has another key.
     let restarted = BackendKey::new("s-1", address(1), 77);
-    view.set_backends(3, vec![Backend { key: restarted, ..backend(1, "desk") }]);
+    view.set_backends(5, vec![Backend { key: restarted, ..backend(1, "desk") }]);
     let selection = view.select_plain_backend(0, "desk", "hall-a", &[]);
     assert_eq!(selected_address(&selection), Some(address(1)));
 }
