Refuse a request for an adapter at once while all engines want none for long

Found by reading the change once more: with every engine in a long pause, the request was sent to the coordinator with all engines excluded and waited there until its caller would leave.

The entry process looks for such a service before it asks the coordinator: a short pause is waited for, a long one ends the request with the time of its end. The look-up ends at the first server that takes requests.

--- a/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
@@ -134,10 +134,12 @@
     /// Returns the time at which the first server of a service takes requests again, if all servers that
     /// aren't leaving want none.
     pub(crate) fn service_hold_end_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
-        if self.least_loaded(now_ms, self.usable_backends(service, &[]), "").is_some() {
-            return None;
+        let mut earliest_ms: Option<u64> = None;
+        for key in self.usable_backends(service, &[]) {
+            let hold_end_ms = self.backends.get(&key)?.health.hold_end_ms(now_ms)?;
+            earliest_ms = Some(earliest_ms.map_or(hold_end_ms, |end_ms| end_ms.min(hold_end_ms)));
         }
-        self.earliest_hold_end_ms(now_ms, self.usable_backends(service, &[]))
+        earliest_ms
     }
 
     /// Returns the servers of a service that aren't leaving.
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -341,6 +341,11 @@
     loop {
         if prepared.model.is_some() {
             let now_ms = context.now_ms();
+            let hold_end_ms = context.fleet_view().service_hold_end_ms(now_ms, &prepared.service);
+            if let Some(until_ms) = hold_end_ms {
+                wait_for_hold(context, prepared, until_ms, received_at).await?;
+                continue;
+            }
             let mut unusable = context.fleet_view().unusable_engines(now_ms, &prepared.service);
             unusable.extend_from_slice(excluded);
             let request = prepared.place_request(&unusable, received_at);
