--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -55,7 +55,7 @@
     table: Option<Arc<RouteTable>>,
     backends: HashMap<BackendKey, BackendState>,
     services: HashMap<Box<str>, Vec<BackendKey>>,
-    /// What servers that are no longer listed have announced, the oldest first. The lists of several core
+    /// Announcements of servers that are no longer listed, the oldest first. The lists of several core
     /// processes differ in age, so a server may be listed again.
     unlisted: VecDeque<(BackendKey, BackendHealth)>,
     backends_digest: u64,
