Rename what the new code calls events(), backends() and none()

Read as a newcomer: event_count, list, unanswered and announce_stop say what they return; the comment on complete streams says why a length doesn't suffice.

--- a/crates/redwinglatch-fleet/src/core/announced_backends.rs
+++ b/crates/redwinglatch-fleet/src/core/announced_backends.rs
@@ -43,7 +43,7 @@
 }
 
 impl AnnouncedBackends {
-    pub(super) fn backends(&self) -> &[Backend] {
+    pub(super) fn list(&self) -> &[Backend] {
         &self.backends
     }
 
--- a/crates/redwinglatch-fleet/src/core/announced_backends/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/announced_backends/tests.rs
@@ -61,7 +61,7 @@
             let whole = apply(&mut view, &announced.frame_for(LINK));
             assert!(whole, "step {step}: the changes don't start from the list of the process");
             assert_eq!(view.backends_digest(), announced.digest());
-            assert_eq!(view.listed_backends(), announced.backends(), "step {step}");
+            assert_eq!(view.listed_backends(), announced.list(), "step {step}");
         }
     }
 }
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -126,14 +126,14 @@
             let totals = planner.in_flight();
             let included = self
                 .backends
-                .backends()
+                .list()
                 .iter()
                 .filter(|backend| with_engines || planner.backend(backend.key).is_none());
             let in_flight = included
                 .map(|backend| (backend.key, totals.get(&backend.key).copied().unwrap_or_default()))
                 .collect();
             if with_engines {
-                let message_bytes = self.backends.backends().len() as u64 * ENGINE_LOAD_BYTES;
+                let message_bytes = self.backends.list().len() as u64 * ENGINE_LOAD_BYTES;
                 let traffic_ms =
                     message_bytes * self.entries.len() as u64 / MAX_ENGINE_LOAD_BYTES_PER_MS;
                 self.engine_loads_due_ms = now_ms + ENGINE_LOADS_INTERVAL_MS.max(traffic_ms);
@@ -207,7 +207,7 @@
             (service.name.clone(), EngineService { limits, base_models })
         });
         planner.set_services(services.collect());
-        planner.set_backends(now_ms, self.backends.backends());
+        planner.set_backends(now_ms, self.backends.list());
     }
 }
 
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -172,7 +172,7 @@
             .collect();
         self.backends.set(backends);
         if let Some((_, planner)) = &mut self.planner {
-            planner.set_backends(now_ms, self.backends.backends());
+            planner.set_backends(now_ms, self.backends.list());
         }
         self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
     }
--- a/crates/redwinglatch-fleet/src/core/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/orders.rs
@@ -64,7 +64,7 @@
 
 impl<T> EngineAnswer<T> {
     /// The result of a call that the engine didn't answer.
-    fn none(result: T) -> EngineAnswer<T> {
+    fn unanswered(result: T) -> EngineAnswer<T> {
         EngineAnswer { result, is_leaving: false }
     }
 }
@@ -85,7 +85,7 @@
         Ok(request) => request,
         Err(error) => {
             log::error!("coordinator: cannot build an order to engine {}: {error}", engine.id);
-            return EngineAnswer::none(OrderOutcome::Refused);
+            return EngineAnswer::unanswered(OrderOutcome::Refused);
         }
     };
     match client.call(engine.address, request, ORDER_TIMEOUT).await {
@@ -104,11 +104,11 @@
                     OrderOutcome::Refused
                 }
             };
-            EngineAnswer { result, is_leaving: dialect.headers.state_leaving(&headers) }
+            EngineAnswer { result, is_leaving: dialect.headers.announce_stop(&headers) }
         }
         Err(error) => {
             log::info!("coordinator: order to engine {} was not answered: {error}", engine.id);
-            EngineAnswer::none(OrderOutcome::Unknown)
+            EngineAnswer::unanswered(OrderOutcome::Unknown)
         }
     }
 }
@@ -127,17 +127,17 @@
         Ok(request) => request,
         Err(error) => {
             log::error!("coordinator: cannot ask engine {} for its report: {error}", engine.id);
-            return EngineAnswer::none(None);
+            return EngineAnswer::unanswered(None);
         }
     };
     let (status, headers, body) = match client.call(engine.address, request, REPORT_TIMEOUT).await {
         Ok(answer) => answer,
         Err(error) => {
             log::debug!("coordinator: cannot fetch the report of engine {}: {error}", engine.id);
-            return EngineAnswer::none(None);
+            return EngineAnswer::unanswered(None);
         }
     };
-    let is_leaving = dialect.headers.state_leaving(&headers);
+    let is_leaving = dialect.headers.announce_stop(&headers);
     if status != StatusCode::OK {
         log::debug!("coordinator: engine {} responded {status} to a report request", engine.id);
         return EngineAnswer { result: None, is_leaving };
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -74,7 +74,7 @@
 
 impl HeaderNames {
     /// Returns whether a response states that its backend server is about to stop.
-    pub(crate) fn state_leaving(&self, headers: &HeaderMap) -> bool {
+    pub(crate) fn announce_stop(&self, headers: &HeaderMap) -> bool {
         headers.get(&self.leaving).is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/event_buffer.rs
+++ b/crates/redwinglatch-fleet/src/entry/event_buffer.rs
@@ -73,8 +73,8 @@
     }
 
     /// Returns the number of complete events in the current body.
-    pub(super) fn events(&self) -> u64 {
-        self.scanner.events()
+    pub(super) fn event_count(&self) -> u64 {
+        self.scanner.event_count()
     }
 }
 
--- a/crates/redwinglatch-fleet/src/entry/event_scanner.rs
+++ b/crates/redwinglatch-fleet/src/entry/event_scanner.rs
@@ -8,12 +8,17 @@
     is_inside_event: bool,
     is_line_empty: bool,
     is_after_cr: bool,
-    events: u64,
+    event_count: u64,
 }
 
 impl Default for EventScanner {
     fn default() -> EventScanner {
-        EventScanner { is_inside_event: false, is_line_empty: true, is_after_cr: false, events: 0 }
+        EventScanner {
+            is_inside_event: false,
+            is_line_empty: true,
+            is_after_cr: false,
+            event_count: 0,
+        }
     }
 }
 
@@ -42,7 +47,7 @@
             self.is_line_empty = false;
         } else if std::mem::replace(&mut self.is_line_empty, true) && self.is_inside_event {
             self.is_inside_event = false;
-            self.events += 1;
+            self.event_count += 1;
         }
     }
 
@@ -52,8 +57,8 @@
     }
 
     /// Returns the number of complete events.
-    pub(super) fn events(&self) -> u64 {
-        self.events
+    pub(super) fn event_count(&self) -> u64 {
+        self.event_count
     }
 }
 
--- a/crates/redwinglatch-fleet/src/entry/event_scanner/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/event_scanner/tests.rs
@@ -15,7 +15,7 @@
         }
         length += part.len();
     }
-    (complete, scanner.is_inside_event(), scanner.events())
+    (complete, scanner.is_inside_event(), scanner.event_count())
 }
 
 #[test]
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -166,7 +166,7 @@
     /// Records what a response says of its server, whatever becomes of the request.
     fn record_announcements(&self, status: StatusCode, headers: &HeaderMap) {
         let BackendAttempt { context, selected, .. } = self;
-        if context.dialect.headers.state_leaving(headers)
+        if context.dialect.headers.announce_stop(headers)
             && context.fleet_view().record_leaving(selected.key)
         {
             log::info!(
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -42,11 +42,11 @@
 impl BodyEnd {
     /// Returns whether a body that ended like this is a complete stream of `events` events.
     ///
-    /// No framing proves it: a server, or something between, may end its chunks or close its connection
-    /// inside an event. Without length or chunks, a body without events looks like a crash before the first.
+    /// A length or chunks only show that nothing was lost on the way: a server may end them inside an event.
+    /// Without them, a body without events is taken for one of a server that crashed before the first.
     fn is_complete(self, framing: BodyFraming, events: u64) -> bool {
-        let has_proven_length = framing != BodyFraming::ConnectionClose;
-        self == BodyEnd::BetweenEvents && (has_proven_length || events > 0)
+        let is_delimited = framing != BodyFraming::ConnectionClose;
+        self == BodyEnd::BetweenEvents && (is_delimited || events > 0)
     }
 
     /// Returns the label of a body's framing and end in the metrics.
@@ -199,7 +199,7 @@
             None => BodyEnd::BetweenEvents,
         };
         self.context.metrics.record_stream_end(end.label(framing));
-        let events = self.events.events();
+        let events = self.events.event_count();
         if end != BodyEnd::BetweenEvents || framing == BodyFraming::ConnectionClose {
             log::info!(
                 "request: id={} backend={:x} body_end={} events={events} error={}",
