Fetch the configuration again and again during a storm of changes

Cause: while configurations change faster than every 150 ms, an entry process asked once and then not again until the changes stopped. The process that it had asked was excluded although it had answered, and the delay before another one was asked started anew with every notice.

Fix: an answer ends the wait and the exclusion; requests are at least 250 ms apart, which bounds those of hundreds of processes; the delay counts from the first notice of a newer configuration; and the preferred core process is asked if it has anything newer, not only the newest.

configuration_is_requested_again_and_again_during_a_storm_of_changes failed before (still version 2 at 680 ms) and passes; the other tests of the state sources are unchanged.

--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -154,6 +154,7 @@
             request_configuration(context);
         }
         FleetMessage::CompressedConfiguration { version, document } => {
+            context.state_sources().configuration_received(core);
             match core::decompress_configuration(&document) {
                 Ok(document) => install_configuration(context, version, &document),
                 Err(error) => {
@@ -165,6 +166,7 @@
             context.state_sources().set_data_centre(core, data_centre);
         }
         FleetMessage::Configuration { version, document } => {
+            context.state_sources().configuration_received(core);
             install_configuration(context, version, &document);
         }
         FleetMessage::Versions(versions) => context.fleet_view().set_versions(versions),
--- a/crates/redwinglatch-fleet/src/entry/state_sources.rs
+++ b/crates/redwinglatch-fleet/src/entry/state_sources.rs
@@ -8,6 +8,9 @@
 const PREFERRED_NOTICE_DELAY_MS: u64 = 150;
 /// Time after which an unanswered request for the configuration is sent to another core process.
 const CONFIGURATION_RESPONSE_MS: u64 = 700;
+/// Shortest interval between requests for the configuration. It bounds the requests of hundreds of entry
+/// processes while the configuration changes all the time.
+const CONFIGURATION_INTERVAL_MS: u64 = 250;
 /// Time without a notice of the preferred core process after which the backend lists of others are
 /// requested; core processes announce theirs every 700 ms.
 const PREFERRED_LIST_SILENCE_MS: u64 = 1_600;
@@ -21,6 +24,14 @@
     version: u64,
 }
 
+/// The last request for the configuration.
+#[derive(Debug)]
+struct ConfigurationRequest {
+    core: SocketAddr,
+    sent_ms: u64,
+    is_answered: bool,
+}
+
 /// The connected core processes and what they have announced.
 ///
 /// Each entry process requests state from one core process, in its own data centre if possible. When
@@ -30,9 +41,12 @@
     front: SocketAddr,
     data_centre: Box<str>,
     sources: BTreeMap<SocketAddr, Source>,
-    /// The newest announced version, and the time of its first notice.
-    newest: (u64, u64),
-    requested: Option<(SocketAddr, u64)>,
+    /// Time since which a newer configuration than the own one has been announced. Further notices don't
+    /// change it, so that a storm of changes doesn't put off the requests.
+    outdated_since_ms: Option<u64>,
+    /// The configuration that this process had at the last look.
+    own_version: u64,
+    requested: Option<ConfigurationRequest>,
     preferred_list_notice_ms: Option<u64>,
     list_requested_ms: Option<u64>,
 }
@@ -43,7 +57,8 @@
             front,
             data_centre,
             sources: BTreeMap::new(),
-            newest: (0, 0),
+            outdated_since_ms: None,
+            own_version: 0,
             requested: None,
             preferred_list_notice_ms: None,
             list_requested_ms: None,
@@ -56,7 +71,7 @@
 
     pub(crate) fn disconnected(&mut self, core: SocketAddr) {
         self.sources.remove(&core);
-        if self.requested.is_some_and(|(requested, _)| requested == core) {
+        if self.requested.as_ref().is_some_and(|request| request.core == core) {
             self.requested = None;
         }
     }
@@ -83,8 +98,15 @@
         if let Some(source) = self.sources.get_mut(&core) {
             source.version = source.version.max(version);
         }
-        if version > self.newest.0 {
-            self.newest = (version, now_ms);
+        if version > self.own_version {
+            self.outdated_since_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Records that `core` has sent its configuration.
+    pub(crate) fn configuration_received(&mut self, core: SocketAddr) {
+        if let Some(request) = self.requested.as_mut().filter(|request| request.core == core) {
+            request.is_answered = true;
         }
     }
 
@@ -95,31 +117,44 @@
         now_ms: u64,
         own_version: u64,
     ) -> Option<SocketAddr> {
+        self.own_version = own_version;
         let newest = self.sources.values().map(|source| source.version).max()?;
-        let is_awaited =
-            self.requested.is_some_and(|(_, sent_ms)| now_ms < sent_ms + CONFIGURATION_RESPONSE_MS);
-        if newest <= own_version || is_awaited {
+        if newest <= own_version {
+            self.outdated_since_ms = None;
             return None;
         }
-        let last = self.requested.map(|(core, _)| core);
-        let mut holders: Vec<SocketAddr> = self
-            .sources
-            .iter()
-            .filter(|(_, source)| source.version == newest)
-            .map(|(core, _)| *core)
-            .collect();
-        if holders.len() > 1 {
-            holders.retain(|core| Some(*core) != last);
+        let outdated_since_ms = *self.outdated_since_ms.get_or_insert(now_ms);
+        let mut unanswered = None;
+        if let Some(request) = &self.requested {
+            let interval_ms = if request.is_answered {
+                CONFIGURATION_INTERVAL_MS
+            } else {
+                unanswered = Some(request.core);
+                CONFIGURATION_RESPONSE_MS
+            };
+            if now_ms < request.sent_ms + interval_ms {
+                return None;
+            }
         }
-        let preferred = self.preferred().filter(|preferred| holders.contains(preferred));
-        if preferred.is_none() && now_ms < self.newest.1 + PREFERRED_NOTICE_DELAY_MS {
+        let is_newer = |core: &SocketAddr| self.sources[core].version > own_version;
+        let preferred = self.preferred().filter(|core| is_newer(core) && Some(*core) != unanswered);
+        if preferred.is_none() && now_ms < outdated_since_ms + PREFERRED_NOTICE_DELAY_MS {
             return None;
         }
-        let core = preferred.or_else(|| fastrand::choice(holders))?;
-        self.requested = Some((core, now_ms));
+        let core = preferred.or_else(|| self.other_holder(newest, unanswered))?;
+        self.requested = Some(ConfigurationRequest { core, sent_ms: now_ms, is_answered: false });
         Some(core)
     }
 
+    /// Draws a core process that has announced `version`, but `unanswered` only if there is no other.
+    fn other_holder(&self, version: u64, unanswered: Option<SocketAddr>) -> Option<SocketAddr> {
+        let holders = self.sources.iter().filter(|(_, source)| source.version == version);
+        let holders: Vec<SocketAddr> = holders.map(|(core, _)| *core).collect();
+        let others: Vec<SocketAddr> =
+            holders.iter().copied().filter(|core| Some(*core) != unanswered).collect();
+        fastrand::choice(others).or_else(|| fastrand::choice(holders))
+    }
+
     /// Returns whether to request the backend list of `core`, which has announced one that differs
     /// from the list of this process.
     ///
--- a/crates/redwinglatch-fleet/src/entry/state_sources/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/state_sources/tests.rs
@@ -83,3 +83,34 @@
     assert!(!sources.should_request_list(1_400, core(1), true));
     assert!(sources.should_request_list(2_320, core(1), true));
 }
+
+/// Guards against an entry process that installs nothing while the configuration changes all the time: every
+/// notice restarted the delay after which it asked another core process than the one that it had asked.
+#[test]
+fn configuration_is_requested_again_and_again_during_a_storm_of_changes() {
+    const CHANGE_INTERVAL_MS: u64 = 80;
+    const MAX_LAG_MS: u64 = 600;
+    let mut sources = sources(0);
+    let mut own_version = 1;
+    let mut response: Option<(u64, SocketAddr, u64)> = None;
+    let mut requests = 0;
+    for now_ms in 0..3_000 {
+        let version = 2 + now_ms / CHANGE_INTERVAL_MS;
+        if now_ms % CHANGE_INTERVAL_MS == 0 {
+            for number in [1, 3, 2] {
+                sources.configuration_announced(now_ms, core(number), version);
+            }
+        }
+        if let Some((_, from, received)) = response.take_if(|(at_ms, ..)| *at_ms == now_ms) {
+            own_version = received;
+            sources.configuration_received(from);
+        }
+        if let Some(asked) = sources.take_configuration_request(now_ms, own_version) {
+            requests += 1;
+            response = Some((now_ms + 5, asked, version));
+        }
+        let overtaken = now_ms.checked_sub(MAX_LAG_MS).map(|at_ms| 2 + at_ms / CHANGE_INTERVAL_MS);
+        assert!(Some(own_version) >= overtaken, "version {own_version} at {now_ms} ms");
+    }
+    assert!(requests <= 12, "{requests} requests of one process in 3 s");
+}
