Log versions that take effect and orders for base models

Orders for base models are logged with their outcome, orders are counted by kind (orders_sent), and the decisions that lead to an unload have a line: an outdated copy, and a refusal (421) of a model that counted as loaded.

No decision changes.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -313,7 +313,10 @@
             DriverEvent::OrderFinished { order, answer } => {
                 let now_ms = self.now_ms();
                 let outcome = answer.result;
-                log::debug!("coordinator: {order:?} ended: {outcome:?}");
+                log::log!(
+                    if order.is_for_base_model() { log::Level::Info } else { log::Level::Debug },
+                    "coordinator: {order:?} ended: {outcome:?}"
+                );
                 self.metrics.record_order(outcome.code());
                 if outcome == OrderOutcome::Fenced {
                     log::warn!(
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -182,6 +182,7 @@
             holder: self.settings.name.clone(),
             fencing_token: epoch,
         };
+        self.metrics.record_sent_order(planned.label());
         let (client, dialect) = (Arc::clone(&self.client), self.dialect);
         let events = self.events.clone();
         tokio::spawn(async move {
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -103,6 +103,23 @@
     pub(super) expected_sequence: u64,
 }
 
+impl PlannedOrder {
+    /// Returns whether the order is for a base model, without which an engine serves nothing.
+    pub(super) fn is_for_base_model(&self) -> bool {
+        !self.model.contains('/')
+    }
+
+    /// Returns the label of the order in the metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match (self.kind, self.is_for_base_model()) {
+            (OrderKind::Load, false) => "load_adapter",
+            (OrderKind::Unload, false) => "unload_adapter",
+            (OrderKind::Load, true) => "load_base_model",
+            (OrderKind::Unload, true) => "unload_base_model",
+        }
+    }
+}
+
 /// Capacity of each engine of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) struct EngineLimits {
@@ -376,6 +393,10 @@
         let Some(engine) = self.engines.get_mut(&key) else { return };
         let Some(model_state) = engine.models.get_mut(model) else { return };
         if model_state.phase == ModelPhase::Loaded {
+            log::info!(
+                "coordinator: engine {} refused a request for {model}, which counted as loaded",
+                engine.backend.id
+            );
             model_state.phase = ModelPhase::Unloading;
             model_state.order = OrderState::Sent;
             model_state.since_ms = now_ms;
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -216,6 +216,11 @@
                     && !self.reported_use.is_used(key, model);
                 let is_planned = due.iter().any(|order| order.engine == key);
                 if is_unused_old && engine.can_take_order(now_ms) && !is_planned {
+                    log::info!(
+                        "coordinator: engine {} unloads version {} of {model}; the newest is {newest}",
+                        engine.backend.id,
+                        model_state.version,
+                    );
                     due.push(engine.new_order(OrderKind::Unload, model.clone()));
                 }
             }
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -77,6 +77,11 @@
         self.increment("stream_ends", end);
     }
 
+    /// Counts an order that is sent to an engine, by its kind.
+    pub(crate) fn record_sent_order(&self, kind: &'static str) {
+        self.increment("orders_sent", kind);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, outcome: &'static str) {
         self.increment("orders", outcome);
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -50,11 +50,13 @@
             }
             StateCommand::PutConfiguration { .. } => StateChange::Nothing,
             StateCommand::PutVersion { model, version } => {
+                let name = model.clone();
                 let newest = self.versions.entry(model).or_default();
                 if version <= *newest {
                     return StateChange::Nothing;
                 }
                 *newest = version;
+                log::info!("core: version {version} of {name} is the newest");
                 StateChange::Version
             }
             StateCommand::SetCoreAddress { replica, link } => {
