--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -11,6 +11,7 @@
 
 use super::{BaseModels, EngineLimits, EngineService, PlannedOrder, Planner};
 
+mod base_versions;
 mod leaving;
 mod orders;
 
@@ -50,16 +51,7 @@
             return OrderOutcome::Conflict;
         }
         if *order.model == *"m" {
-            if self.base_ready_ms <= now_ms {
-                return OrderOutcome::InEffect;
-            }
-            if self.base_ready_ms != u64::MAX {
-                return OrderOutcome::Conflict;
-            }
-            self.base_ready_ms = now_ms + BASE_LOAD_MS;
-            self.base_loads_ms.push(now_ms);
-            self.sequence += 1;
-            return OrderOutcome::Accepted;
+            return self.carry_out_for_base(now_ms, order.kind);
         }
         if now_ms < self.base_ready_ms {
             return OrderOutcome::Refused;
@@ -82,6 +74,27 @@
         }
     }
 
+    /// Carries out an order for the base model; unloading it drops its adapters.
+    fn carry_out_for_base(&mut self, now_ms: u64, kind: OrderKind) -> OrderOutcome {
+        let is_loaded = self.base_ready_ms <= now_ms;
+        let is_loading = !is_loaded && self.base_ready_ms != u64::MAX;
+        match kind {
+            OrderKind::Load if is_loaded => return OrderOutcome::InEffect,
+            OrderKind::Unload if !is_loaded && !is_loading => return OrderOutcome::InEffect,
+            _ if is_loading => return OrderOutcome::Conflict,
+            OrderKind::Load => {
+                self.base_ready_ms = now_ms + BASE_LOAD_MS;
+                self.base_loads_ms.push(now_ms);
+            }
+            OrderKind::Unload => {
+                self.base_ready_ms = u64::MAX;
+                self.adapters.clear();
+            }
+        }
+        self.sequence += 1;
+        OrderOutcome::Accepted
+    }
+
     /// Returns the report of `LAG_MS` ago.
     fn report(&mut self, now_ms: u64) -> EngineReport {
         let (loaded, loading): (Vec<_>, Vec<_>) =
