Replace outdated base models on one engine after the other

Callers saw every stream refused from the moment at which a version was named for a base model.

Cause: a version named without an adapter entered the map of adapter versions. Reports were decoded without the version of the base model, so each copy counted as version 0: it was unloaded as soon as it was unused, on all engines in one pass, loaded again because the engine was empty, and counted as outdated again. No step of the cycle could change the compared value.

Change: versions of base models are kept apart from those of adapters, and reports are decoded with them. An engine with an outdated base model gets no more requests, unloads it once it has none and loads it like an engine that starts empty; one engine in eight of a service at a time, and once for each named version. A report made before the unload no longer brings the model back. Requests for a base model run on any version.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -10,6 +10,7 @@
 //! them: a backlog of prompts delays the events of all streams that the engine generates.
 
 mod base_models;
+mod base_updates;
 mod demand;
 mod engine;
 mod load_choice;
@@ -24,7 +25,7 @@
 
 use crate::{
     EngineReport, OrderKind,
-    ids::{BackendKey, ModelName},
+    ids::{BackendKey, ModelName, is_adapter},
     message::{Backend, EntryStatus, ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest},
 };
 
@@ -106,7 +107,7 @@
 impl PlannedOrder {
     /// Returns whether the order is for a base model, without which an engine serves nothing.
     pub(super) fn is_for_base_model(&self) -> bool {
-        !self.model.contains('/')
+        !is_adapter(&self.model)
     }
 
     /// Returns the label of the order in the metrics.
@@ -191,7 +192,10 @@
     waiting: Vec<WaitingRequest>,
     /// Adapters of refused requests whose callers are expected to return, and until when.
     expected: BTreeMap<ModelName, u64>,
+    /// The newest version of each adapter that has one.
     versions: BTreeMap<ModelName, u64>,
+    /// The newest version of each base model that has one.
+    base_versions: BTreeMap<ModelName, u64>,
     store: StoreLimit,
     summary: Summary,
     /// No order is sent before this time, because the former coordinator may still send orders.
@@ -220,6 +224,7 @@
             waiting: Vec::new(),
             expected: BTreeMap::new(),
             versions: BTreeMap::new(),
+            base_versions: BTreeMap::new(),
             store: StoreLimit::default(),
             summary: Summary::default(),
             earliest_order_ms,
@@ -244,7 +249,11 @@
     }
 
     pub(super) fn set_versions(&mut self, versions: &BTreeMap<ModelName, u64>) {
-        self.versions.clone_from(versions);
+        let (adapters, base_models) = versions
+            .iter()
+            .map(|(model, version)| (model.clone(), *version))
+            .partition(|(model, _)| is_adapter(model));
+        (self.versions, self.base_versions) = (adapters, base_models);
     }
 
     pub(super) fn set_backends(&mut self, now_ms: u64, backends: &[Backend]) {
@@ -408,7 +417,7 @@
 
     /// Returns the models and adapters that engines serve.
     pub(super) fn model_locations(&self) -> Vec<ModelLocation> {
-        let engines = self.engines.iter();
+        let engines = self.engines.iter().filter(|(_, engine)| engine.base_update.is_none());
         engines
             .flat_map(|(key, engine)| {
                 let loaded = engine
@@ -479,6 +488,7 @@
             return Vec::new();
         }
         let mut orders = Vec::new();
+        self.update_base_models(now_ms, &mut orders);
         self.load_base_models(now_ms, &mut orders);
         self.resend_due_orders(now_ms, &mut orders);
         self.unload_old_versions(now_ms, &mut orders);
--- a/crates/redwinglatch-fleet/src/core/planner/base_models.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/base_models.rs
@@ -2,7 +2,10 @@
 
 use std::collections::HashMap;
 
-use crate::{OrderKind, ids::ModelName};
+use crate::{
+    OrderKind,
+    ids::{ModelName, is_adapter},
+};
 
 use super::{PlannedOrder, Planner, engine::ModelPhase};
 
@@ -25,7 +28,7 @@
     }
 
     /// Returns 0 if the store allows no loads.
-    fn max_concurrent_loads(&self) -> usize {
+    pub(super) fn max_concurrent_loads(&self) -> usize {
         (self.loads_per_s * CONCURRENT_LOADS_PER_RATE).ceil() as usize
     }
 }
@@ -83,7 +86,7 @@
         engines
             .flat_map(|engine| &engine.models)
             .filter(|(model, model_state)| {
-                !model.contains('/') && model_state.phase == ModelPhase::Loading
+                !is_adapter(model) && model_state.phase == ModelPhase::Loading
             })
             .count()
     }
@@ -98,7 +101,7 @@
         models.peek()?;
         let mut engine_counts: HashMap<&str, u32> = HashMap::new();
         for engine in self.engines.values().filter(|engine| *engine.backend.service == *service) {
-            for model in engine.models.keys().filter(|model| !model.contains('/')) {
+            for model in engine.models.keys().filter(|model| !is_adapter(model)) {
                 *engine_counts.entry(model).or_default() += 1;
             }
         }
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     EngineReport, LoadedAdapter, OrderKind,
-    ids::ModelName,
+    ids::{ModelName, is_adapter},
     message::{Backend, ModelLocation, ModelLocationChange, PlaceRequest},
 };
 
@@ -96,6 +96,13 @@
     }
 }
 
+/// The replacement of an outdated base model, during which the engine gets no requests.
+#[derive(Debug, Clone)]
+pub(super) struct BaseUpdate {
+    pub(super) model: ModelName,
+    pub(super) since_ms: u64,
+}
+
 /// A prompt that was sent to an engine and has not produced an event yet.
 #[derive(Debug)]
 struct Prefill {
@@ -152,6 +159,13 @@
     pub(super) local_copies: Vec<ModelName>,
     /// Whether the engine is loading or unloading a base model.
     is_changing_base_model: bool,
+    pub(super) base_update: Option<BaseUpdate>,
+    /// The version for which each base model was replaced last. A replica of the model that is still
+    /// reported as older isn't replaced for the same version again.
+    pub(super) updated_versions: HashMap<ModelName, u64>,
+    /// Time at which a base model was last unloaded, and the sequence after it. Reports made before still
+    /// list the model.
+    base_unloaded: Option<(u64, u64)>,
     pub(super) models: HashMap<ModelName, ModelState>,
     /// Number of orders that the engine has accepted, once it has reported that. Every order
     /// carries this number, so that the engine rejects orders that were planned from an older
@@ -192,6 +206,9 @@
             base_models: Vec::new(),
             local_copies: Vec::new(),
             is_changing_base_model: false,
+            base_update: None,
+            updated_versions: HashMap::new(),
+            base_unloaded: None,
             models: HashMap::new(),
             sequence: None,
             sequence_updated_ms: 0,
@@ -277,7 +294,12 @@
     }
 
     pub(super) fn is_available(&self) -> bool {
-        !self.backend.leaving && !self.has_announced_stop && !self.is_unresponsive()
+        !self.is_leaving() && !self.is_unresponsive() && self.base_update.is_none()
+    }
+
+    /// Returns whether the engine is about to stop, by the backend list or by its own answers.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.backend.leaving || self.has_announced_stop
     }
 
     pub(super) fn is_unresponsive(&self) -> bool {
@@ -287,7 +309,7 @@
     pub(super) fn adapter_loads(&self) -> usize {
         let models = self.models.iter();
         models
-            .filter(|(model, state)| model.contains('/') && state.phase == ModelPhase::Loading)
+            .filter(|(model, state)| is_adapter(model) && state.phase == ModelPhase::Loading)
             .count()
     }
 
@@ -320,7 +342,7 @@
     /// Returns the number of occupied adapter slots, including those of loads and unloads in
     /// progress.
     pub(super) fn used_slots(&self) -> usize {
-        self.models.keys().filter(|model| model.contains('/')).count()
+        self.models.keys().filter(|model| is_adapter(model)).count()
     }
 
     /// Returns the share of the request slots that placed requests occupy.
@@ -337,7 +359,7 @@
         let is_overcommitted = self.used_slots() > self.limits.adapter_slots;
         if is_overcommitted && self.order_sent_ms.is_none() {
             self.models.retain(|model, model_state| {
-                !model.contains('/')
+                !is_adapter(model)
                     || model_state.phase != ModelPhase::Loading
                     || model_state.order == OrderState::Accepted
             });
@@ -426,6 +448,28 @@
         self.cached_parts.retain(|(name, _)| **name != *model);
     }
 
+    /// Removes a base model and its adapters, which the engine drops with it.
+    pub(super) fn remove_base_model(
+        &mut self,
+        now_ms: u64,
+        model: &str,
+        index: &mut UnloadedAdapters,
+        changes: &mut Vec<ModelLocationChange>,
+    ) {
+        self.models.remove(model);
+        let adapters = self.models.keys().filter(|name| {
+            name.strip_prefix(model).is_some_and(|adapter| adapter.starts_with('/'))
+        });
+        for adapter in adapters.cloned().collect::<Vec<_>>() {
+            self.remove_model(&adapter, index);
+            changes.push(ModelLocationChange::Removed { engine: self.backend.key, model: adapter });
+        }
+        self.base_models.retain(|base_model| **base_model != *model);
+        self.is_changing_base_model = false;
+        self.base_update = None;
+        self.base_unloaded = Some((now_ms, self.sequence.unwrap_or_default()));
+    }
+
     /// Corrects the view of the engine from its report.
     ///
     /// A report lags. One that was made before the last accepted order contains nothing new, and
@@ -437,6 +481,12 @@
         changes: &mut Vec<ModelLocationChange>,
     ) {
         let report_made_ms = now_ms.saturating_sub(REPORT_LAG_MS);
+        let may_list_unloaded = self.base_unloaded.is_some_and(|(unloaded_ms, sequence)| {
+            report_made_ms < unloaded_ms && report.sequence <= sequence
+        });
+        if may_list_unloaded {
+            return;
+        }
         self.base_models = report.models.iter().map(|model| model.name.clone()).collect();
         self.local_copies.clone_from(&report.local_copies);
         let last_sequence = self.sequence;
@@ -466,7 +516,7 @@
                 report_made_ms < model_state.since_ms && (is_order_in_flight || !has_changed);
             // An engine lists a base model only once it is loaded.
             let is_loading_base_model =
-                report.busy && model_state.phase == ModelPhase::Loading && !model.contains('/');
+                report.busy && model_state.phase == ModelPhase::Loading && !is_adapter(model);
             if is_listed || is_recent || is_loading_base_model {
                 return true;
             }
@@ -522,7 +572,7 @@
 fn reported_models(report: &EngineReport) -> HashMap<ModelName, u64> {
     let mut reported = HashMap::new();
     for model in &report.models {
-        reported.insert(model.name.clone(), 0);
+        reported.insert(model.name.clone(), model.version);
         for LoadedAdapter { name, version } in &model.adapters {
             reported.insert(format!("{}/{name}", model.name).into(), *version);
         }
--- a/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     OrderKind,
-    ids::{BackendKey, ModelName, name_hash, rendezvous_weight},
+    ids::{BackendKey, ModelName, is_adapter, name_hash, rendezvous_weight},
 };
 
 use super::{
@@ -257,7 +257,7 @@
         protected: &HashSet<ModelName>,
     ) -> Option<ModelName> {
         let unused = engine.models.iter().filter(|(name, model_state)| {
-            name.contains('/')
+            is_adapter(name)
                 && model_state.phase == ModelPhase::Loaded
                 && model_state.pins == 0
                 && model_state.last_used_ms + RECENT_USE_MS <= now_ms
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -42,7 +42,7 @@
             _ => false,
         };
         match (outcome, order.kind) {
-            (OrderOutcome::Accepted, OrderKind::Load) if !order.model.contains('/') => {
+            (OrderOutcome::Accepted, OrderKind::Load) if order.is_for_base_model() => {
                 // Only the report shows when a base model is loaded.
                 model_state.order = OrderState::Accepted;
                 model_state.resend_ms = u64::MAX;
@@ -77,6 +77,14 @@
                 model_state.order = OrderState::Accepted;
                 model_state.resend_ms = now_ms + UNLOAD_CHECK_INTERVAL_MS;
             }
+            (OrderOutcome::InEffect, OrderKind::Unload) if order.is_for_base_model() => {
+                engine.remove_base_model(
+                    now_ms,
+                    &order.model,
+                    &mut self.unloaded_adapters,
+                    &mut self.changes,
+                );
+            }
             (OrderOutcome::InEffect, OrderKind::Unload) => {
                 engine.remove_model(&order.model, &mut self.unloaded_adapters);
             }
@@ -128,9 +136,10 @@
             OrderKind::Load => ModelPhase::Loading,
             OrderKind::Unload => ModelPhase::Unloading,
         };
-        let is_base_model = !order.model.contains('/');
+        let is_base_model = order.is_for_base_model();
         let is_from_store = !is_base_model && !engine.was_recently_unloaded(&order.model);
-        let newest = self.versions.get(&order.model).copied().unwrap_or_default().max(1);
+        let versions = if is_base_model { &self.base_versions } else { &self.versions };
+        let newest = versions.get(&order.model).copied().unwrap_or_default().max(1);
         let is_load_certain = engine.is_load_certain(&order.model);
         let is_new = !engine.models.contains_key(&order.model);
         if is_new && is_from_store && order.kind == OrderKind::Load {
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -36,6 +36,9 @@
     /// `u64::MAX` if it is not loaded.
     base_ready_ms: u64,
     base_loads_ms: Vec<u64>,
+    base_version: u64,
+    /// The version of the base model that the weight store has.
+    newest_base_version: u64,
     /// The engine reports a copy of the base model on its own disk.
     has_own_copy: bool,
     sequence: u64,
@@ -85,6 +88,7 @@
             OrderKind::Load => {
                 self.base_ready_ms = now_ms + BASE_LOAD_MS;
                 self.base_loads_ms.push(now_ms);
+                self.base_version = self.newest_base_version;
             }
             OrderKind::Unload => {
                 self.base_ready_ms = u64::MAX;
@@ -103,7 +107,11 @@
             name: model.split_once('/').expect("an adapter").1.into(),
             version: 1,
         });
-        let base = LoadedModel { name: "m".into(), adapters: adapters.collect() };
+        let base = LoadedModel {
+            name: "m".into(),
+            version: self.base_version,
+            adapters: adapters.collect(),
+        };
         let has_base = self.base_ready_ms <= now_ms;
         let models = if has_base { vec![base] } else { Vec::new() };
         let busy = !has_base && self.base_ready_ms != u64::MAX;
@@ -143,7 +151,9 @@
 
     fn with_planner(engines: u16, planner: Planner) -> Simulation {
         let backends: Vec<Backend> = (0..engines).map(backend).collect();
-        let engines = backends.iter().map(|backend| (backend.key, FakeEngine::default()));
+        let engine =
+            || FakeEngine { base_version: 1, newest_base_version: 1, ..FakeEngine::default() };
+        let engines = backends.iter().map(|backend| (backend.key, engine()));
         let mut simulation =
             Simulation { planner, now_ms: 0, engines: engines.collect(), replies: BTreeMap::new() };
         simulation.replace_planner(simulation.planner.earliest_order_ms);
@@ -581,7 +591,7 @@
     for now_ms in (0..20_000).step_by(10) {
         for key in simulation.planner.take_due_reports(now_ms) {
             let report = EngineReport {
-                models: vec![LoadedModel { name: "m".into(), adapters: Vec::new() }],
+                models: vec![LoadedModel { name: "m".into(), version: 1, adapters: Vec::new() }],
                 ..EngineReport::default()
             };
             simulation.planner.engine_report(now_ms, key, Some(report));
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -138,6 +138,8 @@
 pub struct LoadedModel {
     /// The name of the model.
     pub name: Box<str>,
+    /// Its version, or 0 if unknown.
+    pub version: u64,
     /// The adapters of the model that are loaded.
     pub adapters: Vec<LoadedAdapter>,
 }
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -15,7 +15,7 @@
 pub(crate) use self::selection::{BackendSelection, SelectedBackend};
 use super::{backend_health::BackendHealth, ready_entries::ReadyEntries};
 use crate::{
-    ids::{BackendKey, ModelName},
+    ids::{BackendKey, ModelName, is_adapter},
     link::LinkSender,
     message::{
         Backend, BackendChanges, EntryEndpoint, EntryEndpointChanges, EntryStatus, FleetMessage,
@@ -402,8 +402,10 @@
         }
     }
 
+    /// Records the newest versions of adapters. Requests for a base model run on any version of it,
+    /// because engines load a new one in turn.
     pub(crate) fn set_versions(&mut self, versions: Vec<(ModelName, u64)>) {
-        for (model, version) in versions {
+        for (model, version) in versions.into_iter().filter(|(model, _)| is_adapter(model)) {
             let newest = self.versions.entry(model).or_default();
             *newest = version.max(*newest);
         }
--- a/crates/redwinglatch-fleet/src/ids.rs
+++ b/crates/redwinglatch-fleet/src/ids.rs
@@ -23,6 +23,11 @@
 /// The name of a model, or of an adapter as `MODEL/ADAPTER`, in the form that requests use.
 pub(crate) type ModelName = Box<str>;
 
+/// Returns whether `model` names an adapter, and not a base model.
+pub(crate) fn is_adapter(model: &str) -> bool {
+    model.contains('/')
+}
+
 /// FNV-1a hasher, whose result is the same in every process and version.
 pub(crate) struct FnvHasher(pub(crate) u64);
 
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -41,7 +41,7 @@
     ConfigurationNotice { version: u64 },
     /// The sender's configuration.
     Configuration { version: u64, document: Vec<u8> },
-    /// The newest versions of adapters.
+    /// The newest versions of adapters and base models.
     Versions(Vec<(ModelName, u64)>),
     /// Announces the digest of the backend list that the sender fetched last.
     BackendsNotice { digest: u64 },
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -12,7 +12,7 @@
 pub(crate) enum StateCommand {
     /// Replaces the configuration if `version` is higher than the current one.
     PutConfiguration { version: u64, document: Vec<u8> },
-    /// Registers a version of an adapter; the highest one is the newest.
+    /// Registers a version of an adapter or base model; the highest one is the newest.
     PutVersion { model: ModelName, version: u64 },
     /// Sets the address at which a core process accepts links.
     SetCoreAddress { replica: ReplicaId, link: SocketAddr },
@@ -25,7 +25,7 @@
     pub(crate) version: u64,
     /// The configuration as the operator sent it.
     pub(crate) document: Vec<u8>,
-    /// The newest version of each adapter that has one.
+    /// The newest version of each adapter and base model that has one.
     pub(crate) versions: BTreeMap<ModelName, u64>,
     /// The link address of each core process, with the log index of the command that set it.
     pub(crate) cores: BTreeMap<u32, (SocketAddr, u64)>,
