Keep the base model of an engine that refused a request for it

A request for a base model that is refused with status 421 made the coordinator unload that model: the rule that frees the slot of a missing adapter was applied to base models, which have no slot. A single late 421 took the engine and its adapters out of service until the model was loaded again.

Change: such a model is no longer placed on until the next report, which is requested at once, tells whether it is loaded. The pass that loads adapters for waiting requests leaves base models out, which are loaded on empty engines only.

a_refused_request_for_a_base_model_does_not_unload_it failed before.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -395,9 +395,11 @@
         }
     }
 
-    /// Records that an engine refused a request because the adapter isn't loaded there.
+    /// Records that an engine refused a request because the model or adapter isn't loaded there.
     ///
-    /// The refusal doesn't show that the slot is free, so an unload is ordered.
+    /// The refusal doesn't show that the slot of an adapter is free, so an unload is ordered. A base model
+    /// has no slot, and with it the engine would lose all adapters; the next report tells whether it is
+    /// loaded.
     pub(super) fn model_not_loaded(&mut self, now_ms: u64, key: BackendKey, model: &str) {
         let Some(engine) = self.engines.get_mut(&key) else { return };
         let Some(model_state) = engine.models.get_mut(model) else { return };
@@ -406,10 +408,15 @@
                 "coordinator: engine {} refused a request for {model}, which counted as loaded",
                 engine.backend.id
             );
-            model_state.phase = ModelPhase::Unloading;
-            model_state.order = OrderState::Sent;
-            model_state.since_ms = now_ms;
-            model_state.resend_ms = now_ms;
+            if is_adapter(model) {
+                model_state.phase = ModelPhase::Unloading;
+                model_state.order = OrderState::Sent;
+                model_state.since_ms = now_ms;
+                model_state.resend_ms = now_ms;
+            } else {
+                engine.models.remove(model);
+                self.model_index.invalidate();
+            }
             engine.report_due_ms = now_ms;
             self.changes.push(ModelLocationChange::Removed { engine: key, model: model.into() });
         }
--- a/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
@@ -124,7 +124,10 @@
         pass: &mut LoadPass,
         orders: &mut Vec<PlannedOrder>,
     ) {
-        if pass.free_engines.is_empty() || pass.failed_attempts >= MAX_FAILED_ATTEMPTS {
+        // Base models are loaded on engines without one, whatever requests wait for.
+        let is_pass_over =
+            pass.free_engines.is_empty() || pass.failed_attempts >= MAX_FAILED_ATTEMPTS;
+        if is_pass_over || !is_adapter(model) {
             return;
         }
         match self.next_order_for(now_ms, model, max_fill, pass) {
--- a/crates/redwinglatch-fleet/src/core/planner/tests/base_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/base_versions.rs
@@ -67,3 +67,19 @@
         "the model is still loaded"
     );
 }
+
+/// An engine may refuse one request for its base model with status 421, for example if that request
+/// reached it late. Unloading the model would take all its adapters out of service.
+#[test]
+fn a_refused_request_for_a_base_model_does_not_unload_it() {
+    let mut simulation = Simulation::new(1);
+    simulation.place(1, request("m"));
+    simulation.run(100);
+    let engine = simulation.engine_of(1).expect("the request was placed");
+    simulation.planner.model_not_loaded(simulation.now_ms, engine, "m");
+    simulation.run(2_000);
+    assert_eq!(simulation.engines[&engine].base_ready_ms, 0, "the model was unloaded");
+    simulation.place(2, request("m"));
+    simulation.run(100);
+    assert!(simulation.engine_of(2).is_some(), "the next report shows that the model is loaded");
+}
