Log the shared prompt parts of streams that broke off

Lines of streams and requests that broke off name their shared prompt parts, and engines that disappear from the list without an announcement have a line.

No decision changes.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -259,6 +259,10 @@
     pub(super) fn set_backends(&mut self, now_ms: u64, backends: &[Backend]) {
         self.model_index.invalidate();
         let listed: HashSet<BackendKey> = backends.iter().map(|backend| backend.key).collect();
+        for engine in self.engines.values().filter(|engine| !listed.contains(&engine.backend.key)) {
+            let left = if engine.is_leaving() { "has left" } else { "has ended" };
+            log::info!("coordinator: engine {} {left}", engine.backend.id);
+        }
         let engines_before = self.engines.len();
         self.engines.retain(|key, _| listed.contains(key));
         if self.engines.len() != engines_before {
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -97,6 +97,13 @@
         )
     }
 
+    /// Returns the prompt parts that other requests may share, for log lines.
+    pub(crate) fn logged_parts(&self) -> String {
+        let shared = self.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let ids: Vec<String> = shared.iter().map(|(id, _)| format!("{id:x}")).collect();
+        if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
+    }
+
     fn place_request(&self, excluded: &[BackendKey], received_at: Instant) -> PlaceRequest {
         let route = self.route();
         let elapsed_ms = u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX);
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -214,9 +214,10 @@
 
     fn log_failure(&self, reason: &str) {
         log::info!(
-            "request: id={} backend={} failed: {reason}",
+            "request: id={} backend={} parts={} failed: {reason}",
             self.prepared.request_id.as_deref().unwrap_or("-"),
             self.selected.id,
+            self.prepared.logged_parts(),
         );
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -202,10 +202,11 @@
         let events = self.events.event_count();
         if end != BodyEnd::BetweenEvents || framing == BodyFraming::ConnectionClose {
             log::info!(
-                "request: id={} backend={:x} body_end={} events={events} error={}",
+                "request: id={} backend={:x} body_end={} events={events} parts={} error={}",
                 self.prepared.request_id.as_deref().unwrap_or("-"),
                 backend.0,
                 end.label(framing),
+                self.prepared.logged_parts(),
                 error.map_or_else(|| "-".to_owned(), ToString::to_string),
             );
         }
