Quarantine prompt parts under which engines end

Callers saw up to half of all streams broken off or refused for 30 s, because one engine after the other ended under requests with one prompt part.

Cause: nothing linked the end of an engine to the requests in progress, so each such request was placed on the next engine, and resumable ones on two.

Change: entry processes report requests that break off before their fourth event, and the parts of complete answers. The coordinator asks the engine for a report at once; if it is gone, the parts of these requests are evidence. After three such ends without a complete answer in between (five if an earlier one is known) the part is quarantined: its requests are refused at once with the time that remains. All entry processes are told at once, and the replicated log keeps the part for processes that start later. A quarantine ends after 10 min; then one more end is enough.

--- a/crates/redwinglatch-explain/src/cause.rs
+++ b/crates/redwinglatch-explain/src/cause.rs
@@ -90,6 +90,7 @@
         "no_backend" => "the backend list contained no server that accepts new work",
         "not_loaded" => "the adapter was not loaded on any engine, and no coordinator responded",
         "overloaded" => "the coordinator could not place the request in time",
+        "quarantined" => "engines ended under earlier requests with a prompt part of this one",
         "refused_by_backends" => "no backend server accepted the request",
         "failed" => "the request may have run, and no response arrived",
         "timed_out" => "the timeout of the route or of the caller expired",
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -4,6 +4,7 @@
 mod leader_requests;
 mod membership;
 mod messages;
+mod quarantine;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -31,6 +32,7 @@
     link::LinkSender,
     message::{FleetMessage, LeaderRequest, LeaderResponse},
     metrics::Metrics,
+    quarantine::Quarantine,
     state::{FleetState, StateChange, StateCommand},
 };
 
@@ -170,6 +172,9 @@
     forwarded_requests: HashMap<u64, oneshot::Sender<LeaderResponse>>,
     next_request_id: u64,
     backends: AnnouncedBackends,
+    quarantine: Quarantine,
+    /// Earliest time of the next proposals to end quarantines.
+    quarantine_ends_due_ms: u64,
     planner: Option<(Term, Planner)>,
     /// Time at which another process was last known to be the leader.
     other_coordinator_ms: Option<u64>,
@@ -226,6 +231,8 @@
             forwarded_requests: HashMap::new(),
             next_request_id: 0,
             backends: AnnouncedBackends::default(),
+            quarantine: Quarantine::default(),
+            quarantine_ends_due_ms: 0,
             planner: None,
             other_coordinator_ms: (!start_state.is_new_fleet).then(|| clock.now_ms()),
             lag: TimerLag::default(),
@@ -240,6 +247,7 @@
             settings,
         };
         driver.load_configuration();
+        driver.update_quarantine();
         driver
     }
 
@@ -372,6 +380,7 @@
         self.update_membership(now_ms);
         self.transfer_leadership_when_slow(now_ms);
         self.coordinate(now_ms);
+        self.end_quarantines(now_ms);
         self.entries.tick(now_ms);
         if self.traffic_log_due_ms <= now_ms {
             self.traffic_log_due_ms = now_ms + TRAFFIC_LOG_INTERVAL_MS;
@@ -455,6 +464,7 @@
                 self.update_core_addresses();
                 self.announce_configuration();
                 self.entries.broadcast(&self.versions_message());
+                self.update_quarantine();
             }
             Err(error) => {
                 log::error!("core: cannot restore the snapshot: {error}");
@@ -481,6 +491,7 @@
                         StateChange::Configuration => has_new_configuration = true,
                         StateChange::Version => has_new_versions = true,
                         StateChange::Core => self.update_core_addresses(),
+                        StateChange::Quarantine => self.update_quarantine(),
                         StateChange::Nothing => {}
                     },
                     Err(error) => {
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -52,6 +52,7 @@
             );
             let mut planner = Planner::new(from_ms);
             planner.set_versions(&self.state.versions);
+            planner.set_quarantine(now_ms, &self.quarantine);
             self.planner = Some((term, planner));
             self.update_planner_services();
         } else if !is_leader && self.planner.is_some() {
@@ -82,6 +83,7 @@
 
     /// Sends orders, replies to placement requests and sends location changes to entry processes.
     pub(super) fn plan(&mut self, now_ms: u64) {
+        self.quarantine_fatal_parts(now_ms);
         let interval_ms = self.broadcast_interval_ms();
         let Some((epoch, planner)) = &mut self.planner else { return };
         let epoch = *epoch;
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -47,6 +47,18 @@
                     planner.model_not_loaded(now_ms, engine, &model);
                 }
             }
+            FleetMessage::PromptFailed { engine, parts } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.prompt_failed(now_ms, engine, &parts);
+                }
+            }
+            FleetMessage::PromptsCompleted(parts) => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.prompts_completed(now_ms, &parts);
+                }
+            }
             FleetMessage::ConfigurationRequest => {
                 if self.state.version > 0 {
                     sender.send_frame(self.compressed_configuration.frame(&self.state));
@@ -100,6 +112,7 @@
     pub(super) fn handle_entry_hello(&mut self, link: u64, sender: LinkSender, hello: EntryHello) {
         log::info!("core: entry process {} connected", hello.front);
         sender.send(&FleetMessage::CoreDataCentre(self.settings.data_centre.clone()));
+        sender.send(&self.quarantine_message());
         sender.send(&self.core_addresses_message());
         if self.state.version > 0 {
             sender.send(&FleetMessage::ConfigurationNotice { version: self.state.version });
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -13,10 +13,12 @@
 mod base_updates;
 mod demand;
 mod engine;
+mod fatal_parts;
 mod load_choice;
 mod loading;
 mod model_index;
 mod placing;
+mod quarantined_requests;
 mod store_limit;
 mod summary;
 mod waiting_request;
@@ -27,11 +29,13 @@
     EngineReport, OrderKind,
     ids::{BackendKey, ModelName, is_adapter},
     message::{Backend, EntryStatus, ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest},
+    quarantine::Quarantine,
 };
 
 pub(super) use self::base_models::BaseModels;
 use self::{
     engine::{Engine, ModelPhase, OrderState},
+    fatal_parts::FatalParts,
     model_index::{ModelIndex, ReportedUse, UnloadedAdapters},
     store_limit::StoreLimit,
     summary::Summary,
@@ -196,6 +200,10 @@
     versions: BTreeMap<ModelName, u64>,
     /// The newest version of each base model that has one.
     base_versions: BTreeMap<ModelName, u64>,
+    fatal_parts: FatalParts,
+    /// Parts that have become fatal since [`Planner::take_fatal_parts`] was called.
+    new_fatal_parts: Vec<u64>,
+    quarantine: Quarantine,
     store: StoreLimit,
     summary: Summary,
     /// No order is sent before this time, because the former coordinator may still send orders.
@@ -225,6 +233,9 @@
             expected: BTreeMap::new(),
             versions: BTreeMap::new(),
             base_versions: BTreeMap::new(),
+            fatal_parts: FatalParts::default(),
+            new_fatal_parts: Vec::new(),
+            quarantine: Quarantine::default(),
             store: StoreLimit::default(),
             summary: Summary::default(),
             earliest_order_ms,
@@ -262,6 +273,10 @@
         for engine in self.engines.values().filter(|engine| !listed.contains(&engine.backend.key)) {
             let left = if engine.is_leaving() { "has left" } else { "has ended" };
             log::info!("coordinator: engine {} {left}", engine.backend.id);
+            if !engine.is_leaving() {
+                let fatal = self.fatal_parts.engine_ended(engine.backend.key, now_ms);
+                self.new_fatal_parts.extend(fatal);
+            }
         }
         let engines_before = self.engines.len();
         self.engines.retain(|key, _| listed.contains(key));
@@ -289,6 +304,7 @@
             }
             if !engine.report_in_flight && engine.report_due_ms <= now_ms {
                 engine.report_in_flight = true;
+                engine.report_requested_ms = now_ms;
                 due.push(*key);
             }
         }
@@ -321,11 +337,16 @@
             REPORT_INTERVAL_MS.max(self.engines.len() as u64 * 1_000 / MAX_REPORTS_PER_S);
         let Some(engine) = self.engines.get_mut(&key) else { return };
         engine.report_in_flight = false;
+        let requested_ms = engine.report_requested_ms;
         let Some(report) = report else {
             engine.failed_reports += 1;
             engine.report_due_ms = now_ms + REPORT_RETRY_MS;
+            let fatal = self.fatal_parts.engine_ended(key, requested_ms);
+            self.new_fatal_parts.extend(fatal);
+            self.request_report_if_suspected(now_ms, key);
             return;
         };
+        self.fatal_parts.engine_answered(key, requested_ms);
         engine.failed_reports = 0;
         self.model_index.invalidate();
         engine.apply_report(now_ms, &report, &mut self.changes);
@@ -333,6 +354,7 @@
         let interval_ms =
             if engine.base_models.is_empty() { REPORT_RETRY_MS } else { report_interval_ms };
         engine.report_due_ms = now_ms + interval_ms;
+        self.request_report_if_suspected(now_ms, key);
     }
 
     /// Applies the current status of an entry process.
@@ -372,6 +394,12 @@
     /// Places or queues a request; [`Planner::take_replies`] returns the replies.
     pub(super) fn place(&mut self, now_ms: u64, entry: u64, id: u64, request: PlaceRequest) {
         let waiting = WaitingRequest::new(now_ms, entry, id, request);
+        if let Some(retry_after_ms) = self.quarantine_ms(now_ms, &waiting.request) {
+            self.push_reply(&waiting, PlaceReply::Refused { retry_after_ms });
+            return;
+        }
+        let shared_parts = waiting.request.shared_parts();
+        self.fatal_parts.count_request(shared_parts.iter().map(|(part, _)| *part));
         let is_first = !self.waiting.iter().any(|other| other.model_hash == waiting.model_hash);
         if is_first && self.try_place(now_ms, &waiting) {
             return;
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -187,6 +187,7 @@
     pub(super) orders_paused_until_ms: u64,
     pub(super) report_due_ms: u64,
     pub(super) report_in_flight: bool,
+    pub(super) report_requested_ms: u64,
     pub(super) failed_reports: u32,
     /// Placed requests that have not ended, and the tokens that they may occupy.
     pub(super) placed_requests: u32,
@@ -220,6 +221,7 @@
             orders_paused_until_ms: 0,
             report_due_ms: now_ms,
             report_in_flight: false,
+            report_requested_ms: 0,
             failed_reports: 0,
             placed_requests: 0,
             placed_tokens: 0,
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -14,6 +14,7 @@
 mod base_versions;
 mod leaving;
 mod orders;
+mod quarantined_requests;
 
 const SERVICE: &str = "scope-writer";
 const SLOTS: usize = 4;
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -12,6 +12,7 @@
 mod hold;
 mod in_flight;
 mod placement;
+mod prompt_outcomes;
 mod ready_entries;
 mod refusal;
 mod state_sources;
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -104,6 +104,7 @@
         } else {
             send_status_to_coordinator(&context);
         }
+        context.fleet_view().report_completed_prompts();
     }
 }
 
@@ -169,6 +170,10 @@
             context.state_sources().configuration_received(core);
             install_configuration(context, version, &document);
         }
+        FleetMessage::Quarantine(parts) => {
+            let now_ms = context.now_ms();
+            context.fleet_view().add_quarantined(now_ms, core, parts);
+        }
         FleetMessage::Versions(versions) => context.fleet_view().set_versions(versions),
         FleetMessage::BackendsNotice { digest } => {
             let (own_digest, has_list) = {
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -17,7 +17,7 @@
 use crate::{
     http::Body,
     ids::{BackendKey, ModelName},
-    message::PlaceRequest,
+    message::{PlaceRequest, shared_parts},
 };
 
 use crate::REQUEST_PLACED_TARGET;
@@ -97,10 +97,15 @@
         )
     }
 
+    /// Returns the prompt parts that other requests may share.
+    pub(crate) fn shared_parts(&self) -> &[(u64, u32)] {
+        shared_parts(&self.prompt_parts)
+    }
+
     /// Returns the prompt parts that other requests may share, for log lines.
     pub(crate) fn logged_parts(&self) -> String {
-        let shared = self.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let ids: Vec<String> = shared.iter().map(|(id, _)| format!("{id:x}")).collect();
+        let shared = self.shared_parts().iter();
+        let ids: Vec<String> = shared.map(|(id, _)| format!("{id:x}")).collect();
         if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
     }
 
@@ -348,6 +353,7 @@
     loop {
         if prepared.model.is_some() {
             let now_ms = context.now_ms();
+            check_quarantine(context, prepared)?;
             let hold_end_ms = context.fleet_view().service_hold_end_ms(now_ms, &prepared.service);
             if let Some(until_ms) = hold_end_ms {
                 wait_for_hold(context, prepared, until_ms, received_at).await?;
@@ -371,6 +377,7 @@
                     }
                 }
                 PlacementDecision::Refused { retry_after_ms } => {
+                    check_quarantine(context, prepared)?;
                     return Err(RefusalReason::Overloaded { retry_after_ms });
                 }
                 PlacementDecision::NoCoordinator => {}
@@ -394,6 +401,18 @@
     }
 }
 
+/// Checks that requests with the prompt parts of this one aren't quarantined.
+fn check_quarantine(
+    context: &EntryContext,
+    prepared: &PreparedRequest,
+) -> Result<(), RefusalReason> {
+    let now_ms = context.now_ms();
+    match context.fleet_view().quarantine_ms(now_ms, prepared.shared_parts()) {
+        Some(retry_after_ms) => Err(RefusalReason::Quarantined { retry_after_ms }),
+        None => Ok(()),
+    }
+}
+
 /// Waits until a server takes requests again.
 ///
 /// # Errors
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -80,6 +80,7 @@
                     context.client.close_idle(selected.address);
                     return AttemptOutcome::NotSent;
                 }
+                self.record_prompt_failure();
                 return AttemptOutcome::MaybeRan;
             }
         };
@@ -120,6 +121,9 @@
         match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
             Ok(body) => {
                 lease.reuse();
+                if is_success && prepared.model.is_some() {
+                    context.fleet_view().prompt_completed(prepared.shared_parts());
+                }
                 let mut response = Response::new(full_body(body.to_bytes()));
                 *response.status_mut() = parts.status;
                 *response.headers_mut() = headers;
@@ -127,6 +131,7 @@
             }
             Err(error) => {
                 self.log_failure(&format!("the response ended early: {error}"));
+                self.record_prompt_failure();
                 AttemptOutcome::MaybeRan
             }
         }
@@ -180,6 +185,14 @@
         }
     }
 
+    /// Records that an engine may have ended under the request.
+    fn record_prompt_failure(&self) {
+        let BackendAttempt { context, prepared, selected, .. } = self;
+        if prepared.model.is_some() {
+            context.fleet_view().prompt_failed(selected.key, prepared.shared_parts());
+        }
+    }
+
     fn has_own_request_id(&self, headers: &HeaderMap) -> bool {
         let response_id = headers.get(&self.context.dialect.headers.request_id);
         match (response_id, &self.prepared.request_id) {
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -35,6 +35,11 @@
         /// The delay after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// Engines have ended under requests with a prompt part of this one.
+    Quarantined {
+        /// The delay after which such requests are tried again.
+        retry_after_ms: u64,
+    },
     /// All backend servers want no requests for some time.
     BackendsOnHold {
         /// The delay after which one of them takes requests again.
@@ -61,6 +66,7 @@
             RefusalReason::NoBackend => "no_backend",
             RefusalReason::NotLoaded => "not_loaded",
             RefusalReason::Overloaded { .. } => "overloaded",
+            RefusalReason::Quarantined { .. } => "quarantined",
             RefusalReason::BackendsOnHold { .. } => "backends_on_hold",
             RefusalReason::RefusedByBackends => "refused_by_backends",
             RefusalReason::Failed => "failed",
@@ -81,6 +87,7 @@
             | RefusalReason::NoBackend
             | RefusalReason::NotLoaded
             | RefusalReason::Overloaded { .. }
+            | RefusalReason::Quarantined { .. }
             | RefusalReason::BackendsOnHold { .. }
             | RefusalReason::RefusedByBackends => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -95,6 +102,7 @@
             RefusalReason::NoBackend | RefusalReason::RefusedByBackends => Some((200, 600)),
             RefusalReason::NotLoaded => Some((1_000, 2_000)),
             RefusalReason::Overloaded { retry_after_ms } => Some((retry_after_ms, 1)),
+            RefusalReason::Quarantined { retry_after_ms } => Some((retry_after_ms, 1_000)),
             RefusalReason::BackendsOnHold { retry_after_ms } => Some((retry_after_ms, 200)),
             _ => None,
         }
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -20,6 +20,7 @@
     forward::{MAX_SENDS, PreparedRequest, RequestAttempts, StartedStream, find_backend},
     in_flight::{CallerRequest, InFlight},
     placement::PlacementGuard,
+    prompt_outcomes,
     refusal::RefusalReason,
 };
 
@@ -211,10 +212,12 @@
             );
         }
         if end.is_complete(framing, events) {
-            ReadResult::Complete
-        } else {
-            ReadResult::Interrupted
+            return ReadResult::Complete;
+        }
+        if self.prepared.model.is_some() && prompt_outcomes::is_suspect(events) {
+            self.context.fleet_view().prompt_failed(backend, self.prepared.shared_parts());
         }
+        ReadResult::Interrupted
     }
 
     /// Logs that a silent stream stays at its server.
@@ -239,6 +242,9 @@
     /// Counts a complete stream, and logs it if its first event or its largest gap missed the route's
     /// objectives.
     fn record_completion(&self, backend: BackendKey) {
+        if self.prepared.model.is_some() {
+            self.context.fleet_view().prompt_completed(self.prepared.shared_parts());
+        }
         let route = self.prepared.route();
         let first_event_ms = self.timings.first_event_ms.unwrap_or_default();
         let gap_ms = self.timings.largest_gap_ms;
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 mod logging;
 mod message;
 mod metrics;
+mod quarantine;
 mod settings;
 mod state;
 
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     ids::{BackendKey, ModelName},
+    quarantine::QuarantinedPart,
     state::StateCommand,
 };
 
@@ -82,6 +83,14 @@
     CompressedConfiguration { version: u64, document: Vec<u8> },
     /// The changes since the backend list that the sender sent last on this link.
     BackendChanges(BackendChanges),
+    /// The prompt parts whose requests are refused. A core process sends it first to every entry process,
+    /// which shows that it understands the two messages below.
+    Quarantine(Vec<QuarantinedPart>),
+    /// Reports that a request broke off before or soon after its first event, with the prompt parts that it
+    /// may share with others.
+    PromptFailed { engine: BackendKey, parts: Vec<u64> },
+    /// Reports the shared prompt parts of requests with complete answers since the last such message.
+    PromptsCompleted(Vec<u64>),
 }
 
 impl FleetMessage {
@@ -118,6 +127,10 @@
             FleetMessage::Log { .. } => "log",
             FleetMessage::Join { .. } => "join",
             FleetMessage::CoordinatorStopping => "coordinator_stopping",
+            FleetMessage::Quarantine(_) => "quarantine",
+            FleetMessage::PromptFailed { .. } | FleetMessage::PromptsCompleted(_) => {
+                "prompt_outcomes"
+            }
             FleetMessage::LeaderRequest { .. } => "leader_request",
             FleetMessage::LeaderResponse { .. } => "leader_response",
         }
@@ -170,6 +183,11 @@
     }
 }
 
+/// Returns the parts of a prompt that other requests may share: all but the last.
+pub(crate) fn shared_parts(prompt_parts: &[(u64, u32)]) -> &[(u64, u32)] {
+    prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
 /// A request that the coordinator is asked to place on a model engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlaceRequest {
@@ -202,7 +220,7 @@
 
     /// The prompt parts that other requests may share.
     pub(crate) fn shared_parts(&self) -> &[(u64, u32)] {
-        self.prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
+        shared_parts(&self.prompt_parts)
     }
 }
 
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -77,6 +77,11 @@
         self.increment("stream_ends", end);
     }
 
+    /// Counts a prompt part that is quarantined.
+    pub(crate) fn record_quarantine(&self) {
+        self.increment("quarantined_parts", "engines_ended");
+    }
+
     /// Counts an order that is sent to an engine, by its kind.
     pub(crate) fn record_sent_order(&self, kind: &'static str) {
         self.increment("orders_sent", kind);
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -1,6 +1,9 @@
 //! The replicated state of the fleet.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use redwinglatch_core::ReplicaId;
 use serde::{Deserialize, Serialize};
@@ -16,8 +19,15 @@
     PutVersion { model: ModelName, version: u64 },
     /// Sets the address at which a core process accepts links.
     SetCoreAddress { replica: ReplicaId, link: SocketAddr },
+    /// Quarantines a prompt part.
+    Quarantine { part: u64 },
+    /// Ends the quarantine of a prompt part.
+    EndQuarantine { part: u64 },
 }
 
+/// Maximum number of quarantined prompt parts.
+const MAX_QUARANTINED_PARTS: usize = 256;
+
 /// The state that the commands of the log produce.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct FleetState {
@@ -29,6 +39,10 @@
     pub(crate) versions: BTreeMap<ModelName, u64>,
     /// The link address of each core process, with the log index of the command that set it.
     pub(crate) cores: BTreeMap<u32, (SocketAddr, u64)>,
+    /// The quarantined prompt parts. They follow the other fields in a snapshot, so that older snapshots
+    /// can be read.
+    #[serde(skip)]
+    pub(crate) quarantined: BTreeSet<u64>,
 }
 
 /// The part of the state that a command changed.
@@ -37,6 +51,7 @@
     Configuration,
     Version,
     Core,
+    Quarantine,
     Nothing,
 }
 
@@ -63,15 +78,32 @@
                 self.cores.insert(replica.0, (link, index));
                 StateChange::Core
             }
+            StateCommand::Quarantine { part } => {
+                if self.quarantined.len() >= MAX_QUARANTINED_PARTS {
+                    log::warn!("core: too many prompt parts are quarantined; {part:x} is not");
+                    return StateChange::Nothing;
+                }
+                self.quarantined.insert(part);
+                StateChange::Quarantine
+            }
+            StateCommand::EndQuarantine { part } => {
+                self.quarantined.remove(&part);
+                StateChange::Quarantine
+            }
         }
     }
 
     pub(crate) fn snapshot(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("the state encodes into memory")
+        let bytes = postcard::to_allocvec(self).expect("the state encodes into memory");
+        postcard::to_extend(&self.quarantined, bytes).expect("the state encodes into memory")
     }
 
     pub(crate) fn restore(bytes: &[u8]) -> Result<FleetState, postcard::Error> {
-        postcard::from_bytes(bytes)
+        let (mut state, rest): (FleetState, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            state.quarantined = postcard::from_bytes(rest)?;
+        }
+        Ok(state)
     }
 
     /// Returns a member whose address another member has taken since, because its process was
--- a/crates/redwinglatch-fleet/src/state/tests.rs
+++ b/crates/redwinglatch-fleet/src/state/tests.rs
@@ -1,6 +1,6 @@
 use redwinglatch_core::ReplicaId;
 
-use super::{FleetState, StateChange, StateCommand};
+use super::{FleetState, MAX_QUARANTINED_PARTS, StateChange, StateCommand};
 
 fn put(version: u64, document: &[u8]) -> StateCommand {
     StateCommand::PutConfiguration { version, document: document.to_vec() }
@@ -44,5 +44,29 @@
     let mut state = FleetState::default();
     state.apply(1, put(3, b"three"));
     state.apply(2, StateCommand::PutVersion { model: "m/a1".into(), version: 4 });
+    state.apply(3, StateCommand::Quarantine { part: 0xbad });
     assert_eq!(FleetState::restore(&state.snapshot()), Ok(state));
 }
+
+/// Snapshots of versions without quarantines end with the addresses of the core processes.
+#[test]
+fn a_snapshot_without_quarantined_parts_is_restored() {
+    let mut state = FleetState::default();
+    state.apply(1, put(3, b"three"));
+    let older = postcard::to_allocvec(&state).expect("the state encodes into memory");
+    assert_eq!(FleetState::restore(&older), Ok(state));
+}
+
+#[test]
+fn the_number_of_quarantined_parts_is_bounded() {
+    let mut state = FleetState::default();
+    for part in 0..1_000 {
+        state.apply(part, StateCommand::Quarantine { part });
+    }
+    assert_eq!(state.quarantined.len(), MAX_QUARANTINED_PARTS);
+    assert_eq!(
+        state.apply(1_000, StateCommand::EndQuarantine { part: 0 }),
+        StateChange::Quarantine
+    );
+    assert!(!state.quarantined.contains(&0));
+}
