Answer 502 for a status that promises no run without a statement

A request that may not be repeated reached a server that answered 503, 429 or 408 after a run, without the header that states it did not run. The entry process passed that status on; to a caller it is the promise that the request has not run, so it sent it again, and it ran twice.

Change: such a status of a server becomes a 502 of the entry process, without the server's stamp. Requests that may be repeated still get the status of the server. design.md 5.4 has the ways that were weighed.

status_of_a_server_is_no_promise_unless_it_says_so failed before (503 passed on for /note and /story). That the users' cases have this cause is suspected: they kept no logs.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -99,6 +99,13 @@
             return AttemptOutcome::NotRun;
         }
         context.fleet_view().record_response(selected.key);
+        if !prepared.route().kind.may_repeat() && is_promise_of_no_run(parts.status) {
+            self.log_failure(&format!(
+                "{} doesn't state that the request wasn't run",
+                parts.status
+            ));
+            return AttemptOutcome::MaybeRan;
+        }
         let is_success = parts.status.is_success();
         let has_stamp = parts.headers.contains_key(&names.response_stamp);
         if (is_success && !has_stamp) || parts.headers.contains_key(CONTENT_ENCODING) {
@@ -235,6 +242,18 @@
     }
 }
 
+/// Returns whether callers take the status for the promise that their request has not run and never will,
+/// and repeat it. A server that runs a request may answer with any status.
+fn is_promise_of_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns whether the body may consist of events; one of another type is complete by its framing alone.
 fn may_be_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
