Believe that a request did not run only with its own id

An answer without an id counted as the answer to the request in progress, also when it says that the request did not run. A late or early answer that belongs to no request carries none: after a 421 without an id a /note request was sent to a second server, while the first may have run it.

Change: for a request that may not be repeated, such a statement is believed only with the id of that request; otherwise the caller gets 502.

statement_without_the_id_of_the_request_is_not_believed failed before.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -91,9 +91,16 @@
             self.log_failure("the response has the id of another request");
             return AttemptOutcome::MaybeRan;
         }
-        if parts.headers.contains_key(&names.not_run)
-            || parts.status == StatusCode::MISDIRECTED_REQUEST
-        {
+        let states_no_run = parts.headers.contains_key(&names.not_run)
+            || parts.status == StatusCode::MISDIRECTED_REQUEST;
+        // An answer that belongs to no request carries no id.
+        let may_believe =
+            prepared.route().kind.may_repeat() || parts.headers.contains_key(&names.request_id);
+        if states_no_run && !may_believe {
+            self.log_failure(&format!("{} without the id of the request", parts.status));
+            return AttemptOutcome::MaybeRan;
+        }
+        if states_no_run {
             self.record_rejection(parts.status);
             drain_body(body, lease).await;
             return AttemptOutcome::NotRun;
