Pass a success on only with the id of its request

An extra answer may arrive where the next one is expected, and only its id tells them apart. A success without an id counted as the answer to the request in progress, so a caller could get the answer to another request.

Change: a success without the id of its request is no usable answer: 502 for a request that may not be repeated, another server for one that may.

success_without_the_id_of_the_request_is_not_passed_on failed before.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -93,10 +93,9 @@
         }
         let states_no_run = parts.headers.contains_key(&names.not_run)
             || parts.status == StatusCode::MISDIRECTED_REQUEST;
-        // An answer that belongs to no request carries no id.
-        let may_believe =
-            prepared.route().kind.may_repeat() || parts.headers.contains_key(&names.request_id);
-        if states_no_run && !may_believe {
+        // An answer that belongs to no request, or to another one, may carry no id.
+        let has_id = prepared.request_id.is_none() || parts.headers.contains_key(&names.request_id);
+        if states_no_run && !has_id && !prepared.route().kind.may_repeat() {
             self.log_failure(&format!("{} without the id of the request", parts.status));
             return AttemptOutcome::MaybeRan;
         }
@@ -115,8 +114,9 @@
         }
         let is_success = parts.status.is_success();
         let has_stamp = parts.headers.contains_key(&names.response_stamp);
-        if (is_success && !has_stamp) || parts.headers.contains_key(CONTENT_ENCODING) {
-            self.log_failure("the response has no response stamp or has a content encoding");
+        let is_unidentified = is_success && !(has_stamp && has_id);
+        if is_unidentified || parts.headers.contains_key(CONTENT_ENCODING) {
+            self.log_failure("the response has no stamp or id, or has a content encoding");
             return AttemptOutcome::MaybeRan;
         }
         let framing = BodyFraming::of(&parts.headers);
