Answer a request at once if it may not be sent again

After an attempt that may have run, the entry process asked the coordinator for another engine before it checked whether the request may be sent again, and waited for it until its caller would leave; the answer was 502 all the same.

--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -150,6 +150,15 @@
     pub(crate) excluded: SmallVec<[BackendKey; 4]>,
 }
 
+impl RequestAttempts {
+    /// Returns whether the request may be sent once more.
+    fn allow_another(&self, route: &Route) -> bool {
+        self.sent < MAX_SENDS
+            && self.maybe_executed < route.max_attempts.max(1)
+            && (self.maybe_executed == 0 || route.kind.may_repeat())
+    }
+}
+
 /// Serves one request of a caller.
 pub(crate) async fn serve(
     context: &Arc<EntryContext>,
@@ -255,6 +264,9 @@
     context.retry_budget().count_request(context.now_ms(), &prepared.service);
     let mut attempts = RequestAttempts::default();
     loop {
+        if !attempts.allow_another(prepared.route()) {
+            return Err(final_reason(&attempts, RefusalReason::RefusedByBackends));
+        }
         let (selected, placement) =
             match find_backend(context, &prepared, &attempts.excluded, received_at).await {
                 Ok(found) => found,
@@ -270,12 +282,6 @@
             received_at.elapsed().as_millis(),
             attempts.sent,
         );
-        let can_send = attempts.sent < MAX_SENDS
-            && attempts.maybe_executed < prepared.route().max_attempts.max(1)
-            && (attempts.maybe_executed == 0 || prepared.route().kind.may_repeat());
-        if !can_send {
-            return Err(final_reason(&attempts, RefusalReason::RefusedByBackends));
-        }
         if attempts.sent > 0 {
             let now_ms = context.now_ms();
             if !context.retry_budget().try_take_retry(now_ms, &prepared.service) {
