Bound the memory of all buffered answers together

An answer that isn't a stream was buffered up to 8 MiB, and nothing bounded several at once: 60 answers whose bodies don't end took 384 MB, on machines of 160 MB, where the process ends.

Change: bodies are read through a budget of 32 MiB for the process; an answer that finds no room ends at once with 502. The first 64 KiB of each need no room, so that large answers don't keep small ones out, and small chunks are joined, so that a body of single bytes takes no more than its size. An answer counts until it has been written to its caller.

memory_is_bounded_while_many_bodies_do_not_end failed before (384 MB). Measured with the test's limit of 160 MB only.

--- a/crates/redwinglatch-body/src/lib.rs
+++ b/crates/redwinglatch-body/src/lib.rs
@@ -1,9 +1,12 @@
-//! HTTP bodies that are written by a task and are complete only if it says so.
+//! HTTP bodies that are complete only if their source says so, or are held in memory within a budget.
 //!
 //! [`body_channel`] returns a [`BodySender`] and the [`ChannelBody`] that it feeds. A body whose sender is
 //! dropped without [`BodySender::finish`] ends with [`BodyInterrupted`], so that a task that fails or is
-//! cancelled never leaves a body that looks complete.
+//! cancelled never leaves a body that looks complete. [`BufferBudget`] reads whole bodies and bounds the
+//! memory of all of them together.
 
+mod buffered_body;
 mod channel_body;
 
+pub use buffered_body::{BufferBudget, BufferError, BufferedBody};
 pub use channel_body::{BodyDropped, BodyInterrupted, BodySender, ChannelBody, body_channel};
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -23,6 +23,7 @@
     time::Duration,
 };
 
+use redwinglatch_body::BufferBudget;
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
@@ -47,6 +48,9 @@
 /// Interval between checks for expired idle connections.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Memory for all bodies that are buffered at the same time, on machines of 160 MB.
+const MAX_BUFFERED_BYTES: usize = 32 << 20;
+
 /// State that the tasks of an entry process share.
 pub(crate) struct EntryContext {
     pub(crate) settings: ProcessSettings,
@@ -54,6 +58,8 @@
     pub(crate) clock: Clock,
     pub(crate) client: Arc<HttpClient>,
     pub(crate) metrics: Arc<Metrics>,
+    /// The memory for bodies that are buffered as a whole.
+    pub(crate) buffer_budget: BufferBudget,
     fleet_view: Mutex<FleetView>,
     retry_budget: Mutex<RetryBudget>,
     state_sources: Mutex<StateSources>,
@@ -104,6 +110,7 @@
         clock: Clock::start(),
         client: HttpClient::new(),
         metrics: Arc::default(),
+        buffer_budget: BufferBudget::new(MAX_BUFFERED_BYTES),
         fleet_view: Mutex::new(FleetView::new(front)),
         state_sources: Mutex::new(StateSources::new(front, settings.data_centre.clone())),
         retry_budget: Mutex::new(RetryBudget::new(settings.retry_budget)),
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -14,7 +14,6 @@
 use crate::{
     entry::{
         EntryContext, fleet_view::SelectedBackend, in_flight::InFlight, placement::PlacementGuard,
-        refusal::full_body,
     },
     http::{Body, BodyFraming, ConnectionLease, SendError, unavailable_for_ms},
     message::FleetMessage,
@@ -132,19 +131,19 @@
                 in_flight,
             });
         }
-        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+        match context.buffer_budget.read(body, MAX_RESPONSE_BYTES).await {
             Ok(body) => {
                 lease.reuse();
                 if is_success && prepared.model.is_some() {
                     context.fleet_view().prompt_completed(prepared.shared_parts());
                 }
-                let mut response = Response::new(full_body(body.to_bytes()));
+                let mut response = Response::new(body.map_err(|never| match never {}).boxed());
                 *response.status_mut() = parts.status;
                 *response.headers_mut() = headers;
                 AttemptOutcome::Response(response)
             }
             Err(error) => {
-                self.log_failure(&format!("the response ended early: {error}"));
+                self.log_failure(&error.to_string());
                 self.record_prompt_failure();
                 AttemptOutcome::MaybeRan
             }
