Don't wait for the end of a rejection

A request that a server had rejected as not run was sent on only after the rejection's body had ended; with a body without an end it waited until its deadline and ended with 504.

Change: the rest of a rejection is read beside the next attempt, for a second at most, and its connection is reused only if it ends.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to a backend server.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -9,7 +9,7 @@
     body::Incoming,
     header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderValue},
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     entry::{
@@ -23,6 +23,8 @@
 
 /// Maximum size of a response that is not a stream; it is buffered before any of it is forwarded.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Time for which the rest of a rejection is awaited.
+const REJECTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Engine priority of the most urgent requests; lower numbers stay unused.
 const MOST_URGENT_PRIORITY: u8 = 2;
 /// Lowest priority that engines know.
@@ -100,7 +102,7 @@
         }
         if states_no_run {
             self.record_rejection(parts.status);
-            drain_body(body, lease).await;
+            tokio::spawn(drain_body(body, lease));
             return AttemptOutcome::NotRun;
         }
         context.fleet_view().record_response(selected.key);
@@ -266,10 +268,11 @@
     content_type.is_none_or(|value| value.trim_start().starts_with("text/event-stream"))
 }
 
-/// Reads a short response to its end, so that the connection can be reused.
+/// Reads a short response to its end, so that the connection can be reused; closes it if there is no end.
 async fn drain_body(body: Incoming, lease: ConnectionLease) {
     const MAX_REJECTION_BYTES: usize = 64 << 10;
-    if Limited::new(body, MAX_REJECTION_BYTES).collect().await.is_ok() {
+    let collected = Limited::new(body, MAX_REJECTION_BYTES).collect();
+    if let Ok(Ok(_)) = timeout(REJECTION_TIMEOUT, collected).await {
         lease.reuse();
     }
 }
