Break a stream off at an event that doesn't end

Bytes without the end of an event on a stream route were forwarded as part of a successful answer until the deadline, as fast as the server sent them; on routes whose streams may be resumed in parts of 256 KiB.

Change: after 1 MiB without the end of an event the body counts as broken off, with an end of its own in stream_ends and in the log line.

The bound at which events are forwarded in parts keeps its value under another name.

--- a/crates/redwinglatch-fleet/src/entry/event_buffer.rs
+++ b/crates/redwinglatch-fleet/src/entry/event_buffer.rs
@@ -5,7 +5,9 @@
 use super::event_scanner::EventScanner;
 
 /// Size above which an event is forwarded in parts.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+const MAX_HELD_BYTES: usize = 256 << 10;
+/// Size above which the bytes since the last event count as none.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Follows the events of a stream, and holds back parts of events if the stream may be resumed.
 #[derive(Debug)]
@@ -45,7 +47,7 @@
         self.partial.extend_from_slice(&data);
         let ready = if complete > 0 {
             self.partial.split_to(held + complete).freeze()
-        } else if self.partial.len() > MAX_EVENT_BYTES {
+        } else if self.partial.len() > MAX_HELD_BYTES {
             self.has_forwarded_part = true;
             self.partial.split().freeze()
         } else {
@@ -68,6 +70,11 @@
         self.holds_parts && !self.has_forwarded_part
     }
 
+    /// Returns whether the bytes since the last event are too many for one.
+    pub(super) fn is_event_too_large(&self) -> bool {
+        self.scanner.event_bytes() > MAX_EVENT_BYTES
+    }
+
     pub(super) fn is_inside_event(&self) -> bool {
         self.scanner.is_inside_event()
     }
--- a/crates/redwinglatch-fleet/src/entry/event_buffer/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/event_buffer/tests.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 
-use super::{EventBuffer, MAX_EVENT_BYTES};
+use super::{EventBuffer, MAX_HELD_BYTES};
 
 #[test]
 fn resumable_stream_forwards_only_complete_events() {
@@ -28,7 +28,7 @@
 #[test]
 fn stream_is_not_resumed_after_a_part_of_an_event_was_forwarded() {
     let mut buffer = EventBuffer::new(true);
-    let large = Bytes::from(vec![b'a'; MAX_EVENT_BYTES + 1]);
+    let large = Bytes::from(vec![b'a'; MAX_HELD_BYTES + 1]);
     assert_eq!(buffer.push(large.clone()), large);
     assert!(buffer.is_inside_event());
     assert!(!buffer.can_resume());
--- a/crates/redwinglatch-fleet/src/entry/event_scanner.rs
+++ b/crates/redwinglatch-fleet/src/entry/event_scanner.rs
@@ -9,6 +9,8 @@
     is_line_empty: bool,
     is_after_cr: bool,
     event_count: u64,
+    /// Bytes since the last end of an event.
+    event_bytes: usize,
 }
 
 impl Default for EventScanner {
@@ -18,6 +20,7 @@
             is_line_empty: true,
             is_after_cr: false,
             event_count: 0,
+            event_bytes: 0,
         }
     }
 }
@@ -31,8 +34,10 @@
             self.scan_byte(byte);
             if !self.is_inside_event {
                 complete = at + 1;
+                self.event_bytes = 0;
             }
         }
+        self.event_bytes += data.len() - complete;
         complete
     }
 
@@ -56,6 +61,11 @@
         self.is_inside_event
     }
 
+    /// Returns the number of bytes since the last end of an event.
+    pub(super) fn event_bytes(&self) -> usize {
+        self.event_bytes
+    }
+
     /// Returns the number of complete events.
     pub(super) fn event_count(&self) -> u64 {
         self.event_count
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -38,6 +38,8 @@
     InsideEvent,
     /// Reading failed, for example because the connection was reset.
     Error,
+    /// The server went on without the end of an event.
+    EventTooLarge,
 }
 
 impl BodyEnd {
@@ -62,6 +64,9 @@
             (BodyFraming::ConnectionClose, BodyEnd::BetweenEvents) => "close_between_events",
             (BodyFraming::ConnectionClose, BodyEnd::InsideEvent) => "close_inside_event",
             (BodyFraming::ConnectionClose, BodyEnd::Error) => "close_error",
+            (BodyFraming::Length, BodyEnd::EventTooLarge) => "length_event_too_large",
+            (BodyFraming::Chunked, BodyEnd::EventTooLarge) => "chunked_event_too_large",
+            (BodyFraming::ConnectionClose, BodyEnd::EventTooLarge) => "close_event_too_large",
         }
     }
 }
@@ -196,6 +201,7 @@
     ) -> ReadResult {
         let end = match error {
             Some(_) => BodyEnd::Error,
+            None if self.events.is_event_too_large() => BodyEnd::EventTooLarge,
             None if self.events.is_inside_event() => BodyEnd::InsideEvent,
             None => BodyEnd::BetweenEvents,
         };
@@ -301,6 +307,9 @@
                 },
             };
             let ready = self.events.push(data);
+            if self.events.is_event_too_large() {
+                return self.end_body(in_flight.backend(), framing, None);
+            }
             if !ready.is_empty() && self.sender.send(ready).await.is_err() {
                 return ReadResult::Stopped;
             }
