Bound the bytes that wait for a slow caller

Change: the queue of a body holds 128 KiB, besides the chunk that waits.

memory_is_bounded_while_callers_do_not_read failed before.

--- a/crates/redwinglatch-body/src/channel_body.rs
+++ b/crates/redwinglatch-body/src/channel_body.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
 use thiserror::Error;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+
+/// Bytes that are queued for a slow reader, besides the chunk that waits for room.
+const MAX_QUEUED_BYTES: usize = 128 << 10;
 
 /// The error of a body whose sender was dropped before it finished the body.
 #[derive(Debug, Error)]
@@ -24,20 +27,30 @@
 #[error("the body was dropped; stop writing it")]
 pub struct BodyDropped;
 
-/// Returns a body and its sender; up to `capacity` chunks are queued for a slow reader.
+/// Returns a body and its sender; up to `capacity` chunks of 128 KiB together are queued for a slow reader.
 #[must_use]
 pub fn body_channel(capacity: usize) -> (BodySender, ChannelBody) {
     let (sender, chunks) = mpsc::channel(capacity);
     let is_finished = Arc::new(AtomicBool::new(false));
-    let body = ChannelBody { chunks, is_finished: Arc::clone(&is_finished) };
-    (BodySender { chunks: sender, is_finished }, body)
+    let room = Arc::new(Semaphore::new(MAX_QUEUED_BYTES));
+    let body =
+        ChannelBody { chunks, is_finished: Arc::clone(&is_finished), room: Arc::clone(&room) };
+    (BodySender { chunks: sender, is_finished, room }, body)
+}
+
+/// A chunk in the queue, with the room that it takes.
+#[derive(Debug)]
+struct QueuedChunk {
+    data: Bytes,
+    _room: OwnedSemaphorePermit,
 }
 
 /// Writes a [`ChannelBody`].
 #[derive(Debug)]
 pub struct BodySender {
-    chunks: mpsc::Sender<Bytes>,
+    chunks: mpsc::Sender<QueuedChunk>,
     is_finished: Arc<AtomicBool>,
+    room: Arc<Semaphore>,
 }
 
 impl BodySender {
@@ -47,7 +60,10 @@
     ///
     /// Fails if the body was dropped.
     pub async fn send(&self, data: Bytes) -> Result<(), BodyDropped> {
-        self.chunks.send(data).await.map_err(|_| BodyDropped)
+        let size = u32::try_from(data.len().min(MAX_QUEUED_BYTES)).unwrap_or(u32::MAX);
+        let room = Arc::clone(&self.room).acquire_many_owned(size).await;
+        let room = room.map_err(|_| BodyDropped)?;
+        self.chunks.send(QueuedChunk { data, _room: room }).await.map_err(|_| BodyDropped)
     }
 
     /// Waits until the body is dropped.
@@ -69,8 +85,16 @@
 /// in between together with the end.
 #[derive(Debug)]
 pub struct ChannelBody {
-    chunks: mpsc::Receiver<Bytes>,
+    chunks: mpsc::Receiver<QueuedChunk>,
     is_finished: Arc<AtomicBool>,
+    room: Arc<Semaphore>,
+}
+
+impl Drop for ChannelBody {
+    fn drop(&mut self) {
+        // A sender that waits for room learns that the body was dropped.
+        self.room.close();
+    }
 }
 
 impl Body for ChannelBody {
@@ -83,7 +107,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyInterrupted>>> {
         match self.chunks.poll_recv(context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(Some(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(QueuedChunk { data, .. })) => Poll::Ready(Some(Ok(Frame::data(data)))),
             Poll::Ready(None) if self.is_finished.load(Ordering::Acquire) => Poll::Ready(None),
             Poll::Ready(None) => Poll::Ready(Some(Err(BodyInterrupted))),
         }
