Bound the head of an answer

The head of an answer was read up to 400 KB on each connection: 500 heads without an end took 265 MB, on machines of 160 MB.

Change: connections to backend servers read at most 32 KiB at a time, which is also the limit of a head; a larger one ends the connection, and its request may have run (502).

--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -35,6 +35,8 @@
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(800);
 /// Time after the time limit of a call for reading a response that has arrived.
 const LATE_READ_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum size of a response head, and of the part of a body that is read at a time.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum size of a response body that is buffered.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -200,8 +202,10 @@
     async fn connect(&self, address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         set_tcp_timeouts(&stream, ACKNOWLEDGE_TIMEOUT)?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_READ_BUFFER_BYTES);
         let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+            builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::trace!("backends: the connection to {address} failed: {error}");
