Bound the answers to calls of the coordinator

Reports and answers to orders were buffered up to 4 MiB each, and the coordinator reads those of a hundred engines at the same time, on machines of 160 MB.

Change: each call states the largest response: 128 KiB for a report, 16 KiB for an order, 4 MiB for a page of the backend list, of which one is read at a time.

response_above_the_limit_of_its_call_is_given_up uses the new limit, so it can't fail on the old code; that a hundred endless reports end a core process there is calculated, not measured.

--- a/crates/redwinglatch-fleet/src/core/backend_list.rs
+++ b/crates/redwinglatch-fleet/src/core/backend_list.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     BackendEntry, Dialect,
-    http::{CallError, HttpClient},
+    http::{CallError, CallLimits, HttpClient},
 };
 
 use super::driver::DriverEvent;
@@ -22,8 +22,9 @@
 const LONG_LIST_POLL_INTERVAL: Duration = Duration::from_millis(1_400);
 /// Entries from which a list is long.
 const LONG_LIST_ENTRIES: usize = 60;
-/// Timeout of the request for one page.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Limits of the request for one page.
+const PAGE_LIMITS: CallLimits =
+    CallLimits { time: Duration::from_millis(800), response_bytes: 4 << 20 };
 /// Maximum number of pages; a longer list is taken for an endless one.
 const MAX_PAGES: usize = 400;
 
@@ -98,7 +99,7 @@
             .header(HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .map_err(|error| BackendListError::Malformed(error.to_string().into()))?;
-        let (status, _, body) = client.call(address, request, PAGE_TIMEOUT).await?;
+        let (status, _, body) = client.call(address, request, PAGE_LIMITS).await?;
         if status != StatusCode::OK {
             return Err(BackendListError::Status(status));
         }
--- a/crates/redwinglatch-fleet/src/core/orders.rs
+++ b/crates/redwinglatch-fleet/src/core/orders.rs
@@ -9,12 +9,17 @@
     header::{CONTENT_TYPE, HOST},
 };
 
-use crate::{Dialect, EngineReport, Order, http::HttpClient};
+use crate::{
+    Dialect, EngineReport, Order,
+    http::{CallLimits, HttpClient},
+};
 
-/// Timeout of an order; engines answer at once or not at all.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Timeout of a report request.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Limits of an order; engines answer at once or not at all.
+const ORDER_LIMITS: CallLimits =
+    CallLimits { time: Duration::from_millis(200), response_bytes: 16 << 10 };
+/// Limits of a report request. Reports of many engines are read at the same time.
+const REPORT_LIMITS: CallLimits =
+    CallLimits { time: Duration::from_millis(600), response_bytes: 128 << 10 };
 
 /// The outcome of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,7 +93,7 @@
             return EngineAnswer::unanswered(OrderOutcome::Refused);
         }
     };
-    match client.call(engine.address, request, ORDER_TIMEOUT).await {
+    match client.call(engine.address, request, ORDER_LIMITS).await {
         Ok((status, headers, body)) => {
             let result = match status {
                 StatusCode::OK => OrderOutcome::InEffect,
@@ -130,7 +135,7 @@
             return EngineAnswer::unanswered(None);
         }
     };
-    let (status, headers, body) = match client.call(engine.address, request, REPORT_TIMEOUT).await {
+    let (status, headers, body) = match client.call(engine.address, request, REPORT_LIMITS).await {
         Ok(answer) => answer,
         Err(error) => {
             log::debug!("coordinator: cannot fetch the report of engine {}: {error}", engine.id);
--- a/crates/redwinglatch-fleet/src/http.rs
+++ b/crates/redwinglatch-fleet/src/http.rs
@@ -5,7 +5,7 @@
 mod retry_after;
 mod server;
 
-pub(crate) use client::{CallError, ConnectionLease, HttpClient, SendError};
+pub(crate) use client::{CallError, CallLimits, ConnectionLease, HttpClient, SendError};
 pub(crate) use framing::BodyFraming;
 pub(crate) use retry_after::unavailable_for_ms;
 pub(crate) use server::{Body, ServerLimits, bind, serve};
--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -37,8 +37,13 @@
 const LATE_READ_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum size of a response head, and of the part of a body that is read at a time.
 const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
-/// Maximum size of a response body that is buffered.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
+/// Limits of a call whose response is read as a whole.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallLimits {
+    pub(crate) time: Duration,
+    pub(crate) response_bytes: usize,
+}
 
 /// An error that left a request without a response head.
 #[derive(Debug, Error)]
@@ -171,31 +176,33 @@
     ///
     /// # Errors
     ///
-    /// Fails if the complete response does not arrive within `limit`.
+    /// Fails if the complete response does not arrive within the time limit or exceeds the size limit.
     pub(crate) async fn call(
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        limit: Duration,
+        limits: CallLimits,
     ) -> Result<(StatusCode, HeaderMap, Bytes), CallError> {
         let call = async {
             let (response, lease) = self.send(address, request).await?;
             let (parts, body) = response.into_parts();
-            let body = read_body(body)
-                .await
-                .map_err(|reason| CallError::Incomplete { address, reason })?;
+            let body = Limited::new(body, limits.response_bytes).collect().await;
+            let body = body.map_err(|error| CallError::Incomplete {
+                address,
+                reason: error.to_string().into(),
+            })?;
             lease.reuse();
-            Ok((parts.status, parts.headers, body))
+            Ok((parts.status, parts.headers, body.to_bytes()))
         };
         tokio::pin!(call);
-        if let Ok(result) = timeout(limit, &mut call).await {
+        if let Ok(result) = timeout(limits.time, &mut call).await {
             return result;
         }
         // A process that gets too little processor time may have received the response and not read it
         // yet.
         match timeout(LATE_READ_TIMEOUT, call).await {
             Ok(result) => result,
-            Err(_) => Err(CallError::TimedOut { address, timeout_ms: limit.as_millis() }),
+            Err(_) => Err(CallError::TimedOut { address, timeout_ms: limits.time.as_millis() }),
         }
     }
 
@@ -225,14 +232,6 @@
     }
 }
 
-/// Reads a body to its end, up to [`MAX_RESPONSE_BYTES`].
-pub(super) async fn read_body(body: Incoming) -> Result<Bytes, Box<str>> {
-    match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) => Err(error.to_string().into()),
-    }
-}
-
 /// Returns how long the connection may be idle, or `None` if the server closes it after this
 /// response.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
@@ -254,3 +253,6 @@
 fn maybe_sent(address: SocketAddr, error: &hyper::Error) -> SendError {
     SendError::MaybeSent { address, reason: error.to_string().into() }
 }
+
+#[cfg(test)]
+mod tests;
