Bound the memory of callers' bodies

Each body of a caller was buffered up to the limit of the configuration, 4 MiB on the users' sites, and nothing bounded several at once: 60 of them took 226 MB, on machines of 160 MB.

Change: they share the budget of 32 MiB with the buffered answers; a request that finds no room is refused with 503 after its body has arrived, and has not run. What remains of a body that was refused is dropped as it arrives.

--- a/crates/redwinglatch-body/src/buffered_body.rs
+++ b/crates/redwinglatch-body/src/buffered_body.rs
@@ -117,6 +117,24 @@
     reserved: Option<OwnedSemaphorePermit>,
 }
 
+impl BufferedBody {
+    /// Returns the bytes of the body, with the reservation of their memory.
+    #[must_use]
+    pub fn into_bytes(mut self) -> (Bytes, BufferReservation) {
+        let bytes = match self.blocks.len() {
+            0 | 1 => self.blocks.pop_front().unwrap_or_default(),
+            _ => self.blocks.drain(..).flatten().collect(),
+        };
+        (bytes, BufferReservation { _units: self.reserved })
+    }
+}
+
+/// Memory of a [`BufferBudget`] that counts as used until this is dropped.
+#[derive(Debug)]
+pub struct BufferReservation {
+    _units: Option<OwnedSemaphorePermit>,
+}
+
 impl Body for BufferedBody {
     type Data = Bytes;
     type Error = Infallible;
--- a/crates/redwinglatch-body/src/lib.rs
+++ b/crates/redwinglatch-body/src/lib.rs
@@ -8,5 +8,5 @@
 mod buffered_body;
 mod channel_body;
 
-pub use buffered_body::{BufferBudget, BufferError, BufferedBody};
+pub use buffered_body::{BufferBudget, BufferError, BufferReservation, BufferedBody};
 pub use channel_body::{BodyDropped, BodyInterrupted, BodySender, ChannelBody, body_channel};
--- a/crates/redwinglatch-explain/src/cause.rs
+++ b/crates/redwinglatch-explain/src/cause.rs
@@ -83,6 +83,7 @@
         "unknown_model" => "the service has no such model or adapter",
         "malformed" => "the head of the request is invalid, or its body was cut off",
         "too_large" => "the body is larger than the configuration allows",
+        "no_room" => "the bodies that the process held in memory left no room for this one",
         "body_incomplete" => "the body did not arrive in time",
         "draining" => {
             "the process was draining, and the stream could not have ended before it stopped"
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -6,10 +6,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Method, Request, Response, Uri, body::Incoming, header::HOST, http::request::Parts,
 };
+use redwinglatch_body::{BufferError, BufferReservation};
 use redwinglatch_routing::{EngineSpec, RequestKind, Route, RouteKey, RouteTable};
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -69,6 +70,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    _body_reservation: BufferReservation,
     pub(crate) request_id: Option<Box<str>>,
     pub(crate) model: Option<ModelName>,
     pub(crate) service: Box<str>,
@@ -218,7 +220,7 @@
     let host = host_of(&parts).ok_or(RefusalReason::Malformed)?;
     let table = wait_for_state(context, received_at).await.ok_or(RefusalReason::NoConfiguration)?;
     let route = table.find(host, parts.uri.path()).ok_or(RefusalReason::NoRoute)?;
-    let body = read_body(body, table.configuration().limits.body_bytes).await?;
+    let body = read_body(context, body, table.configuration().limits.body_bytes).await?;
     let prepared = prepare(context, parts, body, table, route, received_at);
     match (&prepared.model, prepared.engine_spec()) {
         (Some(model), Some(spec)) if !spec.serves(model) => Err(RefusalReason::UnknownModel),
@@ -498,7 +500,7 @@
 fn prepare(
     context: &EntryContext,
     parts: Parts,
-    body: Bytes,
+    (body, body_reservation): (Bytes, BufferReservation),
     table: Arc<RouteTable>,
     route: RouteKey,
     received_at: Instant,
@@ -531,6 +533,7 @@
         method: parts.method,
         uri: headers::origin_form(&parts.uri),
         body,
+        _body_reservation: body_reservation,
         route,
         deadline: received_at + Duration::from_millis(limit_ms),
         table,
@@ -546,11 +549,24 @@
     (!name.is_empty()).then_some(name)
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, RefusalReason> {
-    match timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
-        Ok(Err(error)) => {
+async fn read_body(
+    context: &EntryContext,
+    mut body: Incoming,
+    limit_bytes: usize,
+) -> Result<(Bytes, BufferReservation), RefusalReason> {
+    let read = async {
+        let read = context.buffer_budget.read(&mut body, limit_bytes).await;
+        if matches!(read, Err(BufferError::NoRoom)) {
+            // A caller that is still sending would not read the refusal.
+            while let Some(Ok(_)) = body.frame().await {}
+        }
+        read
+    };
+    match timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => Ok(body.into_bytes()),
+        Ok(Err(BufferError::TooLarge { .. })) => Err(RefusalReason::TooLarge),
+        Ok(Err(BufferError::NoRoom)) => Err(RefusalReason::NoRoom),
+        Ok(Err(BufferError::Interrupted(error))) => {
             log::info!("request: cannot read the request body: {error}");
             Err(RefusalReason::Malformed)
         }
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -24,6 +24,8 @@
     TooLarge,
     /// The request body did not arrive completely in time.
     BodyIncomplete,
+    /// The request bodies in memory leave no room for this one.
+    NoRoom,
     /// The process is about to stop.
     Draining,
     /// No backend server can take the request.
@@ -62,6 +64,7 @@
             RefusalReason::Malformed => "malformed",
             RefusalReason::TooLarge => "too_large",
             RefusalReason::BodyIncomplete => "body_incomplete",
+            RefusalReason::NoRoom => "no_room",
             RefusalReason::Draining => "draining",
             RefusalReason::NoBackend => "no_backend",
             RefusalReason::NotLoaded => "not_loaded",
@@ -83,6 +86,7 @@
             RefusalReason::Failed => StatusCode::BAD_GATEWAY,
             RefusalReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             RefusalReason::NoConfiguration
+            | RefusalReason::NoRoom
             | RefusalReason::Draining
             | RefusalReason::NoBackend
             | RefusalReason::NotLoaded
@@ -99,7 +103,9 @@
         match self {
             RefusalReason::NoConfiguration => Some((700, 800)),
             RefusalReason::Draining => Some((0, 50)),
-            RefusalReason::NoBackend | RefusalReason::RefusedByBackends => Some((200, 600)),
+            RefusalReason::NoRoom | RefusalReason::NoBackend | RefusalReason::RefusedByBackends => {
+                Some((200, 600))
+            }
             RefusalReason::NotLoaded => Some((1_000, 2_000)),
             RefusalReason::Overloaded { retry_after_ms } => Some((retry_after_ms, 1)),
             RefusalReason::Quarantined { retry_after_ms } => Some((retry_after_ms, 1_000)),
