Drop answers to other requests and read on

Its 503 with Retry-After followed an answer to an earlier request on the same connection; hyper takes the first answer for the one in progress, the ids differed, and the connection was closed with the 503 unread. The request itself is lost in the same way: 502, although its server answered.

Change: connections to servers drop complete answers with the id of another request before hyper sees them, with bounds on what is dropped. Answers without an id, and what follows the answer to the request in progress, are passed on as before.

--- a/crates/redwinglatch-fleet/src/core/backend_list.rs
+++ b/crates/redwinglatch-fleet/src/core/backend_list.rs
@@ -48,7 +48,7 @@
     dialect: &'static Dialect,
     is_coordinator: watch::Receiver<bool>,
 ) {
-    let client = HttpClient::new();
+    let client = HttpClient::new(dialect.headers.request_id.clone());
     let mut is_failing = false;
     let mut last_malformed = 0;
     loop {
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -208,7 +208,7 @@
             metrics,
             own_link,
             events,
-            client: HttpClient::new(),
+            client: HttpClient::new(dialect.headers.request_id.clone()),
             replica: start_state.replica,
             storage: Some(start_state.storage),
             write_started_ms: 0,
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -108,7 +108,7 @@
     let context = Arc::new(EntryContext {
         dialect,
         clock: Clock::start(),
-        client: HttpClient::new(),
+        client: HttpClient::new(dialect.headers.request_id.clone()),
         metrics: Arc::default(),
         buffer_budget: BufferBudget::new(MAX_BUFFERED_BYTES),
         fleet_view: Mutex::new(FleetView::new(front)),
--- a/crates/redwinglatch-fleet/src/http.rs
+++ b/crates/redwinglatch-fleet/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client with one connection per request in flight, and HTTP/1.1 servers.
 
+mod answer_filter;
 mod client;
 mod framing;
 mod retry_after;
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/http/answer_filter/tests.rs
@@ -0,0 +1,81 @@
+use hyper::header::{HeaderName, HeaderValue};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::AnswerFilter;
+
+const ID: HeaderName = HeaderName::from_static("x-id");
+const OWN: &str = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 4\r\n\r\ndone";
+const WITH_LENGTH: &str = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nother";
+const CHUNKED: &str = "HTTP/1.1 503 Service Unavailable\r\nx-id: other\r\n\
+    transfer-encoding: chunked\r\n\r\n5;a=b\r\nother\r\n1\r\n!\r\n0\r\ntrailer: x\r\n\r\n";
+const WITHOUT_ID: &str = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n";
+
+/// Returns what a client reads, if the server sends `parts` one after the other and ends.
+async fn filtered(parts: &[&[u8]]) -> Vec<u8> {
+    let (client, mut server) = tokio::io::duplex(1 << 20);
+    let (mut filter, expected) = AnswerFilter::new(client, ID, 16 << 10);
+    expected.set(Some(HeaderValue::from_static("own")));
+    let reader = tokio::spawn(async move {
+        let mut read = Vec::new();
+        let result = filter.read_to_end(&mut read).await;
+        if result.is_err() { b"error".to_vec() } else { read }
+    });
+    for part in parts {
+        if server.write_all(part).await.is_err() {
+            break;
+        }
+        tokio::task::yield_now().await;
+    }
+    drop(server);
+    reader.await.expect("no panic")
+}
+
+/// A server sends answers to earlier requests where the one to the request in progress is expected.
+#[tokio::test]
+async fn answers_to_other_requests_are_dropped() {
+    let sent = [WITH_LENGTH, CHUNKED, WITH_LENGTH, OWN].concat();
+    assert_eq!(filtered(&[sent.as_bytes()]).await, OWN.as_bytes());
+    let bytes: Vec<&[u8]> = sent.as_bytes().chunks(1).collect();
+    assert_eq!(filtered(&bytes).await, OWN.as_bytes(), "byte by byte");
+}
+
+/// What follows the answer is the HTTP client's to judge.
+#[tokio::test]
+async fn own_answer_and_what_follows_it_are_passed_on() {
+    let sent = [OWN, WITH_LENGTH].concat();
+    assert_eq!(filtered(&[sent.as_bytes()]).await, sent.as_bytes());
+}
+
+#[tokio::test]
+async fn other_bytes_are_passed_on() {
+    for sent in [WITHOUT_ID, "no answer at all\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id", ""] {
+        assert_eq!(filtered(&[sent.as_bytes()]).await, sent.as_bytes());
+    }
+    let endless = "x: y\r\n".repeat(5_000);
+    let endless = ["HTTP/1.1 200 OK\r\n", &endless].concat();
+    assert_eq!(filtered(&[endless.as_bytes()]).await, endless.as_bytes());
+}
+
+#[tokio::test]
+async fn body_that_cannot_be_dropped_ends_the_connection() {
+    let malformed = "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\nnone\r\n";
+    let large = format!(
+        "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 100000\r\n\r\n{}",
+        "a".repeat(100_000)
+    );
+    for sent in [malformed, &large] {
+        assert_eq!(filtered(&[sent.as_bytes(), OWN.as_bytes()]).await, b"error");
+    }
+}
+
+#[tokio::test]
+async fn requests_without_an_id_are_not_checked() {
+    let (client, mut server) = tokio::io::duplex(1 << 20);
+    let (mut filter, expected) = AnswerFilter::new(client, ID, 16 << 10);
+    expected.set(None);
+    server.write_all(WITH_LENGTH.as_bytes()).await.expect("the client reads");
+    drop(server);
+    let mut read = Vec::new();
+    filter.read_to_end(&mut read).await.expect("no error");
+    assert_eq!(read, WITH_LENGTH.as_bytes());
+}
--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -13,7 +13,10 @@
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
     header::{CONNECTION, HeaderMap, HeaderName},
 };
 use hyper_util::rt::TokioIo;
@@ -23,6 +26,7 @@
     time::{Instant, timeout},
 };
 
+use super::answer_filter::{AnswerFilter, ExpectedId};
 use crate::link::set_tcp_timeouts;
 
 /// Time limit of a connection attempt; a machine without power sends no response at all.
@@ -68,14 +72,23 @@
 }
 
 /// HTTP client that pools idle connections to each server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct HttpClient {
+    /// The header with the id of a request, which its response repeats.
+    id_header: HeaderName,
     idle_connections: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
+/// A connection that can take a request.
 #[derive(Debug)]
-struct IdleConnection {
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    expected_id: ExpectedId,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: Connection,
     usable_until: Instant,
 }
 
@@ -84,7 +97,7 @@
 pub(crate) struct ConnectionLease {
     client: Arc<HttpClient>,
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     idle_timeout: Option<Duration>,
 }
 
@@ -92,18 +105,19 @@
     /// Returns the connection to the pool. The response must have been read to its end.
     pub(crate) fn reuse(self) {
         let Some(idle_timeout) = self.idle_timeout else { return };
-        if self.sender.is_closed() {
+        let connection = self.connection;
+        if connection.sender.is_closed() {
             return;
         }
-        let connection =
-            IdleConnection { sender: self.sender, usable_until: Instant::now() + idle_timeout };
-        self.client.lock().entry(self.address).or_default().push(connection);
+        let idle = IdleConnection { connection, usable_until: Instant::now() + idle_timeout };
+        self.client.lock().entry(self.address).or_default().push(idle);
     }
 }
 
 impl HttpClient {
-    pub(crate) fn new() -> Arc<HttpClient> {
-        Arc::default()
+    /// Creates a client for servers that repeat the id of a request, in the header `id_header`.
+    pub(crate) fn new(id_header: HeaderName) -> Arc<HttpClient> {
+        Arc::new(HttpClient { id_header, idle_connections: Mutex::default() })
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
@@ -114,7 +128,8 @@
     pub(crate) fn close_expired(&self) {
         let now = Instant::now();
         self.lock().retain(|_, connections| {
-            connections.retain(|idle| now < idle.usable_until && !idle.sender.is_closed());
+            connections
+                .retain(|idle| now < idle.usable_until && !idle.connection.sender.is_closed());
             !connections.is_empty()
         });
     }
@@ -124,13 +139,13 @@
         self.lock().remove(&address);
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if now < connection.usable_until && connection.sender.is_ready() {
-                return Some(connection.sender);
+        while let Some(IdleConnection { connection, usable_until }) = connections.pop() {
+            if now < usable_until && connection.sender.is_ready() {
+                return Some(connection);
             }
         }
         None
@@ -146,9 +161,9 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.lease(address, sender, response)),
+        while let Some(mut connection) = self.take_idle(address) {
+            match self.send_on(&mut connection, request).await {
+                Ok(response) => return Ok(self.lease(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection before anything was written.
                     Some(unsent) => request = unsent,
@@ -156,12 +171,12 @@
                 },
             }
         }
-        let mut sender = self
+        let mut connection = self
             .connect(address)
             .await
             .map_err(|error| SendError::NotSent { address, reason: error.to_string().into() })?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.lease(address, sender, response)),
+        match self.send_on(&mut connection, request).await {
+            Ok(response) => Ok(self.lease(address, connection, response)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotSent {
                     address,
@@ -172,6 +187,15 @@
         }
     }
 
+    async fn send_on(
+        &self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        connection.expected_id.set(request.headers().get(&self.id_header).cloned());
+        connection.sender.try_send_request(request).await
+    }
+
     /// Sends a request and reads the complete response.
     ///
     /// # Errors
@@ -206,11 +230,13 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
+    async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         set_tcp_timeouts(&stream, ACKNOWLEDGE_TIMEOUT)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+        let (stream, expected_id) =
+            AnswerFilter::new(stream, self.id_header.clone(), MAX_READ_BUFFER_BYTES);
         let (sender, connection) =
             builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         tokio::spawn(async move {
@@ -218,17 +244,17 @@
                 log::trace!("backends: the connection to {address} failed: {error}");
             }
         });
-        Ok(sender)
+        Ok(Connection { sender, expected_id })
     }
 
     fn lease(
         self: &Arc<Self>,
         address: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
+        connection: Connection,
         response: Response<Incoming>,
     ) -> (Response<Incoming>, ConnectionLease) {
         let idle_timeout = idle_timeout(response.headers());
-        (response, ConnectionLease { client: Arc::clone(self), address, sender, idle_timeout })
+        (response, ConnectionLease { client: Arc::clone(self), address, connection, idle_timeout })
     }
 }
 
--- a/crates/redwinglatch-fleet/src/http/client/tests.rs
+++ b/crates/redwinglatch-fleet/src/http/client/tests.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{Request, header::HeaderName};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -10,6 +10,7 @@
 
 use super::{CallError, CallLimits, HttpClient};
 
+const ID: HeaderName = HeaderName::from_static("x-id");
 const BODY_BYTES: usize = 100 << 10;
 
 /// Starts a server that answers each connection with a body of [`BODY_BYTES`].
@@ -36,7 +37,7 @@
     let call = async |response_bytes: usize| {
         let request = Request::get("/").body(Full::new(Bytes::new())).expect("a valid request");
         let limits = CallLimits { time: Duration::from_secs(10), response_bytes };
-        HttpClient::new().call(address, request, limits).await
+        HttpClient::new(ID).call(address, request, limits).await
     };
     let (_, _, body) = call(BODY_BYTES).await.expect("it fits");
     assert_eq!(body.len(), BODY_BYTES);
