Elect a leader at once after a restart of all voters

Change: restarted replicas say so to each other. If every voter has, the former leader is among them and its lease has ended, so the one with the longest log starts an election that only the votes of all voters win. Each of them confirms by its vote that it leads nothing; one that has had contact with a leader since its start doesn't vote. If a voter is missing, the usual election follows.

--- a/crates/redwinglatch-log/src/message.rs
+++ b/crates/redwinglatch-log/src/message.rs
@@ -103,6 +103,20 @@
     TimeoutNow,
     /// Rejects a message of an earlier term; the sender learns the current one.
     OldTerm,
+    /// Tells a voter that the sender has restarted and knows no leader.
+    Restarted {
+        /// The index of the last entry in the sender's log.
+        last_index: Index,
+        /// The term of that entry.
+        last_term: Term,
+    },
+    /// Requests a vote after a restart of all voters; the sender needs the votes of all of them.
+    VoteAfterRestart {
+        /// The index of the last entry in the sender's log.
+        last_index: Index,
+        /// The term of that entry.
+        last_term: Term,
+    },
 }
 
 /// Identifies when a leader sent a message; the reply returns it unchanged.
--- a/crates/redwinglatch-log/src/replica.rs
+++ b/crates/redwinglatch-log/src/replica.rs
@@ -6,6 +6,7 @@
 mod leader;
 mod membership;
 mod read;
+mod restart;
 mod snapshot;
 
 use std::sync::Arc;
@@ -19,7 +20,7 @@
     memory_log::MemoryLog, write_queue::WriteQueue,
 };
 
-use self::{leader::LeaderState, snapshot::IncomingSnapshot};
+use self::{leader::LeaderState, restart::RestartPhase, snapshot::IncomingSnapshot};
 
 /// The Raft role of a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -53,6 +54,10 @@
     /// timeout after it, except in a leadership transfer.
     leader_contact_ms: u64,
     election_deadline_ms: u64,
+    /// What is known of other restarted voters, until the first contact with a leader.
+    restart: Option<RestartPhase>,
+    /// The election is won by the votes of all voters only.
+    needs_all_votes: bool,
     votes: SmallVec<[(ReplicaId, bool); 8]>,
     /// The write that makes a candidate's vote for itself durable; the vote counts once that write
     /// is synced.
@@ -101,6 +106,7 @@
         // The entries of a term can be on the disk without the hard state of that term.
         let term = hard_state.term.max(log.last_term());
         let voted_for = hard_state.voted_for.filter(|_| term == hard_state.term);
+        let restart = Some(RestartPhase::new(now_ms, config.election_timeout_ms));
         let mut replica = Replica {
             write_queue: WriteQueue::new(log.last_index()),
             config,
@@ -112,6 +118,8 @@
             leader: None,
             leader_contact_ms: now_ms,
             election_deadline_ms: 0,
+            restart,
+            needs_all_votes: false,
             votes: SmallVec::new(),
             own_vote_write: None,
             log,
@@ -137,6 +145,7 @@
             ReplicaRole::Halted => {}
             ReplicaRole::Leader => self.tick_leader(),
             ReplicaRole::Follower | ReplicaRole::PreCandidate | ReplicaRole::Candidate => {
+                self.tick_restart();
                 if self.now_ms >= self.election_deadline_ms {
                     self.start_pre_vote();
                 }
@@ -151,7 +160,10 @@
         match (&self.leader_state, self.role) {
             (_, ReplicaRole::Halted) => u64::MAX,
             (Some(leader_state), _) => leader_state.next_heartbeat_ms,
-            (None, _) => self.election_deadline_ms,
+            (None, _) => match &self.restart {
+                Some(phase) => phase.next_notice_ms().min(self.election_deadline_ms),
+                None => self.election_deadline_ms,
+            },
         }
     }
 
@@ -175,6 +187,11 @@
                 self.handle_pre_vote_granted(from, term);
                 return;
             }
+            MessageKind::Restarted { last_index, last_term } => {
+                self.handle_restarted(from, term, last_index, last_term);
+                return;
+            }
+            MessageKind::VoteAfterRestart { .. } if !self.may_vote_after_restart() => return,
             // A candidate must not make voters leave a term in which they have contact with a
             // leader.
             MessageKind::Vote { is_transfer: false, .. } if self.has_leader_contact() => return,
@@ -189,8 +206,10 @@
         match kind {
             MessageKind::PreVote { .. }
             | MessageKind::PreVoteReply { .. }
+            | MessageKind::Restarted { .. }
             | MessageKind::OldTerm => {}
-            MessageKind::Vote { last_index, last_term, .. } => {
+            MessageKind::Vote { last_index, last_term, .. }
+            | MessageKind::VoteAfterRestart { last_index, last_term } => {
                 self.handle_vote(from, last_index, last_term);
             }
             MessageKind::VoteReply { granted } => self.handle_vote_reply(from, granted),
--- a/crates/redwinglatch-log/src/replica/election.rs
+++ b/crates/redwinglatch-log/src/replica/election.rs
@@ -5,7 +5,7 @@
 
 use crate::{EntryKind, Index, MessageKind, Replica, ReplicaRole, Term};
 
-use super::LeaderState;
+use super::{LeaderState, restart::ElectionKind};
 
 impl Replica {
     pub(super) fn reset_election_timer(&mut self) {
@@ -20,7 +20,7 @@
             || self.now_ms < self.leader_contact_ms + self.config.election_timeout_ms
     }
 
-    fn other_voters(&self) -> SmallVec<[ReplicaId; 8]> {
+    pub(super) fn other_voters(&self) -> SmallVec<[ReplicaId; 8]> {
         let id = self.config.id;
         self.log.membership().voters().iter().copied().filter(|&voter| voter != id).collect()
     }
@@ -39,8 +39,9 @@
         self.own_vote_write = None;
         self.votes.clear();
         self.votes.push((self.config.id, true));
-        if self.has_majority() {
-            self.start_election(false);
+        self.needs_all_votes = false;
+        if self.has_won() {
+            self.start_election(ElectionKind::Timeout);
             return;
         }
         let last_index = self.log.last_index();
@@ -52,7 +53,7 @@
         }
     }
 
-    fn start_election(&mut self, is_transfer: bool) {
+    pub(super) fn start_election(&mut self, kind: ElectionKind) {
         self.reset_election_timer();
         self.role = ReplicaRole::Candidate;
         self.leader = None;
@@ -64,8 +65,16 @@
         let last_index = self.log.last_index();
         let last_term = self.log.last_term();
         self.own_vote_write = Some(self.write_queue.covering_write(last_index));
+        self.needs_all_votes = kind == ElectionKind::AfterRestart;
+        let is_transfer = kind == ElectionKind::Transfer;
+        let request = match kind {
+            ElectionKind::AfterRestart => MessageKind::VoteAfterRestart { last_index, last_term },
+            ElectionKind::Timeout | ElectionKind::Transfer => {
+                MessageKind::Vote { last_index, last_term, is_transfer }
+            }
+        };
         for voter in self.other_voters() {
-            self.send_after_sync(voter, MessageKind::Vote { last_index, last_term, is_transfer });
+            self.send_after_sync(voter, request.clone());
         }
     }
 
@@ -82,21 +91,23 @@
         if !self.votes.iter().any(|&(voter, _)| voter == from) {
             self.votes.push((from, granted));
         }
-        if !self.has_majority() {
+        if !self.has_won() {
             return;
         }
         match self.role {
-            ReplicaRole::PreCandidate => self.start_election(false),
+            ReplicaRole::PreCandidate => self.start_election(ElectionKind::Timeout),
             ReplicaRole::Candidate => self.become_leader(),
             ReplicaRole::Follower | ReplicaRole::Leader | ReplicaRole::Halted => {}
         }
     }
 
-    fn has_majority(&self) -> bool {
+    fn has_won(&self) -> bool {
         let membership = self.log.membership();
         let granted =
             self.votes.iter().filter(|(voter, granted)| *granted && membership.is_voter(*voter));
-        granted.count() >= membership.majority()
+        let needed =
+            if self.needs_all_votes { membership.voters().len() } else { membership.majority() };
+        granted.count() >= needed
     }
 
     fn is_up_to_date(&self, last_index: Index, last_term: Term) -> bool {
@@ -152,7 +163,7 @@
                 "log: replica {} starts an election on request of leader {from}",
                 self.config.id
             );
-            self.start_election(true);
+            self.start_election(ElectionKind::Transfer);
         }
     }
 
@@ -160,6 +171,7 @@
         let id = self.config.id;
         log::info!("log: replica {id} becomes the leader of term {}", self.term);
         self.role = ReplicaRole::Leader;
+        self.restart = None;
         self.leader = Some(id);
         self.votes.clear();
         self.own_vote_write = None;
--- a/crates/redwinglatch-log/src/replica/follower.rs
+++ b/crates/redwinglatch-log/src/replica/follower.rs
@@ -22,6 +22,7 @@
         }
         self.become_follower(self.term, Some(from));
         self.leader_contact_ms = self.now_ms;
+        self.restart = None;
         self.reset_election_timer();
         true
     }
@@ -35,6 +36,7 @@
         let is_request = matches!(
             kind,
             MessageKind::Vote { .. }
+                | MessageKind::VoteAfterRestart { .. }
                 | MessageKind::Append { .. }
                 | MessageKind::SnapshotChunk { .. }
         );
--- a/crates/redwinglatch-log/tests/decoders.rs
+++ b/crates/redwinglatch-log/tests/decoders.rs
@@ -59,6 +59,8 @@
         MessageKind::AppendReply { stamp, result: conflict },
         MessageKind::SnapshotReply { stamp, index: 1, next_offset: 4 },
         MessageKind::Vote { last_index: 1, last_term: 1, is_transfer: true },
+        MessageKind::Restarted { last_index: 1, last_term: 1 },
+        MessageKind::VoteAfterRestart { last_index: 1, last_term: 1 },
     ];
     kinds.into_iter().map(|kind| LogMessage { term: 1, kind }).collect()
 }
--- a/crates/redwinglatch-log/tests/replica.rs
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -524,3 +524,86 @@
     assert_eq!(check(390), Ok(()));
     assert!(matches!(check(391), Err(ConfigError::LeaseTooLong { .. })));
 }
+
+/// Returns a replica of three that restarts with a log of `entries` entries of term 1.
+fn restarted(now_ms: u64, id: u32, entries: u64) -> Replica {
+    let entries = (1..=entries).map(|index| Entry { index, term: 1, kind: EntryKind::Empty });
+    let durable = DurableState {
+        hard_state: HardState { term: 1, voted_for: None },
+        entries: entries.collect(),
+        ..DurableState::default()
+    };
+    let config = ReplicaConfig::new(ReplicaId(id), ids(1..=3));
+    Replica::new(config, durable, now_ms, fastrand::Rng::with_seed(u64::from(id))).unwrap()
+}
+
+fn group_of(replicas: Vec<Replica>, now_ms: u64) -> Group {
+    let (cut_links, messages, reads) = (Vec::new(), Vec::new(), Vec::new());
+    Group { replicas, now_ms, cut_links, messages, reads }
+}
+
+/// All machines lose power: no leader can have a lease, so nobody has to wait for its end.
+#[test]
+fn voters_that_have_all_restarted_elect_the_longest_log_at_once() {
+    let replicas = vec![restarted(5000, 1, 3), restarted(5000, 2, 4), restarted(5000, 3, 4)];
+    let mut group = group_of(replicas, 5000);
+    group.run(60);
+    assert!(group.get(2).is_leader(), "of equal logs, the one of the lowest id");
+    assert_eq!(group.get(2).term(), 2);
+}
+
+/// Guards against an election that fails because a link to a voter isn't established yet.
+#[test]
+fn requests_for_votes_after_a_restart_are_repeated() {
+    let mut group = group_of((1..=3).map(|id| restarted(5000, id, 3)).collect(), 5000);
+    group.cut_links = vec![(1, 3)];
+    group.run(200);
+    assert!((1..=3).all(|id| !group.get(id).is_leader()));
+    group.cut_links.clear();
+    group.run(60);
+    assert!(group.get(1).is_leader());
+}
+
+/// Guards against an election beside a leader that is cut off from the voters that have restarted.
+#[test]
+fn voters_wait_if_one_of_them_has_not_restarted_or_is_not_heard() {
+    let mut group = group_of((1..=3).map(|id| restarted(5000, id, 3)).collect(), 5000);
+    group.isolate(3);
+    group.run(790);
+    assert!((1..=2).all(|id| !group.get(id).is_leader()));
+    group.run(1000);
+    assert!((1..=2).any(|id| group.get(id).is_leader()), "after the election timeout");
+
+    let mut group = Group::with_leader_1(3);
+    let now_ms = group.now_ms;
+    group.cut_links = vec![(1, 2), (1, 3)];
+    for id in [2, 3] {
+        *group.get(id) = restarted(now_ms, id, 1);
+    }
+    group.run(790);
+    assert!((2..=3).all(|id| !group.get(id).is_leader()));
+}
+
+/// Guards against a vote of a replica that has had contact with a new leader since its restart.
+#[test]
+fn contact_with_a_leader_ends_the_votes_after_a_restart() {
+    let request = |term| {
+        let kind = MessageKind::VoteAfterRestart { last_index: 3, last_term: 1 };
+        LogMessage { term, kind }
+    };
+    let votes = |voter: &mut Replica| {
+        let mut messages = take_synced(voter).messages;
+        messages.extend(take_synced(voter).messages);
+        let is_vote = |outgoing: &OutgoingMessage| {
+            outgoing.message.kind == MessageKind::VoteReply { granted: true }
+        };
+        messages.iter().filter(|outgoing| is_vote(outgoing)).count()
+    };
+    let mut voter = restarted(5000, 1, 3);
+    voter.step(ReplicaId(2), request(2), 5010);
+    assert_eq!(votes(&mut voter), 1);
+    let mut voter = restarted(5000, 1, 3);
+    voter.step(ReplicaId(3), append_after((3, 1), Vec::new(), 0, 2), 5010);
+    voter.step(ReplicaId(2), request(3), 5020);
+    assert_eq!(votes(&mut voter), 0);
+}
