Announce a new coordinator at once

Entry processes learned of a new coordinator with its first locations of models, up to 0.3 s after its election, and asked again every 100 ms until then. Change: it announces itself with an empty list; the requests wait for its first reports instead.

--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -55,6 +55,9 @@
             planner.set_quarantine(now_ms, &self.quarantine);
             self.planner = Some((term, planner));
             self.update_planner_services();
+            // Entry processes send their requests here from now on; locations follow with the reports.
+            let locations = Vec::new();
+            self.entries.broadcast(&FleetMessage::ModelLocations { epoch: term, locations });
         } else if !is_leader && self.planner.is_some() {
             log::info!("core: replica {} is no longer the leader", self.replica.id());
             self.planner = None;
