Establish links sooner after a start

Processes start together, and one that dialled before its peer listened waited 200 or 250 ms for the next attempt; after all processes were killed, entry processes were without a link for that long after the election.

Change: attempts that fail are repeated after 30, 60 and 120 ms, then each 250 ms, with a random spread; a link that was established and lost still waits 250 ms, since its peer sends the whole state.

--- a/crates/redwinglatch-fleet/src/core/links.rs
+++ b/crates/redwinglatch-fleet/src/core/links.rs
@@ -9,15 +9,15 @@
 };
 
 use crate::{
-    link::{self, Frame, LinkSender},
+    link::{self, Frame, LinkSender, ReconnectDelay},
     message::FleetMessage,
     metrics::Metrics,
 };
 
 use super::driver::DriverEvent;
 
-/// Delay before the next attempt to accept or establish a link.
-const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// Delay after a failed attempt to accept a link.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Frames that may wait for a slow core process: several batches of log entries with whole
 /// configurations.
@@ -38,7 +38,7 @@
             }
             Err(error) => {
                 log::warn!("core: cannot accept a link: {error}");
-                tokio::time::sleep(RECONNECT_DELAY).await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
@@ -79,8 +79,9 @@
     metrics: Arc<Metrics>,
 ) {
     let (replica, own_link) = own;
+    let mut reconnect_delay = ReconnectDelay::default();
     loop {
-        match link::connect(address).await {
+        let delay = match link::connect(address).await {
             Ok(stream) => {
                 let (sender, mut reader) = link::split(stream, MAX_QUEUED_BYTES, &metrics);
                 sender.send(&FleetMessage::CoreHello { replica, link: own_link });
@@ -97,10 +98,14 @@
                     }
                 }
                 log::info!("core: the link to {address} was closed");
+                reconnect_delay.after_loss()
             }
-            Err(error) => log::debug!("core: cannot connect to {address}: {error}"),
-        }
-        tokio::time::sleep(RECONNECT_DELAY).await;
+            Err(error) => {
+                log::debug!("core: cannot connect to {address}: {error}");
+                reconnect_delay.after_failure()
+            }
+        };
+        tokio::time::sleep(delay).await;
     }
 }
 
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -8,14 +8,12 @@
     clock::{ENTRY_OVERLOAD_LAG_MS, TimerLag},
     core,
     ids::BackendKey,
-    link,
+    link::{self, ReconnectDelay},
     message::{Backend, EntryHello, FleetMessage},
 };
 
 use super::{EntryContext, fleet_view::CoordinatorAcceptance};
 
-/// Delay before the next connection attempt.
-const RECONNECT_DELAY: Duration = Duration::from_millis(250);
 /// Interval between measurements of the timer lag.
 const LAG_TICK: Duration = Duration::from_millis(50);
 /// Smallest number of ticks between status messages to the coordinator.
@@ -116,8 +114,9 @@
         front,
         data_centre: context.settings.data_centre.clone(),
     };
+    let mut reconnect_delay = ReconnectDelay::default();
     loop {
-        match link::connect(address).await {
+        let delay = match link::connect(address).await {
             Ok(stream) => {
                 let (sender, mut reader) = link::split(stream, MAX_QUEUED_BYTES, &context.metrics);
                 sender.send(&FleetMessage::EntryHello(hello.clone()));
@@ -134,10 +133,14 @@
                 context.fleet_view().core_disconnected(address);
                 context.state_sources().disconnected(address);
                 log::warn!("entry: lost the core process at {address}: {error}");
+                reconnect_delay.after_loss()
             }
-            Err(error) => log::debug!("entry: cannot connect to {address}: {error}"),
-        }
-        tokio::time::sleep(RECONNECT_DELAY).await;
+            Err(error) => {
+                log::debug!("entry: cannot connect to {address}: {error}");
+                reconnect_delay.after_failure()
+            }
+        };
+        tokio::time::sleep(delay).await;
     }
 }
 
--- a/crates/redwinglatch-fleet/src/link.rs
+++ b/crates/redwinglatch-fleet/src/link.rs
@@ -35,11 +35,42 @@
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time limit of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Delay before a link that was lost is established again; its peer sends its whole state then.
+const LOST_LINK_DELAY_MS: u64 = 250;
+/// Delays before further attempts, by the number of attempts that failed in a row. The first are short,
+/// because the processes of a fleet start together and some listen a moment later.
+const RETRY_DELAYS_MS: [u64; 4] = [30, 60, 120, 250];
 /// Maximum frame size; the largest messages are whole configurations and batches of log entries.
 const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Frames are coalesced into one write until it reaches this size.
 const MAX_BATCH_BYTES: usize = 64 << 10;
 
+/// The delays between attempts to establish a link.
+#[derive(Debug, Default)]
+pub(crate) struct ReconnectDelay {
+    failed_attempts: usize,
+}
+
+impl ReconnectDelay {
+    /// Returns the delay after an established link was lost.
+    pub(crate) fn after_loss(&mut self) -> Duration {
+        self.failed_attempts = 0;
+        spread(LOST_LINK_DELAY_MS)
+    }
+
+    /// Returns the delay after an attempt that failed.
+    pub(crate) fn after_failure(&mut self) -> Duration {
+        let delay_ms = RETRY_DELAYS_MS[self.failed_attempts.min(RETRY_DELAYS_MS.len() - 1)];
+        self.failed_attempts += 1;
+        spread(delay_ms)
+    }
+}
+
+/// Draws a delay around `delay_ms`, so that hundreds of processes don't connect at the same time.
+fn spread(delay_ms: u64) -> Duration {
+    Duration::from_millis(delay_ms * 3 / 4 + fastrand::u64(0..=delay_ms / 2))
+}
+
 /// Connects to a process of the fleet.
 pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
--- a/crates/redwinglatch-fleet/src/link/tests.rs
+++ b/crates/redwinglatch-fleet/src/link/tests.rs
@@ -1,4 +1,4 @@
-use super::{Frame, LinkQueue};
+use super::{Frame, LinkQueue, ReconnectDelay};
 use crate::message::FleetMessage;
 
 fn document(bytes: usize) -> FleetMessage {
@@ -42,3 +42,19 @@
     let message: FleetMessage = postcard::from_bytes(body).expect("a message");
     assert_eq!(message.kind(), "configuration");
 }
+
+/// Processes that start together reach each other soon; one that stays away costs few attempts.
+#[test]
+fn attempts_to_connect_become_rare() {
+    let mut delay = ReconnectDelay::default();
+    let first: u128 = (0..2).map(|_| delay.after_failure().as_millis()).sum();
+    assert!(first < 150, "{first} ms until the third attempt");
+    let minute = 60_000;
+    let attempts = std::iter::repeat_with(|| delay.after_failure().as_millis())
+        .scan(0, |elapsed, delay| {
+            *elapsed += delay;
+            (*elapsed < minute).then_some(())
+        })
+        .count();
+    assert!(attempts < 400, "{attempts} attempts in a minute");
+}
