Tell why the coordinator refused a request

A refusal was logged as overloaded whatever its cause, without the inputs that decided it, and explain said the same of all. The coordinator now sends the cause with its inputs: the adapter can't be loaded in time (time of the load, patience of the caller, loads and their limit), was not loaded in time, or the engines that have it were busy. Entry processes log them, and explain has a meaning for each.

No decision changes. The message has a variant of its own, so that entry processes also understand older coordinators. refusals_of_the_coordinator_are_explained_by_their_causes is new.

--- a/crates/redwinglatch-explain/src/cause.rs
+++ b/crates/redwinglatch-explain/src/cause.rs
@@ -40,7 +40,30 @@
     if is_late(&lines[end]) || is_status(outcome) {
         return Some(cause_of_lateness(lines, end));
     }
-    Some(Cause { line: end, meaning: meaning_of_outcome(outcome) })
+    let meaning = match lines[end].value("cause") {
+        Some(cause) => meaning_of_refusal(cause),
+        None => meaning_of_outcome(outcome),
+    };
+    Some(Cause { line: end, meaning })
+}
+
+/// Returns the meaning of the cause for which the coordinator refused a request.
+fn meaning_of_refusal(cause: &str) -> &'static str {
+    match cause {
+        "load_too_late" => {
+            "the adapter could not be loaded (load_ms) before the caller would leave (patience_ms); \
+             loads at load_limit mean that the weight store is the bottleneck"
+        }
+        "not_loaded_in_time" => {
+            "the adapter was not loaded in time; loads below load_limit mean that engines lost orders \
+             or no coordinator was there for a while"
+        }
+        "engines_busy" => {
+            "the engines that have the adapter (engines) had no room before the caller would leave"
+        }
+        "quarantined" => "engines ended under earlier requests with a prompt part of this one",
+        _ => "the coordinator could not place the request in time",
+    }
 }
 
 fn cause_of_lateness(lines: &[LogLine], end: usize) -> Cause {
--- a/crates/redwinglatch-explain/tests/explain.rs
+++ b/crates/redwinglatch-explain/tests/explain.rs
@@ -147,3 +147,24 @@
     assert_eq!((&*line.process, &*line.level, &*line.message), ("a/core", "WARN", "core: [y] z=1"));
     assert_eq!(line.value("z"), Some("1"));
 }
+
+/// Guards against an explanation that says the same of all refusals of the coordinator.
+#[test]
+fn refusals_of_the_coordinator_are_explained_by_their_causes() {
+    let causes = [
+        ("load_too_late load_ms=1830 patience_ms=1400 loads=8 load_limit=8", "weight store"),
+        ("not_loaded_in_time loads=2 load_limit=8", "lost orders"),
+        ("engines_busy engines=2 waiting=40", "no room"),
+        ("quarantined", "prompt part"),
+    ];
+    for (cause, expected) in causes {
+        let log = format!(
+            "[2026-01-02T10:00:00.000Z INFO  x] request: id=r1 outcome=overloaded after_ms=3 \
+             retry_after_ms=900 cause={cause}\n"
+        );
+        let logs = [("entry".into(), log)];
+        let explanation = Explanation::of("r1", &logs).expect("a line names the request");
+        let text = explanation.to_string();
+        assert!(text.contains(expected), "{cause}: {text}");
+    }
+}
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -92,7 +92,7 @@
         let epoch = *epoch;
         let orders = planner.plan(now_ms, self.replica.leader_lease_valid(now_ms));
         for AddressedPlaceReply { entry, id, reply } in planner.take_replies() {
-            if matches!(reply, PlaceReply::Refused { .. }) {
+            if matches!(reply, PlaceReply::RefusedFor { .. }) {
                 self.metrics.record_refusal("not_placed");
             }
             self.entries.send(entry, &FleetMessage::PlaceReply { id, reply });
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -28,7 +28,10 @@
 use crate::{
     EngineReport, OrderKind,
     ids::{BackendKey, ModelName, is_adapter},
-    message::{Backend, EntryStatus, ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest},
+    message::{
+        Backend, EntryStatus, ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest,
+        RefusalCause,
+    },
     quarantine::Quarantine,
 };
 
@@ -395,7 +398,8 @@
     pub(super) fn place(&mut self, now_ms: u64, entry: u64, id: u64, request: PlaceRequest) {
         let waiting = WaitingRequest::new(now_ms, entry, id, request);
         if let Some(retry_after_ms) = self.quarantine_ms(now_ms, &waiting.request) {
-            self.push_reply(&waiting, PlaceReply::Refused { retry_after_ms });
+            let cause = RefusalCause::Quarantined;
+            self.push_reply(&waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
             return;
         }
         let shared_parts = waiting.request.shared_parts();
--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ids::BackendKey,
-    message::{PlaceReply, PlaceRequest},
+    message::{PlaceReply, PlaceRequest, RefusalCause},
 };
 
 use super::{
@@ -15,6 +15,10 @@
     waiting_request::WaitingRequest,
 };
 
+fn saturate(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 impl Planner {
     /// Places waiting requests on engines that have their adapter loaded, the most urgent first,
     /// and refuses those that have timed out.
@@ -58,22 +62,35 @@
             return true;
         }
         if waiting.has_timed_out(now_ms) {
-            self.refuse(waiting);
+            self.refuse(now_ms, waiting);
             return true;
         }
         false
     }
 
     pub(super) fn push_reply(&mut self, waiting: &WaitingRequest, reply: PlaceReply) {
-        if matches!(reply, PlaceReply::Refused { .. }) {
+        if matches!(reply, PlaceReply::RefusedFor { .. }) {
             self.summary.count_refused();
         }
         self.replies.push(AddressedPlaceReply { entry: waiting.entry, id: waiting.id, reply });
     }
 
-    pub(super) fn refuse(&mut self, waiting: &WaitingRequest) {
+    /// Refuses a request for which no engine was found in time.
+    fn refuse(&mut self, now_ms: u64, waiting: &WaitingRequest) {
+        let model = &waiting.request.model;
+        let cause = match self.copy_status(now_ms, model) {
+            CopyStatus::Loaded { .. } => {
+                let engines = self.model_index.engines_with(&self.engines, model).count();
+                let waiting = self.waiting.len();
+                RefusalCause::EnginesBusy { engines: saturate(engines), waiting: saturate(waiting) }
+            }
+            CopyStatus::None | CopyStatus::Loading => RefusalCause::NotLoadedInTime {
+                loads_in_flight: saturate(self.store.in_flight()),
+                load_limit: self.store.limit() as u32,
+            },
+        };
         let retry_after_ms = fastrand::u64(RETRY_AFTER_RANGE_MS);
-        self.push_reply(waiting, PlaceReply::Refused { retry_after_ms });
+        self.push_reply(waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
     }
 
     /// Refuses the requests whose adapter can't be loaded before their callers leave, and returns the
@@ -131,7 +148,13 @@
             let until_ms = now_ms + retry_after_ms + RETURN_SLACK_MS;
             self.expected.insert(waiting.request.model.clone(), until_ms);
         }
-        self.push_reply(waiting, PlaceReply::Refused { retry_after_ms });
+        let cause = RefusalCause::LoadTooLate {
+            load_ms: completion_ms.saturating_sub(now_ms),
+            patience_ms: waiting.last_start_ms.saturating_sub(now_ms),
+            loads_in_flight: saturate(self.store.in_flight()),
+            load_limit: self.store.limit() as u32,
+        };
+        self.push_reply(waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
     }
 
     /// Returns the engine, and the version of the adapter on it, that can start the request first.
--- a/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids::BackendKey,
-    message::{PlaceReply, PlaceRequest},
+    message::{PlaceReply, PlaceRequest, RefusalCause},
     quarantine::Quarantine,
 };
 
@@ -16,7 +16,8 @@
         for waiting in waiting {
             match self.quarantine_ms(now_ms, &waiting.request) {
                 Some(retry_after_ms) => {
-                    self.push_reply(&waiting, PlaceReply::Refused { retry_after_ms });
+                    let cause = RefusalCause::Quarantined;
+                    self.push_reply(&waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
                 }
                 None => self.waiting.push(waiting),
             }
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -398,7 +398,7 @@
     }
     simulation.place(99, request("m/a99"));
     simulation.run(1_600);
-    assert!(matches!(simulation.replies.get(&99), Some(PlaceReply::Refused { .. })));
+    assert!(matches!(simulation.replies.get(&99), Some(PlaceReply::RefusedFor { .. })));
 }
 
 /// Requests for 100 adapters at once, of which the store delivers 8 each 250 ms: those whose adapter
@@ -414,7 +414,7 @@
         .replies
         .values()
         .filter_map(|reply| match reply {
-            PlaceReply::Refused { retry_after_ms } => Some(*retry_after_ms),
+            PlaceReply::RefusedFor { retry_after_ms, .. } => Some(*retry_after_ms),
             _ => None,
         })
         .collect();
@@ -473,7 +473,7 @@
         .replies
         .iter()
         .filter_map(|(id, reply)| match reply {
-            PlaceReply::Refused { retry_after_ms } => Some((*id, *retry_after_ms)),
+            PlaceReply::RefusedFor { retry_after_ms, .. } => Some((*id, *retry_after_ms)),
             _ => None,
         })
         .collect();
--- a/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
@@ -1,6 +1,7 @@
 //! Requests with prompt parts under which engines end.
 
 use super::*;
+use crate::message::RefusalCause;
 use crate::quarantine::{Quarantine, QuarantinedPart};
 
 fn request_with(parts: &[u64]) -> PlaceRequest {
@@ -40,7 +41,8 @@
     simulation.planner.set_quarantine(simulation.now_ms, &quarantine);
     simulation.place(3, request_with(&[666]));
     simulation.run(5);
-    let refused = PlaceReply::Refused { retry_after_ms: 60_000 };
+    let cause = RefusalCause::Quarantined;
+    let refused = PlaceReply::RefusedFor { retry_after_ms: 60_000, cause };
     assert_eq!((&simulation.replies[&1], &simulation.replies[&3]), (&refused, &refused));
     simulation.run(LOAD_MS + 100);
     assert!(simulation.engine_of(2).is_some());
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -198,7 +198,11 @@
 ) -> Response<Body> {
     context.metrics.record_refusal(reason.code());
     let after_ms = received_at.elapsed().as_millis();
-    log::info!("request: {log_name} outcome={} after_ms={after_ms}", reason.code());
+    log::info!(
+        "request: {log_name} outcome={} after_ms={after_ms}{}",
+        reason.code(),
+        reason.inputs()
+    );
     refusal_response(context.dialect, reason)
 }
 
@@ -384,9 +388,9 @@
                         return Ok((selected, Some(placement)));
                     }
                 }
-                PlacementDecision::Refused { retry_after_ms } => {
+                PlacementDecision::Refused { retry_after_ms, cause } => {
                     check_quarantine(context, prepared)?;
-                    return Err(RefusalReason::Overloaded { retry_after_ms });
+                    return Err(RefusalReason::Overloaded { retry_after_ms, cause });
                 }
                 PlacementDecision::NoCoordinator => {}
             }
--- a/crates/redwinglatch-fleet/src/entry/placement.rs
+++ b/crates/redwinglatch-fleet/src/entry/placement.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::BackendKey,
-    message::{FleetMessage, PlaceReply, PlaceRequest},
+    message::{FleetMessage, PlaceReply, PlaceRequest, RefusalCause},
 };
 
 use super::EntryContext;
@@ -26,7 +26,7 @@
     /// The request is placed on this engine until the guard is dropped.
     Placed { engine: BackendKey, version: Option<u64>, placement: PlacementGuard },
     /// The request is rejected.
-    Refused { retry_after_ms: u64 },
+    Refused { retry_after_ms: u64, cause: Option<RefusalCause> },
     /// No coordinator is connected or responsive.
     NoCoordinator,
 }
@@ -76,7 +76,10 @@
                 return PlacementDecision::Placed { engine, version, placement };
             }
             Ok(Some(PlaceReply::Refused { retry_after_ms })) => {
-                return PlacementDecision::Refused { retry_after_ms };
+                return PlacementDecision::Refused { retry_after_ms, cause: None };
+            }
+            Ok(Some(PlaceReply::RefusedFor { retry_after_ms, cause })) => {
+                return PlacementDecision::Refused { retry_after_ms, cause: Some(cause) };
             }
             Ok(None) => return PlacementDecision::NoCoordinator,
             Err(_) => {
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -7,7 +7,7 @@
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 
-use crate::{Dialect, http::Body};
+use crate::{Dialect, http::Body, message::RefusalCause};
 
 /// The reason why a request is answered by the entry process instead of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +36,8 @@
     Overloaded {
         /// The delay after which the caller should retry.
         retry_after_ms: u64,
+        /// The cause, unless an older coordinator sent the refusal.
+        cause: Option<RefusalCause>,
     },
     /// Engines have ended under requests with a prompt part of this one.
     Quarantined {
@@ -77,6 +79,21 @@
         }
     }
 
+    /// Returns what decided the refusal, as further fields of a log line.
+    pub(crate) fn inputs(self) -> String {
+        match self {
+            RefusalReason::Overloaded { retry_after_ms, cause: Some(cause) } => {
+                format!(" retry_after_ms={retry_after_ms} {cause}")
+            }
+            RefusalReason::Overloaded { retry_after_ms, cause: None }
+            | RefusalReason::Quarantined { retry_after_ms }
+            | RefusalReason::BackendsOnHold { retry_after_ms } => {
+                format!(" retry_after_ms={retry_after_ms}")
+            }
+            _ => String::new(),
+        }
+    }
+
     fn status(self) -> StatusCode {
         match self {
             RefusalReason::NoRoute | RefusalReason::UnknownModel => StatusCode::NOT_FOUND,
@@ -107,7 +124,7 @@
                 Some((200, 600))
             }
             RefusalReason::NotLoaded => Some((1_000, 2_000)),
-            RefusalReason::Overloaded { retry_after_ms } => Some((retry_after_ms, 1)),
+            RefusalReason::Overloaded { retry_after_ms, .. } => Some((retry_after_ms, 1)),
             RefusalReason::Quarantined { retry_after_ms } => Some((retry_after_ms, 1_000)),
             RefusalReason::BackendsOnHold { retry_after_ms } => Some((retry_after_ms, 200)),
             _ => None,
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between the processes of the fleet.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use redwinglatch_core::ReplicaId;
 use serde::{Deserialize, Serialize};
@@ -232,8 +232,46 @@
     /// The request is placed on this engine. If a version is given, the engine must serve that
     /// version of the adapter.
     Placed { engine: BackendKey, version: Option<u64> },
-    /// The request is rejected; the caller may retry after this time.
+    /// The request is rejected; the caller may retry after this time. Sent by older versions.
     Refused { retry_after_ms: u64 },
+    /// The request is rejected for this reason; the caller may retry after this time.
+    RefusedFor { retry_after_ms: u64, cause: RefusalCause },
+}
+
+/// Why the coordinator rejects a request, with what decided it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum RefusalCause {
+    /// The adapter can't be loaded before the caller leaves.
+    LoadTooLate { load_ms: u64, patience_ms: u64, loads_in_flight: u32, load_limit: u32 },
+    /// The adapter was not loaded before the caller would leave.
+    NotLoadedInTime { loads_in_flight: u32, load_limit: u32 },
+    /// The engines with the adapter had no room before the caller would leave.
+    EnginesBusy { engines: u32, waiting: u32 },
+    /// Requests with a prompt part of this one are quarantined.
+    Quarantined,
+}
+
+/// Writes the cause as fields of a log line.
+impl fmt::Display for RefusalCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RefusalCause::LoadTooLate { load_ms, patience_ms, loads_in_flight, load_limit } => {
+                write!(
+                    formatter,
+                    "cause=load_too_late load_ms={load_ms} patience_ms={patience_ms} \
+                     loads={loads_in_flight} load_limit={load_limit}"
+                )
+            }
+            RefusalCause::NotLoadedInTime { loads_in_flight, load_limit } => write!(
+                formatter,
+                "cause=not_loaded_in_time loads={loads_in_flight} load_limit={load_limit}"
+            ),
+            RefusalCause::EnginesBusy { engines, waiting } => {
+                write!(formatter, "cause=engines_busy engines={engines} waiting={waiting}")
+            }
+            RefusalCause::Quarantined => write!(formatter, "cause=quarantined"),
+        }
+    }
 }
 
 /// A backend server on the backend list.
