Log and count the request limits that servers name

Each entry process now records the limit in an answer, with a line when it is new or has ended, and counts the requests that it sends to such servers (limited_requests). Nothing is decided by it yet.

--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -2,9 +2,14 @@
 
 use std::net::SocketAddr;
 
-use hyper::{HeaderMap, Method, header::HeaderName};
+use hyper::{
+    HeaderMap, Method,
+    header::{HeaderName, HeaderValue},
+};
 use redwinglatch_routing::Configuration;
 
+use crate::request_rate::RequestRate;
+
 /// The names and message formats of a platform.
 #[derive(Debug)]
 pub struct Dialect {
@@ -54,6 +59,9 @@
     pub not_run: HeaderName,
     /// States with the value `1` that the backend server is about to stop.
     pub leaving: HeaderName,
+    /// The requests per second that the backend server takes from all processes together, in each response
+    /// for as long as it needs the limit.
+    pub request_limit: HeaderName,
     /// The model or adapter that the request uses.
     pub model: HeaderName,
     /// The priority of a request at an engine, where lower numbers are more urgent.
@@ -77,6 +85,19 @@
     pub(crate) fn announce_stop(&self, headers: &HeaderMap) -> bool {
         headers.get(&self.leaving).is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
     }
+
+    /// Returns the request limit that a response names, if it names one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a limit that can't be read.
+    pub(crate) fn request_limit<'a>(
+        &self,
+        headers: &'a HeaderMap,
+    ) -> Result<Option<RequestRate>, &'a HeaderValue> {
+        let Some(value) = headers.get(&self.request_limit) else { return Ok(None) };
+        value.to_str().ok().and_then(RequestRate::parse).map(Some).ok_or(value)
+    }
 }
 
 /// An operation that an operator requests.
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -15,6 +15,7 @@
 mod prompt_outcomes;
 mod ready_entries;
 mod refusal;
+mod request_limits;
 mod state_sources;
 mod stream;
 
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -15,6 +15,7 @@
 pub(crate) use self::selection::{BackendSelection, SelectedBackend};
 use super::{
     backend_health::BackendHealth, prompt_outcomes::CompletedParts, ready_entries::ReadyEntries,
+    request_limits::RequestLimits,
 };
 use crate::{
     ids::{BackendKey, ModelName, is_adapter},
@@ -24,6 +25,7 @@
         ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest,
     },
     quarantine::{Quarantine, QuarantinedPart},
+    request_rate::RequestRate,
 };
 
 /// Maximum number of servers whose announcements are kept although they are no longer listed.
@@ -62,6 +64,7 @@
     /// processes differ in age, so a server may be listed again.
     unlisted: VecDeque<(BackendKey, BackendHealth)>,
     backends_digest: u64,
+    request_limits: RequestLimits,
     /// The engines on which each model or adapter is loaded, with its version.
     model_locations: HashMap<ModelName, SmallVec<[(BackendKey, u64); 2]>>,
     coordinator_epoch: u64,
@@ -103,6 +106,7 @@
             services: HashMap::new(),
             unlisted: VecDeque::new(),
             backends_digest: 0,
+            request_limits: RequestLimits::default(),
             model_locations: HashMap::new(),
             coordinator_epoch: 0,
             store_limit: 0,
@@ -558,6 +562,23 @@
         }
     }
 
+    /// Records the request limit in an answer to a request that was sent at `sent_ms`; returns whether it is
+    /// new, or new that there is none.
+    pub(crate) fn record_request_limit(
+        &mut self,
+        now_ms: u64,
+        key: BackendKey,
+        sent_ms: u64,
+        named: Option<RequestRate>,
+    ) -> bool {
+        self.request_limits.record_answer(now_ms, key, sent_ms, named)
+    }
+
+    /// Returns whether a backend server has named a request limit.
+    pub(crate) fn is_limited(&self, key: BackendKey) -> bool {
+        self.request_limits.is_limited(key)
+    }
+
     /// Records that another server has taken over the address of a backend server.
     pub(crate) fn record_replacement(&mut self, now_ms: u64, key: BackendKey) {
         if let Some(state) = self.backends.get_mut(&key) {
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -72,6 +72,10 @@
         let BackendAttempt { context, prepared, selected, .. } = self;
         let in_flight = InFlight::start(context, selected.key, prepared.model.clone(), placement);
         let request = self.request();
+        let sent_ms = context.now_ms();
+        if context.fleet_view().is_limited(selected.key) {
+            context.metrics.record_limited_request();
+        }
         let (response, lease) = match context.client.send(selected.address, request).await {
             Ok(response) => response,
             Err(error) => {
@@ -88,6 +92,7 @@
         let names = &context.dialect.headers;
         let (parts, body) = response.into_parts();
         self.record_announcements(parts.status, &parts.headers);
+        self.record_request_limit(sent_ms, &parts.headers);
         if !self.has_own_request_id(&parts.headers) {
             self.log_failure("the response has the id of another request");
             return AttemptOutcome::MaybeRan;
@@ -200,6 +205,33 @@
         }
     }
 
+    /// Records the request limit that a response names, or that it names none.
+    fn record_request_limit(&self, sent_ms: u64, headers: &HeaderMap) {
+        let BackendAttempt { context, prepared, selected, .. } = self;
+        let names = &context.dialect.headers;
+        let named = match names.request_limit(headers) {
+            Ok(named) => named,
+            Err(value) => {
+                log::warn!("entry: server {} names an unreadable limit {value:?}", selected.id);
+                return;
+            }
+        };
+        // A response that belongs to no request says nothing of the limit.
+        let has_id = prepared.request_id.is_none() || headers.contains_key(&names.request_id);
+        if named.is_none() && !has_id {
+            return;
+        }
+        let now_ms = context.now_ms();
+        if context.fleet_view().record_request_limit(now_ms, selected.key, sent_ms, named) {
+            match named {
+                Some(rate) => {
+                    log::info!("entry: server {} takes {rate} requests a second", selected.id);
+                }
+                None => log::info!("entry: server {} names no limit any more", selected.id),
+            }
+        }
+    }
+
     /// Records that an engine may have ended under the request.
     fn record_prompt_failure(&self) {
         let BackendAttempt { context, prepared, selected, .. } = self;
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod message;
 mod metrics;
 mod quarantine;
+mod request_rate;
 mod settings;
 mod state;
 
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -77,6 +77,11 @@
         self.increment("stream_ends", end);
     }
 
+    /// Counts a request to a server that has named a request limit.
+    pub(crate) fn record_limited_request(&self) {
+        self.increment("limited_requests", "sent");
+    }
+
     /// Counts a prompt part that is quarantined.
     pub(crate) fn record_quarantine(&self) {
         self.increment("quarantined_parts", "engines_ended");
