Share the calls for the backend list among processes without core processes

With 300 processes that are 300 calls a second by arithmetic; now at most 10, and each process still polls no more often than once a second.

--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -28,8 +28,10 @@
 const MAX_QUEUED_BYTES: usize = 1 << 20;
 /// Time without a link to any core process after which this process polls the backend list itself.
 const ISOLATED_AFTER_MS: u64 = 1_500;
-/// Interval between these polls.
-const ISOLATED_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Shortest interval between these polls.
+const MIN_ISOLATED_POLL_INTERVAL_MS: u64 = 1_000;
+/// Interval between the polls of all entry processes together, which the platform limits.
+const ISOLATED_POLL_INTERVAL_MS_PER_ENTRY: u64 = 100;
 
 /// Starts the tasks that maintain the links to the core processes and send the status of this
 /// process.
@@ -273,13 +275,23 @@
     }
 }
 
+/// Returns the interval between the polls of one of several entry processes.
+///
+/// Answers the loss of all core processes in a fleet of hundreds: the platform refuses the calls beyond its
+/// limit, so that hardly any process would get the list.
+fn isolated_poll_interval(entries: usize) -> Duration {
+    let shared_ms = entries as u64 * ISOLATED_POLL_INTERVAL_MS_PER_ENTRY;
+    Duration::from_millis(shared_ms.max(MIN_ISOLATED_POLL_INTERVAL_MS))
+}
+
 /// Polls the platform's backend list while no core process is reachable, so that leaving servers are
 /// still detected.
 async fn poll_list_when_isolated(context: Arc<EntryContext>) {
     let Some(address) = context.settings.list_address else { return };
     let mut last_connected_ms = 0;
     loop {
-        tokio::time::sleep(ISOLATED_POLL_INTERVAL).await;
+        let entries = context.fleet_view().ready_entry_addresses().len();
+        tokio::time::sleep(isolated_poll_interval(entries)).await;
         if context.fleet_view().connected_cores() > 0 {
             last_connected_ms = context.now_ms();
             continue;
@@ -306,3 +318,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
