Log a digest of requests that failed, and their callers

The line of a failed request has a digest of its method, host, path and body now, and the address of its caller.

--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -4,7 +4,11 @@
 mod find_backend;
 mod headers;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -17,9 +21,10 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
-    http::Body,
+    http::{Body, PeerAddress},
     ids::{BackendKey, ModelName},
     message::{PlaceRequest, shared_parts},
+    request_digests::RequestDigests,
 };
 
 use crate::REQUEST_PLACED_TARGET;
@@ -81,6 +86,9 @@
     output_tokens: u32,
     max_output_tokens: u32,
     prompt_parts: Vec<(u64, u32)>,
+    host: Box<str>,
+    caller: IpAddr,
+    digests: OnceLock<RequestDigests>,
 }
 
 impl PreparedRequest {
@@ -94,6 +102,12 @@
         )
     }
 
+    /// Returns the digests of the request, which are computed when they are first needed.
+    pub(crate) fn digests(&self) -> RequestDigests {
+        let PreparedRequest { method, host, uri, body, caller, .. } = self;
+        *self.digests.get_or_init(|| RequestDigests::of(method, host, uri, body, *caller))
+    }
+
     /// Returns the prompt parts that other requests may share.
     pub(crate) fn shared_parts(&self) -> &[(u64, u32)] {
         shared_parts(&self.prompt_parts)
@@ -387,6 +401,7 @@
     let timeout_ms = table.route(route).timeout_ms;
     let asked_ms = text(&names.deadline_ms).and_then(|text| text.trim().parse::<u64>().ok());
     let limit_ms = asked_ms.map_or(timeout_ms, |asked_ms| asked_ms.min(timeout_ms));
+    let peer = parts.extensions.get::<PeerAddress>();
     let tokens = headers::tokens(&parts.headers, names);
     // A caller that retries states its remaining time.
     let spent_ms = asked_ms.map_or(0, |asked_ms| timeout_ms.saturating_sub(asked_ms));
@@ -400,6 +415,9 @@
         output_tokens: tokens.expected_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
         max_output_tokens: tokens.max_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
         prompt_parts: headers::prompt_parts(&parts.headers, names),
+        host: host_of(&parts).unwrap_or_default().into(),
+        caller: peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |PeerAddress(address)| *address),
+        digests: OnceLock::new(),
         request_id: text(&names.request_id).map(Box::from),
         model,
         service: spec.name.clone(),
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -276,10 +276,12 @@
 
     fn log_failure(&self, reason: &str) {
         log::info!(
-            "request: id={} backend={} parts={} failed: {reason}",
+            "request: id={} backend={} parts={} digest={:x} caller={} failed: {reason}",
             self.prepared.request_id.as_deref().unwrap_or("-"),
             self.selected.id,
             self.prepared.logged_parts(),
+            self.prepared.digests().content,
+            self.prepared.caller,
         );
     }
 }
--- a/crates/redwinglatch-fleet/src/http.rs
+++ b/crates/redwinglatch-fleet/src/http.rs
@@ -9,4 +9,4 @@
 pub(crate) use client::{CallError, CallLimits, ConnectionLease, HttpClient, SendError};
 pub(crate) use framing::BodyFraming;
 pub(crate) use retry_after::unavailable_for_ms;
-pub(crate) use server::{Body, ServerLimits, bind, serve};
+pub(crate) use server::{Body, PeerAddress, ServerLimits, bind, serve};
--- a/crates/redwinglatch-fleet/src/http/server.rs
+++ b/crates/redwinglatch-fleet/src/http/server.rs
@@ -2,7 +2,7 @@
 
 use std::{
     convert::Infallible,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     pin::Pin,
     sync::{
         Arc,
@@ -44,6 +44,10 @@
     }
 }
 
+/// The address of the peer that sent a request; an extension of each request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeerAddress(pub(crate) IpAddr);
+
 pub(crate) type Body = BoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
 /// Binds a listening socket.
@@ -79,9 +83,10 @@
             _ = stopped.wait_for(|stop| *stop) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 tokio::spawn(serve_connection(
                     stream,
+                    PeerAddress(peer.ip()),
                     limits(),
                     stop.clone(),
                     Arc::clone(&handler),
@@ -97,6 +102,7 @@
 
 async fn serve_connection<Handler, ResponseFuture>(
     stream: TcpStream,
+    peer: PeerAddress,
     limits: ServerLimits,
     mut stop: watch::Receiver<bool>,
     handler: Arc<Handler>,
@@ -109,7 +115,8 @@
     }
     // HTTP/1.0 knows no chunks: the end of the connection delimits a response of unknown length.
     let is_http_1_0 = AtomicBool::new(false);
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(peer);
         is_http_1_0.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod message;
 mod metrics;
 mod quarantine;
+mod request_digests;
 mod request_rate;
 mod settings;
 mod state;
