--- a/crates/redwinglatch-explain/src/cause.rs
+++ b/crates/redwinglatch-explain/src/cause.rs
@@ -22,6 +22,10 @@
     };
     let outcome = lines[end].value("outcome").unwrap_or_default();
     let backend_line = match outcome {
+        "backends_on_hold" => {
+            "all servers had asked for a pause (Retry-After), too long to wait for"
+        }
+        "backends_limited" => "all servers had named request limits, and these were used up",
         "refused_by_backends" => last_before_end(is_refusal),
         // Failed attempts exclude their backend servers, which can leave none.
         "no_backend" => last_before_end(|line| is_refusal(line) || is_failure(line)),
@@ -61,6 +65,10 @@
         "engines_busy" => {
             "the engines that have the adapter (engines) had no room before the caller would leave"
         }
+        "engines_limited" => {
+            "all engines had named request limits (milli_per_s together), and the requests before this \
+             one (waiting) took what was left of them"
+        }
         "quarantined" => "engines ended under earlier requests with a prompt part of this one",
         _ => "the coordinator could not place the request in time",
     }
