--- a/crates/redwinglatch-explain/src/cause.rs
+++ b/crates/redwinglatch-explain/src/cause.rs
@@ -69,7 +69,9 @@
             "all engines had named request limits (milli_per_s together), and the requests before this \
              one (waiting) took what was left of them"
         }
-        "quarantined" => "engines ended under earlier requests with a prompt part of this one",
+        "quarantined" => {
+            "servers ended under this request before, or engines under others with a prompt part of it"
+        }
         _ => "the coordinator could not place the request in time",
     }
 }
@@ -122,7 +124,9 @@
         "no_backend" => "the backend list contained no server that accepts new work",
         "not_loaded" => "the adapter was not loaded on any engine, and no coordinator responded",
         "overloaded" => "the coordinator could not place the request in time",
-        "quarantined" => "engines ended under earlier requests with a prompt part of this one",
+        "quarantined" => {
+            "servers ended under this request before, or engines under others with a prompt part of it"
+        }
         "refused_by_backends" => "no backend server accepted the request",
         "failed" => "the request may have run, and no response arrived",
         "timed_out" => "the timeout of the route or of the caller expired",
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -175,6 +175,8 @@
     quarantine: Quarantine,
     /// Earliest time of the next proposals to end quarantines.
     quarantine_ends_due_ms: u64,
+    /// Earliest time of the next question for complete answers.
+    watch_due_ms: u64,
     planner: Option<(Term, Planner)>,
     /// Time at which another process was last known to be the leader.
     other_coordinator_ms: Option<u64>,
@@ -233,6 +235,7 @@
             backends: AnnouncedBackends::default(),
             quarantine: Quarantine::default(),
             quarantine_ends_due_ms: 0,
+            watch_due_ms: 0,
             planner: None,
             other_coordinator_ms: (!start_state.is_new_fleet).then(|| clock.now_ms()),
             lag: TimerLag::default(),
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -53,6 +53,7 @@
             let mut planner = Planner::new(from_ms);
             planner.set_versions(&self.state.versions);
             planner.set_quarantine(now_ms, &self.quarantine);
+            planner.restore_ends(now_ms, self.state.server_ends.iter().cloned());
             self.planner = Some((term, planner));
             self.update_planner_services();
             // Entry processes send their requests here from now on; locations follow with the reports.
@@ -86,7 +87,8 @@
 
     /// Sends orders, replies to placement requests and sends location changes to entry processes.
     pub(super) fn plan(&mut self, now_ms: u64) {
-        self.quarantine_fatal_parts(now_ms);
+        self.quarantine_fatal_requests(now_ms);
+        self.ask_for_completions(now_ms);
         let interval_ms = self.broadcast_interval_ms();
         let Some((epoch, planner)) = &mut self.planner else { return };
         let epoch = *epoch;
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -10,6 +10,7 @@
     link::LinkSender,
     message::{Backend, EntryHello, EntryStatus, FleetMessage},
     request_rate::RequestRate,
+    suspects::Suspect,
 };
 
 use super::{Driver, ResponseSender};
@@ -50,15 +51,16 @@
                 }
             }
             FleetMessage::PromptFailed { engine, parts } => {
-                let now_ms = self.now_ms();
-                if let Some((_, planner)) = &mut self.planner {
-                    planner.prompt_failed(now_ms, engine, &parts);
-                }
+                let suspect = Suspect { parts, digests: Vec::new() };
+                self.handle_failed_request(engine, suspect, false);
             }
-            FleetMessage::PromptsCompleted(parts) => {
+            FleetMessage::RequestFailed { server, suspect, has_ended } => {
+                self.handle_failed_request(server, suspect, has_ended);
+            }
+            FleetMessage::RequestsCompleted(keys) => {
                 let now_ms = self.now_ms();
                 if let Some((_, planner)) = &mut self.planner {
-                    planner.prompts_completed(now_ms, &parts);
+                    planner.requests_completed(now_ms, &keys);
                 }
             }
             FleetMessage::RequestLimits(limits) => self.set_request_limits(limits),
@@ -102,6 +104,13 @@
         }
     }
 
+    fn handle_failed_request(&mut self, server: BackendKey, suspect: Suspect, has_ended: bool) {
+        let now_ms = self.now_ms();
+        if let Some((_, planner)) = &mut self.planner {
+            planner.request_failed(now_ms, server, suspect, has_ended);
+        }
+    }
+
     pub(super) fn handle_core_message(&mut self, message: FleetMessage) {
         match message {
             FleetMessage::LeaderResponse { id, response } => {
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -13,7 +13,7 @@
 mod base_updates;
 mod demand;
 mod engine;
-mod fatal_parts;
+mod fatal_requests;
 mod limited_engines;
 mod load_choice;
 mod loading;
@@ -40,7 +40,7 @@
 pub(super) use self::base_models::BaseModels;
 use self::{
     engine::{Engine, ModelPhase, OrderState},
-    fatal_parts::FatalParts,
+    fatal_requests::FatalRequests,
     model_index::{ModelIndex, ReportedUse, UnloadedAdapters},
     request_grants::RequestGrants,
     store_limit::StoreLimit,
@@ -206,9 +206,9 @@
     versions: BTreeMap<ModelName, u64>,
     /// The newest version of each base model that has one.
     base_versions: BTreeMap<ModelName, u64>,
-    fatal_parts: FatalParts,
-    /// Parts that have become fatal since [`Planner::take_fatal_parts`] was called.
-    new_fatal_parts: Vec<u64>,
+    fatal_requests: FatalRequests,
+    /// The servers without engines that are listed, and whether they are about to stop.
+    plain_servers: HashMap<BackendKey, bool>,
     quarantine: Quarantine,
     grants: RequestGrants,
     /// Limited engines that get no loads, by the last planning pass.
@@ -245,8 +245,8 @@
             expected: BTreeMap::new(),
             versions: BTreeMap::new(),
             base_versions: BTreeMap::new(),
-            fatal_parts: FatalParts::default(),
-            new_fatal_parts: Vec::new(),
+            fatal_requests: FatalRequests::default(),
+            plain_servers: HashMap::new(),
             quarantine: Quarantine::default(),
             grants: RequestGrants::default(),
             spared_engines: HashSet::new(),
@@ -289,10 +289,16 @@
             let left = if engine.is_leaving() { "has left" } else { "has ended" };
             log::info!("coordinator: engine {} {left}", engine.backend.id);
             if !engine.is_leaving() {
-                let fatal = self.fatal_parts.engine_ended(engine.backend.key, now_ms);
-                self.new_fatal_parts.extend(fatal);
+                self.fatal_requests.server_ended(engine.backend.key, now_ms);
             }
         }
+        for (server, is_leaving) in &self.plain_servers {
+            if !is_leaving && !listed.contains(server) {
+                self.fatal_requests.server_ended(*server, now_ms);
+            }
+        }
+        let plain = backends.iter().filter(|backend| !self.services.contains_key(&backend.service));
+        self.plain_servers = plain.map(|backend| (backend.key, backend.leaving)).collect();
         let engines_before = self.engines.len();
         self.engines.retain(|key, _| listed.contains(key));
         if self.engines.len() != engines_before {
@@ -356,12 +362,11 @@
         let Some(report) = report else {
             engine.failed_reports += 1;
             engine.report_due_ms = now_ms + REPORT_RETRY_MS;
-            let fatal = self.fatal_parts.engine_ended(key, requested_ms);
-            self.new_fatal_parts.extend(fatal);
+            self.fatal_requests.server_ended(key, requested_ms);
             self.request_report_if_suspected(now_ms, key);
             return;
         };
-        self.fatal_parts.engine_answered(key, requested_ms);
+        self.fatal_requests.server_answered(key, requested_ms);
         engine.failed_reports = 0;
         self.model_index.invalidate();
         engine.apply_report(now_ms, &report, &mut self.changes);
@@ -415,7 +420,7 @@
             return;
         }
         let shared_parts = waiting.request.shared_parts();
-        self.fatal_parts.count_request(shared_parts.iter().map(|(part, _)| *part));
+        self.fatal_requests.count_request(shared_parts.iter().map(|(part, _)| *part));
         let is_first = !self.waiting.iter().any(|other| other.model_hash == waiting.model_hash);
         if is_first && self.try_place(now_ms, &waiting) {
             return;
--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
@@ -1,66 +1,120 @@
-//! Finds prompt parts that make engines end.
+//! Finds requests, and prompt parts of requests, that make backend servers end.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
-use smallvec::SmallVec;
+use crate::{
+    ids::BackendKey,
+    suspects::{self, ServerEnd, Suspect},
+};
 
-use crate::ids::BackendKey;
-
-/// Ends of engines under requests with a part, without a complete answer to one since the first of them,
-/// after which the part counts as fatal.
+/// Ends of servers under a request or prompt part, without a complete answer since the first of them, after
+/// which it counts as fatal.
 const FATAL_ENDS: usize = 3;
-/// The same for a part of which an earlier answer is known to be complete.
+/// The same for one of which an earlier answer is known to be complete.
 const FATAL_ENDS_AFTER_COMPLETION: usize = 5;
 /// Time for which ends and complete answers are remembered.
 const EVIDENCE_MS: u64 = 300_000;
-/// Engines that end within this time have a common cause, such as a loss of power.
+/// Servers that end within this time have a common cause, such as a loss of power.
 const COMMON_CAUSE_MS: u64 = 60;
-/// Time for which a failed request waits for the confirmation that its engine has ended.
+/// The same if the same request was in progress at each of them.
+const COMMON_CAUSE_OF_REQUEST_MS: u64 = 10;
+/// Time within which several processes report the same end of a server. One that starts again may keep its
+/// key, and takes longer to end again.
+const REPORTS_OF_END_MS: u64 = 800;
+/// Ends for which those under a fatal request count against its prompt parts.
+const ENDS_OF_FATAL_REQUEST: usize = 2;
+/// Time for which a failed request waits for the confirmation that its server has ended.
 const CONFIRMATION_MS: u64 = 5_000;
 /// Maximum number of remembered ends, and of failed requests that wait for a confirmation.
 const MAX_FAILURES: usize = 512;
+/// Maximum number of requests of one end that are remembered.
+const MAX_SUSPECTS: usize = 32;
 /// Maximum number of parts whose requests are counted; beyond it counting starts anew.
 const MAX_COUNTED_PARTS: usize = 16_384;
-
-type Parts = SmallVec<[u64; 4]>;
+/// Maximum number of digests of suspects for whose complete answers entry processes are asked.
+const MAX_WATCHED: usize = 32;
 
 /// A request that broke off before or soon after its first event.
 #[derive(Debug)]
 struct Failure {
-    engine: BackendKey,
+    server: BackendKey,
     failed_ms: u64,
-    parts: Parts,
+    suspect: Suspect,
 }
 
-/// The end of one engine, or of several with a common cause.
+/// The end of one server.
 #[derive(Debug)]
-struct EngineEnd {
-    at_ms: u64,
-    /// The parts of the requests that broke off.
-    parts: Parts,
+struct End {
+    server: BackendKey,
+    /// Time of the end; negative if that was before this process started.
+    at_ms: i64,
+    /// The number of ends for which it counts.
+    count: usize,
+    /// The requests that broke off.
+    suspects: Vec<Suspect>,
+}
+
+impl End {
+    fn has(&self, key: u64) -> bool {
+        self.suspects.iter().any(|suspect| suspect.has(key))
+    }
 }
 
-/// The evidence against prompt parts, and the decision which of them are fatal.
+/// The evidence against requests and prompt parts, and the decision which of them are fatal.
 ///
-/// Answers requests with one part in common that end every engine on which their answers begin, while
-/// other requests share all their other parts. The requests that broke off early at the end of an engine
-/// are suspects, and complete answers exonerate. Only ends of engines count, because requests break off
-/// together for many other reasons.
+/// Answers requests that end every server that runs them: one request that comes again under other ids, or
+/// many requests with one prompt part in common, while sound requests have the same path, or share all other
+/// parts. The requests that broke off early at the end of a server are suspects, and complete answers
+/// exonerate. Only ends of servers count, because requests break off together for many other reasons.
 #[derive(Debug, Default)]
-pub(super) struct FatalParts {
-    /// Failed requests whose engines may have ended.
+pub(super) struct FatalRequests {
+    /// Failed requests whose servers may have ended.
     failures: Vec<Failure>,
     /// Ends, the oldest first.
-    ends: VecDeque<EngineEnd>,
-    /// The time of the last complete answer for each part.
+    ends: VecDeque<End>,
+    /// Ends since [`FatalRequests::take_new_ends`] was called.
+    new_ends: Vec<ServerEnd>,
+    /// The time of the last complete answer for each part or watched digest.
     completed_ms: HashMap<u64, u64>,
     /// Requests by part.
     requests: HashMap<u64, u32>,
-    /// Parts that have been fatal before; one more end is enough for them.
+    /// Keys that have been fatal before; one more end is enough for them.
     former: HashSet<u64>,
+    /// Fatal keys since [`FatalRequests::take_fatal`] was called.
+    fatal: Vec<u64>,
+    /// Suspects with complete answers since [`FatalRequests::take_exonerated`] was called.
+    exonerated: Vec<u64>,
+    has_watched_changed: bool,
 }
 
-impl FatalParts {
+impl FatalRequests {
+    /// Takes over the ends that an earlier coordinator has recorded. Times aren't replicated: the last of
+    /// them counts as that of now.
+    pub(super) fn restore(
+        &mut self,
+        now_ms: u64,
+        ends: impl DoubleEndedIterator<Item = ServerEnd>,
+    ) {
+        let mut at_ms = signed(now_ms);
+        for ServerEnd { server, since_previous_ms, suspects } in ends.rev() {
+            let is_same = |end: &&mut End| {
+                end.server == server
+                    && end.at_ms <= at_ms.saturating_add_unsigned(REPORTS_OF_END_MS)
+            };
+            match self.ends.iter_mut().find(is_same) {
+                Some(end) => end.suspects.extend(suspects),
+                None => self.ends.push_front(End { server, at_ms, count: 1, suspects }),
+            }
+            at_ms = at_ms.saturating_sub_unsigned(since_previous_ms);
+        }
+        self.has_watched_changed = true;
+    }
+
+    /// Records that these keys have been fatal before.
+    pub(super) fn add_former(&mut self, keys: impl IntoIterator<Item = u64>) {
+        self.former.extend(keys);
+    }
+
     /// Counts a request.
     pub(super) fn count_request(&mut self, parts: impl IntoIterator<Item = u64>) {
         if self.requests.len() > MAX_COUNTED_PARTS {
@@ -71,93 +125,199 @@
         }
     }
 
-    /// Records complete answers to requests with these parts.
-    pub(super) fn record_completions(&mut self, now_ms: u64, parts: &[u64]) {
+    /// Records complete answers to requests with these parts or digests.
+    pub(super) fn record_completions(&mut self, now_ms: u64, keys: &[u64]) {
         if self.completed_ms.len() > MAX_COUNTED_PARTS {
             self.completed_ms.retain(|_, at_ms| now_ms < *at_ms + EVIDENCE_MS);
         }
-        for part in parts {
-            self.completed_ms.insert(*part, now_ms);
+        for key in keys {
+            self.completed_ms.insert(*key, now_ms);
+            if self.ends.iter().any(|end| end.has(*key)) && !self.exonerated.contains(key) {
+                self.exonerated.push(*key);
+            }
         }
     }
 
     /// Records a request that broke off before or soon after its first event.
-    pub(super) fn record_failure(&mut self, now_ms: u64, engine: BackendKey, parts: &[u64]) {
+    pub(super) fn record_failure(&mut self, now_ms: u64, server: BackendKey, suspect: Suspect) {
         self.failures.retain(|failure| now_ms < failure.failed_ms + CONFIRMATION_MS);
         if self.failures.len() < MAX_FAILURES {
-            let parts = parts.iter().copied().collect();
-            self.failures.push(Failure { engine, failed_ms: now_ms, parts });
+            self.failures.push(Failure { server, failed_ms: now_ms, suspect });
         }
     }
 
-    /// Returns whether the end of the engine would be evidence.
-    pub(super) fn is_suspected(&self, engine: BackendKey) -> bool {
-        self.failures.iter().any(|failure| failure.engine == engine)
+    /// Returns whether the end of the server would be evidence.
+    pub(super) fn is_suspected(&self, server: BackendKey) -> bool {
+        self.failures.iter().any(|failure| failure.server == server)
     }
 
-    /// Records that the engine has answered a question that was asked at `asked_ms`, so that the requests
+    /// Records that the server has answered a question that was asked at `asked_ms`, so that the requests
     /// that failed before did not end it.
-    pub(super) fn engine_answered(&mut self, engine: BackendKey, asked_ms: u64) {
-        self.failures.retain(|failure| failure.engine != engine || asked_ms < failure.failed_ms);
+    pub(super) fn server_answered(&mut self, server: BackendKey, asked_ms: u64) {
+        self.failures.retain(|failure| failure.server != server || asked_ms < failure.failed_ms);
     }
 
-    /// Records that the engine has ended by `asked_ms`, and returns the part that counts as fatal by this
-    /// end.
-    pub(super) fn engine_ended(&mut self, engine: BackendKey, asked_ms: u64) -> Option<u64> {
+    /// Records that the server has ended by `asked_ms`, and decides which of the requests that broke off
+    /// are fatal.
+    pub(super) fn server_ended(&mut self, server: BackendKey, asked_ms: u64) {
         let is_evidence =
-            |failure: &Failure| failure.engine == engine && failure.failed_ms <= asked_ms;
+            |failure: &Failure| failure.server == server && failure.failed_ms <= asked_ms;
         let at_ms = self.failures.iter().filter(|failure| is_evidence(failure));
-        let at_ms = at_ms.map(|failure| failure.failed_ms).min()?;
-        let mut suspects = Parts::new();
-        self.failures.retain(|failure| {
-            if is_evidence(failure) {
-                suspects.extend(failure.parts.iter().copied());
+        let Some(at_ms) = at_ms.map(|failure| failure.failed_ms).min() else { return };
+        let failures = std::mem::take(&mut self.failures);
+        let (evidence, others): (Vec<Failure>, Vec<Failure>) =
+            failures.into_iter().partition(|failure| is_evidence(failure));
+        self.failures = others;
+        let suspects: Vec<Suspect> = evidence.into_iter().map(|failure| failure.suspect).collect();
+        self.add_end(at_ms, server, &suspects);
+        if !self.find_fatal_requests(at_ms, &suspects) {
+            self.find_fatal_part(at_ms, &suspects);
+        }
+    }
+
+    /// Returns the requests and parts that have become fatal since the last call.
+    pub(super) fn take_fatal(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.fatal)
+    }
+
+    /// Returns the suspects with complete answers since the last call.
+    pub(super) fn take_exonerated(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.exonerated)
+    }
+
+    /// Returns the ends since the last call.
+    pub(super) fn take_new_ends(&mut self) -> Vec<ServerEnd> {
+        std::mem::take(&mut self.new_ends)
+    }
+
+    /// Returns the digests of the last suspects if there are others than at the last call.
+    pub(super) fn take_watched_change(&mut self) -> Option<Vec<u64>> {
+        std::mem::take(&mut self.has_watched_changed).then(|| self.watched())
+    }
+
+    /// Returns the digests of the last suspects.
+    fn watched(&self) -> Vec<u64> {
+        let suspects = self.ends.iter().rev().flat_map(|end| &end.suspects);
+        let mut watched: Vec<u64> = Vec::new();
+        for digest in suspects.flat_map(|suspect| &suspect.digests) {
+            if watched.len() < MAX_WATCHED && !watched.contains(digest) {
+                watched.push(*digest);
             }
-            !is_evidence(failure)
-        });
-        self.add_end(at_ms, suspects.clone());
-        let fatal = self.find_fatal(at_ms, &suspects)?;
-        // These ends are explained and say nothing of the other parts.
-        self.ends.retain(|end| !end.parts.contains(&fatal));
-        self.former.insert(fatal);
-        Some(fatal)
+        }
+        watched
     }
 
-    fn add_end(&mut self, at_ms: u64, parts: Parts) {
+    fn add_end(&mut self, at_ms: u64, server: BackendKey, suspects: &[Suspect]) {
+        let at_ms = signed(at_ms);
         while self.ends.len() >= MAX_FAILURES
-            || self.ends.front().is_some_and(|end| end.at_ms + EVIDENCE_MS < at_ms)
+            || self
+                .ends
+                .front()
+                .is_some_and(|end| end.at_ms.saturating_add_unsigned(EVIDENCE_MS) < at_ms)
         {
             self.ends.pop_front();
         }
-        let common = self.ends.iter_mut().rfind(|end| at_ms.abs_diff(end.at_ms) <= COMMON_CAUSE_MS);
-        match common {
-            Some(end) => end.parts.extend(parts),
-            None => self.ends.push_back(EngineEnd { at_ms, parts }),
+        let previous_ms = self.ends.back().map_or(at_ms, |end| end.at_ms);
+        let since_previous_ms = u64::try_from(at_ms - previous_ms).unwrap_or_default();
+        self.new_ends.push(ServerEnd { server, since_previous_ms, suspects: suspects.to_vec() });
+        let is_same = |end: &End| {
+            end.server == server && at_ms <= end.at_ms.saturating_add_unsigned(REPORTS_OF_END_MS)
+        };
+        let index = self.ends.iter().rposition(is_same);
+        let index = index.unwrap_or_else(|| {
+            self.ends.push_back(End { server, at_ms, count: 1, suspects: Vec::new() });
+            self.ends.len() - 1
+        });
+        let known = &mut self.ends[index].suspects;
+        known.extend_from_slice(suspects);
+        known.truncate(MAX_SUSPECTS);
+        self.has_watched_changed = true;
+    }
+
+    /// Finds the suspects that are fatal as a whole, and returns whether there is one.
+    ///
+    /// Of a request that other callers send too, only those of the caller under whose requests servers end
+    /// are fatal.
+    fn find_fatal_requests(&mut self, now_ms: u64, suspects: &[Suspect]) -> bool {
+        let mut is_found = false;
+        for suspect in suspects {
+            let is_fatal =
+                |digest: &&u64| self.is_fatal(now_ms, **digest, COMMON_CAUSE_OF_REQUEST_MS);
+            let Some(fatal) = suspect.digests.iter().find(is_fatal).copied() else { continue };
+            is_found = true;
+            if self.add_fatal(fatal) {
+                // Its ends are explained by the request as a whole, but it may be one of several that share
+                // a fatal part.
+                self.ends.push_back(End {
+                    server: BackendKey(fatal),
+                    at_ms: signed(now_ms),
+                    count: ENDS_OF_FATAL_REQUEST,
+                    suspects: vec![Suspect { parts: suspect.parts.clone(), digests: Vec::new() }],
+                });
+            }
         }
+        is_found
     }
 
-    /// Returns the suspect that counts as fatal; of several the one with the fewest requests, and of these
-    /// the last in its prompt, because the parts before it are shared more widely.
-    fn find_fatal(&self, now_ms: u64, suspects: &[u64]) -> Option<u64> {
-        let fatal = suspects.iter().enumerate().filter(|(_, part)| self.is_fatal(now_ms, **part));
+    /// Finds the part that is fatal: of several the one with the fewest requests, and of these the last in
+    /// its prompt, because the parts before it are shared more widely.
+    fn find_fatal_part(&mut self, now_ms: u64, suspects: &[Suspect]) {
+        let parts = suspects.iter().flat_map(|suspect| &suspect.parts).enumerate();
+        let fatal = parts.filter(|(_, part)| self.is_fatal(now_ms, **part, COMMON_CAUSE_MS));
         let requests = |part: &u64| self.requests.get(part).copied().unwrap_or_default();
-        let rarest = fatal.min_by_key(|(at, part)| (requests(part), std::cmp::Reverse(*at)))?;
-        Some(*rarest.1)
+        let rarest = fatal.min_by_key(|(at, part)| (requests(part), std::cmp::Reverse(*at)));
+        let fatal = rarest.map(|(_, part)| *part);
+        if let Some(part) = fatal {
+            self.add_fatal(part);
+        }
     }
 
-    fn is_fatal(&self, now_ms: u64, part: u64) -> bool {
-        let completed_ms = self.completed_ms.get(&part).copied();
+    /// Adds a fatal key, and returns whether it is fatal for the first time. The ends that it explains say
+    /// nothing of others.
+    fn add_fatal(&mut self, key: u64) -> bool {
+        for end in &mut self.ends {
+            suspects::explain(&mut end.suspects, key);
+        }
+        self.ends.retain(|end| !end.suspects.is_empty());
+        if !self.fatal.contains(&key) {
+            self.fatal.push(key);
+        }
+        self.former.insert(key)
+    }
+
+    fn is_fatal(&self, now_ms: u64, key: u64, common_cause_ms: u64) -> bool {
+        let completed_ms = self.completed_ms.get(&key).copied();
         let completed_ms = completed_ms.filter(|at_ms| now_ms < at_ms + EVIDENCE_MS);
-        let is_after = |end: &&EngineEnd| completed_ms.is_none_or(|at_ms| at_ms < end.at_ms);
-        let ends =
-            self.ends.iter().filter(is_after).filter(|end| end.parts.contains(&part)).count();
+        let is_after =
+            |end: &&End| completed_ms.is_none_or(|completed_ms| signed(completed_ms) < end.at_ms);
+        let ends = self.ends.iter().filter(is_after).filter(|end| end.has(key));
         let needed = match completed_ms {
-            _ if self.former.contains(&part) => 1,
+            _ if self.former.contains(&key) => 1,
             Some(_) => FATAL_ENDS_AFTER_COMPLETION,
             None => FATAL_ENDS,
         };
-        ends >= needed
+        count_causes(ends, common_cause_ms) >= needed
+    }
+}
+
+fn signed(time_ms: u64) -> i64 {
+    i64::try_from(time_ms).unwrap_or(i64::MAX)
+}
+
+/// Counts ends; those that follow another one within `common_cause_ms` have the same cause.
+fn count_causes<'a>(ends: impl Iterator<Item = &'a End>, common_cause_ms: u64) -> usize {
+    let mut times: Vec<(i64, usize)> = ends.map(|end| (end.at_ms, end.count)).collect();
+    times.sort_unstable();
+    let mut count = 0;
+    let mut cause_ms: Option<i64> = None;
+    for (at_ms, ends) in times {
+        if cause_ms.is_none_or(|cause_ms| cause_ms.saturating_add_unsigned(common_cause_ms) < at_ms)
+        {
+            cause_ms = Some(at_ms);
+            count += ends;
+        }
     }
+    count
 }
 
 #[cfg(test)]
--- a/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
@@ -1,9 +1,10 @@
-//! Requests with prompt parts under which engines end.
+//! Requests under which backend servers end.
 
 use crate::{
     ids::BackendKey,
     message::{PlaceReply, PlaceRequest, RefusalCause},
     quarantine::Quarantine,
+    suspects::{ServerEnd, Suspect},
 };
 
 use super::Planner;
@@ -12,6 +13,7 @@
     /// Sets the quarantined prompt parts, and refuses the waiting requests that have one.
     pub(in crate::core) fn set_quarantine(&mut self, now_ms: u64, quarantine: &Quarantine) {
         self.quarantine.clone_from(quarantine);
+        self.fatal_requests.add_former(quarantine.keys());
         let waiting = std::mem::take(&mut self.waiting);
         for waiting in waiting {
             match self.quarantine_ms(now_ms, &waiting.request) {
@@ -24,30 +26,70 @@
         }
     }
 
-    /// Returns the parts that have become fatal since the last call.
-    pub(in crate::core) fn take_fatal_parts(&mut self) -> Vec<u64> {
-        std::mem::take(&mut self.new_fatal_parts)
+    /// Takes over the ends of servers that an earlier coordinator has recorded.
+    pub(in crate::core) fn restore_ends(
+        &mut self,
+        now_ms: u64,
+        ends: impl DoubleEndedIterator<Item = ServerEnd>,
+    ) {
+        self.fatal_requests.restore(now_ms, ends);
     }
 
-    /// Records a request that broke off before or soon after its first event. The next report shows
-    /// whether its engine has ended.
-    pub(in crate::core) fn prompt_failed(&mut self, now_ms: u64, key: BackendKey, parts: &[u64]) {
-        let Some(engine) = self.engines.get(&key) else { return };
-        if engine.is_leaving() {
-            return;
+    /// Returns the requests and prompt parts that have become fatal since the last call.
+    pub(in crate::core) fn take_fatal(&mut self) -> Vec<u64> {
+        self.fatal_requests.take_fatal()
+    }
+
+    /// Returns the suspects with complete answers since the last call, for the next coordinator.
+    pub(in crate::core) fn take_exonerated(&mut self) -> Vec<u64> {
+        self.fatal_requests.take_exonerated()
+    }
+
+    /// Returns the ends of servers since the last call, for the next coordinator.
+    pub(in crate::core) fn take_new_ends(&mut self) -> Vec<ServerEnd> {
+        self.fatal_requests.take_new_ends()
+    }
+
+    /// Returns the digests of the requests under which servers have ended if there are others than at the last
+    /// call. Complete answers to them are evidence too.
+    pub(in crate::core) fn take_watched_change(&mut self) -> Option<Vec<u64>> {
+        self.fatal_requests.take_watched_change()
+    }
+
+    /// Records a request that broke off before or soon after its first event.
+    ///
+    /// The next report shows whether an engine has ended. Of a server without an engine, the entry process
+    /// tells whether it refuses connections, and the backend list whether it is gone.
+    pub(in crate::core) fn request_failed(
+        &mut self,
+        now_ms: u64,
+        key: BackendKey,
+        suspect: Suspect,
+        has_ended: bool,
+    ) {
+        match (self.engines.get(&key), self.plain_servers.get(&key)) {
+            (Some(engine), _) if !engine.is_leaving() => {
+                self.fatal_requests.record_failure(now_ms, key, suspect);
+                self.request_report_if_suspected(now_ms, key);
+            }
+            (None, Some(is_leaving)) if !is_leaving => {
+                self.fatal_requests.record_failure(now_ms, key, suspect);
+                if has_ended {
+                    self.fatal_requests.server_ended(key, now_ms);
+                }
+            }
+            _ => {}
         }
-        self.fatal_parts.record_failure(now_ms, key, parts);
-        self.request_report_if_suspected(now_ms, key);
     }
 
-    /// Records complete answers to requests with these prompt parts.
-    pub(in crate::core) fn prompts_completed(&mut self, now_ms: u64, parts: &[u64]) {
-        self.fatal_parts.record_completions(now_ms, parts);
+    /// Records complete answers to requests with these prompt parts or digests.
+    pub(in crate::core) fn requests_completed(&mut self, now_ms: u64, keys: &[u64]) {
+        self.fatal_requests.record_completions(now_ms, keys);
     }
 
     /// Makes the report of an engine due if its end would be evidence.
     pub(super) fn request_report_if_suspected(&mut self, now_ms: u64, key: BackendKey) {
-        if self.fatal_parts.is_suspected(key)
+        if self.fatal_requests.is_suspected(key)
             && let Some(engine) = self.engines.get_mut(&key)
         {
             engine.report_due_ms = now_ms;
@@ -56,6 +98,6 @@
 
     /// Returns for how long requests with the prompt parts of this one are refused, if they are.
     pub(super) fn quarantine_ms(&self, now_ms: u64, request: &PlaceRequest) -> Option<u64> {
-        self.quarantine.remaining_ms(now_ms, request.shared_parts())
+        self.quarantine.remaining_ms(now_ms, request.shared_parts().iter().map(|(part, _)| *part))
     }
 }
--- a/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
@@ -2,7 +2,10 @@
 
 use super::*;
 use crate::message::RefusalCause;
-use crate::quarantine::{Quarantine, QuarantinedPart};
+use crate::{
+    quarantine::{Quarantine, QuarantinedKey},
+    suspects::Suspect,
+};
 
 fn request_with(parts: &[u64]) -> PlaceRequest {
     let prompt_parts = parts.iter().chain(&[999]).map(|part| (*part, 100)).collect();
@@ -17,14 +20,15 @@
     simulation.run(500);
     let mut fatal = Vec::new();
     for id in 0..4 {
-        simulation.planner.prompts_completed(simulation.now_ms, &[1, 2]);
+        simulation.planner.requests_completed(simulation.now_ms, &[1, 2]);
         simulation.place(id, request_with(&[1, 666]));
         simulation.run(100);
         let Some(key) = simulation.engine_of(id) else { break };
-        simulation.planner.prompt_failed(simulation.now_ms, key, &[1, 666]);
+        let suspect = Suspect { parts: vec![1, 666], digests: Vec::new() };
+        simulation.planner.request_failed(simulation.now_ms, key, suspect, false);
         assert_eq!(simulation.planner.take_due_reports(simulation.now_ms), [key]);
         simulation.planner.engine_report(simulation.now_ms, key, None);
-        fatal.extend(simulation.planner.take_fatal_parts());
+        fatal.extend(simulation.planner.take_fatal());
         simulation.planner.release(simulation.now_ms, 1, id);
         simulation.run(900);
     }
@@ -37,7 +41,7 @@
     simulation.place(1, PlaceRequest { model: "m/a1".into(), ..request_with(&[1, 666]) });
     simulation.place(2, PlaceRequest { model: "m/a1".into(), ..request_with(&[1, 2]) });
     let mut quarantine = Quarantine::default();
-    quarantine.add(simulation.now_ms, QuarantinedPart { part: 666, remaining_ms: 60_000 });
+    quarantine.add(simulation.now_ms, QuarantinedKey { key: 666, remaining_ms: 60_000 });
     simulation.planner.set_quarantine(simulation.now_ms, &quarantine);
     simulation.place(3, request_with(&[666]));
     simulation.run(5);
@@ -47,3 +51,25 @@
     simulation.run(LOAD_MS + 100);
     assert!(simulation.engine_of(2).is_some());
 }
+
+/// A server without an engine refuses connections after a request broke off there, or is gone from the
+/// backend list.
+#[test]
+fn request_under_which_servers_without_engines_end_is_found() {
+    let mut simulation = Simulation::new(1);
+    let plain = |number| Backend { service: "desk".into(), ..backend(number) };
+    let suspect = Suspect { parts: Vec::new(), digests: vec![666, 667] };
+    let planner = &mut simulation.planner;
+    let listed = |numbers: std::ops::Range<u16>| -> Vec<Backend> {
+        std::iter::once(backend(0)).chain(numbers.map(plain)).collect()
+    };
+    planner.set_backends(1_000, &listed(10..14));
+    planner.request_failed(1_000, plain(10).key, suspect.clone(), true);
+    planner.request_failed(2_000, plain(11).key, suspect.clone(), true);
+    // This one accepts connections, so it may go on.
+    planner.request_failed(3_000, plain(12).key, suspect.clone(), false);
+    assert!(planner.take_fatal().is_empty());
+    planner.request_failed(3_200, plain(13).key, suspect, false);
+    planner.set_backends(4_000, &listed(10..13));
+    assert_eq!(planner.take_fatal(), [666]);
+}
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -13,10 +13,10 @@
 mod hold;
 mod in_flight;
 mod placement;
-mod prompt_outcomes;
 mod ready_entries;
 mod refusal;
 mod request_limits;
+mod request_outcomes;
 mod state_sources;
 mod stream;
 
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -104,7 +104,7 @@
         } else {
             send_status_to_coordinator(&context);
         }
-        context.fleet_view().report_completed_prompts();
+        context.fleet_view().report_completed_parts();
     }
 }
 
@@ -175,9 +175,13 @@
             context.state_sources().configuration_received(core);
             install_configuration(context, version, &document);
         }
-        FleetMessage::Quarantine(parts) => {
+        FleetMessage::Quarantine(keys) => {
             let now_ms = context.now_ms();
-            context.fleet_view().add_quarantined(now_ms, core, parts);
+            context.fleet_view().add_quarantined(now_ms, keys);
+        }
+        FleetMessage::WatchedRequests(digests) => {
+            let now_ms = context.now_ms();
+            context.fleet_view().report_watched_requests(now_ms, core, &digests);
         }
         FleetMessage::RequestLimits(limits) => {
             let now_ms = context.now_ms();
@@ -254,7 +258,10 @@
     if acceptance == CoordinatorAcceptance::New {
         log::info!("entry: the core process at {core} is the coordinator of epoch {epoch}");
         send_status_to_coordinator(context);
-        context.fleet_view().report_all_request_limits();
+        let now_ms = context.now_ms();
+        let mut view = context.fleet_view();
+        view.report_all_request_limits();
+        view.report_unreported_failures(now_ms);
     }
     acceptance != CoordinatorAcceptance::Outdated
 }
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -1,6 +1,7 @@
 //! The state of the fleet as an entry process knows it, and the selection of backend servers.
 
 mod limits;
+mod outcomes;
 mod selection;
 
 use std::{
@@ -15,8 +16,10 @@
 
 pub(crate) use self::selection::{BackendSelection, SelectedBackend};
 use super::{
-    backend_health::BackendHealth, prompt_outcomes::CompletedParts, ready_entries::ReadyEntries,
+    backend_health::BackendHealth,
+    ready_entries::ReadyEntries,
     request_limits::RequestLimits,
+    request_outcomes::{CompletedParts, RecentCompletions, UnreportedFailures},
 };
 use crate::{
     ids::{BackendKey, ModelName, is_adapter},
@@ -25,7 +28,7 @@
         Backend, BackendChanges, EntryEndpoint, EntryEndpointChanges, EntryStatus, FleetMessage,
         ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest,
     },
-    quarantine::{Quarantine, QuarantinedPart},
+    quarantine::Quarantine,
 };
 
 /// Maximum number of servers whose announcements are kept although they are no longer listed.
@@ -74,14 +77,13 @@
     versions: HashMap<ModelName, u64>,
     /// The core processes, with the link of each one that is connected.
     cores: BTreeMap<SocketAddr, Option<LinkSender>>,
-    /// The connected core processes that have announced quarantined prompt parts, and so understand
-    /// messages about the outcomes of prompts.
-    quarantine_sources: HashSet<SocketAddr>,
+    /// The connected core processes that have announced request limits, and so understand messages about
+    /// these and about the outcomes of requests.
+    capable_cores: HashSet<SocketAddr>,
     quarantine: Quarantine,
     completed_parts: CompletedParts,
-    /// The connected core processes that have announced request limits, and so understand messages about
-    /// them.
-    limit_sources: HashSet<SocketAddr>,
+    recent_completions: RecentCompletions,
+    unreported_failures: UnreportedFailures,
     coordinator_address: Option<SocketAddr>,
     ready_entries: ReadyEntries,
     /// Notifications for requests that wait until a model is loaded.
@@ -117,10 +119,11 @@
             store_limit: 0,
             versions: HashMap::new(),
             cores: BTreeMap::new(),
-            quarantine_sources: HashSet::new(),
+            capable_cores: HashSet::new(),
             quarantine: Quarantine::default(),
             completed_parts: CompletedParts::default(),
-            limit_sources: HashSet::new(),
+            recent_completions: RecentCompletions::default(),
+            unreported_failures: UnreportedFailures::default(),
             coordinator_address: None,
             ready_entries: ReadyEntries::default(),
             load_notifiers: HashMap::new(),
@@ -193,8 +196,7 @@
 
     pub(crate) fn core_disconnected(&mut self, address: SocketAddr) {
         self.cores.insert(address, None);
-        self.quarantine_sources.remove(&address);
-        self.limit_sources.remove(&address);
+        self.capable_cores.remove(&address);
         if self.connected_cores() > 0 {
             self.ready_entries.remove(address);
         }
@@ -239,51 +241,6 @@
         self.coordinator_link().is_some_and(|sender| sender.send(message))
     }
 
-    /// Adds the quarantined prompt parts that a core process has announced.
-    pub(crate) fn add_quarantined(
-        &mut self,
-        now_ms: u64,
-        core: SocketAddr,
-        parts: Vec<QuarantinedPart>,
-    ) {
-        self.quarantine_sources.insert(core);
-        let ended = self.quarantine.ended(now_ms);
-        self.quarantine.retain(|part| !ended.contains(&part));
-        for part in parts {
-            self.quarantine.add(now_ms, part);
-        }
-    }
-
-    /// Returns for how long requests with these prompt parts are refused, if they are.
-    pub(crate) fn quarantine_ms(&self, now_ms: u64, parts: &[(u64, u32)]) -> Option<u64> {
-        self.quarantine.remaining_ms(now_ms, parts)
-    }
-
-    /// Reports to the coordinator that a request broke off before or soon after its first event.
-    pub(crate) fn prompt_failed(&self, engine: BackendKey, parts: &[(u64, u32)]) {
-        if !parts.is_empty() && self.coordinator_knows_outcomes() {
-            let parts = parts.iter().map(|(part, _)| *part).collect();
-            self.send_to_coordinator(&FleetMessage::PromptFailed { engine, parts });
-        }
-    }
-
-    /// Records a complete answer to a request with these prompt parts.
-    pub(crate) fn prompt_completed(&mut self, parts: &[(u64, u32)]) {
-        self.completed_parts.record(parts);
-    }
-
-    /// Reports to the coordinator which prompt parts had complete answers since the last call.
-    pub(crate) fn report_completed_prompts(&mut self) {
-        let parts = self.completed_parts.take();
-        if !parts.is_empty() && self.coordinator_knows_outcomes() {
-            self.send_to_coordinator(&FleetMessage::PromptsCompleted(parts));
-        }
-    }
-
-    fn coordinator_knows_outcomes(&self) -> bool {
-        self.coordinator_address.is_some_and(|core| self.quarantine_sources.contains(&core))
-    }
-
     /// Requests a placement from the coordinator. Returns the id of the placement and the
     /// coordinator's epoch, or `None` if no coordinator is usable.
     pub(crate) fn start_placement(
@@ -553,6 +510,11 @@
         }
     }
 
+    /// Returns the address of a backend server while it is listed.
+    pub(crate) fn backend_address(&self, key: BackendKey) -> Option<SocketAddr> {
+        self.backends.get(&key).map(|state| state.backend.address)
+    }
+
     /// Records that a backend server responded.
     pub(crate) fn record_response(&mut self, key: BackendKey) {
         if let Some(state) = self.backends.get_mut(&key) {
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
@@ -34,7 +34,7 @@
         core: SocketAddr,
         limits: Vec<RequestLimit>,
     ) {
-        self.limit_sources.insert(core);
+        self.capable_cores.insert(core);
         for limit in limits {
             self.request_limits.set(now_ms, limit);
         }
@@ -46,15 +46,11 @@
     }
 
     fn report_request_limits(&self, limits: Vec<RequestLimit>) {
-        if !limits.is_empty() && self.coordinator_grants_requests() {
+        if !limits.is_empty() && self.is_coordinator_capable() {
             self.send_to_coordinator(&FleetMessage::RequestLimits(limits));
         }
     }
 
-    fn coordinator_grants_requests(&self) -> bool {
-        self.coordinator_address.is_some_and(|core| self.limit_sources.contains(&core))
-    }
-
     /// Returns whether a backend server has named a request limit.
     pub(crate) fn is_limited(&self, key: BackendKey) -> bool {
         self.request_limits.is_limited(key)
@@ -67,7 +63,7 @@
         reply: oneshot::Sender<Result<(), u64>>,
         server: BackendKey,
     ) -> Option<u64> {
-        if now_ms < self.coordinator_suspect_until_ms || !self.coordinator_grants_requests() {
+        if now_ms < self.coordinator_suspect_until_ms || !self.is_coordinator_capable() {
             return None;
         }
         let id = self.next_placement_id;
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
@@ -0,0 +1,103 @@
+//! Outcomes of requests, and the requests that are refused because of them.
+
+use std::net::SocketAddr;
+
+use super::FleetView;
+use crate::{
+    ids::BackendKey, message::FleetMessage, quarantine::QuarantinedKey,
+    request_digests::RequestDigests, suspects::Suspect,
+};
+
+impl FleetView {
+    /// Adds the quarantined prompt parts and digests that a core process has announced.
+    pub(crate) fn add_quarantined(&mut self, now_ms: u64, keys: Vec<QuarantinedKey>) {
+        let ended = self.quarantine.ended(now_ms);
+        self.quarantine.retain(|key| !ended.contains(&key));
+        for key in keys {
+            self.quarantine.add(now_ms, key);
+        }
+    }
+
+    /// Returns for how long a request with these prompt parts is refused, if it is. `digests` is called only
+    /// if anything is quarantined.
+    pub(crate) fn quarantine_ms(
+        &self,
+        now_ms: u64,
+        parts: &[(u64, u32)],
+        digests: impl FnOnce() -> RequestDigests,
+    ) -> Option<u64> {
+        if self.quarantine.is_empty() {
+            return None;
+        }
+        let parts = parts.iter().map(|(part, _)| *part);
+        self.quarantine.remaining_ms(now_ms, parts.chain(digests().both()))
+    }
+
+    /// Reports which of these requests had complete answers in the last time; `core` asks for them as the
+    /// coordinator.
+    pub(crate) fn report_watched_requests(
+        &mut self,
+        now_ms: u64,
+        core: SocketAddr,
+        watched: &[u64],
+    ) {
+        if self.coordinator_address != Some(core) {
+            return;
+        }
+        let completed = self.recent_completions.take(now_ms, watched);
+        if !completed.is_empty() {
+            self.send_to_coordinator(&FleetMessage::RequestsCompleted(completed));
+        }
+    }
+
+    /// Reports to the coordinator that a request broke off before or soon after its first event, unless its
+    /// server is about to stop. Without a coordinator, the next one is told.
+    pub(crate) fn request_failed(
+        &mut self,
+        now_ms: u64,
+        server: BackendKey,
+        suspect: Suspect,
+        has_ended: bool,
+    ) {
+        if self.backends.get(&server).is_some_and(|state| state.is_leaving()) {
+            return;
+        }
+        let failure = FleetMessage::RequestFailed { server, suspect, has_ended };
+        if !(self.is_coordinator_capable() && self.send_to_coordinator(&failure)) {
+            self.unreported_failures.add(now_ms, failure);
+        }
+    }
+
+    /// Reports the failed requests to a new coordinator that no other was told of.
+    pub(crate) fn report_unreported_failures(&mut self, now_ms: u64) {
+        if !self.is_coordinator_capable() {
+            return;
+        }
+        for failure in self.unreported_failures.take(now_ms) {
+            self.send_to_coordinator(&failure);
+        }
+    }
+
+    /// Records a complete answer to a request with these prompt parts.
+    pub(crate) fn request_completed(
+        &mut self,
+        now_ms: u64,
+        parts: &[(u64, u32)],
+        digests: RequestDigests,
+    ) {
+        self.completed_parts.record(parts);
+        self.recent_completions.record(now_ms, digests);
+    }
+
+    /// Reports to the coordinator which prompt parts had complete answers since the last call.
+    pub(crate) fn report_completed_parts(&mut self) {
+        let parts = self.completed_parts.take();
+        if !parts.is_empty() && self.is_coordinator_capable() {
+            self.send_to_coordinator(&FleetMessage::RequestsCompleted(parts));
+        }
+    }
+
+    pub(super) fn is_coordinator_capable(&self) -> bool {
+        self.coordinator_address.is_some_and(|core| self.capable_cores.contains(&core))
+    }
+}
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
@@ -40,7 +40,7 @@
 
 impl BackendState {
     /// Returns whether the server is about to stop, by the backend list or by its own answers.
-    fn is_leaving(&self) -> bool {
+    pub(super) fn is_leaving(&self) -> bool {
         self.backend.leaving || self.health.is_leaving()
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -5,7 +5,7 @@
 mod headers;
 
 use std::{
-    net::{IpAddr, Ipv4Addr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, OnceLock},
     time::Duration,
 };
@@ -25,6 +25,7 @@
     ids::{BackendKey, ModelName},
     message::{PlaceRequest, shared_parts},
     request_digests::RequestDigests,
+    suspects::Suspect,
 };
 
 use crate::REQUEST_PLACED_TARGET;
@@ -34,6 +35,7 @@
     fleet_view::BackendSelection,
     in_flight::CallerRequest,
     refusal::{RefusalReason, refusal_response},
+    request_outcomes,
 };
 
 use self::find_backend::select_backend;
@@ -108,6 +110,35 @@
         *self.digests.get_or_init(|| RequestDigests::of(method, host, uri, body, *caller))
     }
 
+    /// Reports that a server may have ended under the request. Only of a server without an engine this
+    /// process finds out whether it has; the coordinator asks engines for their reports.
+    pub(crate) fn record_failure(
+        &self,
+        context: &Arc<EntryContext>,
+        server: BackendKey,
+        address: SocketAddr,
+    ) {
+        let parts = self.shared_parts().iter().map(|(part, _)| *part).collect();
+        let suspect = Suspect { parts, digests: self.digests().both().to_vec() };
+        if self.engine_spec().is_some() {
+            let now_ms = context.now_ms();
+            context.fleet_view().request_failed(now_ms, server, suspect, false);
+            return;
+        }
+        let context = Arc::clone(context);
+        tokio::spawn(async move {
+            let has_ended = request_outcomes::refuses_connections(address).await;
+            let now_ms = context.now_ms();
+            context.fleet_view().request_failed(now_ms, server, suspect, has_ended);
+        });
+    }
+
+    /// Records a complete answer.
+    pub(crate) fn record_completion(&self, context: &EntryContext) {
+        let (now_ms, digests) = (context.now_ms(), self.digests());
+        context.fleet_view().request_completed(now_ms, self.shared_parts(), digests);
+    }
+
     /// Returns the prompt parts that other requests may share.
     pub(crate) fn shared_parts(&self) -> &[(u64, u32)] {
         shared_parts(&self.prompt_parts)
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -86,7 +86,7 @@
                     context.client.close_idle(selected.address);
                     return AttemptOutcome::NotSent;
                 }
-                self.record_prompt_failure();
+                prepared.record_failure(context, selected.key, selected.address);
                 return AttemptOutcome::MaybeRan;
             }
         };
@@ -142,8 +142,8 @@
         match context.buffer_budget.read(body, MAX_RESPONSE_BYTES).await {
             Ok(body) => {
                 lease.reuse();
-                if is_success && prepared.model.is_some() {
-                    context.fleet_view().prompt_completed(prepared.shared_parts());
+                if is_success {
+                    prepared.record_completion(context);
                 }
                 let mut response = Response::new(body.map_err(|never| match never {}).boxed());
                 *response.status_mut() = parts.status;
@@ -152,7 +152,7 @@
             }
             Err(error) => {
                 self.log_failure(&error.to_string());
-                self.record_prompt_failure();
+                prepared.record_failure(context, selected.key, selected.address);
                 AttemptOutcome::MaybeRan
             }
         }
@@ -234,14 +234,6 @@
         }
     }
 
-    /// Records that an engine may have ended under the request.
-    fn record_prompt_failure(&self) {
-        let BackendAttempt { context, prepared, selected, .. } = self;
-        if prepared.model.is_some() {
-            context.fleet_view().prompt_failed(selected.key, prepared.shared_parts());
-        }
-    }
-
     fn has_own_request_id(&self, headers: &HeaderMap) -> bool {
         let response_id = headers.get(&self.context.dialect.headers.request_id);
         match (response_id, &self.prepared.request_id) {
--- a/crates/redwinglatch-fleet/src/entry/forward/find_backend.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/find_backend.rs
@@ -40,9 +40,9 @@
         .unwrap_or(received_at)
         .max(Instant::now() + MIN_COORDINATOR_WAIT);
     loop {
+        check_quarantine(context, prepared)?;
         if prepared.model.is_some() {
             let now_ms = context.now_ms();
-            check_quarantine(context, prepared)?;
             let hold_end_ms = context.fleet_view().service_hold_end_ms(now_ms, &prepared.service);
             if let Some(until_ms) = hold_end_ms {
                 wait_for_hold(context, prepared, until_ms, received_at).await?;
@@ -62,6 +62,7 @@
                         selection = placed();
                     }
                     if let BackendSelection::Selected(selected) = selection {
+                        check_quarantine(context, prepared)?;
                         return Ok((selected, Some(placement)));
                     }
                 }
@@ -95,13 +96,15 @@
     }
 }
 
-/// Checks that requests with the prompt parts of this one aren't quarantined.
+/// Checks that neither the request nor those with one of its prompt parts are quarantined.
 fn check_quarantine(
     context: &EntryContext,
     prepared: &PreparedRequest,
 ) -> Result<(), RefusalReason> {
     let now_ms = context.now_ms();
-    match context.fleet_view().quarantine_ms(now_ms, prepared.shared_parts()) {
+    let quarantine_ms =
+        context.fleet_view().quarantine_ms(now_ms, prepared.shared_parts(), || prepared.digests());
+    match quarantine_ms {
         Some(retry_after_ms) => Err(RefusalReason::Quarantined { retry_after_ms }),
         None => Ok(()),
     }
--- a/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
@@ -1,13 +1,32 @@
-//! Outcomes of requests by the parts of their prompts, for the coordinator.
+//! Outcomes of requests, as the coordinator is told of them.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::{BTreeSet, VecDeque},
+    io::ErrorKind,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use tokio::{net::TcpStream, time::timeout};
+
+use crate::{message::FleetMessage, request_digests::RequestDigests};
 
 /// Maximum number of parts whose answers are reported together; further ones are reported with the next
 /// requests that have them.
 const MAX_COMPLETED_PARTS: usize = 1_024;
+/// Time for which complete answers are remembered by the digests of their requests.
+const RECENT_MS: u64 = 30_000;
+/// Maximum number of requests whose complete answers are remembered.
+const MAX_RECENT: usize = 2_048;
+/// Maximum number of failed requests that wait for a coordinator.
+const MAX_UNREPORTED: usize = 64;
+/// Time for which they wait.
+const MAX_UNREPORTED_MS: u64 = 10_000;
 /// Events of an answer up to which the request may have ended its engine. Engines send some events
 /// before the process notices.
 const MAX_EVENTS_OF_SUSPECT: u64 = 3;
+/// Time limit of the check whether a server accepts connections.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Prompt parts with complete answers that the coordinator has not been told yet.
 #[derive(Debug, Default)]
@@ -31,7 +50,75 @@
     }
 }
 
+/// The digests of requests with complete answers in the last time.
+///
+/// Only suspects matter to the coordinator, and which requests are is known only after servers have ended.
+#[derive(Debug, Default)]
+pub(super) struct RecentCompletions {
+    requests: VecDeque<(u64, RequestDigests)>,
+}
+
+impl RecentCompletions {
+    pub(super) fn record(&mut self, now_ms: u64, digests: RequestDigests) {
+        let is_old = |(at_ms, _): &(u64, RequestDigests)| at_ms + RECENT_MS < now_ms;
+        while self.requests.len() >= MAX_RECENT || self.requests.front().is_some_and(is_old) {
+            self.requests.pop_front();
+        }
+        self.requests.push_back((now_ms, digests));
+    }
+
+    /// Removes the requests with one of these digests, and returns those of the digests that they have.
+    pub(super) fn take(&mut self, now_ms: u64, wanted: &[u64]) -> Vec<u64> {
+        let mut found = BTreeSet::new();
+        self.requests.retain(|(at_ms, digests)| {
+            let matching = digests.both().into_iter().filter(|digest| wanted.contains(digest));
+            let count_before = found.len();
+            if at_ms + RECENT_MS >= now_ms {
+                found.extend(matching);
+            }
+            found.len() == count_before
+        });
+        found.into_iter().collect()
+    }
+}
+
+/// Failed requests that no coordinator has been told of.
+#[derive(Debug, Default)]
+pub(super) struct UnreportedFailures {
+    failures: VecDeque<(u64, FleetMessage)>,
+}
+
+impl UnreportedFailures {
+    pub(super) fn add(&mut self, now_ms: u64, failure: FleetMessage) {
+        if self.failures.len() >= MAX_UNREPORTED {
+            self.failures.pop_front();
+        }
+        self.failures.push_back((now_ms, failure));
+    }
+
+    /// Returns the failures of the last time, and forgets all.
+    pub(super) fn take(&mut self, now_ms: u64) -> impl Iterator<Item = FleetMessage> + use<> {
+        let failures = std::mem::take(&mut self.failures).into_iter();
+        let recent = failures.filter(move |(at_ms, _)| now_ms <= at_ms + MAX_UNREPORTED_MS);
+        recent.map(|(_, failure)| failure)
+    }
+}
+
 /// Returns whether a request that broke off after this many events may have ended its engine.
 pub(super) fn is_suspect(events: u64) -> bool {
     events <= MAX_EVENTS_OF_SUSPECT
 }
+
+/// Returns whether a server that broke a request off refuses connections, which shows that its process has
+/// ended. One that can't be reached may go on.
+pub(super) async fn refuses_connections(address: SocketAddr) -> bool {
+    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => {
+            matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+        }
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes/tests.rs
@@ -0,0 +1,47 @@
+use super::{
+    MAX_RECENT, MAX_UNREPORTED, MAX_UNREPORTED_MS, RECENT_MS, RecentCompletions, UnreportedFailures,
+};
+use crate::{
+    ids::BackendKey, message::FleetMessage, request_digests::RequestDigests, suspects::Suspect,
+};
+
+fn digests(content: u64) -> RequestDigests {
+    RequestDigests { content, content_and_caller: content + 1_000_000 }
+}
+
+#[test]
+fn complete_answers_are_reported_once_they_are_wanted() {
+    let mut recent = RecentCompletions::default();
+    recent.record(1_000, digests(1));
+    recent.record(1_000, digests(2));
+    assert_eq!(recent.take(2_000, &[1, 1_000_001, 3]), [1, 1_000_001]);
+    assert_eq!(recent.take(2_000, &[1]), [], "nothing was completed since");
+    assert_eq!(recent.take(1_000 + RECENT_MS + 1, &[2]), [], "it is too long ago");
+}
+
+#[test]
+fn the_number_of_remembered_answers_is_bounded() {
+    let mut recent = RecentCompletions::default();
+    for content in 0..=MAX_RECENT as u64 {
+        recent.record(content, digests(content));
+    }
+    assert_eq!(recent.take(3_000, &[0]), []);
+    assert_eq!(recent.take(3_000, &[1]), [1]);
+}
+
+#[test]
+fn failures_wait_for_a_coordinator() {
+    let failure = |server| FleetMessage::RequestFailed {
+        server: BackendKey(server),
+        suspect: Suspect::default(),
+        has_ended: true,
+    };
+    let mut unreported = UnreportedFailures::default();
+    for number in 0..=MAX_UNREPORTED as u64 {
+        unreported.add(1_000, failure(number));
+    }
+    assert_eq!(unreported.take(2_000).count(), MAX_UNREPORTED);
+    assert_eq!(unreported.take(2_000).count(), 0);
+    unreported.add(1_000, failure(1));
+    assert_eq!(unreported.take(1_001 + MAX_UNREPORTED_MS).count(), 0);
+}
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -20,8 +20,8 @@
     forward::{MAX_SENDS, PreparedRequest, RequestAttempts, StartedStream, find_backend},
     in_flight::{CallerRequest, InFlight},
     placement::PlacementGuard,
-    prompt_outcomes,
     refusal::RefusalReason,
+    request_outcomes,
 };
 
 /// Number of chunks queued for a slow caller before reading from the server pauses.
@@ -220,8 +220,11 @@
         if end.is_complete(framing, events) {
             return ReadResult::Complete;
         }
-        if self.prepared.model.is_some() && prompt_outcomes::is_suspect(events) {
-            self.context.fleet_view().prompt_failed(backend, self.prepared.shared_parts());
+        if request_outcomes::is_suspect(events) {
+            let address = self.context.fleet_view().backend_address(backend);
+            if let Some(address) = address {
+                self.prepared.record_failure(&self.context, backend, address);
+            }
         }
         ReadResult::Interrupted
     }
@@ -248,9 +251,7 @@
     /// Counts a complete stream, and logs it if its first event or its largest gap missed the route's
     /// objectives.
     fn record_completion(&self, backend: BackendKey) {
-        if self.prepared.model.is_some() {
-            self.context.fleet_view().prompt_completed(self.prepared.shared_parts());
-        }
+        self.prepared.record_completion(&self.context);
         let route = self.prepared.route();
         let first_event_ms = self.timings.first_event_ms.unwrap_or_default();
         let gap_ms = self.timings.largest_gap_ms;
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod request_rate;
 mod settings;
 mod state;
+mod suspects;
 
 pub use dialect::{
     BackendEntry, BackendPage, ControlCall, Dialect, EngineReport, HeaderNames, LoadedAdapter,
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -8,8 +8,9 @@
 use crate::{
     ids::{BackendKey, ModelName},
     limited_servers::RequestLimit,
-    quarantine::QuarantinedPart,
+    quarantine::QuarantinedKey,
     state::StateCommand,
+    suspects::Suspect,
 };
 
 /// A message on a link between two processes.
@@ -84,21 +85,26 @@
     CompressedConfiguration { version: u64, document: Vec<u8> },
     /// The changes since the backend list that the sender sent last on this link.
     BackendChanges(BackendChanges),
-    /// The prompt parts whose requests are refused. A core process sends it first to every entry process,
-    /// which shows that it understands the two messages below.
-    Quarantine(Vec<QuarantinedPart>),
-    /// Reports that a request broke off before or soon after its first event, with the prompt parts that it
-    /// may share with others.
+    /// The prompt parts and digests whose requests are refused.
+    Quarantine(Vec<QuarantinedKey>),
+    /// The same as `RequestFailed`, from entry processes of older versions.
     PromptFailed { engine: BackendKey, parts: Vec<u64> },
-    /// Reports the shared prompt parts of requests with complete answers since the last such message.
-    PromptsCompleted(Vec<u64>),
+    /// Reports the shared prompt parts of requests with complete answers since the last such message, or the
+    /// digests that a `WatchedRequests` message asked for.
+    RequestsCompleted(Vec<u64>),
     /// Request limits of backend servers that are new or have ended. A core process sends all limits first
-    /// to every entry process, which shows that it understands this message and the next.
+    /// to every entry process, which shows that it understands all messages up to `RequestFailed`.
     RequestLimits(Vec<RequestLimit>),
     /// Requests the coordinator's grant for a request to a backend server with a limit.
     GrantRequest { id: u64, server: BackendKey },
     /// The coordinator's decision on a `GrantRequest`; an error is the time until one may be granted.
     GrantReply { id: u64, granted: Result<(), u64> },
+    /// Asks which of the requests with these digests had complete answers in the last time. The coordinator
+    /// sends it when servers have ended under them.
+    WatchedRequests(Vec<u64>),
+    /// Reports that a request broke off before or soon after its first event, and whether its server refuses
+    /// connections since.
+    RequestFailed { server: BackendKey, suspect: Suspect, has_ended: bool },
 }
 
 impl FleetMessage {
@@ -135,10 +141,10 @@
             FleetMessage::Log { .. } => "log",
             FleetMessage::Join { .. } => "join",
             FleetMessage::CoordinatorStopping => "coordinator_stopping",
-            FleetMessage::Quarantine(_) => "quarantine",
-            FleetMessage::PromptFailed { .. } | FleetMessage::PromptsCompleted(_) => {
-                "prompt_outcomes"
-            }
+            FleetMessage::Quarantine(_) | FleetMessage::WatchedRequests(_) => "quarantine",
+            FleetMessage::PromptFailed { .. }
+            | FleetMessage::RequestFailed { .. }
+            | FleetMessage::RequestsCompleted(_) => "request_outcomes",
             FleetMessage::RequestLimits(_) => "request_limits",
             FleetMessage::GrantRequest { .. } | FleetMessage::GrantReply { .. } => "grants",
             FleetMessage::LeaderRequest { .. } => "leader_request",
@@ -257,7 +263,7 @@
     NotLoadedInTime { loads_in_flight: u32, load_limit: u32 },
     /// The engines with the adapter had no room before the caller would leave.
     EnginesBusy { engines: u32, waiting: u32 },
-    /// Requests with a prompt part of this one are quarantined.
+    /// The request, or those with one of its prompt parts, are quarantined.
     Quarantined,
     /// All engines have named request limits, and those that wait already take what is left of them.
     EnginesLimited { engines: u32, milli_per_s: u64, waiting: u32 },
--- a/crates/redwinglatch-fleet/src/quarantine/tests.rs
+++ b/crates/redwinglatch-fleet/src/quarantine/tests.rs
@@ -1,13 +1,13 @@
-use super::{Quarantine, QuarantinedPart};
+use super::{Quarantine, QuarantinedKey};
 
 #[test]
 fn quarantine_ends() {
     let mut quarantine = Quarantine::default();
-    quarantine.add(1_000, QuarantinedPart { part: 7, remaining_ms: 500 });
-    quarantine.add(1_200, QuarantinedPart { part: 7, remaining_ms: 100 });
-    assert_eq!(quarantine.remaining_ms(1_200, &[(3, 10), (7, 10)]), Some(300));
-    assert_eq!(quarantine.remaining_ms(1_200, &[(3, 10)]), None);
+    quarantine.add(1_000, QuarantinedKey { key: 7, remaining_ms: 500 });
+    quarantine.add(1_200, QuarantinedKey { key: 7, remaining_ms: 100 });
+    assert_eq!(quarantine.remaining_ms(1_200, [3, 7]), Some(300));
+    assert_eq!(quarantine.remaining_ms(1_200, [3]), None);
     assert_eq!(quarantine.ended(1_499), []);
-    assert_eq!(quarantine.remaining_ms(1_500, &[(7, 10)]), None);
+    assert_eq!(quarantine.remaining_ms(1_500, [7]), None);
     assert_eq!(quarantine.ended(1_500), [7]);
 }
--- a/crates/redwinglatch-fleet/src/request_digests.rs
+++ b/crates/redwinglatch-fleet/src/request_digests.rs
@@ -35,6 +35,11 @@
         hasher.update(caller.to_string());
         RequestDigests { content, content_and_caller: first_bytes(hasher) }
     }
+
+    /// Returns both digests, the wider one first.
+    pub(crate) fn both(self) -> [u64; 2] {
+        [self.content, self.content_and_caller]
+    }
 }
 
 fn first_bytes(hasher: Sha256) -> u64 {
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -1,14 +1,17 @@
 //! The replicated state of the fleet.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
 };
 
 use redwinglatch_core::ReplicaId;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::ModelName;
+use crate::{
+    ids::ModelName,
+    suspects::{self, ServerEnd, Suspect},
+};
 
 /// A command in the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,14 +22,20 @@
     PutVersion { model: ModelName, version: u64 },
     /// Sets the address at which a core process accepts links.
     SetCoreAddress { replica: ReplicaId, link: SocketAddr },
-    /// Quarantines a prompt part.
-    Quarantine { part: u64 },
-    /// Ends the quarantine of a prompt part.
-    EndQuarantine { part: u64 },
+    /// Quarantines a prompt part or the digest of a request.
+    Quarantine { key: u64 },
+    /// Ends a quarantine.
+    EndQuarantine { key: u64 },
+    /// Records the end of a backend server, for the evidence of later coordinators.
+    ServerEnd(ServerEnd),
+    /// Records a complete answer to a request with this prompt part or digest.
+    Exonerate { key: u64 },
 }
 
-/// Maximum number of quarantined prompt parts.
-const MAX_QUARANTINED_PARTS: usize = 256;
+/// Maximum number of quarantined prompt parts and digests.
+const MAX_QUARANTINED: usize = 256;
+/// Maximum number of recorded ends of backend servers.
+const MAX_SERVER_ENDS: usize = 64;
 
 /// The state that the commands of the log produce.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,10 +48,14 @@
     pub(crate) versions: BTreeMap<ModelName, u64>,
     /// The link address of each core process, with the log index of the command that set it.
     pub(crate) cores: BTreeMap<u32, (SocketAddr, u64)>,
-    /// The quarantined prompt parts. They follow the other fields in a snapshot, so that older snapshots
-    /// can be read.
+    /// The quarantined prompt parts and digests. They follow the other fields in a snapshot, so that older
+    /// snapshots can be read.
     #[serde(skip)]
     pub(crate) quarantined: BTreeSet<u64>,
+    /// The last ends of backend servers that no quarantine explains, the oldest first. They follow the
+    /// quarantined keys in a snapshot.
+    #[serde(skip)]
+    pub(crate) server_ends: VecDeque<ServerEnd>,
 }
 
 /// The part of the state that a command changed.
@@ -78,30 +91,60 @@
                 self.cores.insert(replica.0, (link, index));
                 StateChange::Core
             }
-            StateCommand::Quarantine { part } => {
-                if self.quarantined.len() >= MAX_QUARANTINED_PARTS {
-                    log::warn!("core: too many prompt parts are quarantined; {part:x} is not");
+            StateCommand::Quarantine { key } => {
+                self.change_suspects(|suspects| suspects::explain(suspects, key));
+                if self.quarantined.len() >= MAX_QUARANTINED {
+                    log::warn!("core: too many requests are quarantined; {key:x} is not");
                     return StateChange::Nothing;
                 }
-                self.quarantined.insert(part);
+                self.quarantined.insert(key);
                 StateChange::Quarantine
             }
-            StateCommand::EndQuarantine { part } => {
-                self.quarantined.remove(&part);
+            StateCommand::EndQuarantine { key } => {
+                self.quarantined.remove(&key);
                 StateChange::Quarantine
             }
+            StateCommand::ServerEnd(end) => {
+                if self.server_ends.len() >= MAX_SERVER_ENDS {
+                    self.server_ends.pop_front();
+                }
+                self.server_ends.push_back(end);
+                StateChange::Nothing
+            }
+            StateCommand::Exonerate { key } => {
+                self.change_suspects(|suspects| suspects::exonerate(suspects, key));
+                StateChange::Nothing
+            }
+        }
+    }
+
+    /// Returns whether a recorded end has a request with this prompt part or digest.
+    pub(crate) fn has_suspect(&self, key: u64) -> bool {
+        let mut suspects = self.server_ends.iter().flat_map(|end| &end.suspects);
+        suspects.any(|suspect| suspect.has(key))
+    }
+
+    fn change_suspects(&mut self, change: impl Fn(&mut Vec<Suspect>)) {
+        for end in &mut self.server_ends {
+            change(&mut end.suspects);
         }
+        self.server_ends.retain(|end| !end.suspects.is_empty());
     }
 
     pub(crate) fn snapshot(&self) -> Vec<u8> {
         let bytes = postcard::to_allocvec(self).expect("the state encodes into memory");
-        postcard::to_extend(&self.quarantined, bytes).expect("the state encodes into memory")
+        let bytes =
+            postcard::to_extend(&self.quarantined, bytes).expect("the state encodes into memory");
+        postcard::to_extend(&self.server_ends, bytes).expect("the state encodes into memory")
     }
 
     pub(crate) fn restore(bytes: &[u8]) -> Result<FleetState, postcard::Error> {
-        let (mut state, rest): (FleetState, &[u8]) = postcard::take_from_bytes(bytes)?;
+        let (mut state, mut rest): (FleetState, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            (state.quarantined, rest) = postcard::take_from_bytes(rest)?;
+        }
         if !rest.is_empty() {
-            state.quarantined = postcard::from_bytes(rest)?;
+            state.server_ends = postcard::from_bytes(rest)?;
         }
         Ok(state)
     }
--- a/crates/redwinglatch-fleet/src/state/tests.rs
+++ b/crates/redwinglatch-fleet/src/state/tests.rs
@@ -1,6 +1,10 @@
 use redwinglatch_core::ReplicaId;
 
-use super::{FleetState, MAX_QUARANTINED_PARTS, StateChange, StateCommand};
+use super::{FleetState, MAX_QUARANTINED, MAX_SERVER_ENDS, StateChange, StateCommand};
+use crate::{
+    ids::BackendKey,
+    suspects::{ServerEnd, Suspect},
+};
 
 fn put(version: u64, document: &[u8]) -> StateCommand {
     StateCommand::PutConfiguration { version, document: document.to_vec() }
@@ -44,7 +48,7 @@
     let mut state = FleetState::default();
     state.apply(1, put(3, b"three"));
     state.apply(2, StateCommand::PutVersion { model: "m/a1".into(), version: 4 });
-    state.apply(3, StateCommand::Quarantine { part: 0xbad });
+    state.apply(3, StateCommand::Quarantine { key: 0xbad });
     assert_eq!(FleetState::restore(&state.snapshot()), Ok(state));
 }
 
@@ -60,13 +64,35 @@
 #[test]
 fn the_number_of_quarantined_parts_is_bounded() {
     let mut state = FleetState::default();
-    for part in 0..1_000 {
-        state.apply(part, StateCommand::Quarantine { part });
+    for key in 0..1_000 {
+        state.apply(key, StateCommand::Quarantine { key });
     }
-    assert_eq!(state.quarantined.len(), MAX_QUARANTINED_PARTS);
-    assert_eq!(
-        state.apply(1_000, StateCommand::EndQuarantine { part: 0 }),
-        StateChange::Quarantine
-    );
+    assert_eq!(state.quarantined.len(), MAX_QUARANTINED);
+    assert_eq!(state.apply(1_000, StateCommand::EndQuarantine { key: 0 }), StateChange::Quarantine);
     assert!(!state.quarantined.contains(&0));
 }
+
+#[test]
+fn ends_of_servers_outlast_a_snapshot_until_a_quarantine_explains_them() {
+    let mut state = FleetState::default();
+    let end = |server, part| {
+        let suspects = vec![Suspect { parts: vec![part], digests: Vec::new() }];
+        let end = ServerEnd { server: BackendKey(server), since_previous_ms: 5, suspects };
+        StateCommand::ServerEnd(end)
+    };
+    state.apply(1, end(1, 7));
+    state.apply(2, end(2, 8));
+    let restored = FleetState::restore(&state.snapshot()).expect("a snapshot");
+    assert_eq!(restored, state);
+    state.apply(3, StateCommand::Quarantine { key: 7 });
+    assert_eq!(state.server_ends.len(), 1);
+    assert!(state.has_suspect(8));
+    state.apply(3, StateCommand::Exonerate { key: 8 });
+    assert!(!state.has_suspect(8));
+    for server in 0..100 {
+        state.apply(4, end(server, 9));
+    }
+    assert_eq!(state.server_ends.len(), MAX_SERVER_ENDS);
+    let restored = FleetState::restore(&state.snapshot()).expect("a snapshot");
+    assert_eq!(restored, state);
+}
