--- a/crates/redwinglatch-explain/src/cause.rs
+++ b/crates/redwinglatch-explain/src/cause.rs
@@ -22,10 +22,6 @@
     };
     let outcome = lines[end].value("outcome").unwrap_or_default();
     let backend_line = match outcome {
-        "backends_on_hold" => {
-            "all servers had asked for a pause (Retry-After), too long to wait for"
-        }
-        "backends_limited" => "all servers had named request limits, and these were used up",
         "refused_by_backends" => last_before_end(is_refusal),
         // Failed attempts exclude their backend servers, which can leave none.
         "no_backend" => last_before_end(|line| is_refusal(line) || is_failure(line)),
@@ -127,6 +123,10 @@
         "quarantined" => {
             "servers ended under this request before, or engines under others with a prompt part of it"
         }
+        "backends_on_hold" => {
+            "all servers had asked for a pause (Retry-After), too long to wait for"
+        }
+        "backends_limited" => "all servers had named request limits, and these were used up",
         "refused_by_backends" => "no backend server accepted the request",
         "failed" => "the request may have run, and no response arrived",
         "timed_out" => "the timeout of the route or of the caller expired",
