Drop answers without an id on connections that were used, and read on

A late answer without an id, which belongs to no request, was taken for that to the request in progress, so the server's own answer, with its Retry-After, was never read; what it says of a stop or a request limit was lost in the same way. Only answers with another id were dropped.

On a connection that was used before, an answer without an id is dropped too, and the own answer is awaited for 200 ms; without it the request counts as one that may have run.

--- a/crates/redwinglatch-fleet/src/http/answer_filter.rs
+++ b/crates/redwinglatch-fleet/src/http/answer_filter.rs
@@ -1,4 +1,4 @@
-//! Drops answers that belong to another request than the one in progress.
+//! Drops answers that belong to another request than the one in progress, or to none.
 
 mod skipped_body;
 
@@ -7,11 +7,15 @@
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::{Buf, BytesMut};
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::{Sleep, sleep},
+};
 
 use self::skipped_body::SkippedBody;
 
@@ -20,6 +24,9 @@
 /// Size of the reads before an answer may be passed on.
 const READ_BYTES: usize = 4 << 10;
 
+/// Time for which the answer to the request in progress is awaited after one without an id.
+const UNIDENTIFIED_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The id of the request in progress on a connection, set before the request is sent.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ExpectedId {
@@ -51,7 +58,8 @@
 /// A connection to a server that drops answers with the id of another request.
 ///
 /// A server may send a further answer to an earlier request late, where the next one is expected. The
-/// answer to the request in progress follows it, and would be lost with the connection.
+/// answer to the request in progress follows it, and would be lost with the connection. On a connection
+/// that was used before, such an answer may have no id; reading fails if the other doesn't follow soon.
 #[derive(Debug)]
 pub(super) struct AnswerFilter<Stream> {
     stream: Stream,
@@ -61,6 +69,10 @@
     state: State,
     received: BytesMut,
     is_at_end: bool,
+    /// Whether an answer was passed on before the one to the request in progress.
+    was_used: bool,
+    /// The time limit for the answer to the request in progress, after one without an id.
+    unidentified: Option<Pin<Box<Sleep>>>,
 }
 
 impl<Stream> AnswerFilter<Stream> {
@@ -79,6 +91,8 @@
             state: State::Passing,
             received: BytesMut::new(),
             is_at_end: false,
+            was_used: false,
+            unidentified: None,
         };
         (filter, expected)
     }
@@ -101,9 +115,16 @@
                         self.state = State::Checking(id);
                         return Ok(false);
                     }
-                    HeadCheck::PassOn => return Ok(true),
-                    HeadCheck::Skip { head_bytes, body } => {
+                    HeadCheck::PassOn => {
+                        self.was_used = true;
+                        self.unidentified = None;
+                        return Ok(true);
+                    }
+                    HeadCheck::Skip { head_bytes, body, has_id } => {
                         log::debug!("backends: an answer to another request is dropped");
+                        if !has_id {
+                            self.unidentified = Some(Box::pin(sleep(UNIDENTIFIED_TIMEOUT)));
+                        }
                         self.received.advance(head_bytes);
                         self.state = State::Skipping(id, body);
                     }
@@ -137,10 +158,11 @@
             let header = head.headers.iter().find(|header| name == header.name);
             header.map(|header| header.value.trim_ascii())
         };
-        match value(&self.id_header) {
-            Some(id) if id != expected.as_bytes() => {}
+        let has_id = match value(&self.id_header) {
+            Some(id) if id != expected.as_bytes() => true,
+            None if self.was_used => false,
             _ => return HeadCheck::PassOn,
-        }
+        };
         let body = if value(&TRANSFER_ENCODING).is_some() {
             Some(SkippedBody::chunked())
         } else {
@@ -148,7 +170,7 @@
             length.and_then(|text| text.parse().ok()).map(SkippedBody::with_length)
         };
         match body {
-            Some(body) => HeadCheck::Skip { head_bytes, body },
+            Some(body) => HeadCheck::Skip { head_bytes, body, has_id },
             // Nothing can follow a body that ends with its connection.
             None => HeadCheck::PassOn,
         }
@@ -159,7 +181,7 @@
 enum HeadCheck {
     Incomplete,
     PassOn,
-    Skip { head_bytes: usize, body: SkippedBody },
+    Skip { head_bytes: usize, body: SkippedBody, has_id: bool },
 }
 
 impl<Stream: AsyncRead + Unpin> AsyncRead for AnswerFilter<Stream> {
@@ -183,6 +205,12 @@
             if may_pass {
                 return Pin::new(&mut this.stream).poll_read(context, buffer);
             }
+            if let Some(unidentified) = &mut this.unidentified
+                && unidentified.as_mut().poll(context).is_ready()
+            {
+                let reason = "an answer without an id was not followed by one with it";
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, reason)));
+            }
             let mut chunk = [0; READ_BYTES];
             let mut chunk = ReadBuf::new(&mut chunk);
             ready!(Pin::new(&mut this.stream).poll_read(context, &mut chunk))?;
--- a/crates/redwinglatch-fleet/src/http/answer_filter/tests.rs
+++ b/crates/redwinglatch-fleet/src/http/answer_filter/tests.rs
@@ -79,3 +79,36 @@
     filter.read_to_end(&mut read).await.expect("no error");
     assert_eq!(read, WITH_LENGTH.as_bytes());
 }
+
+/// Returns what a client reads as the answer to its second request, if the server sends these parts after
+/// the first.
+async fn filtered_after_use(parts: &[&str]) -> Result<Vec<u8>, std::io::ErrorKind> {
+    let (client, mut server) = tokio::io::duplex(1 << 20);
+    let (mut filter, expected) = AnswerFilter::new(client, ID, 16 << 10);
+    expected.set(Some(HeaderValue::from_static("own")));
+    server.write_all(OWN.as_bytes()).await.expect("the client reads");
+    let mut first = vec![0; OWN.len()];
+    filter.read_exact(&mut first).await.expect("the first answer");
+    expected.set(Some(HeaderValue::from_static("own")));
+    for part in parts {
+        server.write_all(part.as_bytes()).await.expect("the client reads");
+    }
+    let mut second = vec![0; OWN.len()];
+    let read = filter.read_exact(&mut second).await;
+    read.map(|_| second).map_err(|error| error.kind())
+}
+
+/// The server has sent an answer that belongs to no request just before the next request reached it.
+#[tokio::test(start_paused = true)]
+async fn answer_without_an_id_is_dropped_on_a_connection_that_was_used() {
+    let read = filtered_after_use(&[WITHOUT_ID, OWN]).await;
+    assert_eq!(read.expect("the own answer"), OWN.as_bytes());
+    let read = filtered_after_use(&[WITHOUT_ID, WITH_LENGTH, WITHOUT_ID, OWN]).await;
+    assert_eq!(read.expect("the own answer"), OWN.as_bytes());
+}
+
+#[tokio::test(start_paused = true)]
+async fn own_answer_is_not_awaited_for_long_after_one_without_an_id() {
+    let read = filtered_after_use(&[WITHOUT_ID]).await;
+    assert_eq!(read, Err(std::io::ErrorKind::TimedOut));
+}
