Don't take a rejection for the end of a request limit

Found while writing a test: an answer that names no limit ended it, also one that rejects the request and says nothing of the server's need. The limit came back with the next answer that named it, and in between its token bucket was lost: 22 requests in 4 s reached a server that takes 11 while each second request was rejected. Only a stamped answer, of a request that ran, ends a limit now; limit_outlasts_rejections failed before and passes with 4.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -217,9 +217,10 @@
                 return;
             }
         };
-        // A response that belongs to no request says nothing of the limit.
+        // A rejection, or a response that belongs to no request, may name no limit although there is one.
         let has_id = prepared.request_id.is_none() || headers.contains_key(&names.request_id);
-        if named.is_none() && !has_id {
+        let is_from_run = has_id && headers.contains_key(&names.response_stamp);
+        if named.is_none() && !is_from_run {
             return;
         }
         let now_ms = context.now_ms();
