Load adapters again on an engine whose limit was not confirmed lately

Found by asking how a limit ends: an engine with a limit gets no loads while others have none, so once none of its adapters is asked for it gets no requests, no answer can show that its need is over, and it stays idle for good. Answers that name a known limit confirm it to the coordinator each 2 s now, and without one for 10 s the engine gets loads again, within its limit. The new test of the planner failed before: no load in 16 s.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -535,7 +535,7 @@
             + (self.engines.len() / ENGINES_PER_MS) as u64
             + self.waiting.len() as u64 / WAITING_REQUESTS_PER_MS;
         self.model_index.refresh(&self.engines);
-        self.spared_engines = self.find_spared_engines();
+        self.spared_engines = self.find_spared_engines(now_ms);
         self.expire_pins(now_ms);
         for engine in self.engines.values_mut() {
             engine.expire_prefills(now_ms);
--- a/crates/redwinglatch-fleet/src/core/planner/limited_engines.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/limited_engines.rs
@@ -13,6 +13,10 @@
 /// Longest time after which a refused caller is asked to return.
 const MAX_RETURN_MS: u64 = 8_000;
 
+/// Time after an answer with its limit for which an engine is spared loads. Without loads it may get no
+/// requests, whose answers would show that the limit has ended.
+const SPARE_MS: u64 = 10_000;
+
 /// The engines of a service, all of which have a limit.
 #[derive(Debug, Default)]
 struct LimitedService {
@@ -41,7 +45,7 @@
     pub(in crate::core) fn set_request_limit(&mut self, now_ms: u64, limit: RequestLimit) -> bool {
         let is_new = self.grants.set_limit(now_ms, limit);
         if is_new {
-            self.spared_engines = self.find_spared_engines();
+            self.spared_engines = self.find_spared_engines(now_ms);
         }
         is_new
     }
@@ -61,7 +65,7 @@
     }
 
     /// Returns the limited engines that get no loads, because other engines of their service have no limit.
-    pub(super) fn find_spared_engines(&self) -> HashSet<BackendKey> {
+    pub(super) fn find_spared_engines(&self, now_ms: u64) -> HashSet<BackendKey> {
         if self.grants.is_empty() {
             return HashSet::new();
         }
@@ -73,7 +77,8 @@
             .collect();
         available()
             .filter(|(key, engine)| {
-                is_limited(key) && unlimited_services.contains(&*engine.backend.service)
+                self.grants.is_confirmed(now_ms, **key, SPARE_MS)
+                    && unlimited_services.contains(&*engine.backend.service)
             })
             .map(|(key, _)| *key)
             .collect()
--- a/crates/redwinglatch-fleet/src/core/planner/request_grants.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/request_grants.rs
@@ -55,6 +55,11 @@
         self.servers.get(key).map(|server| granted_milli(server.rate))
     }
 
+    /// Returns whether an answer of the server named its limit in the last `for_ms`.
+    pub(super) fn is_confirmed(&self, now_ms: u64, key: BackendKey, for_ms: u64) -> bool {
+        self.servers.get(key).is_some_and(|server| now_ms <= server.learned_ms + for_ms)
+    }
+
     /// Returns whether a request to the server would be granted.
     pub(super) fn may_take(&self, now_ms: u64, key: BackendKey) -> bool {
         let Some(server) = self.servers.get(key) else { return true };
--- a/crates/redwinglatch-fleet/src/core/planner/tests/limited_engines.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/limited_engines.rs
@@ -4,6 +4,8 @@
 use crate::{limited_servers::RequestLimit, request_rate::RequestRate};
 
 const WINDOW_MS: u64 = 4_000;
+/// Time without an answer that names its limit after which an engine gets loads again.
+const CONFIRMATION_MS: u64 = 12_000;
 
 fn limit(number: u16, milli_per_s: u64) -> RequestLimit {
     RequestLimit { server: backend(number).key, rate: Some(RequestRate { milli_per_s }) }
@@ -155,3 +157,25 @@
     load.run(1_000, 100, 1);
     assert!(!load.placed.is_empty());
 }
+
+/// Guards against an engine that gets neither loads nor requests any more, and so can't show that its limit has
+/// ended: all requests are for adapters that it doesn't have.
+#[test]
+fn an_engine_whose_limit_was_not_confirmed_lately_gets_loads_again() {
+    let mut load = Load::new(2, &[limit(0, 2_000)]);
+    let limited = backend(0).key;
+    load.run(4_000, 20, 6);
+    assert_eq!(load.simulation.engines[&limited].loads, 0);
+    load.run(CONFIRMATION_MS, 20, 6);
+    assert!(load.simulation.engines[&limited].loads > 0);
+    assert!(load.placed.iter().any(|(_, engine)| *engine == limited));
+    assert!(load.most_placed(limited) <= 17);
+    // Answers to these requests confirm the limit.
+    let loads = load.simulation.engines[&limited].loads;
+    for _ in 0..10 {
+        let now_ms = load.simulation.now_ms;
+        assert!(!load.simulation.planner.set_request_limit(now_ms, limit(0, 2_000)));
+        load.run(1_000, 20, 6);
+    }
+    assert!(load.simulation.engines[&limited].loads <= loads + 1);
+}
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
@@ -13,7 +13,7 @@
 
 impl FleetView {
     /// Records the request limit in an answer to a request that was sent at `sent_ms`, and reports it to the
-    /// coordinator if it is new; returns whether it is.
+    /// coordinator if it is new or was not confirmed lately; returns whether it is new.
     pub(crate) fn record_request_limit(
         &mut self,
         now_ms: u64,
@@ -21,7 +21,9 @@
         limit: RequestLimit,
     ) -> bool {
         let is_new = self.request_limits.record_answer(now_ms, sent_ms, limit);
-        if is_new {
+        let is_confirmed =
+            limit.rate.is_some() && self.request_limits.take_confirmation(now_ms, limit.server);
+        if is_new || is_confirmed {
             self.report_request_limits(vec![limit]);
         }
         is_new
--- a/crates/redwinglatch-fleet/src/entry/request_limits.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_limits.rs
@@ -12,6 +12,8 @@
 /// Time for which a process may use its turn. Turns of processes without load aren't saved up, because
 /// all of these could use them at the same moment later.
 const TURN_MS: u64 = 250;
+/// Interval between reports of a limit that goes on.
+const CONFIRMATION_INTERVAL_MS: u64 = 2_000;
 /// Longest interval between two turns of a process.
 const MAX_TURN_INTERVAL_MS: u64 = 3_600_000;
 
@@ -22,6 +24,8 @@
     denied_until_ms: u64,
     /// Start of this process's next turn without a coordinator.
     turn_ms: Option<u64>,
+    /// Time at which an answer with the limit was last reported to the coordinator.
+    reported_ms: u64,
 }
 
 /// The limits in force, and this process's part of them while no coordinator grants requests.
@@ -43,6 +47,16 @@
         !is_outdated && self.set(now_ms, limit)
     }
 
+    /// Returns whether the coordinator should be told that an answer has named a limit that it knows.
+    pub(super) fn take_confirmation(&mut self, now_ms: u64, key: BackendKey) -> bool {
+        let Some(server) = self.servers.get_mut(key) else { return false };
+        let is_due = server.state.reported_ms + CONFIRMATION_INTERVAL_MS <= now_ms;
+        if is_due {
+            server.state.reported_ms = now_ms;
+        }
+        is_due
+    }
+
     /// Takes over a limit that the coordinator has announced, or an end; returns whether it is new.
     pub(super) fn set(&mut self, now_ms: u64, limit: RequestLimit) -> bool {
         self.servers.set(now_ms, limit)
--- a/crates/redwinglatch-fleet/src/entry/request_limits/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_limits/tests.rs
@@ -69,3 +69,12 @@
     limits.set(1_000, NO_LIMIT);
     assert_eq!(limits.denied_until_ms(1_000, SERVER), None);
 }
+
+#[test]
+fn a_limit_that_goes_on_is_confirmed_now_and_then() {
+    let mut limits = RequestLimits::default();
+    assert!(!limits.take_confirmation(5_000, SERVER), "the server has no limit");
+    limits.set(5_000, LIMIT);
+    let confirmed = (5_000..15_000).filter(|now_ms| limits.take_confirmation(*now_ms, SERVER));
+    assert_eq!(confirmed.collect::<Vec<_>>(), [5_000, 7_000, 9_000, 11_000, 13_000]);
+}
