Take a request for suspect also if its engine ends some events later

Found by asking which requests the evidence misses: a request whose engine sent more than three events before it ended was no suspect, neither by its prompt parts nor as a whole, and went on to end engines. A loaded engine sends three events in less than 100 ms. As a whole, a request counts up to its sixteenth event now; that many others broke off at the same end does no harm, since only a request that comes again is found.

--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
@@ -28,7 +28,7 @@
 /// Maximum number of remembered ends, and of failed requests that wait for a confirmation.
 const MAX_FAILURES: usize = 512;
 /// Maximum number of requests of one end that are remembered.
-const MAX_SUSPECTS: usize = 32;
+const MAX_SUSPECTS: usize = 64;
 /// Maximum number of parts whose requests are counted; beyond it counting starts anew.
 const MAX_COUNTED_PARTS: usize = 16_384;
 /// Maximum number of digests of suspects for whose complete answers entry processes are asked.
@@ -219,7 +219,8 @@
         }
         let previous_ms = self.ends.back().map_or(at_ms, |end| end.at_ms);
         let since_previous_ms = u64::try_from(at_ms - previous_ms).unwrap_or_default();
-        self.new_ends.push(ServerEnd { server, since_previous_ms, suspects: suspects.to_vec() });
+        let recorded = suspects.iter().take(MAX_SUSPECTS).cloned().collect();
+        self.new_ends.push(ServerEnd { server, since_previous_ms, suspects: recorded });
         let is_same = |end: &End| {
             end.server == server && at_ms <= end.at_ms.saturating_add_unsigned(REPORTS_OF_END_MS)
         };
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -25,7 +25,6 @@
     ids::{BackendKey, ModelName},
     message::{PlaceRequest, shared_parts},
     request_digests::RequestDigests,
-    suspects::Suspect,
 };
 
 use crate::REQUEST_PLACED_TARGET;
@@ -110,16 +109,18 @@
         *self.digests.get_or_init(|| RequestDigests::of(method, host, uri, body, *caller))
     }
 
-    /// Reports that a server may have ended under the request. Only of a server without an engine this
-    /// process finds out whether it has; the coordinator asks engines for their reports.
+    /// Reports that a server may have ended under the request, which broke off after some events. Only of a
+    /// server without an engine this process finds out whether it has; the coordinator asks engines for their
+    /// reports.
     pub(crate) fn record_failure(
         &self,
         context: &Arc<EntryContext>,
         server: BackendKey,
         address: SocketAddr,
+        events: u64,
     ) {
-        let parts = self.shared_parts().iter().map(|(part, _)| *part).collect();
-        let suspect = Suspect { parts, digests: self.digests().both().to_vec() };
+        let suspect = request_outcomes::suspect(events, self.shared_parts(), || self.digests());
+        let Some(suspect) = suspect else { return };
         if self.engine_spec().is_some() {
             let now_ms = context.now_ms();
             context.fleet_view().request_failed(now_ms, server, suspect, false);
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -86,7 +86,7 @@
                     context.client.close_idle(selected.address);
                     return AttemptOutcome::NotSent;
                 }
-                prepared.record_failure(context, selected.key, selected.address);
+                prepared.record_failure(context, selected.key, selected.address, 0);
                 return AttemptOutcome::MaybeRan;
             }
         };
@@ -152,7 +152,7 @@
             }
             Err(error) => {
                 self.log_failure(&error.to_string());
-                prepared.record_failure(context, selected.key, selected.address);
+                prepared.record_failure(context, selected.key, selected.address, 0);
                 AttemptOutcome::MaybeRan
             }
         }
--- a/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
@@ -9,7 +9,7 @@
 
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{message::FleetMessage, request_digests::RequestDigests};
+use crate::{message::FleetMessage, request_digests::RequestDigests, suspects::Suspect};
 
 /// Maximum number of parts whose answers are reported together; further ones are reported with the next
 /// requests that have them.
@@ -22,9 +22,12 @@
 const MAX_UNREPORTED: usize = 64;
 /// Time for which they wait.
 const MAX_UNREPORTED_MS: u64 = 10_000;
-/// Events of an answer up to which the request may have ended its engine. Engines send some events
+/// Events of an answer up to which a part of the prompt may have ended its engine. Engines send some events
 /// before the process notices.
-const MAX_EVENTS_OF_SUSPECT: u64 = 3;
+const MAX_EVENTS_OF_PART: u64 = 3;
+/// Events of an answer up to which the request as a whole may have ended its server. Only one that comes again
+/// counts, so that many others at the same end do no harm.
+const MAX_EVENTS_OF_REQUEST: u64 = 16;
 /// Time limit of the check whether a server accepts connections.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -104,9 +107,18 @@
     }
 }
 
-/// Returns whether a request that broke off after this many events may have ended its engine.
-pub(super) fn is_suspect(events: u64) -> bool {
-    events <= MAX_EVENTS_OF_SUSPECT
+/// Returns the suspect that a request is which broke off after this many events, if it is one. The parts are
+/// given with their token counts.
+pub(super) fn suspect(
+    events: u64,
+    parts: &[(u64, u32)],
+    digests: impl FnOnce() -> RequestDigests,
+) -> Option<Suspect> {
+    let parts = if events <= MAX_EVENTS_OF_PART { parts } else { &[] };
+    (events <= MAX_EVENTS_OF_REQUEST).then(|| Suspect {
+        parts: parts.iter().map(|(part, _)| *part).collect(),
+        digests: digests().both().to_vec(),
+    })
 }
 
 /// Returns whether a server that broke a request off refuses connections, which shows that its process has
--- a/crates/redwinglatch-fleet/src/entry/request_outcomes/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes/tests.rs
@@ -1,5 +1,6 @@
 use super::{
-    MAX_RECENT, MAX_UNREPORTED, MAX_UNREPORTED_MS, RECENT_MS, RecentCompletions, UnreportedFailures,
+    MAX_EVENTS_OF_PART, MAX_EVENTS_OF_REQUEST, MAX_RECENT, MAX_UNREPORTED, MAX_UNREPORTED_MS,
+    RECENT_MS, RecentCompletions, UnreportedFailures, suspect,
 };
 use crate::{
     ids::BackendKey, message::FleetMessage, request_digests::RequestDigests, suspects::Suspect,
@@ -45,3 +46,14 @@
     unreported.add(1_000, failure(1));
     assert_eq!(unreported.take(1_001 + MAX_UNREPORTED_MS).count(), 0);
 }
+
+#[test]
+fn parts_are_suspect_for_a_shorter_time_than_the_request() {
+    let parts = [(1, 100), (2, 50)];
+    let suspect = |events| suspect(events, &parts, || digests(7));
+    let early = suspect(MAX_EVENTS_OF_PART).expect("a suspect");
+    assert_eq!((early.parts, early.digests), (vec![1, 2], vec![7, 1_000_007]));
+    let later = suspect(MAX_EVENTS_OF_REQUEST).expect("a suspect");
+    assert_eq!((later.parts, later.digests), (vec![], vec![7, 1_000_007]));
+    assert_eq!(suspect(MAX_EVENTS_OF_REQUEST + 1), None);
+}
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -21,7 +21,6 @@
     in_flight::{CallerRequest, InFlight},
     placement::PlacementGuard,
     refusal::RefusalReason,
-    request_outcomes,
 };
 
 /// Number of chunks queued for a slow caller before reading from the server pauses.
@@ -220,11 +219,9 @@
         if end.is_complete(framing, events) {
             return ReadResult::Complete;
         }
-        if request_outcomes::is_suspect(events) {
-            let address = self.context.fleet_view().backend_address(backend);
-            if let Some(address) = address {
-                self.prepared.record_failure(&self.context, backend, address);
-            }
+        let address = self.context.fleet_view().backend_address(backend);
+        if let Some(address) = address {
+            self.prepared.record_failure(&self.context, backend, address, events);
         }
         ReadResult::Interrupted
     }
