Ask for a grant again soon after a denial, and record complete answers once

Found in reading the change: a process that denied itself a limited server until its next turn, which may be seconds away, did not ask the coordinator that came back meanwhile; it asks after half a second now. And each complete answer was compared with all suspects of all ends of the last 5 min, which a coordinator of hundreds of machines can't afford after many ends; it keeps the set of keys that are still without an answer.

--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
@@ -82,7 +82,9 @@
     former: HashSet<u64>,
     /// Fatal keys since [`FatalRequests::take_fatal`] was called.
     fatal: Vec<u64>,
-    /// Suspects with complete answers since [`FatalRequests::take_exonerated`] was called.
+    /// Parts and digests of suspects without a complete answer since the last end with one.
+    unanswered: HashSet<u64>,
+    /// Those of them with complete answers since [`FatalRequests::take_exonerated`] was called.
     exonerated: Vec<u64>,
     has_watched_changed: bool,
 }
@@ -101,6 +103,7 @@
                 end.server == server
                     && end.at_ms <= at_ms.saturating_add_unsigned(REPORTS_OF_END_MS)
             };
+            self.add_unanswered(&suspects);
             match self.ends.iter_mut().find(is_same) {
                 Some(end) => end.suspects.extend(suspects),
                 None => self.ends.push_front(End { server, at_ms, count: 1, suspects }),
@@ -132,7 +135,7 @@
         }
         for key in keys {
             self.completed_ms.insert(*key, now_ms);
-            if self.ends.iter().any(|end| end.has(*key)) && !self.exonerated.contains(key) {
+            if self.unanswered.remove(key) {
                 self.exonerated.push(*key);
             }
         }
@@ -229,12 +232,22 @@
             self.ends.push_back(End { server, at_ms, count: 1, suspects: Vec::new() });
             self.ends.len() - 1
         });
+        self.add_unanswered(suspects);
         let known = &mut self.ends[index].suspects;
         known.extend_from_slice(suspects);
         known.truncate(MAX_SUSPECTS);
         self.has_watched_changed = true;
     }
 
+    fn add_unanswered(&mut self, suspects: &[Suspect]) {
+        if self.unanswered.len() > MAX_COUNTED_PARTS {
+            self.unanswered.clear();
+        }
+        for suspect in suspects {
+            self.unanswered.extend(suspect.parts.iter().chain(&suspect.digests));
+        }
+    }
+
     /// Finds the suspects that are fatal as a whole, and returns whether there is one.
     ///
     /// Of a request that other callers send too, only those of the caller under whose requests servers end
--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests/tests.rs
@@ -294,5 +294,9 @@
     end_server(&mut fatal_requests, 1_000, BackendKey(1), &[request(10, 1, &[COMMON])]);
     fatal_requests.record_completions(1_100, &[COMMON, 10, 11]);
     assert_eq!(fatal_requests.take_exonerated(), [COMMON, 10]);
-    assert!(fatal_requests.take_exonerated().is_empty());
+    fatal_requests.record_completions(1_200, &[COMMON, 10]);
+    assert!(fatal_requests.take_exonerated().is_empty(), "they are recorded once for each end");
+    end_server(&mut fatal_requests, 3_000, BackendKey(2), &[request(10, 1, &[])]);
+    fatal_requests.record_completions(3_100, &[COMMON, 10]);
+    assert_eq!(fatal_requests.take_exonerated(), [10]);
 }
--- a/crates/redwinglatch-fleet/src/entry/grant.rs
+++ b/crates/redwinglatch-fleet/src/entry/grant.rs
@@ -9,6 +9,10 @@
     placement::{COORDINATOR_SUSPECT_MS, FIRST_REPLY_TIMEOUT},
 };
 
+/// Longest time for which a server isn't selected again after a denial. A new coordinator may grant requests
+/// long before the next turn of this process.
+const MAX_DENIAL_MS: u64 = 500;
+
 /// Takes a request to a backend server; returns whether it may be sent.
 pub(super) async fn take(context: &EntryContext, server: BackendKey) -> bool {
     if !context.fleet_view().is_limited(server) {
@@ -19,7 +23,8 @@
         None => context.fleet_view().try_take_turn(context.now_ms(), server),
     };
     let Err(wait_ms) = taken else { return true };
-    context.fleet_view().deny_until(server, context.now_ms() + wait_ms.max(1));
+    let denial_ms = wait_ms.clamp(1, MAX_DENIAL_MS);
+    context.fleet_view().deny_until(server, context.now_ms() + denial_ms);
     false
 }
 
