--- a/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
@@ -33,7 +33,7 @@
         self.quarantine.remaining_ms(now_ms, parts.chain(digests().both()))
     }
 
-    /// Reports which of these requests had complete answers in the last time; `core` asks for them as the
+    /// Reports which of these requests had complete answers recently; `core` asks for them as the
     /// coordinator.
     pub(crate) fn report_watched_requests(
         &mut self,
--- a/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// The digests of requests with complete answers in the last time.
+/// The digests of requests with recent complete answers.
 ///
 /// Only suspects matter to the coordinator, and which requests are is known only after servers have ended.
 #[derive(Debug, Default)]
@@ -99,7 +99,7 @@
         self.failures.push_back((now_ms, failure));
     }
 
-    /// Returns the failures of the last time, and forgets all.
+    /// Returns the recent failures, and forgets all.
     pub(super) fn take(&mut self, now_ms: u64) -> impl Iterator<Item = FleetMessage> + use<> {
         let failures = std::mem::take(&mut self.failures).into_iter();
         let recent = failures.filter(move |(at_ms, _)| now_ms <= at_ms + MAX_UNREPORTED_MS);
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -99,7 +99,7 @@
     GrantRequest { id: u64, server: BackendKey },
     /// The coordinator's decision on a `GrantRequest`; an error is the time until one may be granted.
     GrantReply { id: u64, granted: Result<(), u64> },
-    /// Asks which of the requests with these digests had complete answers in the last time. The coordinator
+    /// Asks which of the requests with these digests had complete answers recently. The coordinator
     /// sends it when servers have ended under them.
     WatchedRequests(Vec<u64>),
     /// Reports that a request broke off before or soon after its first event, and whether its server refuses
