Keep the time between recorded ends of servers when one is exonerated

A record in the replicated log names the time since the one before it. A complete answer that removed the record in between took that time with it, so a new coordinator found two ends 0 ms apart, which count as one cause, and needed a fourth.

--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -124,11 +124,15 @@
         suspects.any(|suspect| suspect.has(key))
     }
 
+    /// Changes the suspects of all ends, and removes the ends without suspects.
     fn change_suspects(&mut self, change: impl Fn(&mut Vec<Suspect>)) {
-        for end in &mut self.server_ends {
+        let mut since_removed_ms = 0;
+        self.server_ends.retain_mut(|end| {
             change(&mut end.suspects);
-        }
-        self.server_ends.retain(|end| !end.suspects.is_empty());
+            end.since_previous_ms = end.since_previous_ms.saturating_add(since_removed_ms);
+            since_removed_ms = if end.suspects.is_empty() { end.since_previous_ms } else { 0 };
+            !end.suspects.is_empty()
+        });
     }
 
     pub(crate) fn snapshot(&self) -> Vec<u8> {
--- a/crates/redwinglatch-fleet/src/state/tests.rs
+++ b/crates/redwinglatch-fleet/src/state/tests.rs
@@ -96,3 +96,20 @@
     let restored = FleetState::restore(&state.snapshot()).expect("a snapshot");
     assert_eq!(restored, state);
 }
+
+/// Guards against two ends that count as one because the time between them is lost with a record that a
+/// complete answer removed.
+#[test]
+fn the_time_between_ends_outlasts_the_removal_of_a_record() {
+    let mut state = FleetState::default();
+    for (server, since_previous_ms, digest) in [(1, 0, 5), (2, 150, 6), (2, 2, 5)] {
+        let suspects = vec![Suspect { parts: Vec::new(), digests: vec![digest] }];
+        let end = ServerEnd { server: BackendKey(server), since_previous_ms, suspects };
+        state.apply(1, StateCommand::ServerEnd(end));
+    }
+    state.apply(2, StateCommand::Exonerate { key: 6 });
+    let times: Vec<u64> = state.server_ends.iter().map(|end| end.since_previous_ms).collect();
+    assert_eq!(times, [0, 152]);
+    state.apply(3, StateCommand::Exonerate { key: 5 });
+    assert!(state.server_ends.is_empty());
+}
