Count ends of servers also before the coordinator has a backend list

Now only the end of a server that it knows to be leaving is no evidence, and entry processes report only servers that they list. ends_of_servers_count_before_the_backend_list_is_known failed before.

--- a/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
@@ -7,7 +7,7 @@
     suspects::{ServerEnd, Suspect},
 };
 
-use super::Planner;
+use super::{Planner, engine::Engine};
 
 impl Planner {
     /// Sets the quarantined prompt parts, and refuses the waiting requests that have one.
@@ -67,18 +67,18 @@
         suspect: Suspect,
         has_ended: bool,
     ) {
-        match (self.engines.get(&key), self.plain_servers.get(&key)) {
-            (Some(engine), _) if !engine.is_leaving() => {
-                self.fatal_requests.record_failure(now_ms, key, suspect);
-                self.request_report_if_suspected(now_ms, key);
-            }
-            (None, Some(is_leaving)) if !is_leaving => {
-                self.fatal_requests.record_failure(now_ms, key, suspect);
-                if has_ended {
-                    self.fatal_requests.server_ended(key, now_ms);
-                }
-            }
-            _ => {}
+        let engine = self.engines.get(&key);
+        let is_leaving = engine.is_some_and(Engine::is_leaving)
+            || self.plain_servers.get(&key).is_some_and(|is_leaving| *is_leaving);
+        if is_leaving {
+            return;
+        }
+        let is_engine = engine.is_some();
+        self.fatal_requests.record_failure(now_ms, key, suspect);
+        if is_engine {
+            self.request_report_if_suspected(now_ms, key);
+        } else if has_ended {
+            self.fatal_requests.server_ended(key, now_ms);
         }
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
@@ -73,3 +73,16 @@
     planner.set_backends(4_000, &listed(10..13));
     assert_eq!(planner.take_fatal(), [666]);
 }
+
+/// Guards against evidence that is lost because a new coordinator has no backend list yet, while entry processes
+/// have one of another core process.
+#[test]
+fn ends_of_servers_count_before_the_backend_list_is_known() {
+    let mut planner = Planner::new(0);
+    let suspect = Suspect { parts: Vec::new(), digests: vec![666, 667] };
+    for number in 10..13 {
+        let now_ms = u64::from(number) * 100;
+        planner.request_failed(now_ms, backend(number).key, suspect.clone(), true);
+    }
+    assert_eq!(planner.take_fatal(), [666]);
+}
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
@@ -51,7 +51,7 @@
     }
 
     /// Reports to the coordinator that a request broke off before or soon after its first event, unless its
-    /// server is about to stop. Without a coordinator, the next one is told.
+    /// server is about to stop or no longer listed. Without a coordinator, the next one is told.
     pub(crate) fn request_failed(
         &mut self,
         now_ms: u64,
@@ -59,7 +59,7 @@
         suspect: Suspect,
         has_ended: bool,
     ) {
-        if self.backends.get(&server).is_some_and(|state| state.is_leaving()) {
+        if self.backends.get(&server).is_none_or(|state| state.is_leaving()) {
             return;
         }
         let failure = FleetMessage::RequestFailed { server, suspect, has_ended };
