Log the software versions of servers and the attempts that streams take up

The logs have neither the versions nor the attempts that take-ups name, so they can't tell the hypotheses apart. Change: the backend list's software version is read and sent beside the entries to entry processes (messages of their own, since older core processes don't send it). Placed lines name it and the attempt that the request takes up; a line tells where a stream goes on within one answer. No decision changes. Both conversions from list entries are one.

--- a/crates/redwinglatch-fleet/src/core/announced_backends.rs
+++ b/crates/redwinglatch-fleet/src/core/announced_backends.rs
@@ -60,6 +60,9 @@
         }
         let mut digest = FnvHasher::new();
         digest.write(&postcard::to_allocvec(&backends).expect("the list encodes into memory"));
+        for backend in &backends {
+            digest.write(backend.software_version.as_bytes());
+        }
         let changed = backends.iter().filter(|new| find(&self.backends, new.key) != Some(*new));
         let removed = self.backends.iter().filter(|old| find(&backends, old.key).is_none());
         self.changes.push_back(ListChange {
@@ -85,8 +88,16 @@
             return frame.clone();
         }
         let message = match from {
-            Some(from) => FleetMessage::BackendChanges(self.changes_since(from)),
-            None => FleetMessage::Backends { digest: self.digest, entries: self.backends.clone() },
+            Some(from) => {
+                let changes = self.changes_since(from);
+                let versions = Backend::versions(&changes.changed);
+                FleetMessage::VersionedBackendChanges { changes, versions }
+            }
+            None => FleetMessage::VersionedBackends {
+                digest: self.digest,
+                entries: self.backends.clone(),
+                versions: Backend::versions(&self.backends),
+            },
         };
         let frame = Frame::encode(&message);
         self.frames.insert(from, frame.clone());
--- a/crates/redwinglatch-fleet/src/core/announced_backends/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/announced_backends/tests.rs
@@ -21,6 +21,7 @@
         data_centre: "hall-a".into(),
         slots: 12,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
@@ -32,8 +33,13 @@
 /// Applies a message as an entry process does; returns whether it has the list now.
 fn apply(view: &mut FleetView, frame: &Frame) -> bool {
     match decode(frame) {
-        FleetMessage::Backends { digest, entries } => view.set_backends(digest, entries),
-        FleetMessage::BackendChanges(changes) => return view.change_backends(changes),
+        FleetMessage::VersionedBackends { digest, entries, versions } => {
+            view.set_backends(digest, Backend::with_versions(entries, versions));
+        }
+        FleetMessage::VersionedBackendChanges { mut changes, versions } => {
+            changes.changed = Backend::with_versions(changes.changed, versions);
+            return view.change_backends(changes);
+        }
         other => panic!("unexpected {other:?}"),
     }
     true
@@ -50,8 +56,9 @@
     for step in 0..300 {
         for _ in 0..rng.usize(0..4) {
             let at = rng.usize(0..list.len());
-            match rng.u32(0..3) {
+            match rng.u32(0..4) {
                 0 => list[at].leaving = !list[at].leaving,
+                3 => list[at].software_version = format!("v{}", rng.u32(0..3)).into(),
                 1 if list.len() > 10 => drop(list.swap_remove(at)),
                 _ => list.push(backend(rng.u32(0..60))),
             }
@@ -76,7 +83,7 @@
     announced.set(vec![backend(1), backend(4)]);
     assert!(!apply(&mut view, &announced.frame_for(LINK)), "these changes start from another list");
     assert_eq!(view.listed_backends().len(), 3);
-    assert!(matches!(decode(&announced.frame_for(LINK)), FleetMessage::Backends { .. }));
+    assert!(matches!(decode(&announced.frame_for(LINK)), FleetMessage::VersionedBackends { .. }));
 }
 
 #[test]
@@ -89,13 +96,16 @@
     for number in 1..=MAX_CHANGES as u32 {
         announced.set(vec![backend(number)]);
     }
-    assert!(matches!(decode(&announced.frame_for(1)), FleetMessage::BackendChanges(_)));
-    assert!(matches!(decode(&announced.frame_for(2)), FleetMessage::Backends { .. }));
+    assert!(matches!(
+        decode(&announced.frame_for(1)),
+        FleetMessage::VersionedBackendChanges { .. }
+    ));
+    assert!(matches!(decode(&announced.frame_for(2)), FleetMessage::VersionedBackends { .. }));
     announced.frame_for(3);
     for number in 100..=100 + MAX_CHANGES as u32 {
         announced.set(vec![backend(number)]);
     }
-    assert!(matches!(decode(&announced.frame_for(3)), FleetMessage::Backends { .. }));
+    assert!(matches!(decode(&announced.frame_for(3)), FleetMessage::VersionedBackends { .. }));
 }
 
 /// One server of 3,000 starts to leave, in front of 300 entry processes.
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -224,18 +224,7 @@
 
     pub(super) fn handle_backend_list(&mut self, entries: Vec<BackendEntry>) {
         let now_ms = self.now_ms();
-        let backends = entries
-            .into_iter()
-            .map(|entry| Backend {
-                key: BackendKey::new(&entry.id, entry.address, entry.started_unix_ms),
-                id: entry.id,
-                service: entry.service,
-                address: entry.address,
-                data_centre: entry.data_centre,
-                slots: entry.slots,
-                leaving: entry.leaving,
-            })
-            .collect();
+        let backends = entries.into_iter().map(Backend::from).collect();
         self.backends.set(backends);
         if let Some((_, planner)) = &mut self.planner {
             planner.set_backends(now_ms, self.backends.list());
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -146,6 +146,7 @@
         data_centre: "hall-a".into(),
         slots: 64,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -76,6 +76,8 @@
     pub prompt_parts: HeaderName,
     /// The id of the last event that the caller has received.
     pub last_event_id: HeaderName,
+    /// The id of the caller's attempt that brought the first event of the stream which the request takes up.
+    pub resumes: HeaderName,
     /// Headers that only redwinglatch may set; they are removed from callers' requests.
     pub reserved: Vec<HeaderName>,
 }
@@ -144,6 +146,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: Box<str>,
+    /// The version of its software.
+    pub software_version: Box<str>,
     /// The number of requests that it executes concurrently.
     pub slots: u32,
     /// Whether it is about to stop and takes no new requests.
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -7,9 +7,8 @@
 use crate::{
     clock::{ENTRY_OVERLOAD_LAG_MS, TimerLag},
     core,
-    ids::BackendKey,
     link::{self, ReconnectDelay},
-    message::{Backend, EntryHello, FleetMessage},
+    message::{Backend, BackendChanges, EntryHello, FleetMessage},
 };
 
 use super::{EntryContext, fleet_view::CoordinatorAcceptance};
@@ -204,11 +203,14 @@
         FleetMessage::Backends { digest, entries } => {
             context.fleet_view().set_backends(digest, entries);
         }
-        FleetMessage::BackendChanges(changes) => {
-            if !context.fleet_view().change_backends(changes) {
-                log::debug!("entry: the list changes of {core} start from another list");
-                sender.send(&FleetMessage::BackendsRequest);
-            }
+        FleetMessage::VersionedBackends { digest, entries, versions } => {
+            let entries = Backend::with_versions(entries, versions);
+            context.fleet_view().set_backends(digest, entries);
+        }
+        FleetMessage::BackendChanges(changes) => change_backends(context, core, sender, changes),
+        FleetMessage::VersionedBackendChanges { mut changes, versions } => {
+            changes.changed = Backend::with_versions(changes.changed, versions);
+            change_backends(context, core, sender, changes);
         }
         FleetMessage::EntryEndpoints(endpoints) => {
             let count = {
@@ -251,6 +253,18 @@
     }
 }
 
+fn change_backends(
+    context: &EntryContext,
+    core: SocketAddr,
+    sender: &link::LinkSender,
+    changes: BackendChanges,
+) {
+    if !context.fleet_view().change_backends(changes) {
+        log::debug!("entry: the list changes of {core} start from another list");
+        sender.send(&FleetMessage::BackendsRequest);
+    }
+}
+
 /// Accepts the sender of model locations as the coordinator unless it is outdated. A new one gets the
 /// status of this process at once, so that it knows which adapters are in use.
 fn accept_coordinator(context: &EntryContext, core: SocketAddr, epoch: u64) -> bool {
@@ -308,15 +322,7 @@
         }
         match core::fetch_backend_list(&context.client, address, context.dialect).await {
             Ok((entries, _)) => {
-                let backends = entries.into_iter().map(|entry| Backend {
-                    key: BackendKey::new(&entry.id, entry.address, entry.started_unix_ms),
-                    id: entry.id,
-                    service: entry.service,
-                    address: entry.address,
-                    data_centre: entry.data_centre,
-                    slots: entry.slots,
-                    leaving: entry.leaving,
-                });
+                let backends = entries.into_iter().map(Backend::from);
                 // Digest 0 differs from that of any core process, so that the next list from a core
                 // process replaces this one.
                 context.fleet_view().set_backends(0, backends.collect());
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
@@ -23,6 +23,8 @@
     pub(crate) address: SocketAddr,
     /// The version of the adapter that the server must have, if the adapter has versions.
     pub(crate) version: Option<u64>,
+    /// The version of the server's software.
+    pub(crate) software_version: Box<str>,
 }
 
 /// Result of selecting a backend server.
@@ -178,6 +180,7 @@
                 id: state.backend.id.clone(),
                 address: state.backend.address,
                 version,
+                software_version: state.backend.software_version.clone(),
             }),
             None => BackendSelection::Unavailable,
         }
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
@@ -22,6 +22,7 @@
         data_centre: "hall-a".into(),
         slots: 6,
         leaving: false,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -73,6 +73,8 @@
     pub(crate) body: Bytes,
     _body_reservation: BufferReservation,
     pub(crate) request_id: Option<Box<str>>,
+    /// The caller's attempt that brought the first event of the stream which the request takes up.
+    resumes: Option<Box<str>>,
     pub(crate) model: Option<ModelName>,
     pub(crate) service: Box<str>,
     pub(crate) table: Arc<RouteTable>,
@@ -321,9 +323,11 @@
             };
         log::info!(
             target: REQUEST_PLACED_TARGET,
-            "request: {} backend={} by={} config={} after_ms={} tries={}",
+            "request: {} backend={} version={} resumes={} by={} config={} after_ms={} tries={}",
             prepared.log_name(),
             selected.id,
+            selected.software_version,
+            prepared.resumes.as_deref().unwrap_or("-"),
             if placement.is_some() { "coordinator" } else { "entry" },
             prepared.table.configuration().version,
             received_at.elapsed().as_millis(),
@@ -451,6 +455,7 @@
         caller: peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |PeerAddress(address)| *address),
         digests: OnceLock::new(),
         request_id: text(&names.request_id).map(Box::from),
+        resumes: text(&names.resumes).map(Box::from),
         model,
         service: spec.name.clone(),
         headers: headers::for_backend(&parts.headers, names),
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -364,6 +364,15 @@
             match sent.map_err(|_| RefusalReason::TimedOut.code())? {
                 AttemptOutcome::Stream(started) => {
                     self.attempts.maybe_executed += 1;
+                    log::info!(
+                        "request: id={} goes on after event {} backend={} version={}",
+                        self.prepared.request_id.as_deref().unwrap_or("-"),
+                        self.events
+                            .last_event_id()
+                            .map_or("-".into(), |id| { String::from_utf8_lossy(id).into_owned() }),
+                        selected.id,
+                        selected.software_version,
+                    );
                     return Ok(started);
                 }
                 AttemptOutcome::Response(_) | AttemptOutcome::MaybeRan => {
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    BackendEntry,
     ids::{BackendKey, ModelName},
     limited_servers::RequestLimit,
     quarantine::QuarantinedKey,
@@ -48,7 +49,7 @@
     Versions(Vec<(ModelName, u64)>),
     /// Announces the digest of the backend list that the sender fetched last.
     BackendsNotice { digest: u64 },
-    /// The backend list that the sender fetched last.
+    /// The same as `VersionedBackends`, from core processes of older versions.
     Backends { digest: u64, entries: Vec<Backend> },
     /// The entry processes that are connected to the sender.
     EntryEndpoints(Vec<EntryEndpoint>),
@@ -83,7 +84,7 @@
     EntryEndpointChanges(EntryEndpointChanges),
     /// The sender's configuration, compressed with deflate.
     CompressedConfiguration { version: u64, document: Vec<u8> },
-    /// The changes since the backend list that the sender sent last on this link.
+    /// The same as `VersionedBackendChanges`, from core processes of older versions.
     BackendChanges(BackendChanges),
     /// The prompt parts and digests whose requests are refused.
     Quarantine(Vec<QuarantinedKey>),
@@ -105,6 +106,11 @@
     /// Reports that a request broke off before or soon after its first event, and whether its server refuses
     /// connections since.
     RequestFailed { server: BackendKey, suspect: Suspect, has_ended: bool },
+    /// The backend list that the sender fetched last, with the software version of each entry.
+    VersionedBackends { digest: u64, entries: Vec<Backend>, versions: Vec<Box<str>> },
+    /// The changes since the list that the sender sent last on this link, with the software versions of the
+    /// changed entries.
+    VersionedBackendChanges { changes: BackendChanges, versions: Vec<Box<str>> },
 }
 
 impl FleetMessage {
@@ -130,7 +136,10 @@
                 "configuration"
             }
             FleetMessage::Versions(_) => "versions",
-            FleetMessage::Backends { .. } | FleetMessage::BackendChanges(_) => "backends",
+            FleetMessage::Backends { .. }
+            | FleetMessage::BackendChanges(_)
+            | FleetMessage::VersionedBackends { .. }
+            | FleetMessage::VersionedBackendChanges { .. } => "backends",
             FleetMessage::EntryEndpoints(_) | FleetMessage::EntryEndpointChanges(_) => {
                 "entry_endpoints"
             }
@@ -306,6 +315,43 @@
     pub(crate) data_centre: Box<str>,
     pub(crate) slots: u32,
     pub(crate) leaving: bool,
+    /// The version of its software. Messages carry it beside the entries, because core processes of older
+    /// versions don't send it.
+    #[serde(skip)]
+    pub(crate) software_version: Box<str>,
+}
+
+impl From<BackendEntry> for Backend {
+    fn from(entry: BackendEntry) -> Backend {
+        Backend {
+            key: BackendKey::new(&entry.id, entry.address, entry.started_unix_ms),
+            id: entry.id,
+            service: entry.service,
+            address: entry.address,
+            data_centre: entry.data_centre,
+            slots: entry.slots,
+            leaving: entry.leaving,
+            software_version: entry.software_version,
+        }
+    }
+}
+
+impl Backend {
+    /// Adds the software versions that a message carries beside its entries.
+    pub(crate) fn with_versions(
+        entries: Vec<Backend>,
+        versions: impl IntoIterator<Item = Box<str>>,
+    ) -> Vec<Backend> {
+        let versioned = entries.into_iter().zip(versions);
+        versioned
+            .map(|(backend, software_version)| Backend { software_version, ..backend })
+            .collect()
+    }
+
+    /// Returns the software versions of a list, in its order.
+    pub(crate) fn versions(entries: &[Backend]) -> Vec<Box<str>> {
+        entries.iter().map(|backend| backend.software_version.clone()).collect()
+    }
 }
 
 /// The difference between two backend lists.
