--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -5,6 +5,7 @@
 mod membership;
 mod messages;
 mod quarantine;
+mod software_versions;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -36,6 +37,7 @@
     state::{FleetState, StateChange, StateCommand},
 };
 
+use self::software_versions::SoftwareVersions;
 use super::{
     announced_backends::AnnouncedBackends,
     compressed_configuration::CompressedConfiguration,
@@ -172,6 +174,7 @@
     forwarded_requests: HashMap<u64, oneshot::Sender<LeaderResponse>>,
     next_request_id: u64,
     backends: AnnouncedBackends,
+    software_versions: SoftwareVersions,
     quarantine: Quarantine,
     /// Earliest time of the next proposals to end quarantines.
     quarantine_ends_due_ms: u64,
@@ -233,6 +236,7 @@
             forwarded_requests: HashMap::new(),
             next_request_id: 0,
             backends: AnnouncedBackends::default(),
+            software_versions: SoftwareVersions::default(),
             quarantine: Quarantine::default(),
             quarantine_ends_due_ms: 0,
             watch_due_ms: 0,
@@ -251,6 +255,7 @@
         };
         driver.load_configuration();
         driver.update_quarantine();
+        driver.announce_software_versions();
         driver
     }
 
@@ -386,6 +391,7 @@
         self.transfer_leadership_when_slow(now_ms);
         self.coordinate(now_ms);
         self.end_quarantines(now_ms);
+        self.propose_software_versions(now_ms);
         self.entries.tick(now_ms);
         if self.traffic_log_due_ms <= now_ms {
             self.traffic_log_due_ms = now_ms + TRAFFIC_LOG_INTERVAL_MS;
@@ -470,6 +476,7 @@
                 self.announce_configuration();
                 self.entries.broadcast(&self.versions_message());
                 self.update_quarantine();
+                self.announce_software_versions();
             }
             Err(error) => {
                 log::error!("core: cannot restore the snapshot: {error}");
@@ -497,6 +504,7 @@
                         StateChange::Version => has_new_versions = true,
                         StateChange::Core => self.update_core_addresses(),
                         StateChange::Quarantine => self.update_quarantine(),
+                        StateChange::SoftwareVersions => self.announce_software_versions(),
                         StateChange::Nothing => {}
                     },
                     Err(error) => {
@@ -550,6 +558,7 @@
             Ok(table) => self.table = Some(Arc::new(table)),
             Err(error) => log::error!("core: cannot read the stored configuration: {error}"),
         }
+        self.update_stream_lifetime();
         self.update_planner_services();
     }
 }
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -30,9 +30,19 @@
             FleetMessage::Place { id, request } => {
                 let now_ms = self.now_ms();
                 if let Some((_, planner)) = &mut self.planner {
-                    planner.place(now_ms, link, id, request);
+                    planner.place(now_ms, link, id, request, None);
                 }
             }
+            FleetMessage::PlaceAtVersion { id, request, version } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    planner.place(now_ms, link, id, request, Some(version));
+                }
+            }
+            FleetMessage::StreamsBegan(streams) => self.handle_begun_streams(&streams),
+            FleetMessage::StreamVersionRequest { id, stream } => {
+                self.answer_stream_version(&sender, id, stream);
+            }
             FleetMessage::FirstEvent { id } => {
                 if let Some((_, planner)) = &mut self.planner {
                     planner.first_event(link, id);
@@ -133,6 +143,7 @@
         sender.send(&FleetMessage::CoreDataCentre(self.settings.data_centre.clone()));
         sender.send(&self.quarantine_message());
         sender.send(&self.request_limits_message());
+        sender.send(&self.software_versions_message());
         sender.send(&self.core_addresses_message());
         if self.state.version > 0 {
             sender.send(&FleetMessage::ConfigurationNotice { version: self.state.version });
@@ -226,6 +237,7 @@
         let now_ms = self.now_ms();
         let backends = entries.into_iter().map(Backend::from).collect();
         self.backends.set(backends);
+        self.update_listed_versions();
         if let Some((_, planner)) = &mut self.planner {
             planner.set_backends(now_ms, self.backends.list());
         }
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -0,0 +1,170 @@
+//! Software versions of services, and the streams that they began.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use redwinglatch_routing::RequestKind;
+
+use crate::{
+    entry::stream_lifetime_ms,
+    expiring_map::ExpiringMap,
+    ids::{SoftwareVersion, StreamKey},
+    link::LinkSender,
+    message::{FleetMessage, StreamVersionReply},
+    state::StateCommand,
+};
+
+use super::Driver;
+
+/// Maximum number of streams whose versions are remembered.
+const MAX_STREAMS: usize = 65_536;
+/// Interval between proposals to record a version that is new, or to remove one that is no longer used.
+const PROPOSAL_INTERVAL_MS: u64 = 1_000;
+/// Time without a message of the leader after which this process may not know the newest state.
+const MAX_LEADER_SILENCE_MS: u64 = 1_000;
+
+/// A service and the name of one of its software versions.
+type NamedVersion = (Box<str>, Box<str>);
+
+/// The software versions under which streams in progress may have begun.
+///
+/// The replicated log keeps them, so that after the loss of all processes a service that has only one version is
+/// told from one whose versions nobody remembers.
+#[derive(Debug)]
+pub(super) struct SoftwareVersions {
+    began: ExpiringMap<StreamKey, SoftwareVersion>,
+    /// The longest time for which a stream may be in progress.
+    lifetime_ms: u64,
+    listed: BTreeSet<NamedVersion>,
+    /// The times at which versions that are no longer listed were listed last, or at which this process began
+    /// to look.
+    unlisted_ms: HashMap<NamedVersion, u64>,
+    announced: BTreeSet<NamedVersion>,
+    proposals_due_ms: u64,
+}
+
+impl Default for SoftwareVersions {
+    fn default() -> SoftwareVersions {
+        SoftwareVersions {
+            began: ExpiringMap::new(MAX_STREAMS),
+            lifetime_ms: stream_lifetime_ms(0),
+            listed: BTreeSet::new(),
+            unlisted_ms: HashMap::new(),
+            announced: BTreeSet::new(),
+            proposals_due_ms: 0,
+        }
+    }
+}
+
+impl SoftwareVersions {
+    /// Returns the recorded versions that have not been listed for as long as a stream may be in progress.
+    fn take_unused(&mut self, now_ms: u64, recorded: &BTreeSet<NamedVersion>) -> Vec<NamedVersion> {
+        let lifetime_ms = self.lifetime_ms;
+        self.unlisted_ms.retain(|version, _| recorded.contains(version));
+        let unlisted = recorded.difference(&self.listed);
+        let unused = unlisted.filter(|version| {
+            let since_ms = *self.unlisted_ms.entry((*version).clone()).or_insert(now_ms);
+            since_ms + lifetime_ms < now_ms
+        });
+        unused.cloned().collect()
+    }
+}
+
+impl Driver {
+    /// Records the versions that began streams, as an entry process tells.
+    pub(super) fn handle_begun_streams(&mut self, streams: &[(StreamKey, SoftwareVersion)]) {
+        let now_ms = self.now_ms();
+        let versions = &mut self.software_versions;
+        let oldest_ms = now_ms.saturating_sub(versions.lifetime_ms);
+        for (stream, version) in streams {
+            versions.began.set(now_ms, oldest_ms, *stream, *version);
+        }
+    }
+
+    /// Answers which version began a stream.
+    pub(super) fn answer_stream_version(&self, sender: &LinkSender, id: u64, stream: StreamKey) {
+        let reply = StreamVersionReply {
+            began: self.software_versions.began.get(stream),
+            is_current: self.knows_all_versions(),
+        };
+        sender.send(&FleetMessage::StreamVersionReply { id, reply });
+    }
+
+    /// Returns whether the state of this process has all versions under which streams may have begun.
+    fn knows_all_versions(&self) -> bool {
+        let now_ms = self.now_ms();
+        let leader = self.replica.leader().and_then(|leader| self.last_message_ms.get(&leader.0));
+        let hears_leader =
+            leader.is_some_and(|heard_ms| now_ms <= heard_ms + MAX_LEADER_SILENCE_MS);
+        let is_in_contact = self.is_current_leader() || (!self.replica.is_leader() && hears_leader);
+        is_in_contact && self.state.version > 0 && !self.software_versions.listed.is_empty()
+    }
+
+    /// Applies a new backend list.
+    pub(super) fn update_listed_versions(&mut self) {
+        let now_ms = self.now_ms();
+        let listed = self.backends.list().iter();
+        let listed: BTreeSet<NamedVersion> = listed
+            .map(|backend| (backend.service.clone(), backend.software_version.clone()))
+            .collect();
+        let versions = &mut self.software_versions;
+        for version in versions.listed.difference(&listed) {
+            versions.unlisted_ms.insert(version.clone(), now_ms);
+        }
+        versions.unlisted_ms.retain(|version, _| !listed.contains(version));
+        versions.listed = listed;
+        self.announce_software_versions();
+        self.propose_software_versions(now_ms);
+    }
+
+    /// Keeps streams for as long as one of the configuration's routes may be in progress.
+    pub(super) fn update_stream_lifetime(&mut self) {
+        let Some(table) = &self.table else { return };
+        let routes = table.configuration().routes.iter();
+        let resumable =
+            routes.filter(|route| route.kind == RequestKind::Stream { resumable: true });
+        let longest_ms = resumable.map(|route| route.timeout_ms).max().unwrap_or_default();
+        let versions = &mut self.software_versions;
+        versions.lifetime_ms = versions.lifetime_ms.max(stream_lifetime_ms(longest_ms));
+    }
+
+    /// As the leader, records new versions in the log, and removes those that are no longer used.
+    pub(super) fn propose_software_versions(&mut self, now_ms: u64) {
+        if !self.is_current_leader() || now_ms < self.software_versions.proposals_due_ms {
+            return;
+        }
+        let recorded = &self.state.software_versions;
+        let new: Vec<NamedVersion> =
+            self.software_versions.listed.difference(recorded).cloned().collect();
+        let unused = self.software_versions.take_unused(now_ms, recorded);
+        if !new.is_empty() || !unused.is_empty() {
+            self.software_versions.proposals_due_ms = now_ms + PROPOSAL_INTERVAL_MS;
+        }
+        for (service, version) in new {
+            log::info!("core: service {service} has servers with software version {version}");
+            self.propose(&StateCommand::AddSoftwareVersion { service, version }, None);
+        }
+        for (service, version) in unused {
+            log::info!("core: streams of {service} at software version {version} have ended");
+            self.propose(&StateCommand::RemoveSoftwareVersion { service, version }, None);
+        }
+    }
+
+    /// Tells entry processes all versions if they have changed.
+    pub(super) fn announce_software_versions(&mut self) {
+        let versions = &self.software_versions;
+        let all: BTreeSet<NamedVersion> =
+            self.state.software_versions.union(&versions.listed).cloned().collect();
+        if all != versions.announced {
+            self.software_versions.announced = all;
+            self.entries.broadcast(&self.software_versions_message());
+        }
+    }
+
+    pub(super) fn software_versions_message(&self) -> FleetMessage {
+        let mut services: BTreeMap<Box<str>, Vec<Box<str>>> = BTreeMap::new();
+        for (service, version) in &self.software_versions.announced {
+            services.entry(service.clone()).or_default().push(version.clone());
+        }
+        FleetMessage::SoftwareVersions(services.into_iter().collect())
+    }
+}
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -29,7 +29,7 @@
 
 use crate::{
     EngineReport, OrderKind,
-    ids::{BackendKey, ModelName, is_adapter},
+    ids::{BackendKey, ModelName, SoftwareVersion, is_adapter},
     message::{
         Backend, EntryStatus, ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest,
         RefusalCause,
@@ -411,9 +411,17 @@
         }
     }
 
-    /// Places or queues a request; [`Planner::take_replies`] returns the replies.
-    pub(super) fn place(&mut self, now_ms: u64, entry: u64, id: u64, request: PlaceRequest) {
-        let waiting = WaitingRequest::new(now_ms, entry, id, request);
+    /// Places or queues a request, on engines of a software version if one is given;
+    /// [`Planner::take_replies`] returns the replies.
+    pub(super) fn place(
+        &mut self,
+        now_ms: u64,
+        entry: u64,
+        id: u64,
+        request: PlaceRequest,
+        software: Option<SoftwareVersion>,
+    ) {
+        let waiting = WaitingRequest::new(now_ms, entry, id, request, software);
         if let Some(retry_after_ms) = self.quarantine_ms(now_ms, &waiting.request) {
             let cause = RefusalCause::Quarantined;
             self.push_reply(&waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
--- a/crates/redwinglatch-fleet/src/core/planner/demand.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/demand.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::HashMap};
 
-use crate::ids::ModelName;
+use crate::ids::{ModelName, SoftwareVersion};
 
 use super::{STORE_LOAD_MS, waiting_request::WaitingRequest};
 
@@ -11,6 +11,8 @@
 pub(super) struct AdapterDemand {
     pub(super) model: ModelName,
     pub(super) model_hash: u64,
+    /// The software version of the engines that may get the requests.
+    pub(super) software: Option<SoftwareVersion>,
     /// Requests whose first event would still be on time after a load that starts now.
     on_time: u32,
     /// Late requests of callers that were refused before. A second refusal ends their request.
@@ -38,6 +40,7 @@
         let demand = demands.entry(request.model_hash).or_insert_with(|| AdapterDemand {
             model: request.request.model.clone(),
             model_hash: request.model_hash,
+            software: request.software,
             on_time: 0,
             returned: 0,
             waiting: 0,
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     EngineReport, LoadedAdapter, OrderKind,
-    ids::{ModelName, is_adapter},
+    ids::{ModelName, SoftwareVersion, is_adapter},
     message::{Backend, ModelLocation, ModelLocationChange, PlaceRequest},
 };
 
@@ -295,6 +295,11 @@
         self.sequence_updated_ms = now_ms;
     }
 
+    /// Returns whether the engine has a software version, if one is given.
+    pub(super) fn has_software(&self, software: Option<SoftwareVersion>) -> bool {
+        software.is_none_or(|software| self.backend.software() == software)
+    }
+
     pub(super) fn is_available(&self) -> bool {
         !self.is_leaving() && !self.is_unresponsive() && self.base_update.is_none()
     }
--- a/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/load_choice.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     OrderKind,
-    ids::{BackendKey, ModelName, is_adapter, name_hash, rendezvous_weight},
+    ids::{BackendKey, ModelName, SoftwareVersion, is_adapter, name_hash, rendezvous_weight},
 };
 
 use super::{
@@ -27,18 +27,34 @@
 /// hardly take a request from the others, and a load and a slot would be lost for nothing.
 const MAX_COPY_FILL: f64 = 0.7;
 
-/// Returns the adapters whose requests have waited too long for the engines that have them.
+/// Returns the demands whose requests have waited too long for the engines that have their adapter.
 fn overloaded_models(
     now_ms: u64,
     demands: &[(AdapterDemand, CopyStatus)],
-) -> impl Iterator<Item = &ModelName> {
+) -> impl Iterator<Item = &AdapterDemand> {
     let overloaded = demands.iter().filter(move |(demand, status)| match status {
         CopyStatus::Loaded { since_ms } => {
             demand.first_received_ms.max(*since_ms) + EXTRA_COPY_WAIT_MS <= now_ms
         }
         CopyStatus::None | CopyStatus::Loading => false,
     });
-    overloaded.map(|(demand, _)| &demand.model)
+    overloaded.map(|(demand, _)| demand)
+}
+
+/// A copy of an adapter that requests wait for.
+#[derive(Clone, Copy)]
+struct WantedCopy<'a> {
+    model: &'a str,
+    /// The software version of the engines that may have the copy.
+    software: Option<SoftwareVersion>,
+    /// Share of its request slots up to which an engine gets the copy.
+    max_fill: f64,
+}
+
+impl WantedCopy<'_> {
+    fn of(demand: &AdapterDemand, max_fill: f64) -> WantedCopy<'_> {
+        WantedCopy { model: &demand.model, software: demand.software, max_fill }
+    }
 }
 
 /// An engine that could load an adapter.
@@ -93,13 +109,15 @@
         // First copies take precedence, because their requests can't be served otherwise.
         let missing = demands.iter().filter(|(_, status)| *status == CopyStatus::None);
         for (demand, _) in missing {
-            self.load_one(now_ms, &demand.model, MAX_FIRST_FILL, &mut pass, orders);
+            let wanted = WantedCopy::of(demand, MAX_FIRST_FILL);
+            self.load_one(now_ms, wanted, &mut pass, orders);
         }
         pass.failed_attempts = 0;
         if self.copies_due_ms <= now_ms {
             self.copies_due_ms = now_ms + COPIES_INTERVAL_MS;
-            for model in overloaded_models(now_ms, demands) {
-                self.load_one(now_ms, model, MAX_COPY_FILL, &mut pass, orders);
+            for demand in overloaded_models(now_ms, demands) {
+                let wanted = WantedCopy::of(demand, MAX_COPY_FILL);
+                self.load_one(now_ms, wanted, &mut pass, orders);
             }
         }
         if self.store.has_capacity() {
@@ -107,30 +125,30 @@
                 demands.iter().map(|(demand, _)| demand.model_hash).collect();
             let expected = self.expected.keys().filter(|model| {
                 !waiting.contains(&name_hash(model))
-                    && self.copy_status(now_ms, model) == CopyStatus::None
+                    && self.copy_status(now_ms, model, None) == CopyStatus::None
             });
             for model in expected.cloned().collect::<Vec<_>>() {
-                self.load_one(now_ms, &model, MAX_FIRST_FILL, &mut pass, orders);
+                let wanted = WantedCopy { model: &model, software: None, max_fill: MAX_FIRST_FILL };
+                self.load_one(now_ms, wanted, &mut pass, orders);
             }
         }
     }
 
-    /// Plans the next order towards another copy of `model`, if there is one.
+    /// Plans the next order towards another copy of an adapter, if there is one.
     fn load_one(
         &mut self,
         now_ms: u64,
-        model: &ModelName,
-        max_fill: f64,
+        wanted: WantedCopy<'_>,
         pass: &mut LoadPass,
         orders: &mut Vec<PlannedOrder>,
     ) {
         // Base models are loaded on engines without one, whatever requests wait for.
         let is_pass_over =
             pass.free_engines.is_empty() || pass.failed_attempts >= MAX_FAILED_ATTEMPTS;
-        if is_pass_over || !is_adapter(model) {
+        if is_pass_over || !is_adapter(wanted.model) {
             return;
         }
-        match self.next_order_for(now_ms, model, max_fill, pass) {
+        match self.next_order_for(now_ms, wanted, pass) {
             Some(order) => {
                 pass.free_engines.retain(|key| *key != order.engine);
                 self.push_order(now_ms, orders, order);
@@ -140,8 +158,8 @@
         }
     }
 
-    /// Returns the next order towards another copy of `model`: a load, or an unload that makes room
-    /// for it. Engines whose request slots are occupied beyond the share `max_fill` are not considered.
+    /// Returns the next order towards another copy of an adapter: a load, or an unload that makes room
+    /// for it.
     ///
     /// An engine that unloaded the adapter recently is preferred, because its load doesn't use the
     /// weight store; the others follow in the adapter's rendezvous order, those that leave orders
@@ -153,10 +171,10 @@
     fn next_order_for(
         &self,
         now_ms: u64,
-        model: &str,
-        max_fill: f64,
+        wanted: WantedCopy<'_>,
         pass: &LoadPass,
     ) -> Option<PlannedOrder> {
+        let model = wanted.model;
         let has_store_capacity = self.store.has_capacity();
         let is_cached = self.unloaded_adapters.contains(model);
         if !has_store_capacity && !is_cached {
@@ -165,16 +183,16 @@
         let mut candidates: SmallVec<[LoadCandidate; 32]> = if is_cached {
             self.engines
                 .iter()
-                .filter_map(|(key, engine)| self.load_candidate(now_ms, *key, engine, model))
+                .filter_map(|(key, engine)| self.load_candidate(now_ms, *key, engine, wanted))
                 .collect()
         } else {
             let free_engines = pass.free_engines.iter();
             free_engines
-                .filter_map(|key| self.load_candidate(now_ms, *key, self.engines.get(key)?, model))
+                .filter_map(|key| self.load_candidate(now_ms, *key, self.engines.get(key)?, wanted))
                 .collect()
         };
         candidates.retain(|candidate| {
-            candidate.fill <= max_fill && (has_store_capacity || candidate.is_cached)
+            candidate.fill <= wanted.max_fill && (has_store_capacity || candidate.is_cached)
         });
         candidates.sort_unstable_by_key(|candidate| {
             (candidate.is_unresponsive, Reverse((candidate.is_cached, candidate.weight)))
@@ -194,16 +212,18 @@
         None
     }
 
-    /// Returns an engine as a candidate for a copy of `model`, unless it can't have one.
+    /// Returns an engine as a candidate for a copy of an adapter, unless it can't have one.
     fn load_candidate(
         &self,
         now_ms: u64,
         key: BackendKey,
         engine: &Engine,
-        model: &str,
+        wanted: WantedCopy<'_>,
     ) -> Option<LoadCandidate> {
+        let model = wanted.model;
         let base = model.split('/').next().unwrap_or(model);
         let is_possible = engine.is_available()
+            && engine.has_software(wanted.software)
             && !self.spared_engines.contains(&key)
             && engine.base_models.iter().any(|base_model| **base_model == *base)
             && !engine.models.contains_key(model);
--- a/crates/redwinglatch-fleet/src/core/planner/loading.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/loading.rs
@@ -3,6 +3,7 @@
 use crate::{
     OrderKind,
     core::orders::OrderOutcome,
+    ids::SoftwareVersion,
     message::{ModelLocation, ModelLocationChange},
 };
 
@@ -239,13 +240,20 @@
         }
     }
 
-    /// Returns whether an available engine has the adapter loaded or loading.
-    pub(super) fn copy_status(&self, now_ms: u64, model: &str) -> CopyStatus {
+    /// Returns whether an available engine, of a software version if one is given, has the adapter loaded or
+    /// loading.
+    pub(super) fn copy_status(
+        &self,
+        now_ms: u64,
+        model: &str,
+        software: Option<SoftwareVersion>,
+    ) -> CopyStatus {
         let newest = self.newest_version(model);
         let mut copy_status = CopyStatus::None;
         let locations = self.model_index.engines_with(&self.engines, model);
-        let usable = locations
-            .filter(|(key, engine, _)| engine.is_available() && !self.is_spared(now_ms, *key));
+        let usable = locations.filter(|(key, engine, _)| {
+            engine.is_available() && engine.has_software(software) && !self.is_spared(now_ms, *key)
+        });
         for (_, engine, model_state) in usable {
             match (model_state.phase, &copy_status) {
                 _ if model_state.version < newest => {}
--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::{
-    ids::BackendKey,
+    ids::{BackendKey, SoftwareVersion},
     message::{PlaceReply, PlaceRequest, RefusalCause},
 };
 
@@ -44,7 +44,7 @@
     pub(super) fn try_place(&mut self, now_ms: u64, waiting: &WaitingRequest) -> bool {
         let request = &waiting.request;
         let id = (waiting.entry, waiting.id);
-        let best = self.best_engine(now_ms, request);
+        let best = self.best_engine(now_ms, request, waiting.software);
         if let Some((key, version)) = best
             && let Some(engine) = self.engines.get_mut(&key)
             && engine.can_prefill(request)
@@ -79,7 +79,7 @@
     /// Refuses a request for which no engine was found in time.
     fn refuse(&mut self, now_ms: u64, waiting: &WaitingRequest) {
         let model = &waiting.request.model;
-        let cause = match self.copy_status(now_ms, model) {
+        let cause = match self.copy_status(now_ms, model, waiting.software) {
             CopyStatus::Loaded { .. } => {
                 let engines = self.model_index.engines_with(&self.engines, model).count();
                 let waiting = self.waiting.len();
@@ -106,7 +106,7 @@
         let mut completions: HashMap<u64, u64> = HashMap::new();
         let mut kept = Vec::new();
         for demand in load_order(now_ms, &self.waiting) {
-            let status = self.copy_status(now_ms, &demand.model);
+            let status = self.copy_status(now_ms, &demand.model, demand.software);
             if status == CopyStatus::None {
                 let completion_ms = now_ms + orders_from_ms + self.store.completion_ms(loads_ahead);
                 completions.insert(demand.model_hash, completion_ms);
@@ -144,8 +144,9 @@
             completion_ms.saturating_sub(now_ms),
         );
         let max_expected = (self.store.limit() * EXPECTED_ADAPTERS_PER_STORE_LOAD) as usize;
-        if self.expected.len() < max_expected || self.expected.contains_key(&waiting.request.model)
-        {
+        let has_room = self.expected.len() < max_expected
+            || self.expected.contains_key(&waiting.request.model);
+        if has_room && waiting.software.is_none() {
             let until_ms = now_ms + retry_after_ms + RETURN_SLACK_MS;
             self.expected.insert(waiting.request.model.clone(), until_ms);
         }
@@ -163,6 +164,7 @@
         &self,
         now_ms: u64,
         request: &PlaceRequest,
+        software: Option<SoftwareVersion>,
     ) -> Option<(BackendKey, Option<u64>)> {
         let newest = self.versions.get(&request.model).copied();
         let locations = self.model_index.engines_with(&self.engines, &request.model);
@@ -170,6 +172,7 @@
             let is_suitable = model_state.phase == ModelPhase::Loaded
                 && newest.is_none_or(|newest| model_state.version >= newest)
                 && *engine.backend.service == *request.service
+                && engine.has_software(software)
                 && engine.is_available()
                 && !request.excluded_engines.contains(&key)
                 && engine.has_capacity(request)
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -18,6 +18,7 @@
 mod limited_engines;
 mod orders;
 mod quarantined_requests;
+mod software_versions;
 
 const SERVICE: &str = "scope-writer";
 const SLOTS: usize = 4;
@@ -123,7 +124,7 @@
     }
 
     fn place(&mut self, id: u64, request: PlaceRequest) {
-        self.planner.place(self.now_ms, 1, id, request);
+        self.planner.place(self.now_ms, 1, id, request, None);
     }
 
     fn engine_of(&self, id: u64) -> Option<BackendKey> {
--- a/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/waiting_request.rs
@@ -1,6 +1,9 @@
 //! Requests that wait to be placed, and the order in which they are placed.
 
-use crate::{ids::name_hash, message::PlaceRequest};
+use crate::{
+    ids::{SoftwareVersion, name_hash},
+    message::PlaceRequest,
+};
 
 /// A request that could not be placed immediately.
 #[derive(Debug, Clone)]
@@ -8,7 +11,9 @@
     pub(super) entry: u64,
     pub(super) id: u64,
     pub(super) request: PlaceRequest,
-    /// Hash of the adapter's name, which groups requests without comparing names.
+    /// The software version of the engines that may get the request.
+    pub(super) software: Option<SoftwareVersion>,
+    /// Hash of the adapter's name and of that version, which groups requests without comparing names.
     pub(super) model_hash: u64,
     pub(super) received_ms: u64,
     /// Time by which the first event should reach the caller.
@@ -30,14 +35,21 @@
 const FIRST_EVENT_MARGIN_MS: u64 = 400;
 
 impl WaitingRequest {
-    pub(super) fn new(now_ms: u64, entry: u64, id: u64, request: PlaceRequest) -> WaitingRequest {
+    pub(super) fn new(
+        now_ms: u64,
+        entry: u64,
+        id: u64,
+        request: PlaceRequest,
+        software: Option<SoftwareVersion>,
+    ) -> WaitingRequest {
         let remaining_ms = request.objective_ms.saturating_sub(request.spent_ms);
         WaitingRequest {
             entry,
             id,
             received_ms: now_ms,
             is_admitted: false,
-            model_hash: name_hash(&request.model),
+            software,
+            model_hash: name_hash(&request.model) ^ software.map_or(0, |version| version.0),
             objective_ms: now_ms + remaining_ms,
             last_start_ms: now_ms
                 + request
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -19,6 +19,7 @@
 mod request_outcomes;
 mod state_sources;
 mod stream;
+mod stream_versions;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -38,8 +39,8 @@
     metrics::{self, Metrics},
 };
 
-pub(crate) use self::fleet_view::FleetView;
 use self::{budget::RetryBudget, state_sources::StateSources};
+pub(crate) use self::{fleet_view::FleetView, stream_versions::stream_lifetime_ms};
 
 /// Time before the end of the grace period at which the process stops accepting connections.
 const STOP_ACCEPTING_MARGIN_MS: u64 = 1_600;
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -186,6 +186,13 @@
             let now_ms = context.now_ms();
             context.fleet_view().add_request_limits(now_ms, core, limits);
         }
+        FleetMessage::SoftwareVersions(versions) => {
+            let now_ms = context.now_ms();
+            context.fleet_view().add_software_versions(now_ms, core, versions);
+        }
+        FleetMessage::StreamVersionReply { id, reply } => {
+            context.fleet_view().deliver_stream_version(id, reply);
+        }
         FleetMessage::GrantReply { id, granted } => context.fleet_view().deliver_grant(id, granted),
         FleetMessage::Versions(versions) => context.fleet_view().set_versions(versions),
         FleetMessage::BackendsNotice { digest } => {
@@ -196,16 +203,14 @@
             let now_ms = context.now_ms();
             if digest == own_digest {
                 context.state_sources().list_confirmed(now_ms, core);
+                context.fleet_view().backend_list_confirmed(now_ms);
             } else if context.state_sources().should_request_list(now_ms, core, has_list) {
                 sender.send(&FleetMessage::BackendsRequest);
             }
         }
-        FleetMessage::Backends { digest, entries } => {
-            context.fleet_view().set_backends(digest, entries);
-        }
+        FleetMessage::Backends { digest, entries } => set_backends(context, digest, entries),
         FleetMessage::VersionedBackends { digest, entries, versions } => {
-            let entries = Backend::with_versions(entries, versions);
-            context.fleet_view().set_backends(digest, entries);
+            set_backends(context, digest, Backend::with_versions(entries, versions));
         }
         FleetMessage::BackendChanges(changes) => change_backends(context, core, sender, changes),
         FleetMessage::VersionedBackendChanges { mut changes, versions } => {
@@ -253,13 +258,24 @@
     }
 }
 
+fn set_backends(context: &EntryContext, digest: u64, entries: Vec<Backend>) {
+    let now_ms = context.now_ms();
+    let mut view = context.fleet_view();
+    view.set_backends(digest, entries);
+    view.update_software_versions(now_ms);
+}
+
 fn change_backends(
     context: &EntryContext,
     core: SocketAddr,
     sender: &link::LinkSender,
     changes: BackendChanges,
 ) {
-    if !context.fleet_view().change_backends(changes) {
+    let now_ms = context.now_ms();
+    let mut view = context.fleet_view();
+    if view.change_backends(changes) {
+        view.update_software_versions(now_ms);
+    } else {
         log::debug!("entry: the list changes of {core} start from another list");
         sender.send(&FleetMessage::BackendsRequest);
     }
@@ -290,7 +306,10 @@
     match table {
         Ok(table) => {
             log::info!("entry: configuration {version} is in force");
-            context.fleet_view().update_route_table(table);
+            let now_ms = context.now_ms();
+            let mut view = context.fleet_view();
+            view.update_route_table(table);
+            view.share_streams(now_ms);
         }
         Err(error) => log::error!("entry: configuration {version} cannot be read: {error}"),
     }
@@ -325,7 +344,7 @@
                 let backends = entries.into_iter().map(Backend::from);
                 // Digest 0 differs from that of any core process, so that the next list from a core
                 // process replaces this one.
-                context.fleet_view().set_backends(0, backends.collect());
+                set_backends(&context, 0, backends.collect());
             }
             Err(error) => log::warn!("entry: cannot fetch the backend list: {error}"),
         }
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -3,6 +3,7 @@
 mod limits;
 mod outcomes;
 mod selection;
+mod streams;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -20,13 +21,14 @@
     ready_entries::ReadyEntries,
     request_limits::RequestLimits,
     request_outcomes::{CompletedParts, RecentCompletions, UnreportedFailures},
+    stream_versions::StreamVersions,
 };
 use crate::{
-    ids::{BackendKey, ModelName, is_adapter},
+    ids::{BackendKey, ModelName, SoftwareVersion, is_adapter},
     link::LinkSender,
     message::{
         Backend, BackendChanges, EntryEndpoint, EntryEndpointChanges, EntryStatus, FleetMessage,
-        ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest,
+        ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest, StreamVersionReply,
     },
     quarantine::Quarantine,
 };
@@ -45,6 +47,15 @@
     health: BackendHealth,
 }
 
+/// Messages that a core process understands. It shows so by a message that older versions don't send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Capability {
+    /// Those about request limits and outcomes of requests.
+    RequestLimits,
+    /// Those about software versions as well.
+    SoftwareVersions,
+}
+
 /// Result of a message from a process that is the coordinator of an epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CoordinatorAcceptance {
@@ -77,9 +88,13 @@
     versions: HashMap<ModelName, u64>,
     /// The core processes, with the link of each one that is connected.
     cores: BTreeMap<SocketAddr, Option<LinkSender>>,
-    /// The connected core processes that have announced request limits, and so understand messages about
-    /// these and about the outcomes of requests.
-    capable_cores: HashSet<SocketAddr>,
+    /// The messages that each connected core process has shown to understand.
+    capabilities: HashMap<SocketAddr, Capability>,
+    stream_versions: StreamVersions,
+    /// Whether core processes are told which versions begin streams.
+    is_sharing_streams: bool,
+    /// Receivers of the core processes' answers to a question, by its id.
+    version_replies: HashMap<u64, mpsc::Sender<StreamVersionReply>>,
     quarantine: Quarantine,
     completed_parts: CompletedParts,
     recent_completions: RecentCompletions,
@@ -119,7 +134,10 @@
             store_limit: 0,
             versions: HashMap::new(),
             cores: BTreeMap::new(),
-            capable_cores: HashSet::new(),
+            capabilities: HashMap::new(),
+            stream_versions: StreamVersions::default(),
+            is_sharing_streams: false,
+            version_replies: HashMap::new(),
             quarantine: Quarantine::default(),
             completed_parts: CompletedParts::default(),
             recent_completions: RecentCompletions::default(),
@@ -196,7 +214,8 @@
 
     pub(crate) fn core_disconnected(&mut self, address: SocketAddr) {
         self.cores.insert(address, None);
-        self.capable_cores.remove(&address);
+        self.capabilities.remove(&address);
+        self.forget_announced_versions(address);
         if self.connected_cores() > 0 {
             self.ready_entries.remove(address);
         }
@@ -206,6 +225,23 @@
         }
     }
 
+    /// Records that a core process understands messages; returns whether that is new.
+    fn add_capability(&mut self, core: SocketAddr, capability: Capability) -> bool {
+        let is_new = !self.has_capability(core, capability);
+        if is_new {
+            self.capabilities.insert(core, capability);
+        }
+        is_new
+    }
+
+    fn has_capability(&self, core: SocketAddr, capability: Capability) -> bool {
+        self.capabilities.get(&core).is_some_and(|known| *known >= capability)
+    }
+
+    fn coordinator_has_capability(&self, capability: Capability) -> bool {
+        self.coordinator_address.is_some_and(|core| self.has_capability(core, capability))
+    }
+
     /// Lets requests that wait for the previous coordinator go on without it.
     fn forget_requests_to_coordinator(&mut self) {
         self.placement_replies.clear();
@@ -241,20 +277,28 @@
         self.coordinator_link().is_some_and(|sender| sender.send(message))
     }
 
-    /// Requests a placement from the coordinator. Returns the id of the placement and the
-    /// coordinator's epoch, or `None` if no coordinator is usable.
+    /// Requests a placement from the coordinator, on engines of a software version if one is given. Returns the
+    /// id of the placement and the coordinator's epoch, or `None` if no coordinator is usable.
     pub(crate) fn start_placement(
         &mut self,
         now_ms: u64,
         replies: mpsc::Sender<PlaceReply>,
         request: PlaceRequest,
+        version: Option<SoftwareVersion>,
     ) -> Option<(u64, u64)> {
         if now_ms < self.coordinator_suspect_until_ms {
             return None;
         }
         let id = self.next_placement_id;
         self.next_placement_id += 1;
-        if !self.send_to_coordinator(&FleetMessage::Place { id, request }) {
+        let message = match version {
+            None => FleetMessage::Place { id, request },
+            Some(_) if !self.coordinator_has_capability(Capability::SoftwareVersions) => {
+                return None;
+            }
+            Some(version) => FleetMessage::PlaceAtVersion { id, request, version },
+        };
+        if !self.send_to_coordinator(&message) {
             return None;
         }
         self.placement_replies.insert(id, replies);
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use super::FleetView;
+use super::{Capability, FleetView};
 use crate::{ids::BackendKey, limited_servers::RequestLimit, message::FleetMessage};
 
 /// Smallest number of processes among which a limit is divided. A process that has just started doesn't
@@ -36,7 +36,7 @@
         core: SocketAddr,
         limits: Vec<RequestLimit>,
     ) {
-        self.capable_cores.insert(core);
+        self.add_capability(core, Capability::RequestLimits);
         for limit in limits {
             self.request_limits.set(now_ms, limit);
         }
@@ -48,7 +48,7 @@
     }
 
     fn report_request_limits(&self, limits: Vec<RequestLimit>) {
-        if !limits.is_empty() && self.is_coordinator_capable() {
+        if !limits.is_empty() && self.coordinator_has_capability(Capability::RequestLimits) {
             self.send_to_coordinator(&FleetMessage::RequestLimits(limits));
         }
     }
@@ -65,7 +65,9 @@
         reply: oneshot::Sender<Result<(), u64>>,
         server: BackendKey,
     ) -> Option<u64> {
-        if now_ms < self.coordinator_suspect_until_ms || !self.is_coordinator_capable() {
+        if now_ms < self.coordinator_suspect_until_ms
+            || !self.coordinator_has_capability(Capability::RequestLimits)
+        {
             return None;
         }
         let id = self.next_placement_id;
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::FleetView;
+use super::{Capability, FleetView};
 use crate::{
     ids::BackendKey, message::FleetMessage, quarantine::QuarantinedKey,
     request_digests::RequestDigests, suspects::Suspect,
@@ -63,14 +63,16 @@
             return;
         }
         let failure = FleetMessage::RequestFailed { server, suspect, has_ended };
-        if !(self.is_coordinator_capable() && self.send_to_coordinator(&failure)) {
+        if !(self.coordinator_has_capability(Capability::RequestLimits)
+            && self.send_to_coordinator(&failure))
+        {
             self.unreported_failures.add(now_ms, failure);
         }
     }
 
     /// Reports the failed requests to a new coordinator that no other was told of.
     pub(crate) fn report_unreported_failures(&mut self, now_ms: u64) {
-        if !self.is_coordinator_capable() {
+        if !self.coordinator_has_capability(Capability::RequestLimits) {
             return;
         }
         for failure in self.unreported_failures.take(now_ms) {
@@ -92,12 +94,8 @@
     /// Reports to the coordinator which prompt parts had complete answers since the last call.
     pub(crate) fn report_completed_parts(&mut self) {
         let parts = self.completed_parts.take();
-        if !parts.is_empty() && self.is_coordinator_capable() {
+        if !parts.is_empty() && self.coordinator_has_capability(Capability::RequestLimits) {
             self.send_to_coordinator(&FleetMessage::RequestsCompleted(parts));
         }
     }
-
-    pub(super) fn is_coordinator_capable(&self) -> bool {
-        self.coordinator_address.is_some_and(|core| self.capable_cores.contains(&core))
-    }
 }
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Notify;
 
 use super::{BackendState, FleetView};
-use crate::ids::{BackendKey, ModelName};
+use crate::ids::{BackendKey, ModelName, SoftwareVersion};
 
 /// Load per slot that is added to servers in other data centres, so that they are selected only if
 /// they are that much less loaded.
@@ -25,6 +25,8 @@
     pub(crate) version: Option<u64>,
     /// The version of the server's software.
     pub(crate) software_version: Box<str>,
+    /// The key of that version.
+    pub(crate) software: SoftwareVersion,
 }
 
 /// Result of selecting a backend server.
@@ -152,7 +154,7 @@
     }
 
     /// Returns the servers of a service that aren't leaving.
-    fn usable_backends(
+    pub(super) fn usable_backends(
         &self,
         service: &str,
         excluded: &[BackendKey],
@@ -181,6 +183,7 @@
                 address: state.backend.address,
                 version,
                 software_version: state.backend.software_version.clone(),
+                software: state.backend.software(),
             }),
             None => BackendSelection::Unavailable,
         }
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod find_backend;
 mod headers;
+mod take_up;
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -22,7 +23,7 @@
 
 use crate::{
     http::{Body, PeerAddress},
-    ids::{BackendKey, ModelName},
+    ids::{BackendKey, ModelName, SoftwareVersion, StreamKey},
     message::{PlaceRequest, shared_parts},
     request_digests::RequestDigests,
 };
@@ -37,11 +38,11 @@
     request_outcomes,
 };
 
-use self::find_backend::select_backend;
 pub(crate) use self::{
     attempt::{AttemptOutcome, BackendAttempt, StartedStream},
     find_backend::find_backend,
 };
+use self::{find_backend::select_backend, take_up::TakeUp};
 
 /// Time limit for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -75,6 +76,8 @@
     pub(crate) request_id: Option<Box<str>>,
     /// The caller's attempt that brought the first event of the stream which the request takes up.
     resumes: Option<Box<str>>,
+    /// The software version at which the stream goes on, once it has begun.
+    pub(crate) software_version: Option<SoftwareVersion>,
     pub(crate) model: Option<ModelName>,
     pub(crate) service: Box<str>,
     pub(crate) table: Arc<RouteTable>,
@@ -95,6 +98,11 @@
 }
 
 impl PreparedRequest {
+    /// Returns whether the request may be sent to servers of a software version.
+    fn allows_version(&self, version: SoftwareVersion) -> bool {
+        self.software_version.is_none_or(|wanted| wanted == version)
+    }
+
     /// Returns the fields that identify the request in log lines.
     pub(crate) fn log_name(&self) -> String {
         format!(
@@ -259,7 +267,7 @@
 
 /// Finds the route of a request and reads its body.
 async fn admit(
-    context: &EntryContext,
+    context: &Arc<EntryContext>,
     parts: Parts,
     body: Incoming,
     received_at: Instant,
@@ -268,13 +276,32 @@
     let table = wait_for_state(context, received_at).await.ok_or(RefusalReason::NoConfiguration)?;
     let route = table.find(host, parts.uri.path()).ok_or(RefusalReason::NoRoute)?;
     let body = read_body(context, body, table.configuration().limits.body_bytes).await?;
-    let prepared = prepare(context, parts, body, table, route, received_at);
+    let take_up = match taken_up_stream(context, &parts) {
+        Some(stream) if table.route(route).kind == (RequestKind::Stream { resumable: true }) => {
+            Some(take_up::resolve(context, table.route(route), stream, received_at).await?)
+        }
+        _ => None,
+    };
+    let prepared = prepare(context, parts, body, table, route, take_up, received_at);
     match (&prepared.model, prepared.engine_spec()) {
         (Some(model), Some(spec)) if !spec.serves(model) => Err(RefusalReason::UnknownModel),
         _ => Ok(prepared),
     }
 }
 
+/// Returns the stream that a request takes up, if it does. One whose first attempt isn't named gets a key of its
+/// own, which no process knows.
+fn taken_up_stream(context: &EntryContext, parts: &Parts) -> Option<StreamKey> {
+    let names = &context.dialect.headers;
+    let text = |name| parts.headers.get(name).and_then(|value| value.to_str().ok());
+    let resumes = text(&names.resumes);
+    if resumes.is_none() && !parts.headers.contains_key(&names.last_event_id) {
+        return None;
+    }
+    let attempt = resumes.or_else(|| text(&names.request_id)).unwrap_or_default();
+    Some(StreamKey::new(attempt))
+}
+
 /// Returns the configuration; a process that has just started waits for it and for the backend list.
 async fn wait_for_state(context: &EntryContext, received_at: Instant) -> Option<Arc<RouteTable>> {
     loop {
@@ -427,11 +454,13 @@
     (body, body_reservation): (Bytes, BufferReservation),
     table: Arc<RouteTable>,
     route: RouteKey,
+    take_up: Option<TakeUp>,
     received_at: Instant,
 ) -> PreparedRequest {
     let names = &context.dialect.headers;
-    let service = table.draw_service(route, &mut fastrand::Rng::new());
-    let spec = table.service(service);
+    let bound_service = take_up.as_ref().and_then(|bound| table.service_named(&bound.service));
+    let drawn_service = || table.service(table.draw_service(route, &mut fastrand::Rng::new()));
+    let spec = bound_service.unwrap_or_else(drawn_service);
     let text = |name| parts.headers.get(name).and_then(|value| value.to_str().ok());
     let model = spec.engine.is_some().then(|| text(&names.model).map(ModelName::from)).flatten();
     let timeout_ms = table.route(route).timeout_ms;
@@ -456,6 +485,7 @@
         digests: OnceLock::new(),
         request_id: text(&names.request_id).map(Box::from),
         resumes: text(&names.resumes).map(Box::from),
+        software_version: take_up.map(|bound| bound.version),
         model,
         service: spec.name.clone(),
         headers: headers::for_backend(&parts.headers, names),
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -16,6 +16,7 @@
         EntryContext, fleet_view::SelectedBackend, in_flight::InFlight, placement::PlacementGuard,
     },
     http::{Body, BodyFraming, ConnectionLease, SendError, unavailable_for_ms},
+    ids::SoftwareVersion,
     limited_servers::RequestLimit,
     message::FleetMessage,
 };
@@ -64,6 +65,8 @@
     pub(crate) framing: BodyFraming,
     pub(crate) lease: ConnectionLease,
     pub(crate) in_flight: InFlight,
+    /// The software version of the server.
+    pub(crate) software: SoftwareVersion,
 }
 
 impl BackendAttempt<'_> {
@@ -137,6 +140,7 @@
                 framing,
                 lease,
                 in_flight,
+                software: selected.software,
             });
         }
         match context.buffer_budget.read(body, MAX_RESPONSE_BYTES).await {
--- a/crates/redwinglatch-fleet/src/entry/forward/find_backend.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/find_backend.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use smallvec::SmallVec;
 use tokio::time::{Instant, timeout};
 
 use crate::{
@@ -31,7 +32,7 @@
 pub(crate) async fn find_backend(
     context: &Arc<EntryContext>,
     prepared: &PreparedRequest,
-    excluded: &[BackendKey],
+    attempted: &[BackendKey],
     received_at: Instant,
 ) -> Result<(SelectedBackend, Option<PlacementGuard>), RefusalReason> {
     let patience = Duration::from_millis(prepared.patience_ms);
@@ -41,6 +42,8 @@
         .max(Instant::now() + MIN_COORDINATOR_WAIT);
     loop {
         check_quarantine(context, prepared)?;
+        check_version(context, prepared)?;
+        let excluded = &excluded_backends(context, prepared, attempted);
         if prepared.model.is_some() {
             let now_ms = context.now_ms();
             let hold_end_ms = context.fleet_view().service_hold_end_ms(now_ms, &prepared.service);
@@ -51,17 +54,21 @@
             let mut unusable = context.fleet_view().unusable_engines(now_ms, &prepared.service);
             unusable.extend_from_slice(excluded);
             let request = prepared.place_request(&unusable, received_at);
-            match placement::request_placement(context, request).await {
+            let placed =
+                placement::request_placement(context, request, prepared.software_version).await;
+            match placed {
                 PlacementDecision::Placed { engine, version, placement } => {
-                    let placed =
+                    let select =
                         || context.fleet_view().placed_engine(context.now_ms(), engine, version);
-                    let mut selection = placed();
+                    let mut selection = select();
                     if let BackendSelection::OnHold { until_ms } = selection
                         && wait_for_hold(context, prepared, until_ms, received_at).await.is_ok()
                     {
-                        selection = placed();
+                        selection = select();
                     }
-                    if let BackendSelection::Selected(selected) = selection {
+                    if let BackendSelection::Selected(selected) = selection
+                        && prepared.allows_version(selected.software)
+                    {
                         check_quarantine(context, prepared)?;
                         return Ok((selected, Some(placement)));
                     }
@@ -73,7 +80,7 @@
                 PlacementDecision::NoCoordinator => {}
             }
         }
-        match select_backend(context, prepared, excluded) {
+        match select_backend(context, prepared, attempted) {
             // A server that denies the request isn't selected again before it may take one.
             BackendSelection::Selected(selected) => {
                 if grant::take(context, selected.key).await {
@@ -96,6 +103,32 @@
     }
 }
 
+/// Checks that a server has the software version at which the stream goes on, if it is bound to one.
+fn check_version(context: &EntryContext, prepared: &PreparedRequest) -> Result<(), RefusalReason> {
+    match prepared.software_version {
+        Some(version)
+            if !context.fleet_view().has_server_of_version(&prepared.service, version) =>
+        {
+            Err(RefusalReason::StreamVersionGone)
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Returns the servers that must not get the request: those of earlier attempts, and those of other software
+/// versions if the stream is bound to one.
+fn excluded_backends(
+    context: &EntryContext,
+    prepared: &PreparedRequest,
+    attempted: &[BackendKey],
+) -> SmallVec<[BackendKey; 4]> {
+    let mut excluded = SmallVec::from_slice(attempted);
+    if let Some(version) = prepared.software_version {
+        context.fleet_view().exclude_other_versions(&prepared.service, version, &mut excluded);
+    }
+    excluded
+}
+
 /// Checks that neither the request nor those with one of its prompt parts are quarantined.
 fn check_quarantine(
     context: &EntryContext,
@@ -153,8 +186,9 @@
 pub(super) fn select_backend(
     context: &EntryContext,
     prepared: &PreparedRequest,
-    excluded: &[BackendKey],
+    attempted: &[BackendKey],
 ) -> BackendSelection {
+    let excluded = &excluded_backends(context, prepared, attempted);
     let mut view = context.fleet_view();
     let (now_ms, data_centre) = (context.now_ms(), &context.settings.data_centre);
     match &prepared.model {
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/entry/forward/take_up.rs
@@ -0,0 +1,123 @@
+//! Streams that callers take up after their answers broke off.
+
+use std::{sync::Arc, time::Duration};
+
+use redwinglatch_routing::Route;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    entry::{EntryContext, refusal::RefusalReason},
+    ids::{SoftwareVersion, StreamKey},
+    message::StreamVersionReply,
+};
+
+/// Time for which the answers of the core processes are awaited.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Maximum number of core processes whose answers are awaited.
+const MAX_REPLIES: usize = 32;
+/// Time for which core processes that have just started are asked again.
+const START_WAIT: Duration = Duration::from_millis(1_200);
+/// Interval between these questions.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a version that this process has never listed is awaited on the backend list.
+const LIST_WAIT: Duration = Duration::from_millis(1_500);
+/// Interval between checks during that time.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Where a stream that a caller takes up goes on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct TakeUp {
+    pub(super) service: Box<str>,
+    pub(super) version: SoftwareVersion,
+}
+
+/// Finds the service and software version at which a stream goes on.
+pub(super) async fn resolve(
+    context: &Arc<EntryContext>,
+    route: &Route,
+    stream: StreamKey,
+    received_at: Instant,
+) -> Result<TakeUp, RefusalReason> {
+    let version = find_version(context, route, stream, received_at).await?;
+    let list_wait_ends_at = received_at + LIST_WAIT;
+    loop {
+        let was_listed = {
+            let view = context.fleet_view();
+            if let Some(service) = view.service_with_version(route, version) {
+                return Ok(TakeUp { service, version });
+            }
+            view.was_version_listed(version)
+        };
+        if was_listed || Instant::now() >= list_wait_ends_at {
+            return Err(RefusalReason::StreamVersionGone);
+        }
+        sleep(LIST_CHECK_INTERVAL).await;
+    }
+}
+
+/// Finds the software version that began a stream.
+async fn find_version(
+    context: &Arc<EntryContext>,
+    route: &Route,
+    stream: StreamKey,
+    received_at: Instant,
+) -> Result<SoftwareVersion, RefusalReason> {
+    let wait_ends_at = received_at + START_WAIT;
+    loop {
+        let known = context.fleet_view().stream_version(stream);
+        if let Some(version) = known {
+            return Ok(version);
+        }
+        let replies = ask_core_processes(context, stream).await;
+        let is_starting = !replies.is_empty() && !replies.iter().any(|reply| reply.is_current);
+        let decided = decide(context, route, stream, &replies);
+        if decided.is_ok() || !is_starting || Instant::now() >= wait_ends_at {
+            return decided;
+        }
+        sleep(START_CHECK_INTERVAL).await;
+    }
+}
+
+/// Decides at which version a stream goes on by what this process and core processes know.
+fn decide(
+    context: &EntryContext,
+    route: &Route,
+    stream: StreamKey,
+    replies: &[StreamVersionReply],
+) -> Result<SoftwareVersion, RefusalReason> {
+    let now_ms = context.now_ms();
+    let mut view = context.fleet_view();
+    match view.decide_stream_version(now_ms, stream, route, replies) {
+        Some(version) => {
+            view.stream_version_learned(now_ms, stream, version);
+            Ok(version)
+        }
+        None => {
+            let versions = view.possible_versions(now_ms, route).len();
+            Err(RefusalReason::StreamVersionUnknown { versions, replies: replies.len() })
+        }
+    }
+}
+
+/// Asks all connected core processes which version began a stream, and returns their answers up to the first
+/// that knows it.
+async fn ask_core_processes(
+    context: &Arc<EntryContext>,
+    stream: StreamKey,
+) -> Vec<StreamVersionReply> {
+    let (sender, mut receiver) = mpsc::channel(MAX_REPLIES);
+    let (id, asked) = context.fleet_view().ask_for_stream_version(stream, sender);
+    let deadline = Instant::now() + REPLY_TIMEOUT;
+    let mut replies: Vec<StreamVersionReply> = Vec::new();
+    while replies.len() < asked && replies.iter().all(|reply| reply.began.is_none()) {
+        match timeout_at(deadline, receiver.recv()).await {
+            Ok(Some(reply)) => replies.push(reply),
+            Ok(None) | Err(_) => break,
+        }
+    }
+    context.fleet_view().end_stream_version_question(id);
+    replies
+}
--- a/crates/redwinglatch-fleet/src/entry/placement.rs
+++ b/crates/redwinglatch-fleet/src/entry/placement.rs
@@ -5,7 +5,7 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    ids::BackendKey,
+    ids::{BackendKey, SoftwareVersion},
     message::{FleetMessage, PlaceReply, PlaceRequest, RefusalCause},
 };
 
@@ -58,14 +58,16 @@
     }
 }
 
-/// Requests an engine for a request from the coordinator and waits for its decision.
+/// Requests an engine for a request from the coordinator, one of a software version if one is given, and waits
+/// for its decision.
 pub(crate) async fn request_placement(
     context: &Arc<EntryContext>,
     request: PlaceRequest,
+    version: Option<SoftwareVersion>,
 ) -> PlacementDecision {
     let (sender, mut replies) = mpsc::channel(MAX_REPLIES);
     let queued_timeout = Duration::from_millis(request.patience_ms) + QUEUED_TIMEOUT_MARGIN;
-    let started = context.fleet_view().start_placement(context.now_ms(), sender, request);
+    let started = context.fleet_view().start_placement(context.now_ms(), sender, request, version);
     let Some((id, epoch)) = started else { return PlacementDecision::NoCoordinator };
     let placement = PlacementGuard { context: Arc::clone(context), id, epoch };
     let mut limit = FIRST_REPLY_TIMEOUT;
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -54,6 +54,15 @@
         /// The delay after which one of them may take a request.
         retry_after_ms: u64,
     },
+    /// The software version that began the stream isn't known, and the service has several.
+    StreamVersionUnknown {
+        /// The versions under which the stream may have begun.
+        versions: usize,
+        /// The core processes that were asked and answered.
+        replies: usize,
+    },
+    /// No backend server has the software version that began the stream.
+    StreamVersionGone,
     /// Backend servers rejected the request without executing it.
     RefusedByBackends,
     /// The request may have been executed, but there is no response.
@@ -79,6 +88,8 @@
             RefusalReason::Quarantined { .. } => "quarantined",
             RefusalReason::BackendsOnHold { .. } => "backends_on_hold",
             RefusalReason::BackendsLimited { .. } => "backends_limited",
+            RefusalReason::StreamVersionUnknown { .. } => "stream_version_unknown",
+            RefusalReason::StreamVersionGone => "stream_version_gone",
             RefusalReason::RefusedByBackends => "refused_by_backends",
             RefusalReason::Failed => "failed",
             RefusalReason::TimedOut => "timed_out",
@@ -97,6 +108,9 @@
             | RefusalReason::BackendsLimited { retry_after_ms } => {
                 format!(" retry_after_ms={retry_after_ms}")
             }
+            RefusalReason::StreamVersionUnknown { versions, replies } => {
+                format!(" versions={versions} replies={replies}")
+            }
             _ => String::new(),
         }
     }
@@ -118,6 +132,8 @@
             | RefusalReason::Quarantined { .. }
             | RefusalReason::BackendsOnHold { .. }
             | RefusalReason::BackendsLimited { .. }
+            | RefusalReason::StreamVersionUnknown { .. }
+            | RefusalReason::StreamVersionGone
             | RefusalReason::RefusedByBackends => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -131,6 +147,8 @@
             RefusalReason::NoRoom | RefusalReason::NoBackend | RefusalReason::RefusedByBackends => {
                 Some((200, 600))
             }
+            // Another process may know the version.
+            RefusalReason::StreamVersionUnknown { .. } => Some((100, 400)),
             RefusalReason::NotLoaded => Some((1_000, 2_000)),
             RefusalReason::Overloaded { retry_after_ms, .. } => Some((retry_after_ms, 1)),
             RefusalReason::Quarantined { retry_after_ms } => Some((retry_after_ms, 1_000)),
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -10,7 +10,7 @@
 use crate::{
     entry::forward::{AttemptOutcome, BackendAttempt},
     http::{Body, BodyFraming},
-    ids::BackendKey,
+    ids::{BackendKey, SoftwareVersion, StreamKey},
 };
 
 use super::{
@@ -153,12 +153,12 @@
     async fn run(mut self, mut started: StartedStream) {
         self.attempts.maybe_executed += 1;
         loop {
-            let StartedStream { mut body, framing, lease, in_flight, .. } = started;
+            let StartedStream { mut body, framing, lease, in_flight, software, .. } = started;
             self.events.start_body();
             let backend = in_flight.backend();
             // A silent server may still go on, so it is left only for one that takes the stream over.
             let successor = loop {
-                match self.forward_body(&mut body, framing, &in_flight).await {
+                match self.forward_body(&mut body, framing, software, &in_flight).await {
                     ReadResult::Complete => {
                         lease.reuse();
                         self.record_completion(backend);
@@ -273,6 +273,7 @@
         &mut self,
         body: &mut Incoming,
         framing: BodyFraming,
+        software: SoftwareVersion,
         in_flight: &InFlight,
     ) -> ReadResult {
         let mut is_first = true;
@@ -308,12 +309,28 @@
             if self.events.is_event_too_large() {
                 return self.end_body(in_flight.backend(), framing, None);
             }
-            if !ready.is_empty() && self.sender.send(ready).await.is_err() {
+            if ready.is_empty() {
+                continue;
+            }
+            self.bind_to_version(software);
+            if self.sender.send(ready).await.is_err() {
                 return ReadResult::Stopped;
             }
         }
     }
 
+    /// Binds a stream that may go on elsewhere to the software version of its first event.
+    fn bind_to_version(&mut self, software: SoftwareVersion) {
+        if self.prepared.software_version.is_some() || !self.prepared.route().kind.may_repeat() {
+            return;
+        }
+        self.prepared.software_version = Some(software);
+        if let Some(id) = &self.prepared.request_id {
+            let now_ms = self.context.now_ms();
+            self.context.fleet_view().stream_began(now_ms, StreamKey::new(id), software);
+        }
+    }
+
     /// Returns whether the route allows another send of this stream.
     fn may_send_again(&self) -> bool {
         let route = self.prepared.route();
--- a/crates/redwinglatch-fleet/src/ids.rs
+++ b/crates/redwinglatch-fleet/src/ids.rs
@@ -20,6 +20,33 @@
     }
 }
 
+/// Identifies a version of the software of a service's backend servers. Every process of the fleet derives the
+/// same key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub(crate) struct SoftwareVersion(pub(crate) u64);
+
+impl SoftwareVersion {
+    /// Hashes the names of the service and of the version.
+    pub(crate) fn new(service: &str, version: &str) -> SoftwareVersion {
+        let mut hash = FnvHasher::new();
+        hash.write(service.as_bytes());
+        hash.write(&[0]);
+        hash.write(version.as_bytes());
+        SoftwareVersion(mix_bits(hash.0))
+    }
+}
+
+/// Identifies a stream by the id of the caller's attempt that brought its first event. Every process of the
+/// fleet derives the same key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub(crate) struct StreamKey(pub(crate) u64);
+
+impl StreamKey {
+    pub(crate) fn new(attempt_id: &str) -> StreamKey {
+        StreamKey(mix_bits(name_hash(attempt_id)))
+    }
+}
+
 /// The name of a model, or of an adapter as `MODEL/ADAPTER`, in the form that requests use.
 pub(crate) type ModelName = Box<str>;
 
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod dialect;
 mod entry;
 mod error;
+mod expiring_map;
 mod http;
 mod ids;
 mod limited_servers;
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     BackendEntry,
-    ids::{BackendKey, ModelName},
+    ids::{BackendKey, ModelName, SoftwareVersion, StreamKey},
     limited_servers::RequestLimit,
     quarantine::QuarantinedKey,
     state::StateCommand,
@@ -111,6 +111,18 @@
     /// The changes since the list that the sender sent last on this link, with the software versions of the
     /// changed entries.
     VersionedBackendChanges { changes: BackendChanges, versions: Vec<Box<str>> },
+    /// The software versions of each service under which streams in progress may have begun. A core process
+    /// sends all of them first to every entry process, which shows that it understands all messages up to
+    /// `StreamVersionReply`.
+    SoftwareVersions(Vec<(Box<str>, Vec<Box<str>>)>),
+    /// The software versions that began streams, from an entry process while a service has several.
+    StreamsBegan(Vec<(StreamKey, SoftwareVersion)>),
+    /// Asks a core process which software version began a stream.
+    StreamVersionRequest { id: u64, stream: StreamKey },
+    /// The answer to a `StreamVersionRequest`.
+    StreamVersionReply { id: u64, reply: StreamVersionReply },
+    /// The same as `Place`, for a stream that goes on at engines of one software version.
+    PlaceAtVersion { id: u64, request: PlaceRequest, version: SoftwareVersion },
 }
 
 impl FleetMessage {
@@ -121,7 +133,7 @@
             FleetMessage::CoreHello { .. } => "core_hello",
             FleetMessage::Ping => "ping",
             FleetMessage::EntryStatus(_) => "entry_status",
-            FleetMessage::Place { .. } => "place",
+            FleetMessage::Place { .. } | FleetMessage::PlaceAtVersion { .. } => "place",
             FleetMessage::FirstEvent { .. } => "first_event",
             FleetMessage::Release { .. } => "release",
             FleetMessage::ModelNotLoaded { .. } => "model_not_loaded",
@@ -155,6 +167,10 @@
             | FleetMessage::RequestFailed { .. }
             | FleetMessage::RequestsCompleted(_) => "request_outcomes",
             FleetMessage::RequestLimits(_) => "request_limits",
+            FleetMessage::SoftwareVersions(_) => "software_versions",
+            FleetMessage::StreamsBegan(_)
+            | FleetMessage::StreamVersionRequest { .. }
+            | FleetMessage::StreamVersionReply { .. } => "stream_versions",
             FleetMessage::GrantRequest { .. } | FleetMessage::GrantReply { .. } => "grants",
             FleetMessage::LeaderRequest { .. } => "leader_request",
             FleetMessage::LeaderResponse { .. } => "leader_response",
@@ -337,6 +353,11 @@
 }
 
 impl Backend {
+    /// Returns the key of its software version.
+    pub(crate) fn software(&self) -> SoftwareVersion {
+        SoftwareVersion::new(&self.service, &self.software_version)
+    }
+
     /// Adds the software versions that a message carries beside its entries.
     pub(crate) fn with_versions(
         entries: Vec<Backend>,
@@ -383,6 +404,15 @@
     Removed { engine: BackendKey, model: ModelName },
 }
 
+/// What a core process knows of the software version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamVersionReply {
+    pub(crate) began: Option<SoftwareVersion>,
+    /// Whether the sender knows all versions under which streams in progress may have begun: it is in contact
+    /// with the leader of the log and has a backend list.
+    pub(crate) is_current: bool,
+}
+
 /// A request that only the leader of the replicated log can serve.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum LeaderRequest {
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -30,10 +30,16 @@
     ServerEnd(ServerEnd),
     /// Records a complete answer to a request with this prompt part or digest.
     Exonerate { key: u64 },
+    /// Records that streams may begin at servers of a service with this software version.
+    AddSoftwareVersion { service: Box<str>, version: Box<str> },
+    /// Records that all streams that began at such servers have ended.
+    RemoveSoftwareVersion { service: Box<str>, version: Box<str> },
 }
 
 /// Maximum number of quarantined prompt parts and digests.
 const MAX_QUARANTINED: usize = 256;
+/// Maximum number of recorded software versions of all services.
+const MAX_SOFTWARE_VERSIONS: usize = 1_024;
 /// Maximum number of recorded ends of backend servers.
 const MAX_SERVER_ENDS: usize = 64;
 
@@ -56,6 +62,10 @@
     /// quarantined keys in a snapshot.
     #[serde(skip)]
     pub(crate) server_ends: VecDeque<ServerEnd>,
+    /// The services with the software versions under which streams in progress may have begun. They follow the
+    /// ends in a snapshot.
+    #[serde(skip)]
+    pub(crate) software_versions: BTreeSet<(Box<str>, Box<str>)>,
 }
 
 /// The part of the state that a command changed.
@@ -65,6 +75,7 @@
     Version,
     Core,
     Quarantine,
+    SoftwareVersions,
     Nothing,
 }
 
@@ -115,6 +126,18 @@
                 self.change_suspects(|suspects| suspects::exonerate(suspects, key));
                 StateChange::Nothing
             }
+            StateCommand::AddSoftwareVersion { service, version } => {
+                if self.software_versions.len() >= MAX_SOFTWARE_VERSIONS {
+                    log::warn!("core: too many software versions; {version} isn't recorded");
+                    return StateChange::Nothing;
+                }
+                self.software_versions.insert((service, version));
+                StateChange::SoftwareVersions
+            }
+            StateCommand::RemoveSoftwareVersion { service, version } => {
+                self.software_versions.remove(&(service, version));
+                StateChange::SoftwareVersions
+            }
         }
     }
 
@@ -139,7 +162,9 @@
         let bytes = postcard::to_allocvec(self).expect("the state encodes into memory");
         let bytes =
             postcard::to_extend(&self.quarantined, bytes).expect("the state encodes into memory");
-        postcard::to_extend(&self.server_ends, bytes).expect("the state encodes into memory")
+        let bytes =
+            postcard::to_extend(&self.server_ends, bytes).expect("the state encodes into memory");
+        postcard::to_extend(&self.software_versions, bytes).expect("the state encodes into memory")
     }
 
     pub(crate) fn restore(bytes: &[u8]) -> Result<FleetState, postcard::Error> {
@@ -148,7 +173,10 @@
             (state.quarantined, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            state.server_ends = postcard::from_bytes(rest)?;
+            (state.server_ends, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            state.software_versions = postcard::from_bytes(rest)?;
         }
         Ok(state)
     }
--- a/crates/redwinglatch-fleet/src/state/tests.rs
+++ b/crates/redwinglatch-fleet/src/state/tests.rs
@@ -49,6 +49,8 @@
     state.apply(1, put(3, b"three"));
     state.apply(2, StateCommand::PutVersion { model: "m/a1".into(), version: 4 });
     state.apply(3, StateCommand::Quarantine { key: 0xbad });
+    let add = StateCommand::AddSoftwareVersion { service: "writer".into(), version: "v1".into() };
+    assert_eq!(state.apply(4, add), StateChange::SoftwareVersions);
     assert_eq!(FleetState::restore(&state.snapshot()), Ok(state));
 }
 
