Let a process with a current list go on with streams while core processes restart

What callers saw: nothing yet. While all core processes restart, they answer questions for a stream's version before they know the state, and a process whose own list shows one version refused streams that it would have taken without them. Change: what a process knows by itself counts also beside answers of core processes that aren't current. Measured: the test of decisions failed before and passes.

--- a/crates/redwinglatch-fleet/src/entry/stream_versions.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream_versions.rs
@@ -170,8 +170,7 @@
         {
             return Some(began);
         }
-        let is_complete = replies.iter().any(|reply| reply.is_current)
-            || (replies.is_empty() && self.knows_all(now_ms));
+        let is_complete = replies.iter().any(|reply| reply.is_current) || self.knows_all(now_ms);
         match possible {
             [only] if is_complete => Some(*only),
             _ => None,
--- a/crates/redwinglatch-fleet/src/entry/stream_versions/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream_versions/tests.rs
@@ -87,6 +87,8 @@
     assert_eq!(decide(&versions, later_ms, &[]), None, "the list may be outdated");
     versions.list_confirmed(later_ms);
     assert_eq!(decide(&versions, later_ms, &[]), Some(version("v1")));
+    let outdated = StreamVersionReply { began: None, is_current: false };
+    assert_eq!(decide(&versions, later_ms, &[outdated]), Some(version("v1")));
     assert_eq!(decide(&versions, later_ms + MAX_LIST_AGE_MS + 1, &[]), None);
 }
 
