Log and count connections to servers that fail, and paths that are lost

No line and no metric tells that a process reaches no server of a service, since when, and until when. Change: failed connections are counted by kind. For each service a process notes which servers refuse connections or leave requests unanswered, tries others at once while the path is in doubt, and logs when it is lost and found again. Nothing else is decided by it yet.

--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -12,11 +12,13 @@
 mod grant;
 mod hold;
 mod in_flight;
+mod path_checks;
 mod placement;
 mod ready_entries;
 mod refusal;
 mod request_limits;
 mod request_outcomes;
+mod server_paths;
 mod state_sources;
 mod stream;
 mod stream_versions;
@@ -121,6 +123,7 @@
     });
     let (stop, stopped) = watch::channel(false);
     core_links::start(&context);
+    tokio::spawn(path_checks::run(Arc::clone(&context)));
     // The readiness check and the metrics are served until the process ends.
     let (_serve_ready, ready_stopped) = watch::channel(false);
     if let Some(address) = context.settings.metrics {
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod outcomes;
+mod paths;
 mod selection;
 mod streams;
 
@@ -15,12 +16,16 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc, oneshot};
 
-pub(crate) use self::selection::{BackendSelection, SelectedBackend};
+pub(crate) use self::{
+    paths::ServerCheck,
+    selection::{BackendSelection, SelectedBackend},
+};
 use super::{
     backend_health::BackendHealth,
     ready_entries::ReadyEntries,
     request_limits::RequestLimits,
     request_outcomes::{CompletedParts, RecentCompletions, UnreportedFailures},
+    server_paths::ServerPaths,
     stream_versions::StreamVersions,
 };
 use crate::{
@@ -90,6 +95,7 @@
     cores: BTreeMap<SocketAddr, Option<LinkSender>>,
     /// The messages that each connected core process has shown to understand.
     capabilities: HashMap<SocketAddr, Capability>,
+    server_paths: ServerPaths,
     stream_versions: StreamVersions,
     /// Whether core processes are told which versions begin streams.
     is_sharing_streams: bool,
@@ -135,6 +141,7 @@
             versions: HashMap::new(),
             cores: BTreeMap::new(),
             capabilities: HashMap::new(),
+            server_paths: ServerPaths::default(),
             stream_versions: StreamVersions::default(),
             is_sharing_streams: false,
             version_replies: HashMap::new(),
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -77,6 +77,7 @@
         let in_flight = InFlight::start(context, selected.key, prepared.model.clone(), placement);
         let request = self.request();
         let sent_ms = context.now_ms();
+        context.fleet_view().record_sent(sent_ms, selected.key);
         if context.fleet_view().is_limited(selected.key) {
             context.metrics.record_limited_request();
         }
@@ -84,15 +85,27 @@
             Ok(response) => response,
             Err(error) => {
                 self.log_failure(&error.to_string());
-                context.fleet_view().record_failure(context.now_ms(), selected.key);
-                if matches!(error, SendError::NotSent { .. }) {
+                let now_ms = context.now_ms();
+                context.fleet_view().record_failure(now_ms, selected.key);
+                if let SendError::NotSent { failure, .. } = error {
+                    context.metrics.record_backend_failure(failure.label());
+                    context.fleet_view().record_connect_failure(now_ms, selected.key);
                     context.client.close_idle(selected.address);
                     return AttemptOutcome::NotSent;
                 }
+                context.metrics.record_backend_failure("no_response");
                 prepared.record_failure(context, selected.key, selected.address, 0);
                 return AttemptOutcome::MaybeRan;
             }
         };
+        {
+            let now_ms = context.now_ms();
+            let mut view = context.fleet_view();
+            view.record_heard(now_ms, selected.key);
+            if lease.is_new() {
+                view.record_connected(now_ms, selected.key);
+            }
+        }
         let names = &context.dialect.headers;
         let (parts, body) = response.into_parts();
         self.record_announcements(parts.status, &parts.headers);
@@ -273,12 +286,13 @@
 
     fn log_failure(&self, reason: &str) {
         log::info!(
-            "request: id={} backend={} parts={} digest={:x} caller={} failed: {reason}",
+            "request: id={} backend={} parts={} digest={:x} caller={} path_lost={} failed: {reason}",
             self.prepared.request_id.as_deref().unwrap_or("-"),
             self.selected.id,
             self.prepared.logged_parts(),
             self.prepared.digests().content,
             self.prepared.caller,
+            self.context.fleet_view().is_path_lost(&self.prepared.service),
         );
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -305,6 +305,8 @@
                     Err(_) => continue,
                 },
             };
+            let now_ms = self.context.now_ms();
+            self.context.fleet_view().record_heard(now_ms, in_flight.backend());
             let ready = self.events.push(data);
             if self.events.is_event_too_large() {
                 return self.end_body(in_flight.backend(), framing, None);
--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -35,6 +35,8 @@
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for which an idle connection is kept if the server announces no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Time for which a connection is kept that has had no request yet.
+const UNUSED_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// A connection is no longer reused this long before the server closes it.
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(800);
 /// Time after the time limit of a call for reading a response that has arrived.
@@ -49,12 +51,46 @@
     pub(crate) response_bytes: usize,
 }
 
+/// How a connection failed before a request could be sent on it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectFailure {
+    /// The server has not answered in time.
+    TimedOut,
+    Refused,
+    Reset,
+    /// The server has closed the connection at once.
+    Closed,
+    Other,
+}
+
+impl ConnectFailure {
+    fn of(error: &io::Error) -> ConnectFailure {
+        match error.kind() {
+            io::ErrorKind::TimedOut => ConnectFailure::TimedOut,
+            io::ErrorKind::ConnectionRefused => ConnectFailure::Refused,
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => ConnectFailure::Reset,
+            _ => ConnectFailure::Other,
+        }
+    }
+
+    /// Returns the label of the failure in the metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            ConnectFailure::TimedOut => "connect_timed_out",
+            ConnectFailure::Refused => "connect_refused",
+            ConnectFailure::Reset => "connect_reset",
+            ConnectFailure::Closed => "connect_closed",
+            ConnectFailure::Other => "connect_failed",
+        }
+    }
+}
+
 /// An error that left a request without a response head.
 #[derive(Debug, Error)]
 pub(crate) enum SendError {
     /// Nothing of the request was sent.
     #[error("the connection to {address} failed: {reason}")]
-    NotSent { address: SocketAddr, reason: Box<str> },
+    NotSent { address: SocketAddr, failure: ConnectFailure, reason: Box<str> },
     /// The request may have reached the server.
     #[error("no response from {address}: {reason}")]
     MaybeSent { address: SocketAddr, reason: Box<str> },
@@ -99,9 +135,15 @@
     address: SocketAddr,
     connection: Connection,
     idle_timeout: Option<Duration>,
+    is_new: bool,
 }
 
 impl ConnectionLease {
+    /// Returns whether the connection was opened for the request.
+    pub(crate) fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Returns the connection to the pool. The response must have been read to its end.
     pub(crate) fn reuse(self) {
         let Some(idle_timeout) = self.idle_timeout else { return };
@@ -139,6 +181,19 @@
         self.lock().remove(&address);
     }
 
+    /// Opens a connection to `address`, which the next request may use.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the connection failed.
+    pub(crate) async fn open(&self, address: SocketAddr) -> Result<(), ConnectFailure> {
+        let connection = self.connect(address).await.map_err(|error| ConnectFailure::of(&error))?;
+        let usable_until = Instant::now() + UNUSED_IDLE_TIMEOUT;
+        let idle = IdleConnection { connection, usable_until };
+        self.lock().entry(address).or_default().push(idle);
+        Ok(())
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
@@ -163,7 +218,7 @@
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
         while let Some(mut connection) = self.take_idle(address) {
             match self.send_on(&mut connection, request).await {
-                Ok(response) => return Ok(self.lease(address, connection, response)),
+                Ok(response) => return Ok(self.lease(address, connection, response, false)),
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection before anything was written.
                     Some(unsent) => request = unsent,
@@ -171,15 +226,17 @@
                 },
             }
         }
-        let mut connection = self
-            .connect(address)
-            .await
-            .map_err(|error| SendError::NotSent { address, reason: error.to_string().into() })?;
+        let mut connection = self.connect(address).await.map_err(|error| SendError::NotSent {
+            address,
+            failure: ConnectFailure::of(&error),
+            reason: error.to_string().into(),
+        })?;
         match self.send_on(&mut connection, request).await {
-            Ok(response) => Ok(self.lease(address, connection, response)),
+            Ok(response) => Ok(self.lease(address, connection, response, true)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotSent {
                     address,
+                    failure: ConnectFailure::Closed,
                     reason: error.into_error().to_string().into(),
                 }),
                 None => Err(maybe_sent(address, &error.into_error())),
@@ -252,9 +309,11 @@
         address: SocketAddr,
         connection: Connection,
         response: Response<Incoming>,
+        is_new: bool,
     ) -> (Response<Incoming>, ConnectionLease) {
         let idle_timeout = idle_timeout(response.headers());
-        (response, ConnectionLease { client: Arc::clone(self), address, connection, idle_timeout })
+        let client = Arc::clone(self);
+        (response, ConnectionLease { client, address, connection, idle_timeout, is_new })
     }
 }
 
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -72,6 +72,11 @@
         self.increment("repeats", reason);
     }
 
+    /// Counts a connection or an answer of a backend server that failed, by kind.
+    pub(crate) fn record_backend_failure(&self, kind: &'static str) {
+        self.increment("backend_failures", kind);
+    }
+
     /// Counts a server's stream by its framing and its end.
     pub(crate) fn record_stream_end(&self, end: &'static str) {
         self.increment("stream_ends", end);
--- a/crates/redwinglatch-routing/src/configuration.rs
+++ b/crates/redwinglatch-routing/src/configuration.rs
@@ -84,6 +84,8 @@
     pub name: Box<str>,
     /// Maximum number of connections that one backend server accepts from all instances together.
     pub max_connections: u32,
+    /// The path of its health check, if it has one.
+    pub health_path: Option<Box<str>>,
     /// The capacity of each backend server, if these are model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/redwinglatch-routing/tests/routes.rs
+++ b/crates/redwinglatch-routing/tests/routes.rs
@@ -25,7 +25,12 @@
 }
 
 fn configuration(routes: Vec<Route>) -> Configuration {
-    let service = |name: &str| ServiceSpec { name: name.into(), max_connections: 10, engine: None };
+    let service = |name: &str| ServiceSpec {
+        name: name.into(),
+        max_connections: 10,
+        health_path: None,
+        engine: None,
+    };
     Configuration {
         version: 1,
         routes,
