Pass requests on to other processes while servers are out of reach

Cause: a request that a process can't send on ended there, after up to four attempts of 400 ms, although other processes reached all servers. The process stayed in the directory, and the coordinator placed its requests on engines that it didn't reach. The class: what a process can't do itself isn't handed to one that can. Change: a process notes which servers accept its connections. While most don't, or none answers, it passes requests on to a ready process that serves them like those of a caller, leaves the directory, and tries the servers again and again. What no process reaches is refused at once. Servers that accept no connection are left out of placements. Why it works: the other process has its own path; a request is passed on once, and only before it can have run.

--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -13,9 +13,11 @@
 mod hold;
 mod in_flight;
 mod path_checks;
+mod peers;
 mod placement;
 mod ready_entries;
 mod refusal;
+mod relay;
 mod request_limits;
 mod request_outcomes;
 mod server_paths;
@@ -24,6 +26,7 @@
 mod stream_versions;
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -87,6 +90,15 @@
     pub(crate) fn now_ms(&self) -> u64 {
         self.clock.now_ms()
     }
+
+    /// Chooses another entry process for a request to a service, and returns its address for callers and that
+    /// for requests from other processes.
+    fn choose_peer(&self, service: &str, tried: &[SocketAddr]) -> Option<(SocketAddr, SocketAddr)> {
+        let relay_port = self.settings.relay_port?;
+        let (now_ms, data_centre) = (self.now_ms(), &self.settings.data_centre);
+        let peer = self.fleet_view().choose_peer(now_ms, service, data_centre, tried)?;
+        Some((peer, SocketAddr::new(peer.ip(), relay_port)))
+    }
 }
 
 /// Runs an entry process.
@@ -149,6 +161,10 @@
         stopped.clone(),
         move |request| directory::resolve(Arc::clone(&directory_context), request),
     ));
+    if let Some(relay_port) = context.settings.relay_port {
+        let listener = http::bind(SocketAddr::new(front.ip(), relay_port))?;
+        tokio::spawn(relay::run(listener, Arc::clone(&context), stopped.clone()));
+    }
     tokio::spawn(front::run(front_listener, Arc::clone(&context), stopped));
     let idle_context = Arc::clone(&context);
     tokio::spawn(async move {
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -3,6 +3,7 @@
 mod limits;
 mod outcomes;
 mod paths;
+mod relays;
 mod selection;
 mod streams;
 
@@ -22,6 +23,7 @@
 };
 use super::{
     backend_health::BackendHealth,
+    peers::Peers,
     ready_entries::ReadyEntries,
     request_limits::RequestLimits,
     request_outcomes::{CompletedParts, RecentCompletions, UnreportedFailures},
@@ -96,6 +98,7 @@
     /// The messages that each connected core process has shown to understand.
     capabilities: HashMap<SocketAddr, Capability>,
     server_paths: ServerPaths,
+    peers: Peers,
     stream_versions: StreamVersions,
     /// Whether core processes are told which versions begin streams.
     is_sharing_streams: bool,
@@ -142,6 +145,7 @@
             cores: BTreeMap::new(),
             capabilities: HashMap::new(),
             server_paths: ServerPaths::default(),
+            peers: Peers::default(),
             stream_versions: StreamVersions::default(),
             is_sharing_streams: false,
             version_replies: HashMap::new(),
@@ -340,14 +344,15 @@
     }
 
     /// Returns the addresses of all entry processes that a core process reports as ready, and of this
-    /// process if it is ready. A process with too little CPU time leaves itself out if there are
-    /// others.
+    /// process if it is ready. A process with too little CPU time, or one that is cut off from all servers,
+    /// leaves itself out if there are others.
     pub(crate) fn ready_entry_addresses(&self) -> Vec<SocketAddr> {
         let mut entries = self.ready_entries.addresses().to_vec();
         if let Err(position) = entries.binary_search(&self.front) {
             entries.insert(position, self.front);
         }
-        if !self.is_ready() || (self.is_overloaded && entries.len() > 1) {
+        let should_be_avoided = self.is_overloaded || self.is_cut_off();
+        if !self.is_ready() || (should_be_avoided && entries.len() > 1) {
             entries.retain(|front| *front != self.front);
         }
         entries
@@ -516,7 +521,7 @@
         let in_flight = self.backends.iter().filter(|(_, state)| state.own_in_flight > 0);
         EntryStatus {
             draining: self.draining_since_ms.is_some(),
-            ready: self.is_ready() && !self.is_overloaded,
+            ready: self.is_ready() && !self.is_overloaded && !self.is_cut_off(),
             in_flight: in_flight.map(|(key, state)| (*key, state.own_in_flight)).collect(),
             in_use: self
                 .in_use
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
@@ -15,7 +15,8 @@
 }
 
 impl FleetView {
-    fn service_of(&self, server: BackendKey) -> Option<Box<str>> {
+    /// Returns the service of a server while it is listed.
+    pub(crate) fn service_of(&self, server: BackendKey) -> Option<Box<str>> {
         self.backends.get(&server).map(|state| state.backend.service.clone())
     }
 
@@ -35,16 +36,19 @@
 
     /// Records that a server has accepted a connection.
     pub(crate) fn record_connected(&mut self, now_ms: u64, server: BackendKey) {
-        let Some(state) = self.backends.get(&server) else { return };
-        let change = self.server_paths.connected(now_ms, &state.backend.service);
-        log_change(&state.backend.service, change);
+        self.record_connection_attempt(now_ms, server, true);
     }
 
     /// Records that a connection to a server has failed.
     pub(crate) fn record_connect_failure(&mut self, now_ms: u64, server: BackendKey) {
+        self.record_connection_attempt(now_ms, server, false);
+    }
+
+    fn record_connection_attempt(&mut self, now_ms: u64, server: BackendKey, is_accepted: bool) {
         let Some(service) = self.service_of(server) else { return };
         let servers = self.usable_backends(&service, &[]).count();
-        log_change(&service, self.server_paths.failed(now_ms, &service, server, servers));
+        let change = self.server_paths.tried(now_ms, &service, server, is_accepted, servers);
+        log_change(&service, change);
     }
 
     /// Returns whether servers of a service accept no connections of this process or don't answer.
@@ -52,6 +56,17 @@
         self.server_paths.is_lost(service)
     }
 
+    /// Returns whether requests may still be sent to a service on kept connections.
+    pub(crate) fn has_sound_connections(&self, now_ms: u64, service: &str) -> bool {
+        self.server_paths.has_sound_connections(now_ms, service)
+    }
+
+    /// Returns whether this process reaches no server of any service that it has sent requests to.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let listed = self.services.iter().filter(|(_, servers)| !servers.is_empty());
+        self.server_paths.are_all_lost(listed.map(|(service, _)| &**service))
+    }
+
     /// Returns servers of the services whose paths are in doubt or lost, `per_service` of each, in random order.
     pub(crate) fn take_server_checks(
         &mut self,
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
@@ -85,7 +85,8 @@
     }
 
     /// Returns the engines of a service on which the coordinator shouldn't place requests of this process:
-    /// those that announced their stop to it, or want no requests from it for some time.
+    /// those that announced their stop to it, want no requests from it for some time, or accept none of its
+    /// connections.
     pub(crate) fn unusable_engines(&self, now_ms: u64, service: &str) -> SmallVec<[BackendKey; 4]> {
         let is_unusable = |state: &BackendState| {
             let hold_end_ms = state.health.hold_end_ms(now_ms);
@@ -93,10 +94,13 @@
                 || hold_end_ms.is_some_and(|until_ms| now_ms + SHORT_HOLD_MS < until_ms)
         };
         let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        keys.iter()
+        let mut unusable: SmallVec<[BackendKey; 4]> = keys
+            .iter()
             .filter(|key| self.backends.get(*key).is_some_and(is_unusable))
             .copied()
-            .collect()
+            .collect();
+        unusable.extend(self.server_paths.failed_servers(now_ms, service));
+        unusable
     }
 
     /// Selects an engine on which the newest known version of `model` is loaded.
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -12,9 +12,12 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Method, Request, Response, Uri, body::Incoming, header::HOST, http::request::Parts,
+    HeaderMap, Method, Request, Response, Uri,
+    body::Incoming,
+    header::{HOST, HeaderValue},
+    http::request::Parts,
 };
 use redwinglatch_body::{BufferError, BufferReservation};
 use redwinglatch_routing::{EngineSpec, RequestKind, Route, RouteKey, RouteTable};
@@ -34,13 +37,16 @@
     EntryContext,
     fleet_view::BackendSelection,
     in_flight::CallerRequest,
+    peers::TriedPeers,
     refusal::{RefusalReason, refusal_response},
+    relay::{self, RelayOutcome, RequestOrigin},
     request_outcomes,
 };
 
 pub(crate) use self::{
     attempt::{AttemptOutcome, BackendAttempt, StartedStream},
     find_backend::find_backend,
+    headers::for_caller as headers_for_caller,
 };
 use self::{find_backend::select_backend, take_up::TakeUp};
 
@@ -73,6 +79,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     _body_reservation: BufferReservation,
+    origin: RequestOrigin,
     pub(crate) request_id: Option<Box<str>>,
     /// The caller's attempt that brought the first event of the stream which the request takes up.
     resumes: Option<Box<str>>,
@@ -113,6 +120,28 @@
         )
     }
 
+    pub(crate) fn origin(&self) -> RequestOrigin {
+        self.origin
+    }
+
+    /// Returns the address of the caller.
+    pub(crate) fn caller(&self) -> IpAddr {
+        self.caller
+    }
+
+    /// Returns the request as it is sent on, with the remaining time.
+    pub(crate) fn to_send(&self, context: &EntryContext) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(&context.dialect.headers.deadline_ms, HeaderValue::from(remaining_ms));
+        request
+    }
+
     /// Returns the digests of the request, which are computed when they are first needed.
     pub(crate) fn digests(&self) -> RequestDigests {
         let PreparedRequest { method, host, uri, body, caller, .. } = self;
@@ -199,6 +228,10 @@
     pub(crate) sent: u32,
     /// Number of attempts that may have been executed.
     pub(crate) maybe_executed: u32,
+    /// Number of attempts whose connections failed before anything was sent.
+    not_sent: u32,
+    /// Whether the request counts for the retry budget.
+    is_counted: bool,
     /// Servers that must not receive the request again.
     pub(crate) excluded: SmallVec<[BackendKey; 4]>,
 }
@@ -212,24 +245,32 @@
     }
 }
 
-/// Serves one request of a caller.
+/// Serves one request.
 pub(crate) async fn serve(
     context: &Arc<EntryContext>,
     request: Request<Incoming>,
+    origin: RequestOrigin,
 ) -> Response<Body> {
     let received_at = Instant::now();
-    let caller = CallerRequest::start(context);
+    let caller = Arc::new(CallerRequest::start(context));
     let (parts, body) = request.into_parts();
     let unrouted_name = unrouted_log_name(context, &parts);
-    let prepared = match admit(context, parts, body, received_at).await {
+    let refuse = |name: &str, reason: RefusalReason| {
+        let mut response = refuse_request(context, name, received_at, reason);
+        if origin == RequestOrigin::Process && reason.may_be_served_elsewhere() {
+            relay::mark_for_elsewhere(&mut response);
+        }
+        response
+    };
+    let prepared = match admit(context, parts, body, origin, received_at).await {
         Ok(prepared) => prepared,
-        Err(reason) => return refuse_request(context, &unrouted_name, received_at, reason),
+        Err(reason) => return refuse(&unrouted_name, reason),
     };
     let name = prepared.log_name();
     let objective_ms = u128::from(prepared.route().objective_ms);
     let response = match forward_with_retries(context, prepared, caller, received_at).await {
         Ok(response) => response,
-        Err(reason) => return refuse_request(context, &name, received_at, reason),
+        Err(reason) => return refuse(&name, reason),
     };
     let after_ms = received_at.elapsed().as_millis();
     context.metrics.record_response_time(after_ms);
@@ -270,6 +311,7 @@
     context: &Arc<EntryContext>,
     parts: Parts,
     body: Incoming,
+    origin: RequestOrigin,
     received_at: Instant,
 ) -> Result<PreparedRequest, RefusalReason> {
     let host = host_of(&parts).ok_or(RefusalReason::Malformed)?;
@@ -282,7 +324,8 @@
         }
         _ => None,
     };
-    let prepared = prepare(context, parts, body, table, route, take_up, received_at);
+    let prepared =
+        prepare(context, parts, body, ChosenRoute { table, route, take_up }, origin, received_at);
     match (&prepared.model, prepared.engine_spec()) {
         (Some(model), Some(spec)) if !spec.serves(model) => Err(RefusalReason::UnknownModel),
         _ => Ok(prepared),
@@ -331,18 +374,37 @@
 async fn forward_with_retries(
     context: &Arc<EntryContext>,
     prepared: PreparedRequest,
-    caller: CallerRequest,
+    caller: Arc<CallerRequest>,
     received_at: Instant,
 ) -> Result<Response<Body>, RefusalReason> {
     if cannot_end_before_stop(context, &prepared) {
         return Err(RefusalReason::Draining);
     }
-    context.retry_budget().count_request(context.now_ms(), &prepared.service);
     let mut attempts = RequestAttempts::default();
+    let mut tried_peers = TriedPeers::new();
     loop {
         if !attempts.allow_another(prepared.route()) {
             return Err(final_reason(&attempts, RefusalReason::RefusedByBackends));
         }
+        let way = choose_way(context, &prepared, &attempts);
+        if way != Way::Own {
+            match relay::send(context, &prepared, &mut tried_peers, &caller).await {
+                RelayOutcome::Answered(response) => return Ok(response),
+                RelayOutcome::NotSent if way == Way::OtherProcess => {
+                    return Err(final_reason(&attempts, RefusalReason::ServersUnreachable));
+                }
+                RelayOutcome::NotSent => {}
+                RelayOutcome::MaybeRan => {
+                    attempts.sent += 1;
+                    attempts.maybe_executed += 1;
+                    continue;
+                }
+            }
+        }
+        if !std::mem::replace(&mut attempts.is_counted, true) {
+            // A request that another process sends on counts there.
+            context.retry_budget().count_request(context.now_ms(), &prepared.service);
+        }
         let (selected, placement) =
             match find_backend(context, &prepared, &attempts.excluded, received_at).await {
                 Ok(found) => found,
@@ -402,7 +464,7 @@
                     received_at,
                 ));
             }
-            AttemptOutcome::NotSent => {}
+            AttemptOutcome::NotSent => attempts.not_sent += 1,
             AttemptOutcome::NotRun if prepared.model.is_some() => {
                 // The engine is full, is executing an order for the adapter or has unloaded it. It
                 // may accept the request soon, so it stays a candidate if there is no other.
@@ -421,6 +483,43 @@
     }
 }
 
+/// The ways on which a request may reach a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// This process sends it to a server.
+    Own,
+    /// Another process sends it, or else this one.
+    OtherProcessFirst,
+    /// Only another process can send it.
+    OtherProcess,
+}
+
+/// Connections to different servers that must fail before another process is asked, although the path to the
+/// service doesn't count as lost.
+const MAX_UNSENT_ATTEMPTS: u32 = 2;
+
+/// Chooses the way of the next attempt.
+///
+/// A request that another process has passed on isn't passed on again: where the path is lost, it is refused.
+fn choose_way(
+    context: &EntryContext,
+    prepared: &PreparedRequest,
+    attempts: &RequestAttempts,
+) -> Way {
+    let now_ms = context.now_ms();
+    let view = context.fleet_view();
+    let is_lost = view.is_path_lost(&prepared.service);
+    let may_use_kept =
+        attempts.not_sent == 0 && view.has_sound_connections(now_ms, &prepared.service);
+    if is_lost && !may_use_kept {
+        Way::OtherProcess
+    } else if attempts.not_sent >= MAX_UNSENT_ATTEMPTS && prepared.origin == RequestOrigin::Caller {
+        Way::OtherProcessFirst
+    } else {
+        Way::Own
+    }
+}
+
 /// Returns whether a stream that starts now ends before the draining process must stop.
 fn can_end_before_stop(draining_ms: u64, grace_ms: u64, output_tokens: u32) -> bool {
     let longest_ms = BUSY_FIRST_EVENT_MS + u64::from(output_tokens) * BUSY_TOKEN_MS;
@@ -448,13 +547,19 @@
     if attempts.maybe_executed > 0 { RefusalReason::Failed } else { reason }
 }
 
+/// The route of a request, and where the stream goes on that it takes up.
+struct ChosenRoute {
+    table: Arc<RouteTable>,
+    route: RouteKey,
+    take_up: Option<TakeUp>,
+}
+
 fn prepare(
     context: &EntryContext,
     parts: Parts,
     (body, body_reservation): (Bytes, BufferReservation),
-    table: Arc<RouteTable>,
-    route: RouteKey,
-    take_up: Option<TakeUp>,
+    ChosenRoute { table, route, take_up }: ChosenRoute,
+    origin: RequestOrigin,
     received_at: Instant,
 ) -> PreparedRequest {
     let names = &context.dialect.headers;
@@ -483,6 +588,7 @@
         host: host_of(&parts).unwrap_or_default().into(),
         caller: peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |PeerAddress(address)| *address),
         digests: OnceLock::new(),
+        origin,
         request_id: text(&names.request_id).map(Box::from),
         resumes: text(&names.resumes).map(Box::from),
         software_version: take_up.map(|bound| bound.version),
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -9,7 +9,7 @@
     body::Incoming,
     header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderValue},
 };
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use crate::{
     entry::{
@@ -87,15 +87,22 @@
                 self.log_failure(&error.to_string());
                 let now_ms = context.now_ms();
                 context.fleet_view().record_failure(now_ms, selected.key);
-                if let SendError::NotSent { failure, .. } = error {
-                    context.metrics.record_backend_failure(failure.label());
-                    context.fleet_view().record_connect_failure(now_ms, selected.key);
-                    context.client.close_idle(selected.address);
-                    return AttemptOutcome::NotSent;
+                match error {
+                    SendError::NotSent { failure, .. } => {
+                        context.metrics.record_backend_failure(failure.label());
+                        context.fleet_view().record_connect_failure(now_ms, selected.key);
+                        context.client.close_idle(selected.address);
+                        return AttemptOutcome::NotSent;
+                    }
+                    SendError::MaybeSent { is_new, .. } => {
+                        context.metrics.record_backend_failure("no_response");
+                        if is_new {
+                            context.fleet_view().record_connect_failure(now_ms, selected.key);
+                        }
+                        prepared.record_failure(context, selected.key, selected.address, 0);
+                        return AttemptOutcome::MaybeRan;
+                    }
                 }
-                context.metrics.record_backend_failure("no_response");
-                prepared.record_failure(context, selected.key, selected.address, 0);
-                return AttemptOutcome::MaybeRan;
             }
         };
         {
@@ -178,14 +185,8 @@
     fn request(&self) -> Request<Full<Bytes>> {
         let BackendAttempt { context, prepared, selected, last_event_id, .. } = self;
         let names = &context.dialect.headers;
-        let mut request = Request::new(Full::new(prepared.body.clone()));
-        *request.method_mut() = prepared.method.clone();
-        *request.uri_mut() = prepared.uri.clone();
+        let mut request = prepared.to_send(context);
         let headers = request.headers_mut();
-        headers.clone_from(&prepared.headers);
-        let remaining = prepared.deadline.saturating_duration_since(Instant::now());
-        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        headers.insert(&names.deadline_ms, HeaderValue::from(remaining_ms));
         match HeaderValue::from_str(&selected.id) {
             Ok(id) => drop(headers.insert(&names.expected_backend, id)),
             Err(error) => {
--- a/crates/redwinglatch-fleet/src/entry/forward/headers.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/headers.rs
@@ -53,7 +53,7 @@
 }
 
 /// Returns the headers of a backend server's response that are forwarded to the caller.
-pub(super) fn for_caller(mut headers: HeaderMap) -> HeaderMap {
+pub(crate) fn for_caller(mut headers: HeaderMap) -> HeaderMap {
     remove_connection_headers(&mut headers);
     headers
 }
--- a/crates/redwinglatch-fleet/src/entry/path_checks.rs
+++ b/crates/redwinglatch-fleet/src/entry/path_checks.rs
@@ -1,12 +1,12 @@
 //! Checks whether servers accept connections of this process, and answer on them.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, header::HOST};
 
-use crate::{http::CallLimits, ids::BackendKey};
+use crate::http::CallLimits;
 
 use super::{EntryContext, fleet_view::ServerCheck};
 
@@ -31,40 +31,35 @@
 }
 
 async fn check_server(context: Arc<EntryContext>, check: ServerCheck) {
-    match context.client.open(check.address).await {
+    if let Err(failure) = context.client.open(check.address).await {
+        context.metrics.record_backend_failure(failure.label());
+        let now_ms = context.now_ms();
+        return context.fleet_view().record_connect_failure(now_ms, check.server);
+    }
+    let Some(path) = check.health_path else {
+        let now_ms = context.now_ms();
+        return context.fleet_view().record_connected(now_ms, check.server);
+    };
+    // A connection that is accepted may be reset at once, or hang.
+    match request_health(&context, check.address, &path).await {
         Ok(()) => {
             let now_ms = context.now_ms();
-            context.fleet_view().record_connected(now_ms, check.server);
-            if let Some(path) = check.health_path {
-                check_answer(&context, check.server, check.address, &path).await;
-            }
-        }
-        Err(failure) => {
-            context.metrics.record_backend_failure(failure.label());
-            let now_ms = context.now_ms();
-            context.fleet_view().record_connect_failure(now_ms, check.server);
+            let mut view = context.fleet_view();
+            view.record_heard(now_ms, check.server);
+            view.record_connected(now_ms, check.server);
         }
+        Err(error) => log::debug!("entry: a health check failed: {error}"),
     }
 }
 
-async fn check_answer(
+/// Requests the health of a server; any answer is good.
+async fn request_health(
     context: &EntryContext,
-    server: BackendKey,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     path: &str,
-) {
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
     let request = Request::get(path).header(HOST, address.to_string());
-    let request = match request.body(Full::new(Bytes::new())) {
-        Ok(request) => request,
-        Err(error) => {
-            return log::error!("entry: the health path {path:?} is unusable: {error}");
-        }
-    };
-    match context.client.call(address, request, HEALTH_CHECK_LIMITS).await {
-        Ok(_) => {
-            let now_ms = context.now_ms();
-            context.fleet_view().record_heard(now_ms, server);
-        }
-        Err(error) => log::debug!("entry: a health check failed: {error}"),
-    }
+    let request = request.body(Full::new(Bytes::new()))?;
+    context.client.call(address, request, HEALTH_CHECK_LIMITS).await?;
+    Ok(())
 }
--- a/crates/redwinglatch-fleet/src/entry/ready_entries.rs
+++ b/crates/redwinglatch-fleet/src/entry/ready_entries.rs
@@ -1,7 +1,7 @@
 //! The entry processes that are ready, as the core processes report them.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
 };
 
@@ -10,8 +10,8 @@
 /// The union of the entry processes that each core process reports as ready.
 #[derive(Debug, Default)]
 pub(crate) struct ReadyEntries {
-    /// The addresses of the reported entry processes, by core process.
-    reported: HashMap<SocketAddr, BTreeSet<SocketAddr>>,
+    /// The addresses of the reported entry processes with their data centres, by core process.
+    reported: HashMap<SocketAddr, BTreeMap<SocketAddr, Box<str>>>,
     /// Their addresses in ascending order, without duplicates.
     addresses: Vec<SocketAddr>,
 }
@@ -19,7 +19,7 @@
 impl ReadyEntries {
     /// Replaces the report of a core process.
     pub(crate) fn set(&mut self, core: SocketAddr, endpoints: Vec<EntryEndpoint>) {
-        let fronts = endpoints.into_iter().map(|endpoint| endpoint.front);
+        let fronts = endpoints.into_iter().map(|endpoint| (endpoint.front, endpoint.data_centre));
         self.reported.insert(core, fronts.collect());
         self.update_addresses();
     }
@@ -30,7 +30,8 @@
         for front in &changes.removed {
             fronts.remove(front);
         }
-        fronts.extend(changes.added.into_iter().map(|endpoint| endpoint.front));
+        let added = changes.added.into_iter();
+        fronts.extend(added.map(|endpoint| (endpoint.front, endpoint.data_centre)));
         self.update_addresses();
     }
 
@@ -44,8 +45,20 @@
         &self.addresses
     }
 
+    /// Returns the entry processes with their data centres.
+    pub(crate) fn endpoints(&self) -> impl Iterator<Item = (SocketAddr, &str)> {
+        self.addresses.iter().map(|front| {
+            let data_centre = self.reported.values().find_map(|fronts| fronts.get(front));
+            (*front, data_centre.map_or("", |data_centre| data_centre))
+        })
+    }
+
+    pub(crate) fn contains(&self, front: SocketAddr) -> bool {
+        self.addresses.binary_search(&front).is_ok()
+    }
+
     fn update_addresses(&mut self) {
-        self.addresses = self.reported.values().flatten().copied().collect();
+        self.addresses = self.reported.values().flat_map(|fronts| fronts.keys()).copied().collect();
         self.addresses.sort_unstable();
         self.addresses.dedup();
     }
--- a/crates/redwinglatch-fleet/src/entry/refusal.rs
+++ b/crates/redwinglatch-fleet/src/entry/refusal.rs
@@ -54,6 +54,9 @@
         /// The delay after which one of them may take a request.
         retry_after_ms: u64,
     },
+    /// No backend server of the service accepts connections of this process or answers, and no other process
+    /// reaches one.
+    ServersUnreachable,
     /// The software version that began the stream isn't known, and the service has several.
     StreamVersionUnknown {
         /// The versions under which the stream may have begun.
@@ -88,6 +91,7 @@
             RefusalReason::Quarantined { .. } => "quarantined",
             RefusalReason::BackendsOnHold { .. } => "backends_on_hold",
             RefusalReason::BackendsLimited { .. } => "backends_limited",
+            RefusalReason::ServersUnreachable => "servers_unreachable",
             RefusalReason::StreamVersionUnknown { .. } => "stream_version_unknown",
             RefusalReason::StreamVersionGone => "stream_version_gone",
             RefusalReason::RefusedByBackends => "refused_by_backends",
@@ -115,6 +119,16 @@
         }
     }
 
+    /// Returns whether another process may serve the request.
+    pub(crate) fn may_be_served_elsewhere(self) -> bool {
+        matches!(
+            self,
+            RefusalReason::ServersUnreachable
+                | RefusalReason::Draining
+                | RefusalReason::NoConfiguration
+        )
+    }
+
     fn status(self) -> StatusCode {
         match self {
             RefusalReason::NoRoute | RefusalReason::UnknownModel => StatusCode::NOT_FOUND,
@@ -132,6 +146,7 @@
             | RefusalReason::Quarantined { .. }
             | RefusalReason::BackendsOnHold { .. }
             | RefusalReason::BackendsLimited { .. }
+            | RefusalReason::ServersUnreachable
             | RefusalReason::StreamVersionUnknown { .. }
             | RefusalReason::StreamVersionGone
             | RefusalReason::RefusedByBackends => StatusCode::SERVICE_UNAVAILABLE,
@@ -147,6 +162,7 @@
             RefusalReason::NoRoom | RefusalReason::NoBackend | RefusalReason::RefusedByBackends => {
                 Some((200, 600))
             }
+            RefusalReason::ServersUnreachable => Some((300, 700)),
             // Another process may know the version.
             RefusalReason::StreamVersionUnknown { .. } => Some((100, 400)),
             RefusalReason::NotLoaded => Some((1_000, 2_000)),
--- a/crates/redwinglatch-fleet/src/entry/server_paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/server_paths.rs
@@ -6,8 +6,14 @@
 
 use crate::ids::BackendKey;
 
-/// Servers that must fail in a row, or all of a smaller service, before the path to a service counts as lost.
+/// Servers that must fail, or all of a smaller service, before the path to a service counts as lost.
 const MIN_FAILED_SERVERS: usize = 3;
+/// Part of the servers tried lately that must fail for that, and the part up to which the path counts as found
+/// again. A process that reaches one server of many is as good as cut off.
+const LOST_SHARE: f64 = 0.66;
+const FOUND_SHARE: f64 = 0.5;
+/// Time for which the outcome of a connection attempt counts.
+const OUTCOME_MS: u64 = 2_000;
 /// Time for which a server may leave a request unanswered, without any data from other servers of its service,
 /// before it is checked whether servers accept connections.
 const DOUBT_SILENCE_MS: u64 = 500;
@@ -17,6 +23,10 @@
 const DOUBT_CHECK_INTERVAL_MS: u64 = 400;
 /// Interval between checks while the path is lost.
 const LOST_CHECK_INTERVAL_MS: u64 = 300;
+/// Time since the last data from a server for which kept connections count as sound while no new ones are
+/// accepted.
+const SOUND_CONNECTIONS_MS: u64 = 700;
+
 /// A change of the path to a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PathChange {
@@ -32,7 +42,7 @@
     pub(super) service: Box<str>,
     /// Servers of which the result is known.
     pub(super) failed: SmallVec<[BackendKey; 4]>,
-    /// Whether servers must answer as well; while the path is in doubt, it is enough that they accept a
+    /// Whether servers must answer as well. While the path is in doubt, it is enough that they accept a
     /// connection.
     pub(super) needs_answer: bool,
 }
@@ -40,11 +50,12 @@
 /// The path from this process to the servers of one service.
 #[derive(Debug, Default)]
 struct ServicePath {
-    /// The servers at which connections have failed since the last one that was accepted.
-    refusing: SmallVec<[BackendKey; 4]>,
+    /// The last connection attempt at each server: its time, and whether it was accepted.
+    attempts: HashMap<BackendKey, (u64, bool)>,
     /// The servers that have sent nothing since they got a request, with its time. Data from any server of the
     /// service shows that this process is not cut off.
     unanswered: SmallVec<[(BackendKey, u64); 4]>,
+    heard_ms: u64,
     /// Whether no new connections are accepted.
     accepts_none: bool,
     /// Whether nothing is heard on any connection.
@@ -55,7 +66,45 @@
 
 impl ServicePath {
     fn is_in_doubt(&self, now_ms: u64) -> bool {
-        !self.refusing.is_empty() || self.unanswered_for(now_ms, DOUBT_SILENCE_MS) > 0
+        let (failed, tried) = self.recent_attempts(now_ms);
+        let was_checked = failed as f64 <= tried as f64 * FOUND_SHARE;
+        !was_checked || self.unanswered_for(now_ms, DOUBT_SILENCE_MS) > 0
+    }
+
+    /// Returns how many servers have failed lately, and how many were tried.
+    fn recent_attempts(&self, now_ms: u64) -> (usize, usize) {
+        let recent = self.attempts.values().filter(|(at_ms, _)| now_ms <= at_ms + OUTCOME_MS);
+        recent.fold((0, 0), |(failed, tried), (_, is_accepted)| {
+            (failed + usize::from(!is_accepted), tried + 1)
+        })
+    }
+
+    /// Returns the servers that have failed lately.
+    fn failed(&self, now_ms: u64) -> impl Iterator<Item = BackendKey> {
+        let failed = self
+            .attempts
+            .iter()
+            .filter(move |(_, (at_ms, is_accepted))| !is_accepted && now_ms <= at_ms + OUTCOME_MS);
+        failed.map(|(server, _)| *server)
+    }
+
+    /// Records the outcome of a connection attempt at one of `servers` servers.
+    fn record_attempt(
+        &mut self,
+        now_ms: u64,
+        server: BackendKey,
+        is_accepted: bool,
+        servers: usize,
+    ) {
+        self.attempts.retain(|_, (at_ms, _)| now_ms <= *at_ms + OUTCOME_MS);
+        self.attempts.insert(server, (now_ms, is_accepted));
+        let (failed, tried) = self.recent_attempts(now_ms);
+        let share = failed as f64 / tried as f64;
+        if failed >= min_failed(servers) && share > LOST_SHARE {
+            self.accepts_none = true;
+        } else if is_accepted && share <= FOUND_SHARE {
+            self.accepts_none = false;
+        }
     }
 
     /// Returns the number of servers that have left a request unanswered for some time.
@@ -69,7 +118,7 @@
         match (is_lost, self.lost_since_ms) {
             (true, None) => {
                 self.lost_since_ms = Some(now_ms);
-                let failed_servers = self.refusing.len().max(self.unanswered.len());
+                let failed_servers = self.failed(now_ms).count().max(self.unanswered.len());
                 Some(PathChange::Lost { failed_servers })
             }
             (false, Some(since_ms)) => {
@@ -114,38 +163,38 @@
     /// Records that a server has sent something.
     pub(super) fn heard(&mut self, now_ms: u64, service: &str) -> Option<PathChange> {
         let path = self.path(service);
+        path.heard_ms = now_ms;
         path.unanswered.clear();
         path.is_silent = false;
         path.take_change(now_ms)
     }
 
-    /// Records that a server has accepted a connection.
-    pub(super) fn connected(&mut self, now_ms: u64, service: &str) -> Option<PathChange> {
-        let path = self.path(service);
-        path.refusing.clear();
-        path.accepts_none = false;
-        path.take_change(now_ms)
-    }
-
-    /// Records that a connection to a server has failed; the service has `servers` servers.
-    pub(super) fn failed(
+    /// Records whether one of a service's `servers` servers has accepted a connection.
+    pub(super) fn tried(
         &mut self,
         now_ms: u64,
         service: &str,
         server: BackendKey,
+        is_accepted: bool,
         servers: usize,
     ) -> Option<PathChange> {
         let path = self.path(service);
-        if path.refusing.is_empty() {
+        if !is_accepted && path.failed(now_ms).next().is_none() {
             path.check_due_ms = path.check_due_ms.min(now_ms);
         }
-        if !path.refusing.contains(&server) {
-            path.refusing.push(server);
-        }
-        path.accepts_none |= path.refusing.len() >= min_failed(servers);
+        path.record_attempt(now_ms, server, is_accepted, servers);
         path.take_change(now_ms)
     }
 
+    /// Returns the servers of a service at which connections have failed lately.
+    pub(super) fn failed_servers(
+        &self,
+        now_ms: u64,
+        service: &str,
+    ) -> impl Iterator<Item = BackendKey> {
+        self.services.get(service).into_iter().flat_map(move |path| path.failed(now_ms))
+    }
+
     /// Looks whether a service of `servers` servers has fallen silent.
     pub(super) fn check_silence(
         &mut self,
@@ -168,6 +217,19 @@
         self.services.get(service).is_some_and(|path| path.lost_since_ms.is_some())
     }
 
+    /// Returns whether requests may still be sent on kept connections, although no new ones are accepted.
+    pub(super) fn has_sound_connections(&self, now_ms: u64, service: &str) -> bool {
+        self.services
+            .get(service)
+            .is_some_and(|path| !path.is_silent && now_ms <= path.heard_ms + SOUND_CONNECTIONS_MS)
+    }
+
+    /// Returns whether the paths to all of some services are lost, and there are any.
+    pub(super) fn are_all_lost<'a>(&self, services: impl Iterator<Item = &'a str>) -> bool {
+        let mut used = services.filter(|service| self.services.contains_key(*service)).peekable();
+        used.peek().is_some() && used.all(|service| self.is_lost(service))
+    }
+
     /// Returns what must be checked now.
     pub(super) fn take_due_checks(&mut self, now_ms: u64) -> Vec<PathCheck> {
         let due = self.services.iter_mut().filter_map(|(service, path)| {
@@ -179,8 +241,8 @@
                 if is_lost { LOST_CHECK_INTERVAL_MS } else { DOUBT_CHECK_INTERVAL_MS };
             path.check_due_ms = now_ms + interval_ms;
             // While the path is lost, the servers that failed are as good as any.
-            let failed = if is_lost { SmallVec::new() } else { path.refusing.clone() };
-            Some(PathCheck { service: service.clone(), failed, needs_answer: path.is_silent })
+            let failed = if is_lost { SmallVec::new() } else { path.failed(now_ms).collect() };
+            Some(PathCheck { service: service.clone(), failed, needs_answer: is_lost })
         });
         due.collect()
     }
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -93,7 +93,7 @@
     prepared: PreparedRequest,
     started: StartedStream,
     attempts: RequestAttempts,
-    caller: CallerRequest,
+    caller: Arc<CallerRequest>,
     received_at: Instant,
 ) -> Response<Body> {
     let (sender, body) = body_channel(QUEUE_CHUNKS);
@@ -145,7 +145,7 @@
     timings: StreamTimings,
     sender: BodySender,
     events: EventBuffer,
-    _caller: CallerRequest,
+    _caller: Arc<CallerRequest>,
 }
 
 impl StreamForwarder {
--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -91,9 +91,9 @@
     /// Nothing of the request was sent.
     #[error("the connection to {address} failed: {reason}")]
     NotSent { address: SocketAddr, failure: ConnectFailure, reason: Box<str> },
-    /// The request may have reached the server.
+    /// The request may have reached the server. A connection that was opened for it has brought nothing.
     #[error("no response from {address}: {reason}")]
-    MaybeSent { address: SocketAddr, reason: Box<str> },
+    MaybeSent { address: SocketAddr, is_new: bool, reason: Box<str> },
 }
 
 /// An error that left a request without a complete response.
@@ -222,7 +222,7 @@
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection before anything was written.
                     Some(unsent) => request = unsent,
-                    None => return Err(maybe_sent(address, &error.into_error())),
+                    None => return Err(maybe_sent(address, false, &error.into_error())),
                 },
             }
         }
@@ -239,7 +239,7 @@
                     failure: ConnectFailure::Closed,
                     reason: error.into_error().to_string().into(),
                 }),
-                None => Err(maybe_sent(address, &error.into_error())),
+                None => Err(maybe_sent(address, true, &error.into_error())),
             },
         }
     }
@@ -335,8 +335,8 @@
     idle_timeout.checked_sub(IDLE_CLOSE_MARGIN).filter(|remaining| !remaining.is_zero())
 }
 
-fn maybe_sent(address: SocketAddr, error: &hyper::Error) -> SendError {
-    SendError::MaybeSent { address, reason: error.to_string().into() }
+fn maybe_sent(address: SocketAddr, is_new: bool, error: &hyper::Error) -> SendError {
+    SendError::MaybeSent { address, is_new, reason: error.to_string().into() }
 }
 
 #[cfg(test)]
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -72,6 +72,11 @@
         self.increment("repeats", reason);
     }
 
+    /// Counts a request that entry processes pass on to each other, by what became of it.
+    pub(crate) fn record_relay(&self, outcome: &'static str) {
+        self.increment("relays", outcome);
+    }
+
     /// Counts a connection or an answer of a backend server that failed, by kind.
     pub(crate) fn record_backend_failure(&self, kind: &'static str) {
         self.increment("backend_failures", kind);
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -57,6 +57,9 @@
     pub control: Option<SocketAddr>,
     /// Port at which core processes accept links from other processes of the fleet.
     pub link_port: u16,
+    /// Port at which entry processes accept requests from each other, the same on all of them. Without one,
+    /// requests aren't passed on.
+    pub relay_port: Option<u16>,
     /// Address at which metrics are served, if any.
     pub metrics: Option<SocketAddr>,
     /// Control addresses of some core processes, for the first connection.
@@ -148,6 +151,7 @@
             control: address("control", is_core && ini.text("fleet", "data_dir").is_some())?,
             metrics: ini.optional("listen", "metrics", ADDRESS)?,
             link_port: ini.required("fleet", "link_port", "a port")?,
+            relay_port: ini.optional("fleet", "relay_port", "a port")?,
             seeds: ini.list("fleet", "seeds", ADDRESS)?,
             bootstrap: ini.or_default("fleet", "bootstrap", "true or false", false)?,
             data_dir: ini.optional("fleet", "data_dir", "a path")?,
--- a/crates/redwinglatch-fleet/tests/settings.rs
+++ b/crates/redwinglatch-fleet/tests/settings.rs
@@ -4,6 +4,7 @@
 
 const CORE: &str = "[process]\nname = core-1\ndata_centre = hall-a\n[listen]\nfront =\n\
     control = 192.0.2.1:7000\n[fleet]\nlink_port = 7100\n\
+    relay_port = 7101\n\
     seeds = 192.0.2.1:7000, 192.0.2.2:7000\nbootstrap = true\ndata_dir = /data/core\n\
     [platform]\nlist_address = 192.0.2.9:80\n[bounds]\ngrace_s = 8\nretry_slack = 64\n";
 
@@ -14,6 +15,7 @@
     assert_eq!((settings.front, settings.seeds.len()), (None, 2));
     assert_eq!((settings.grace_ms, settings.retry_budget.slack), (8_000, 64.0));
     assert!(settings.bootstrap);
+    assert_eq!((settings.link_port, settings.relay_port), (7_100, Some(7_101)));
 }
 
 #[test]
