Ask another process before a server counts as ended

What callers saw: nothing yet. For a process that is cut off by refusals, all servers refuse connections, so the requests that break off there together were taken for suspects of as many ends, and sound ones might be quarantined everywhere. Cause: a refused connection was taken for the end of the server by the process that saw it alone. Change: another ready process is asked whether it finds the same; without one that answers, a process whose path to the service is lost doesn't know.

--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod core_links;
 mod directory;
+mod ended_servers;
 mod event_buffer;
 mod event_scanner;
 mod fleet_view;
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
@@ -56,6 +56,11 @@
         self.server_paths.is_lost(service)
     }
 
+    /// Returns whether the path to the service of a server is lost.
+    pub(crate) fn is_server_path_lost(&self, server: BackendKey) -> bool {
+        self.service_of(server).is_some_and(|service| self.is_path_lost(&service))
+    }
+
     /// Returns whether requests may still be sent to a service on kept connections.
     pub(crate) fn has_sound_connections(&self, now_ms: u64, service: &str) -> bool {
         self.server_paths.has_sound_connections(now_ms, service)
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -34,7 +34,7 @@
 use crate::REQUEST_PLACED_TARGET;
 
 use super::{
-    EntryContext,
+    EntryContext, ended_servers,
     fleet_view::BackendSelection,
     in_flight::CallerRequest,
     peers::TriedPeers,
@@ -167,7 +167,7 @@
         }
         let context = Arc::clone(context);
         tokio::spawn(async move {
-            let has_ended = request_outcomes::refuses_connections(address).await;
+            let has_ended = ended_servers::has_ended(&context, server, address).await;
             let now_ms = context.now_ms();
             context.fleet_view().request_failed(now_ms, server, suspect, has_ended);
         });
--- a/crates/redwinglatch-fleet/src/entry/relay.rs
+++ b/crates/redwinglatch-fleet/src/entry/relay.rs
@@ -29,7 +29,7 @@
 };
 
 use super::{
-    EntryContext,
+    EntryContext, ended_servers,
     forward::{self, PreparedRequest},
     in_flight::CallerRequest,
     peers::{MAX_PEERS_PER_REQUEST, TriedPeers},
@@ -77,6 +77,9 @@
 }
 
 async fn serve(context: Arc<EntryContext>, mut request: Request<Incoming>) -> Response<Body> {
+    if let Some(response) = ended_servers::answer(&context, request.uri().path()).await {
+        return response;
+    }
     let text =
         |name: &HeaderName| request.headers().get(name).and_then(|value| value.to_str().ok());
     let caller: Option<IpAddr> = text(&CALLER).and_then(|text| text.parse().ok());
--- a/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
@@ -121,14 +121,29 @@
     })
 }
 
-/// Returns whether a server that broke a request off refuses connections, which shows that its process has
-/// ended. One that can't be reached may go on.
-pub(super) async fn refuses_connections(address: SocketAddr) -> bool {
+/// What an attempt to connect to a server shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ConnectionCheck {
+    Accepted,
+    /// The process of the server has ended, or this process is cut off from it.
+    Refused,
+    /// The server can't be reached, and may go on.
+    Unknown,
+}
+
+/// Tries to connect to a server.
+pub(super) async fn check_connection(address: SocketAddr) -> ConnectionCheck {
     match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => {
-            matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset)
+        Ok(Ok(_)) => ConnectionCheck::Accepted,
+        Ok(Err(error))
+            if matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ) =>
+        {
+            ConnectionCheck::Refused
         }
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Err(_)) | Err(_) => ConnectionCheck::Unknown,
     }
 }
 
