Let connections to servers outlast two seconds of silence

What callers saw: nothing yet. A sound server may fall silent for a second or so and go on, which is no disturbance. Cause: the timeout for acknowledgements of 1.5 s closed connections with data in flight after that time, and idle ones at the second keep-alive probe, 2 s after the last data and possibly 1 s after the silence began, because it also decides when probes give up. Change: 2.5 s, so that data in flight waits that long and idle connections 3 s. Links between processes keep 1.5 s.

--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -31,8 +31,9 @@
 
 /// Time limit of a connection attempt; a machine without power sends no response at all.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which the kernel waits for the acknowledgement of sent data.
-const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which the kernel waits for the acknowledgement of sent data, or of a keep-alive probe. A sound
+/// server may be silent for a second or two.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which an idle connection is kept if the server announces no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Time for which a connection is kept that has had no request yet.
--- a/crates/redwinglatch-fleet/src/http/client/tests.rs
+++ b/crates/redwinglatch-fleet/src/http/client/tests.rs
@@ -3,12 +3,14 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, header::HeaderName};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
 };
 
-use super::{CallError, CallLimits, HttpClient};
+use super::{ACKNOWLEDGE_TIMEOUT, CallError, CallLimits, HttpClient};
+use crate::link::set_tcp_timeouts;
 
 const ID: HeaderName = HeaderName::from_static("x-id");
 const BODY_BYTES: usize = 100 << 10;
@@ -44,3 +46,22 @@
     let refused = call(BODY_BYTES - 1).await;
     assert!(matches!(refused, Err(CallError::Incomplete { .. })), "{refused:?}");
 }
+
+/// Guards against requests that are lost at a sound server, which may be silent for a second or two. The timeout
+/// for acknowledgements also decides when keep-alive probes give up, whatever their number.
+#[tokio::test]
+async fn connection_outlasts_the_silence_of_a_sound_server() {
+    const MAX_SILENCE: Duration = Duration::from_secs(2);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let stream = TcpStream::connect(address).await.expect("it accepts");
+    set_tcp_timeouts(&stream, ACKNOWLEDGE_TIMEOUT).expect("the options can be set");
+    let socket = SockRef::from(&stream);
+    let acknowledge_timeout = socket.tcp_user_timeout().expect("an option").expect("a timeout");
+    assert!(acknowledge_timeout > MAX_SILENCE, "{acknowledge_timeout:?}");
+    // The silence may begin just before a probe, which is the first that isn't acknowledged.
+    let interval = socket.tcp_keepalive_interval().expect("an option");
+    let probes = acknowledge_timeout.as_millis().div_ceil(interval.as_millis());
+    let given_up_after = interval * u32::try_from(probes).expect("few probes");
+    assert!(given_up_after >= MAX_SILENCE + interval, "{given_up_after:?}");
+}
--- a/crates/redwinglatch-fleet/src/link.rs
+++ b/crates/redwinglatch-fleet/src/link.rs
@@ -80,6 +80,9 @@
 
 /// Enables TCP keep-alive and makes the kernel close the connection if its peer acknowledges nothing
 /// within `acknowledge_timeout`. Also disables Nagle's algorithm.
+///
+/// On an idle connection the kernel gives up at the first probe after that time, and not after a number of
+/// probes.
 pub(crate) fn set_tcp_timeouts(
     stream: &TcpStream,
     acknowledge_timeout: Duration,
