Send brittle servers no more requests than they have room for

What callers saw: nothing yet. Servers that say that they are brittle let fewer requests wait, and fall over when they must turn too many away in a second. Cause: `Server-Brittle` wasn't read, and no process knows the requests that all of them together have at a server. Change: the coordinator counts the requests at servers of brittle services. Requests that entry processes place themselves ask for a grant, which keeps a slot until they end; a server that rejects one nevertheless gets nothing for a second. Without a coordinator, processes send one now and then.

--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -93,7 +93,7 @@
         let Some((epoch, planner)) = &mut self.planner else { return };
         let epoch = *epoch;
         let is_only_coordinator = self.replica.leader_lease_valid(now_ms);
-        planner.set_granting(is_only_coordinator);
+        planner.set_granting(now_ms, is_only_coordinator);
         let orders = planner.plan(now_ms, is_only_coordinator);
         for AddressedPlaceReply { entry, id, reply } in planner.take_replies() {
             if matches!(reply, PlaceReply::RefusedFor { .. }) {
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     BackendEntry,
+    brittle_services::BrittleService,
     ids::BackendKey,
     limited_servers::RequestLimit,
     link::LinkSender,
@@ -39,6 +40,14 @@
                     planner.place(now_ms, link, id, request, Some(version));
                 }
             }
+            FleetMessage::BrittleServices(services) => self.set_brittle_services(services),
+            FleetMessage::ServerFull { server } => {
+                let now_ms = self.now_ms();
+                if let Some((_, planner)) = &mut self.planner {
+                    log::info!("coordinator: brittle server {:x} is full", server.0);
+                    planner.server_full(now_ms, server);
+                }
+            }
             FleetMessage::StreamsBegan(streams) => self.handle_begun_streams(&streams),
             FleetMessage::StreamVersionRequest { id, stream } => {
                 self.answer_stream_version(&sender, id, stream);
@@ -77,7 +86,7 @@
             FleetMessage::GrantRequest { id, server } => {
                 let now_ms = self.now_ms();
                 if let Some((_, planner)) = &mut self.planner {
-                    let granted = planner.take_grant(now_ms, server);
+                    let granted = planner.take_grant(now_ms, server, (link, id));
                     sender.send(&FleetMessage::GrantReply { id, granted });
                 }
             }
@@ -144,6 +153,9 @@
         sender.send(&self.quarantine_message());
         sender.send(&self.request_limits_message());
         sender.send(&self.software_versions_message());
+        if let Some((_, planner)) = &self.planner {
+            sender.send(&FleetMessage::BrittleServices(planner.brittle_services()));
+        }
         sender.send(&self.core_addresses_message());
         if self.state.version > 0 {
             sender.send(&FleetMessage::ConfigurationNotice { version: self.state.version });
@@ -206,6 +218,25 @@
         FleetMessage::RequestLimits(limits)
     }
 
+    /// Takes over which services are brittle, as answers say, and tells all entry processes what is new.
+    fn set_brittle_services(&mut self, services: Vec<BrittleService>) {
+        let now_ms = self.now_ms();
+        let Some((_, planner)) = &mut self.planner else { return };
+        let is_new = |brittle: &BrittleService| planner.set_brittle(now_ms, brittle);
+        let new: Vec<BrittleService> = services.into_iter().filter(is_new).collect();
+        for BrittleService { service, max_rejections_per_s } in &new {
+            match max_rejections_per_s {
+                Some(rejections) => log::info!(
+                    "coordinator: servers of {service} fall over beyond {rejections} rejections a second"
+                ),
+                None => log::info!("coordinator: servers of {service} are sound again"),
+            }
+        }
+        if !new.is_empty() {
+            self.entries.broadcast(&FleetMessage::BrittleServices(new));
+        }
+    }
+
     /// Sets the request limit that an engine named in its answer to a call. Only the answer to a request
     /// shows that a limit has ended.
     pub(super) fn set_answered_limit(&mut self, server: BackendKey, rate: Option<RequestRate>) {
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -11,6 +11,7 @@
 
 mod base_models;
 mod base_updates;
+mod brittle_servers;
 mod demand;
 mod engine;
 mod fatal_requests;
@@ -21,6 +22,7 @@
 mod placing;
 mod quarantined_requests;
 mod request_grants;
+mod server_rooms;
 mod store_limit;
 mod summary;
 mod waiting_request;
@@ -43,6 +45,7 @@
     fatal_requests::FatalRequests,
     model_index::{ModelIndex, ReportedUse, UnloadedAdapters},
     request_grants::RequestGrants,
+    server_rooms::ServerRooms,
     store_limit::StoreLimit,
     summary::Summary,
     waiting_request::WaitingRequest,
@@ -207,10 +210,11 @@
     /// The newest version of each base model that has one.
     base_versions: BTreeMap<ModelName, u64>,
     fatal_requests: FatalRequests,
-    /// The servers without engines that are listed, and whether they are about to stop.
-    plain_servers: HashMap<BackendKey, bool>,
+    /// The servers without engines that are listed.
+    plain_servers: HashMap<BackendKey, Backend>,
     quarantine: Quarantine,
     grants: RequestGrants,
+    rooms: ServerRooms,
     /// Limited engines that get no loads, by the last planning pass.
     spared_engines: HashSet<BackendKey>,
     /// The last time at which a refused caller of each service was asked to return, while all engines of
@@ -249,6 +253,7 @@
             plain_servers: HashMap::new(),
             quarantine: Quarantine::default(),
             grants: RequestGrants::default(),
+            rooms: ServerRooms::default(),
             spared_engines: HashSet::new(),
             next_returns_ms: HashMap::new(),
             store: StoreLimit::default(),
@@ -292,13 +297,14 @@
                 self.fatal_requests.server_ended(engine.backend.key, now_ms);
             }
         }
-        for (server, is_leaving) in &self.plain_servers {
-            if !is_leaving && !listed.contains(server) {
+        for (server, backend) in &self.plain_servers {
+            if !backend.leaving && !listed.contains(server) {
                 self.fatal_requests.server_ended(*server, now_ms);
             }
         }
         let plain = backends.iter().filter(|backend| !self.services.contains_key(&backend.service));
-        self.plain_servers = plain.map(|backend| (backend.key, backend.leaving)).collect();
+        self.plain_servers = plain.map(|backend| (backend.key, backend.clone())).collect();
+        self.rooms.retain(|server| listed.contains(&server));
         let engines_before = self.engines.len();
         self.engines.retain(|key, _| listed.contains(key));
         if self.engines.len() != engines_before {
@@ -404,6 +410,7 @@
                 self.reported_use.remove(key, &model);
             }
         }
+        self.rooms.entry_disconnected(entry);
         self.waiting.retain(|waiting| waiting.entry != entry);
         let pins: Vec<_> = self.pins.keys().filter(|(owner, _)| *owner == entry).copied().collect();
         for (entry, id) in pins {
@@ -441,6 +448,7 @@
     pub(super) fn release(&mut self, now_ms: u64, entry: u64, id: u64) {
         let Some(pin) = self.pins.remove(&(entry, id)) else {
             self.waiting.retain(|waiting| (waiting.entry, waiting.id) != (entry, id));
+            self.rooms.release((entry, id));
             return;
         };
         if let Some(engine) = self.engines.get_mut(&pin.engine) {
--- a/crates/redwinglatch-fleet/src/core/planner/limited_engines.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/limited_engines.rs
@@ -36,9 +36,10 @@
 
 impl Planner {
     /// Sets whether this process is certain to be the only coordinator; only then it grants requests to
-    /// limited servers.
-    pub(in crate::core) fn set_granting(&mut self, is_granting: bool) {
+    /// limited and brittle servers.
+    pub(in crate::core) fn set_granting(&mut self, now_ms: u64, is_granting: bool) {
         self.grants.set_active(is_granting);
+        self.rooms.set_active(now_ms, is_granting);
     }
 
     /// Sets or ends the request limit of a backend server, and returns whether it had another.
@@ -60,8 +61,14 @@
     /// # Errors
     ///
     /// Returns the time until one may be granted.
-    pub(in crate::core) fn take_grant(&mut self, now_ms: u64, key: BackendKey) -> Result<(), u64> {
-        self.grants.take(now_ms, key)
+    pub(in crate::core) fn take_grant(
+        &mut self,
+        now_ms: u64,
+        key: BackendKey,
+        holder: (u64, u64),
+    ) -> Result<(), u64> {
+        self.take_room(now_ms, key, holder)?;
+        self.grants.take(now_ms, key).inspect_err(|_| self.rooms.release(holder))
     }
 
     /// Returns the limited engines that get no loads, because other engines of their service have no limit.
--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -176,6 +176,7 @@
                 && engine.is_available()
                 && !request.excluded_engines.contains(&key)
                 && engine.has_capacity(request)
+                && self.has_room(now_ms, engine)
                 && self.grants.may_take(now_ms, key);
             is_suitable.then(|| {
                 let cost = engine.prefill_backlog_ms() + engine.fill() * FULL_BATCH_COST_MS;
--- a/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
@@ -69,7 +69,7 @@
     ) {
         let engine = self.engines.get(&key);
         let is_leaving = engine.is_some_and(Engine::is_leaving)
-            || self.plain_servers.get(&key).is_some_and(|is_leaving| *is_leaving);
+            || self.plain_servers.get(&key).is_some_and(|backend| backend.leaving);
         if is_leaving {
             return;
         }
--- a/crates/redwinglatch-fleet/src/core/planner/tests/limited_engines.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/limited_engines.rs
@@ -25,7 +25,7 @@
 impl Load {
     fn new(engines: u16, limits: &[RequestLimit]) -> Load {
         let mut simulation = Simulation::new(engines);
-        simulation.planner.set_granting(true);
+        simulation.planner.set_granting(0, true);
         for limit in limits {
             assert!(simulation.planner.set_request_limit(0, *limit));
         }
@@ -149,11 +149,11 @@
     let mut load = Load::new(1, &[limit(0, 5_000)]);
     load.run(1_000, 100, 1);
     assert!(!load.placed.is_empty());
-    load.simulation.planner.set_granting(false);
+    load.simulation.planner.set_granting(0, false);
     load.placed.clear();
     load.run(1_000, 100, 1);
     assert!(load.placed.is_empty());
-    load.simulation.planner.set_granting(true);
+    load.simulation.planner.set_granting(0, true);
     load.run(1_000, 100, 1);
     assert!(!load.placed.is_empty());
 }
--- a/crates/redwinglatch-fleet/src/dialect.rs
+++ b/crates/redwinglatch-fleet/src/dialect.rs
@@ -62,6 +62,8 @@
     /// The requests per second that the backend server takes from all processes together, in each response
     /// for as long as it needs the limit.
     pub request_limit: HeaderName,
+    /// Names the rejections in a second that a backend server bears, if it falls over beyond these.
+    pub brittle: HeaderName,
     /// The model or adapter that the request uses.
     pub model: HeaderName,
     /// The priority of a request at an engine, where lower numbers are more urgent.
@@ -100,6 +102,21 @@
         let Some(value) = headers.get(&self.request_limit) else { return Ok(None) };
         value.to_str().ok().and_then(RequestRate::parse).map(Some).ok_or(value)
     }
+
+    /// Returns the rejections in a second that the backend server bears, if its response says that it falls over
+    /// beyond these.
+    ///
+    /// # Errors
+    ///
+    /// Returns a number that can't be read.
+    pub(crate) fn max_rejections_per_s<'a>(
+        &self,
+        headers: &'a HeaderMap,
+    ) -> Result<Option<u32>, &'a HeaderValue> {
+        let Some(value) = headers.get(&self.brittle) else { return Ok(None) };
+        let rate = value.to_str().ok().and_then(RequestRate::parse).ok_or(value)?;
+        Ok(Some(u32::try_from(rate.milli_per_s / 1_000).unwrap_or(u32::MAX)))
+    }
 }
 
 /// An operation that an operator requests.
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -1,6 +1,7 @@
 //! Entry process, which serves callers and forwards their requests to backend servers.
 
 mod backend_health;
+mod brittle_rooms;
 mod budget;
 mod core_links;
 mod directory;
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -193,6 +193,10 @@
         FleetMessage::StreamVersionReply { id, reply } => {
             context.fleet_view().deliver_stream_version(id, reply);
         }
+        FleetMessage::BrittleServices(services) => {
+            let now_ms = context.now_ms();
+            context.fleet_view().set_brittle_services(now_ms, &services);
+        }
         FleetMessage::GrantReply { id, granted } => context.fleet_view().deliver_grant(id, granted),
         FleetMessage::Versions(versions) => context.fleet_view().set_versions(versions),
         FleetMessage::BackendsNotice { digest } => {
@@ -293,6 +297,7 @@
         let now_ms = context.now_ms();
         let mut view = context.fleet_view();
         view.report_all_request_limits();
+        view.report_all_brittle_services();
         view.report_unreported_failures(now_ms);
     }
     acceptance != CoordinatorAcceptance::Outdated
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -4,6 +4,7 @@
 mod outcomes;
 mod paths;
 mod relays;
+mod rooms;
 mod selection;
 mod streams;
 
@@ -23,6 +24,7 @@
 };
 use super::{
     backend_health::BackendHealth,
+    brittle_rooms::BrittleRooms,
     peers::Peers,
     ready_entries::ReadyEntries,
     request_limits::RequestLimits,
@@ -59,7 +61,7 @@
 enum Capability {
     /// Those about request limits and outcomes of requests.
     RequestLimits,
-    /// Those about software versions as well.
+    /// Those about software versions and brittle services as well.
     SoftwareVersions,
 }
 
@@ -86,6 +88,7 @@
     unlisted: VecDeque<(BackendKey, BackendHealth)>,
     backends_digest: u64,
     request_limits: RequestLimits,
+    brittle_rooms: BrittleRooms,
     /// The engines on which each model or adapter is loaded, with its version.
     model_locations: HashMap<ModelName, SmallVec<[(BackendKey, u64); 2]>>,
     coordinator_epoch: u64,
@@ -138,6 +141,7 @@
             unlisted: VecDeque::new(),
             backends_digest: 0,
             request_limits: RequestLimits::default(),
+            brittle_rooms: BrittleRooms::default(),
             model_locations: HashMap::new(),
             coordinator_epoch: 0,
             store_limit: 0,
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/limits.rs
@@ -90,18 +90,40 @@
         self.grant_replies.remove(&id);
     }
 
-    /// Takes one of the requests that this process may send to a limited server without a coordinator.
+    /// Takes one of the requests that this process may send to a limited or brittle server without a coordinator.
     ///
     /// # Errors
     ///
     /// Returns the time until the next one.
     pub(crate) fn try_take_turn(&mut self, now_ms: u64, server: BackendKey) -> Result<(), u64> {
-        let processes = self.ready_entry_addresses().len().max(MIN_PROCESSES);
+        if self.is_brittle_server(server) {
+            self.try_take_room(now_ms, server)?;
+        }
+        let processes = self.sharing_processes();
         self.request_limits.try_take_turn(now_ms, server, processes)
     }
 
-    /// Records that no request may be sent to a limited server before `until_ms`.
+    /// Returns the number of processes among which what a server takes is divided without a coordinator.
+    pub(super) fn sharing_processes(&self) -> usize {
+        self.ready_entry_addresses().len().max(MIN_PROCESSES)
+    }
+
+    /// Records that no request may be sent to a limited or brittle server before `until_ms`.
     pub(crate) fn deny_until(&mut self, server: BackendKey, until_ms: u64) {
+        if self.is_brittle_server(server) {
+            self.brittle_rooms.deny_until(server, until_ms);
+        }
         self.request_limits.deny_until(server, until_ms);
     }
+
+    /// Returns until when no request may be sent to a limited or brittle server.
+    pub(super) fn denied_until_ms(&self, now_ms: u64, server: BackendKey) -> Option<u64> {
+        let limit_ms = self.request_limits.denied_until_ms(now_ms, server);
+        limit_ms.max(self.brittle_rooms.denied_until_ms(now_ms, server))
+    }
+
+    /// Returns whether requests to a server need a grant.
+    pub(crate) fn needs_grant(&self, server: BackendKey) -> bool {
+        self.is_limited(server) || self.is_brittle_server(server)
+    }
 }
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
@@ -88,7 +88,9 @@
                 self.usable_backends(&check.service, &check.failed).collect();
             fastrand::shuffle(&mut servers);
             servers.truncate(per_service);
-            let health_path = self.health_path(&check.service).filter(|_| check.needs_answer);
+            // A health check needs room as any other request.
+            let may_request = check.needs_answer && !self.is_brittle(&check.service);
+            let health_path = self.health_path(&check.service).filter(|_| may_request);
             let checks = servers.into_iter().filter_map(|server| {
                 let address = self.backends.get(&server)?.backend.address;
                 Some(ServerCheck { server, address, health_path: health_path.clone() })
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/selection.rs
@@ -154,7 +154,7 @@
     /// may take one.
     pub(crate) fn service_denied_until_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
         let servers = self.usable_backends(service, &[]);
-        servers.filter_map(|key| self.request_limits.denied_until_ms(now_ms, key)).min()
+        servers.filter_map(|key| self.denied_until_ms(now_ms, key)).min()
     }
 
     /// Returns the servers of a service that aren't leaving.
@@ -205,7 +205,7 @@
         let mut best: Option<((bool, f64), BackendKey)> = None;
         for key in candidates {
             let Some(state) = self.backends.get(&key) else { continue };
-            let is_denied = self.request_limits.denied_until_ms(now_ms, key).is_some();
+            let is_denied = self.denied_until_ms(now_ms, key).is_some();
             if is_denied || state.health.hold_end_ms(now_ms).is_some() {
                 continue;
             }
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -417,7 +417,11 @@
             selected.id,
             selected.software_version,
             prepared.resumes.as_deref().unwrap_or("-"),
-            if placement.is_some() { "coordinator" } else { "entry" },
+            if placement.as_ref().is_some_and(|placement| placement.epoch() > 0) {
+                "coordinator"
+            } else {
+                "entry"
+            },
             prepared.table.configuration().version,
             received_at.elapsed().as_millis(),
             attempts.sent,
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    brittle_services::BrittleService,
     entry::{
         EntryContext, fleet_view::SelectedBackend, in_flight::InFlight, placement::PlacementGuard,
     },
@@ -117,6 +118,7 @@
         let (parts, body) = response.into_parts();
         self.record_announcements(parts.status, &parts.headers);
         self.record_request_limit(sent_ms, &parts.headers);
+        self.record_brittleness(sent_ms, &parts.headers);
         if !self.has_own_request_id(&parts.headers) {
             self.log_failure("the response has the id of another request");
             return AttemptOutcome::MaybeRan;
@@ -226,7 +228,7 @@
 
     /// Records the request limit that a response names, or that it names none.
     fn record_request_limit(&self, sent_ms: u64, headers: &HeaderMap) {
-        let BackendAttempt { context, prepared, selected, .. } = self;
+        let BackendAttempt { context, selected, .. } = self;
         let names = &context.dialect.headers;
         let named = match names.request_limit(headers) {
             Ok(named) => named,
@@ -235,10 +237,7 @@
                 return;
             }
         };
-        // A rejection, or a response that belongs to no request, may name no limit although there is one.
-        let has_id = prepared.request_id.is_none() || headers.contains_key(&names.request_id);
-        let is_from_run = has_id && headers.contains_key(&names.response_stamp);
-        if named.is_none() && !is_from_run {
+        if named.is_none() && !self.is_from_run(headers) {
             return;
         }
         let now_ms = context.now_ms();
@@ -253,6 +252,38 @@
         }
     }
 
+    /// Returns whether a response shows what its server no longer says. A rejection, or a response that belongs to
+    /// no request, may leave it out.
+    fn is_from_run(&self, headers: &HeaderMap) -> bool {
+        let names = &self.context.dialect.headers;
+        let has_id = self.prepared.request_id.is_none() || headers.contains_key(&names.request_id);
+        has_id && headers.contains_key(&names.response_stamp)
+    }
+
+    /// Records whether a response says that its server falls over when it must turn requests away.
+    fn record_brittleness(&self, sent_ms: u64, headers: &HeaderMap) {
+        let BackendAttempt { context, prepared, selected, .. } = self;
+        let named = context.dialect.headers.max_rejections_per_s(headers).unwrap_or_else(|value| {
+            log::warn!("entry: server {} names unreadable rejections {value:?}", selected.id);
+            Some(0)
+        });
+        if named.is_none() && !self.is_from_run(headers) {
+            return;
+        }
+        let service = prepared.service.clone();
+        let brittle = BrittleService { service, max_rejections_per_s: named };
+        let now_ms = context.now_ms();
+        if context.fleet_view().record_brittle_answer(now_ms, sent_ms, brittle) {
+            match named {
+                Some(rejections) => log::info!(
+                    "entry: servers of {} fall over beyond {rejections} rejections a second",
+                    prepared.service
+                ),
+                None => log::info!("entry: servers of {} are sound again", prepared.service),
+            }
+        }
+    }
+
     fn has_own_request_id(&self, headers: &HeaderMap) -> bool {
         let response_id = headers.get(&self.context.dialect.headers.request_id);
         match (response_id, &self.prepared.request_id) {
@@ -271,9 +302,10 @@
             selected.id,
             prepared.model,
         );
+        let now_ms = context.now_ms();
         let mut view = context.fleet_view();
         if status != StatusCode::MISDIRECTED_REQUEST {
-            return;
+            return view.record_full(now_ms, selected.key);
         }
         match &prepared.model {
             Some(model) => {
@@ -281,7 +313,7 @@
                 let (engine, model) = (selected.key, model.clone());
                 view.send_to_coordinator(&FleetMessage::ModelNotLoaded { engine, model });
             }
-            None => view.record_replacement(context.now_ms(), selected.key),
+            None => view.record_replacement(now_ms, selected.key),
         }
     }
 
--- a/crates/redwinglatch-fleet/src/entry/forward/find_backend.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/find_backend.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::{
     entry::{
@@ -22,6 +22,8 @@
 const MIN_COORDINATOR_WAIT: Duration = Duration::from_millis(400);
 /// Time that remains after this wait until the caller leaves: a load, a prompt and the first event.
 const COORDINATOR_WAIT_MARGIN: Duration = Duration::from_millis(900);
+/// Time for which a request waits for room at a brittle server.
+const ROOM_WAIT: Duration = Duration::from_millis(400);
 /// Interval between placement requests during that time.
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Range of the random time that a request waits beyond the end of a server's hold.
@@ -40,6 +42,7 @@
         .checked_sub(COORDINATOR_WAIT_MARGIN)
         .unwrap_or(received_at)
         .max(Instant::now() + MIN_COORDINATOR_WAIT);
+    let mut room_wait_ends_at = None;
     loop {
         check_quarantine(context, prepared)?;
         check_version(context, prepared)?;
@@ -83,14 +86,26 @@
         match select_backend(context, prepared, attempted) {
             // A server that denies the request isn't selected again before it may take one.
             BackendSelection::Selected(selected) => {
-                if grant::take(context, selected.key).await {
-                    return Ok((selected, None));
+                if let Some(granted) = grant::take(context, selected.key).await {
+                    return Ok((selected, granted));
                 }
             }
             BackendSelection::OnHold { until_ms } => {
                 wait_for_hold(context, prepared, until_ms, received_at).await?;
             }
-            BackendSelection::Unavailable => return Err(unavailable_reason(context, prepared)),
+            BackendSelection::Unavailable => {
+                let reason = unavailable_reason(context, prepared);
+                let wait_ends_at = *room_wait_ends_at.get_or_insert(Instant::now() + ROOM_WAIT);
+                let RefusalReason::BackendsLimited { retry_after_ms } = reason else {
+                    return Err(reason);
+                };
+                let is_brittle = context.fleet_view().is_brittle(&prepared.service);
+                if !is_brittle || Instant::now() >= wait_ends_at {
+                    return Err(reason);
+                }
+                let wait = Duration::from_millis(retry_after_ms.max(1));
+                sleep_until((Instant::now() + wait).min(wait_ends_at)).await;
+            }
             BackendSelection::AwaitLoad(loaded) => {
                 if Instant::now() >= wait_until {
                     return Err(RefusalReason::NotLoaded);
--- a/crates/redwinglatch-fleet/src/entry/in_flight.rs
+++ b/crates/redwinglatch-fleet/src/entry/in_flight.rs
@@ -14,6 +14,7 @@
     /// The epoch of the coordinator that placed the request, or 0 if this process placed it.
     epoch: u64,
     placement: Option<PlacementGuard>,
+    started_ms: u64,
 }
 
 impl InFlight {
@@ -25,7 +26,8 @@
     ) -> InFlight {
         let epoch = placement.as_ref().map_or(0, PlacementGuard::epoch);
         context.fleet_view().backend_request_started(backend, model.as_ref(), epoch);
-        InFlight { context: Arc::clone(context), backend, model, epoch, placement }
+        let started_ms = context.now_ms();
+        InFlight { context: Arc::clone(context), backend, model, epoch, placement, started_ms }
     }
 
     /// Reports to the coordinator that the first event of the stream has arrived.
@@ -42,11 +44,10 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.context.fleet_view().backend_request_ended(
-            self.backend,
-            self.model.as_ref(),
-            self.epoch,
-        );
+        let duration_ms = self.context.now_ms().saturating_sub(self.started_ms);
+        let mut view = self.context.fleet_view();
+        view.backend_request_ended(self.backend, self.model.as_ref(), self.epoch);
+        view.record_duration(self.backend, duration_ms);
     }
 }
 
--- a/crates/redwinglatch-fleet/src/entry/placement.rs
+++ b/crates/redwinglatch-fleet/src/entry/placement.rs
@@ -39,12 +39,17 @@
 }
 
 impl PlacementGuard {
+    /// Keeps the coordinator's grant for a request that this process places.
+    pub(super) fn of_grant(context: &Arc<EntryContext>, id: u64) -> PlacementGuard {
+        PlacementGuard { context: Arc::clone(context), id, epoch: 0 }
+    }
+
     /// Notifies the coordinator that the engine has processed the prompt.
     pub(crate) fn first_event(&self) {
         self.context.fleet_view().send_to_coordinator(&FleetMessage::FirstEvent { id: self.id });
     }
 
-    /// The coordinator's epoch.
+    /// The coordinator's epoch, or 0 if this process has placed the request.
     pub(crate) fn epoch(&self) -> u64 {
         self.epoch
     }
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! A [`Dialect`] describes the platform's names of fields, headers and paths. This package contains
 //! none of these names.
 
+mod brittle_services;
 mod clock;
 mod core;
 mod dialect;
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     BackendEntry,
+    brittle_services::BrittleService,
     ids::{BackendKey, ModelName, SoftwareVersion, StreamKey},
     limited_servers::RequestLimit,
     quarantine::QuarantinedKey,
@@ -96,7 +97,8 @@
     /// Request limits of backend servers that are new or have ended. A core process sends all limits first
     /// to every entry process, which shows that it understands all messages up to `RequestFailed`.
     RequestLimits(Vec<RequestLimit>),
-    /// Requests the coordinator's grant for a request to a backend server with a limit.
+    /// Requests the coordinator's grant for a request to a backend server with a limit, or of a brittle service.
+    /// A grant of the latter ends with a `Release` message.
     GrantRequest { id: u64, server: BackendKey },
     /// The coordinator's decision on a `GrantRequest`; an error is the time until one may be granted.
     GrantReply { id: u64, granted: Result<(), u64> },
@@ -113,7 +115,7 @@
     VersionedBackendChanges { changes: BackendChanges, versions: Vec<Box<str>> },
     /// The software versions of each service under which streams in progress may have begun. A core process
     /// sends all of them first to every entry process, which shows that it understands all messages up to
-    /// `StreamVersionReply`.
+    /// `ServerFull`.
     SoftwareVersions(Vec<(Box<str>, Vec<Box<str>>)>),
     /// The software versions that began streams, from an entry process while a service has several.
     StreamsBegan(Vec<(StreamKey, SoftwareVersion)>),
@@ -123,6 +125,11 @@
     StreamVersionReply { id: u64, reply: StreamVersionReply },
     /// The same as `Place`, for a stream that goes on at engines of one software version.
     PlaceAtVersion { id: u64, request: PlaceRequest, version: SoftwareVersion },
+    /// Services whose servers have become brittle or no longer are. The coordinator sends all that are first to
+    /// every entry process.
+    BrittleServices(Vec<BrittleService>),
+    /// Reports that a brittle server has rejected a request for want of room.
+    ServerFull { server: BackendKey },
 }
 
 impl FleetMessage {
@@ -171,7 +178,10 @@
             FleetMessage::StreamsBegan(_)
             | FleetMessage::StreamVersionRequest { .. }
             | FleetMessage::StreamVersionReply { .. } => "stream_versions",
-            FleetMessage::GrantRequest { .. } | FleetMessage::GrantReply { .. } => "grants",
+            FleetMessage::GrantRequest { .. }
+            | FleetMessage::GrantReply { .. }
+            | FleetMessage::BrittleServices(_)
+            | FleetMessage::ServerFull { .. } => "grants",
             FleetMessage::LeaderRequest { .. } => "leader_request",
             FleetMessage::LeaderResponse { .. } => "leader_response",
         }
