Check lost paths more rarely in large fleets

What callers saw: nothing yet. When all servers of a service have ended, each process tried three of them every 300 ms: at 200 processes 2,000 connections a second to six servers that come back. Cause: the interval of the checks didn't depend on the number of processes. Change: it grows by 5 ms for each process that was ready at the same time. Servers are counted only while one is silent.

--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -225,7 +225,7 @@
             let count = {
                 let mut view = context.fleet_view();
                 view.set_entry_endpoints(core, endpoints);
-                view.forget_peers();
+                view.update_peers();
                 view.ready_entry_addresses().len()
             };
             context.retry_budget().set_processes(count);
@@ -234,7 +234,7 @@
             let count = {
                 let mut view = context.fleet_view();
                 view.change_entry_endpoints(core, changes);
-                view.forget_peers();
+                view.update_peers();
                 view.ready_entry_addresses().len()
             };
             context.retry_budget().set_processes(count);
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -113,6 +113,8 @@
     unreported_failures: UnreportedFailures,
     coordinator_address: Option<SocketAddr>,
     ready_entries: ReadyEntries,
+    /// The most entry processes that were ready at the same time.
+    most_ready_entries: usize,
     /// Notifications for requests that wait until a model is loaded.
     load_notifiers: HashMap<ModelName, Arc<Notify>>,
     /// Receivers of the coordinator's replies, by the id of the placement.
@@ -159,6 +161,7 @@
             unreported_failures: UnreportedFailures::default(),
             coordinator_address: None,
             ready_entries: ReadyEntries::default(),
+            most_ready_entries: 0,
             load_notifiers: HashMap::new(),
             placement_replies: HashMap::new(),
             grant_replies: HashMap::new(),
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
@@ -78,12 +78,14 @@
         now_ms: u64,
         per_service: usize,
     ) -> Vec<ServerCheck> {
-        for service in self.server_paths.services() {
+        for service in self.server_paths.services_with_silence(now_ms) {
             let servers = self.usable_backends(&service, &[]).count();
             log_change(&service, self.server_paths.check_silence(now_ms, &service, servers));
         }
         let mut chosen = Vec::new();
-        for check in self.server_paths.take_due_checks(now_ms) {
+        // Processes that are cut off aren't ready, and check as well.
+        let processes = self.most_ready_entries;
+        for check in self.server_paths.take_due_checks(now_ms, processes) {
             let mut servers: Vec<BackendKey> =
                 self.usable_backends(&check.service, &check.failed).collect();
             fastrand::shuffle(&mut servers);
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/relays.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/relays.rs
@@ -42,9 +42,10 @@
         self.peers.failed(now_ms, peer);
     }
 
-    /// Forgets the processes that are no longer ready.
-    pub(crate) fn forget_peers(&mut self) {
+    /// Applies a change of the ready entry processes.
+    pub(crate) fn update_peers(&mut self) {
         let ready = &self.ready_entries;
+        self.most_ready_entries = self.most_ready_entries.max(ready.addresses().len());
         self.peers.retain(|front| ready.contains(front));
     }
 }
--- a/crates/redwinglatch-fleet/src/entry/server_paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/server_paths.rs
@@ -21,8 +21,10 @@
 const FAILED_SILENCE_MS: u64 = 1_200;
 /// Interval between checks while the path is in doubt.
 const DOUBT_CHECK_INTERVAL_MS: u64 = 400;
-/// Interval between checks while the path is lost.
+/// Interval between checks while the path is lost, and the part of it for each process. Hundreds of them lose the
+/// path together when the servers have ended, and these must come back in spite of the checks.
 const LOST_CHECK_INTERVAL_MS: u64 = 300;
+const LOST_CHECK_INTERVAL_MS_PER_PROCESS: u64 = 5;
 /// Time since the last data from a server for which kept connections count as sound while no new ones are
 /// accepted.
 const SOUND_CONNECTIONS_MS: u64 = 700;
@@ -195,6 +197,14 @@
         self.services.get(service).into_iter().flat_map(move |path| path.failed(now_ms))
     }
 
+    /// Returns the services of which a server has been silent for so long that it counts as failed.
+    pub(super) fn services_with_silence(&self, now_ms: u64) -> Vec<Box<str>> {
+        let silent = self.services.iter().filter(|(_, path)| {
+            !path.is_silent && path.unanswered_for(now_ms, FAILED_SILENCE_MS) > 0
+        });
+        silent.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Looks whether a service of `servers` servers has fallen silent.
     pub(super) fn check_silence(
         &mut self,
@@ -207,11 +217,6 @@
         path.take_change(now_ms)
     }
 
-    /// Returns the services to which requests were sent.
-    pub(super) fn services(&self) -> Vec<Box<str>> {
-        self.services.keys().cloned().collect()
-    }
-
     /// Returns whether requests to a service must go another way.
     pub(super) fn is_lost(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|path| path.lost_since_ms.is_some())
@@ -230,15 +235,16 @@
         used.peek().is_some() && used.all(|service| self.is_lost(service))
     }
 
-    /// Returns what must be checked now.
-    pub(super) fn take_due_checks(&mut self, now_ms: u64) -> Vec<PathCheck> {
+    /// Returns what must be checked now by one of `processes` processes.
+    pub(super) fn take_due_checks(&mut self, now_ms: u64, processes: usize) -> Vec<PathCheck> {
+        let lost_interval_ms =
+            LOST_CHECK_INTERVAL_MS.max(processes as u64 * LOST_CHECK_INTERVAL_MS_PER_PROCESS);
         let due = self.services.iter_mut().filter_map(|(service, path)| {
             let is_lost = path.lost_since_ms.is_some();
             if now_ms < path.check_due_ms || !(is_lost || path.is_in_doubt(now_ms)) {
                 return None;
             }
-            let interval_ms =
-                if is_lost { LOST_CHECK_INTERVAL_MS } else { DOUBT_CHECK_INTERVAL_MS };
+            let interval_ms = if is_lost { lost_interval_ms } else { DOUBT_CHECK_INTERVAL_MS };
             path.check_due_ms = now_ms + interval_ms;
             // While the path is lost, the servers that failed are as good as any.
             let failed = if is_lost { SmallVec::new() } else { path.failed(now_ms).collect() };
--- a/crates/redwinglatch-fleet/src/entry/server_paths/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/server_paths/tests.rs
@@ -102,14 +102,16 @@
         paths.sent(4_000 + server, SERVICE, BackendKey(server));
         paths.sent(4_500, SERVICE, BackendKey(server));
     }
-    assert!(paths.take_due_checks(4_000 + DOUBT_SILENCE_MS).is_empty());
-    assert_eq!(paths.take_due_checks(4_001 + DOUBT_SILENCE_MS).len(), 1);
+    assert!(paths.take_due_checks(4_000 + DOUBT_SILENCE_MS, 12).is_empty());
+    assert_eq!(paths.take_due_checks(4_001 + DOUBT_SILENCE_MS, 12).len(), 1);
+    assert!(paths.services_with_silence(4_000 + FAILED_SILENCE_MS).is_empty());
+    assert_eq!(paths.services_with_silence(4_001 + FAILED_SILENCE_MS), [SERVICE.into()]);
     assert_eq!(paths.check_silence(4_002 + FAILED_SILENCE_MS, SERVICE, 12), None);
     let lost = paths.check_silence(4_003 + FAILED_SILENCE_MS, SERVICE, 12);
     assert_eq!(lost, Some(PathChange::Lost { failed_servers: 3 }));
     let accepted = accepted(&mut paths, 6_000, 1, 12);
     assert_eq!(accepted, None, "servers that accept may still not answer");
-    assert!(paths.take_due_checks(6_000)[0].needs_answer);
+    assert!(paths.take_due_checks(6_000, 12)[0].needs_answer);
     assert!(matches!(paths.heard(6_100, SERVICE), Some(PathChange::Found { .. })));
 }
 
@@ -131,15 +133,26 @@
 fn failure_is_checked_at_other_servers_at_once_and_a_lost_path_again_and_again() {
     let mut paths = ServerPaths::default();
     failed(&mut paths, 1_000, 1, 3);
-    let checks = paths.take_due_checks(1_000);
+    let checks = paths.take_due_checks(1_000, 12);
     assert_eq!(checks[0].failed.as_slice(), [BackendKey(1)]);
-    assert!(paths.take_due_checks(999 + DOUBT_CHECK_INTERVAL_MS).is_empty());
+    assert!(paths.take_due_checks(999 + DOUBT_CHECK_INTERVAL_MS, 12).is_empty());
     failed(&mut paths, 1_400, 2, 3);
     failed(&mut paths, 1_400, 3, 3);
     for round in 1..5 {
         let now_ms = 1_000 + DOUBT_CHECK_INTERVAL_MS + round * LOST_CHECK_INTERVAL_MS;
-        let checks = paths.take_due_checks(now_ms);
+        let checks = paths.take_due_checks(now_ms, 12);
         assert!(checks[0].failed.is_empty(), "all servers may be tried");
         assert!(checks[0].needs_answer, "a connection that is accepted may be reset at once");
     }
 }
+
+/// The servers of a service have ended, and hundreds of processes wait for them to come back.
+#[test]
+fn many_processes_check_a_lost_path_more_rarely() {
+    let mut paths = ServerPaths::default();
+    for server in 1..=3 {
+        failed(&mut paths, 1_000, server, 3);
+    }
+    let checks = (1_000..11_000).filter(|now_ms| !paths.take_due_checks(*now_ms, 200).is_empty());
+    assert_eq!(checks.count(), 10);
+}
