Split forwarding and the view of an entry process into more files

A request's preparation, the choice of its way, the core processes and the backend list have a file each.

--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -1,5 +1,7 @@
 //! The state of the fleet as an entry process knows it, and the selection of backend servers.
 
+mod backend_list;
+mod cores;
 mod limits;
 mod outcomes;
 mod paths;
@@ -18,7 +20,9 @@
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc, oneshot};
 
+use self::cores::Capability;
 pub(crate) use self::{
+    cores::CoordinatorAcceptance,
     paths::ServerCheck,
     selection::{BackendSelection, SelectedBackend},
 };
@@ -33,18 +37,15 @@
     stream_versions::StreamVersions,
 };
 use crate::{
-    ids::{BackendKey, ModelName, SoftwareVersion, is_adapter},
+    ids::{BackendKey, ModelName, is_adapter},
     link::LinkSender,
     message::{
-        Backend, BackendChanges, EntryEndpoint, EntryEndpointChanges, EntryStatus, FleetMessage,
-        ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest, StreamVersionReply,
+        Backend, EntryEndpoint, EntryEndpointChanges, EntryStatus, ModelLocation,
+        ModelLocationChange, PlaceReply, StreamVersionReply,
     },
     quarantine::Quarantine,
 };
 
-/// Maximum number of servers whose announcements are kept although they are no longer listed.
-const MAX_UNLISTED: usize = 256;
-
 /// State of a backend server as this process knows it.
 #[derive(Debug)]
 struct BackendState {
@@ -56,26 +57,6 @@
     health: BackendHealth,
 }
 
-/// Messages that a core process understands. It shows so by a message that older versions don't send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Capability {
-    /// Those about request limits and outcomes of requests.
-    RequestLimits,
-    /// Those about software versions and brittle services as well.
-    SoftwareVersions,
-}
-
-/// Result of a message from a process that is the coordinator of an epoch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CoordinatorAcceptance {
-    /// A newer coordinator is known, so the message is ignored.
-    Outdated,
-    /// The message is of the known coordinator.
-    Current,
-    /// The sender has become the coordinator, or is connected again.
-    New,
-}
-
 /// The state of the fleet as one entry process knows it.
 #[derive(Debug)]
 pub(crate) struct FleetView {
@@ -217,127 +198,6 @@
         self.requests_in_flight -= 1;
     }
 
-    /// Adds a core process and returns whether it was unknown.
-    pub(crate) fn add_core(&mut self, address: SocketAddr) -> bool {
-        if self.cores.contains_key(&address) {
-            return false;
-        }
-        self.cores.insert(address, None);
-        true
-    }
-
-    pub(crate) fn core_connected(&mut self, address: SocketAddr, sender: LinkSender) {
-        self.cores.insert(address, Some(sender));
-    }
-
-    pub(crate) fn core_disconnected(&mut self, address: SocketAddr) {
-        self.cores.insert(address, None);
-        self.capabilities.remove(&address);
-        self.forget_announced_versions(address);
-        if self.connected_cores() > 0 {
-            self.ready_entries.remove(address);
-        }
-        if self.coordinator_address == Some(address) {
-            self.coordinator_address = None;
-            self.forget_requests_to_coordinator();
-        }
-    }
-
-    /// Records that a core process understands messages; returns whether that is new.
-    fn add_capability(&mut self, core: SocketAddr, capability: Capability) -> bool {
-        let is_new = !self.has_capability(core, capability);
-        if is_new {
-            self.capabilities.insert(core, capability);
-        }
-        is_new
-    }
-
-    fn has_capability(&self, core: SocketAddr, capability: Capability) -> bool {
-        self.capabilities.get(&core).is_some_and(|known| *known >= capability)
-    }
-
-    fn coordinator_has_capability(&self, capability: Capability) -> bool {
-        self.coordinator_address.is_some_and(|core| self.has_capability(core, capability))
-    }
-
-    /// Lets requests that wait for the previous coordinator go on without it.
-    fn forget_requests_to_coordinator(&mut self) {
-        self.placement_replies.clear();
-        self.grant_replies.clear();
-    }
-
-    pub(crate) fn connected_cores(&self) -> usize {
-        self.cores.values().flatten().filter(|sender| !sender.is_closed()).count()
-    }
-
-    /// Returns the link to a core process while it is connected.
-    pub(crate) fn core_link(&self, core: SocketAddr) -> Option<LinkSender> {
-        self.cores.get(&core).cloned().flatten()
-    }
-
-    /// Sends `full` to the coordinator, and `short` to the other core processes.
-    pub(crate) fn send_to_cores(&self, full: &FleetMessage, short: Option<&FleetMessage>) {
-        for (core, sender) in &self.cores {
-            let message = if self.coordinator_address == Some(*core) { Some(full) } else { short };
-            if let (Some(sender), Some(message)) = (sender, message) {
-                sender.send(message);
-            }
-        }
-    }
-
-    fn coordinator_link(&self) -> Option<&LinkSender> {
-        self.coordinator_address
-            .and_then(|address| self.cores.get(&address))
-            .and_then(Option::as_ref)
-    }
-
-    pub(crate) fn send_to_coordinator(&self, message: &FleetMessage) -> bool {
-        self.coordinator_link().is_some_and(|sender| sender.send(message))
-    }
-
-    /// Requests a placement from the coordinator, on engines of a software version if one is given. Returns the
-    /// id of the placement and the coordinator's epoch, or `None` if no coordinator is usable.
-    pub(crate) fn start_placement(
-        &mut self,
-        now_ms: u64,
-        replies: mpsc::Sender<PlaceReply>,
-        request: PlaceRequest,
-        version: Option<SoftwareVersion>,
-    ) -> Option<(u64, u64)> {
-        if now_ms < self.coordinator_suspect_until_ms {
-            return None;
-        }
-        let id = self.next_placement_id;
-        self.next_placement_id += 1;
-        let message = match version {
-            None => FleetMessage::Place { id, request },
-            Some(_) if !self.coordinator_has_capability(Capability::SoftwareVersions) => {
-                return None;
-            }
-            Some(version) => FleetMessage::PlaceAtVersion { id, request, version },
-        };
-        if !self.send_to_coordinator(&message) {
-            return None;
-        }
-        self.placement_replies.insert(id, replies);
-        Some((id, self.coordinator_epoch))
-    }
-
-    pub(crate) fn deliver_place_reply(&mut self, id: u64, reply: PlaceReply) {
-        if let Some(replies) = self.placement_replies.get(&id) {
-            // The request may have ended; its `Release` message then follows.
-            let _ = replies.try_send(reply);
-        }
-    }
-
-    pub(crate) fn end_placement(&mut self, id: u64) {
-        self.placement_replies.remove(&id);
-    }
-
-    pub(crate) fn suspect_coordinator_until(&mut self, until_ms: u64) {
-        self.coordinator_suspect_until_ms = until_ms;
-    }
-
     pub(crate) fn set_entry_endpoints(&mut self, core: SocketAddr, endpoints: Vec<EntryEndpoint>) {
         self.ready_entries.set(core, endpoints);
     }
@@ -365,98 +225,6 @@
         entries
     }
 
-    pub(crate) fn has_backends(&self) -> bool {
-        !self.backends.is_empty()
-    }
-
-    pub(crate) fn backends_digest(&self) -> u64 {
-        self.backends_digest
-    }
-
-    pub(crate) fn set_backends(&mut self, digest: u64, entries: Vec<Backend>) {
-        self.backends_digest = digest;
-        let mut previous = std::mem::take(&mut self.backends);
-        self.services.clear();
-        for backend in entries {
-            let state = previous.remove(&backend.key);
-            self.insert_backend(backend, state);
-        }
-        self.remember_unlisted(previous);
-    }
-
-    /// Applies changes of the backend list; returns false, and changes nothing, if they start from another
-    /// list.
-    pub(crate) fn change_backends(&mut self, changes: BackendChanges) -> bool {
-        if changes.from != self.backends_digest {
-            return false;
-        }
-        self.backends_digest = changes.digest;
-        let replaced = changes.changed.iter().map(|backend| backend.key);
-        let mut previous: HashMap<BackendKey, BackendState> = HashMap::new();
-        for key in changes.removed.into_iter().chain(replaced) {
-            let Some(state) = self.backends.remove(&key) else { continue };
-            if let Some(keys) = self.services.get_mut(&state.backend.service) {
-                keys.retain(|other| *other != key);
-            }
-            previous.insert(key, state);
-        }
-        for backend in changes.changed {
-            let state = previous.remove(&backend.key);
-            self.insert_backend(backend, state);
-        }
-        self.remember_unlisted(previous);
-        true
-    }
-
-    /// Keeps what removed servers have announced.
-    fn remember_unlisted(&mut self, removed: HashMap<BackendKey, BackendState>) {
-        let announced = removed.into_iter().filter(|(_, state)| state.health.has_announcement());
-        self.unlisted.extend(announced.map(|(key, state)| (key, state.health)));
-        let surplus = self.unlisted.len().saturating_sub(MAX_UNLISTED);
-        self.unlisted.drain(..surplus);
-    }
-
-    /// Returns what a server that is listed again has announced before.
-    fn take_unlisted(&mut self, key: BackendKey) -> Option<BackendHealth> {
-        let at = self.unlisted.iter().position(|(unlisted, _)| *unlisted == key)?;
-        self.unlisted.remove(at).map(|(_, health)| health)
-    }
-
-    /// Adds a server, with its state if it was listed before.
-    fn insert_backend(&mut self, backend: Backend, previous: Option<BackendState>) {
-        let key = backend.key;
-        self.services.entry(backend.service.clone()).or_default().push(key);
-        let state = match previous {
-            Some(state) => BackendState { backend, ..state },
-            None => BackendState {
-                backend,
-                own_in_flight: 0,
-                others_in_flight: 0,
-                is_unresponsive: false,
-                health: self.take_unlisted(key).unwrap_or_default(),
-            },
-        };
-        self.backends.insert(key, state);
-    }
-
-    /// Accepts `core` as the coordinator of `epoch`, unless the epoch is outdated.
-    pub(crate) fn accept_coordinator(
-        &mut self,
-        core: SocketAddr,
-        epoch: u64,
-    ) -> CoordinatorAcceptance {
-        if epoch < self.coordinator_epoch {
-            return CoordinatorAcceptance::Outdated;
-        }
-        let is_known = epoch == self.coordinator_epoch && self.coordinator_address == Some(core);
-        if epoch > self.coordinator_epoch {
-            self.forget_requests_to_coordinator();
-        }
-        self.coordinator_epoch = epoch;
-        self.coordinator_address = Some(core);
-        if is_known { CoordinatorAcceptance::Current } else { CoordinatorAcceptance::New }
-    }
-
     pub(crate) fn merge_model_locations(&mut self, locations: Vec<ModelLocation>) {
         // Locations are only added: a new coordinator knows fewer than its predecessor announced.
         for location in locations {
@@ -572,44 +340,6 @@
             }
         }
     }
-
-    /// Returns the address of a backend server while it is listed.
-    pub(crate) fn backend_address(&self, key: BackendKey) -> Option<SocketAddr> {
-        self.backends.get(&key).map(|state| state.backend.address)
-    }
-
-    /// Records that a backend server responded.
-    pub(crate) fn record_response(&mut self, key: BackendKey) {
-        if let Some(state) = self.backends.get_mut(&key) {
-            state.health.record_response();
-        }
-    }
-
-    /// Records that a backend server did not respond, and avoids it for some time.
-    pub(crate) fn record_failure(&mut self, now_ms: u64, key: BackendKey) {
-        if let Some(state) = self.backends.get_mut(&key) {
-            state.health.record_failure(now_ms);
-        }
-    }
-
-    /// Records that a backend server wants no requests from this process before `until_ms`.
-    pub(crate) fn record_hold(&mut self, key: BackendKey, until_ms: u64) {
-        if let Some(state) = self.backends.get_mut(&key) {
-            state.health.record_hold(until_ms);
-        }
-    }
-
-    /// Records that another server has taken over the address of a backend server.
-    pub(crate) fn record_replacement(&mut self, now_ms: u64, key: BackendKey) {
-        if let Some(state) = self.backends.get_mut(&key) {
-            state.health.record_replacement(now_ms);
-        }
-    }
-
-    /// Records that a backend server announced its stop; returns whether that is new.
-    pub(crate) fn record_leaving(&mut self, key: BackendKey) -> bool {
-        self.backends.get_mut(&key).is_some_and(|state| state.health.record_leaving())
-    }
 }
 
 #[cfg(test)]
--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -324,7 +324,7 @@
             self.selected.id,
             self.prepared.logged_parts(),
             self.prepared.digests().content,
-            self.prepared.caller,
+            self.prepared.caller(),
             self.context.fleet_view().is_path_lost(&self.prepared.service),
         );
     }
--- a/crates/redwinglatch-fleet/src/entry/forward/take_up.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/take_up.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use hyper::http::request::Parts;
 use redwinglatch_routing::Route;
 use tokio::{
     sync::mpsc,
@@ -34,6 +35,19 @@
     pub(super) version: SoftwareVersion,
 }
 
+/// Returns the stream that a request takes up, if it does. One whose first attempt isn't named gets a key of its
+/// own, which no process knows.
+pub(super) fn taken_up_stream(context: &EntryContext, parts: &Parts) -> Option<StreamKey> {
+    let names = &context.dialect.headers;
+    let text = |name| parts.headers.get(name).and_then(|value| value.to_str().ok());
+    let resumes = text(&names.resumes);
+    if resumes.is_none() && !parts.headers.contains_key(&names.last_event_id) {
+        return None;
+    }
+    let attempt = resumes.or_else(|| text(&names.request_id)).unwrap_or_default();
+    Some(StreamKey::new(attempt))
+}
+
 /// Finds the service and software version at which a stream goes on.
 pub(super) async fn resolve(
     context: &Arc<EntryContext>,
