Keep the time to a recorded end that is removed before the next one

Found on the way: each report of one end named the time since the first of them, so that the recorded times added up to too much; they are those between reports.

the_time_since_the_last_end_outlasts_its_removal ([0, 4] in place of [0, 154]) and the_recorded_times_between_ends_add_up ([0, 4, 4, 8, 196] in place of [0, 4, 4, 4, 188]) failed before.

--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
@@ -74,6 +74,8 @@
     ends: VecDeque<End>,
     /// Ends since [`FatalRequests::take_new_ends`] was called.
     new_ends: Vec<ServerEnd>,
+    /// The time of the last recorded end, as that of an [`End`].
+    last_recorded_ms: Option<i64>,
     /// The time of the last complete answer for each part or watched digest.
     completed_ms: HashMap<u64, u64>,
     /// Requests by part.
@@ -98,6 +100,7 @@
         ends: impl DoubleEndedIterator<Item = ServerEnd>,
     ) {
         let mut at_ms = signed(now_ms);
+        self.last_recorded_ms = Some(at_ms);
         for ServerEnd { server, since_previous_ms, suspects } in ends.rev() {
             let is_same = |end: &&mut End| {
                 end.server == server
@@ -220,8 +223,10 @@
         {
             self.ends.pop_front();
         }
-        let previous_ms = self.ends.back().map_or(at_ms, |end| end.at_ms);
-        let since_previous_ms = u64::try_from(at_ms - previous_ms).unwrap_or_default();
+        let since_previous_ms =
+            self.last_recorded_ms.and_then(|recorded_ms| u64::try_from(at_ms - recorded_ms).ok());
+        let since_previous_ms = since_previous_ms.unwrap_or_default();
+        self.last_recorded_ms = self.last_recorded_ms.max(Some(at_ms));
         let recorded = suspects.iter().take(MAX_SUSPECTS).cloned().collect();
         self.new_ends.push(ServerEnd { server, since_previous_ms, suspects: recorded });
         let is_same = |end: &End| {
--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests/tests.rs
@@ -250,6 +250,17 @@
     assert_eq!(found, [666]);
 }
 
+/// Guards against time that is counted for each of the reports of one end.
+#[test]
+fn the_recorded_times_between_ends_add_up() {
+    let mut fatal_requests = FatalRequests::default();
+    for (now_ms, server) in [(1_000, 1), (1_004, 2), (1_008, 2), (1_012, 2), (1_200, 3)] {
+        end_server(&mut fatal_requests, now_ms, BackendKey(server), &[request(666, 1, &[])]);
+    }
+    let times = fatal_requests.take_new_ends().into_iter().map(|end| end.since_previous_ms);
+    assert_eq!(times.collect::<Vec<u64>>(), [0, 4, 4, 4, 188]);
+}
+
 /// Servers crash for reasons of their own while callers repeat requests that failed.
 #[test]
 fn crashes_under_sound_requests_quarantine_nothing() {
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -66,6 +66,10 @@
     /// ends in a snapshot.
     #[serde(skip)]
     pub(crate) software_versions: BTreeSet<(Box<str>, Box<str>)>,
+    /// Time between the last of the recorded ends and a later one that was removed. It follows the software
+    /// versions in a snapshot.
+    #[serde(skip)]
+    pub(crate) since_last_end_ms: u64,
 }
 
 /// The part of the state that a command changed.
@@ -115,7 +119,9 @@
                 self.quarantined.remove(&key);
                 StateChange::Quarantine
             }
-            StateCommand::ServerEnd(end) => {
+            StateCommand::ServerEnd(mut end) => {
+                let since_last_end_ms = std::mem::take(&mut self.since_last_end_ms);
+                end.since_previous_ms = end.since_previous_ms.saturating_add(since_last_end_ms);
                 if self.server_ends.len() >= MAX_SERVER_ENDS {
                     self.server_ends.pop_front();
                 }
@@ -156,6 +162,7 @@
             since_removed_ms = if end.suspects.is_empty() { end.since_previous_ms } else { 0 };
             !end.suspects.is_empty()
         });
+        self.since_last_end_ms = self.since_last_end_ms.saturating_add(since_removed_ms);
     }
 
     pub(crate) fn snapshot(&self) -> Vec<u8> {
@@ -164,7 +171,9 @@
             postcard::to_extend(&self.quarantined, bytes).expect("the state encodes into memory");
         let bytes =
             postcard::to_extend(&self.server_ends, bytes).expect("the state encodes into memory");
-        postcard::to_extend(&self.software_versions, bytes).expect("the state encodes into memory")
+        let bytes = postcard::to_extend(&self.software_versions, bytes)
+            .expect("the state encodes into memory");
+        postcard::to_extend(&self.since_last_end_ms, bytes).expect("the state encodes into memory")
     }
 
     pub(crate) fn restore(bytes: &[u8]) -> Result<FleetState, postcard::Error> {
@@ -176,7 +185,10 @@
             (state.server_ends, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            state.software_versions = postcard::from_bytes(rest)?;
+            (state.software_versions, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            state.since_last_end_ms = postcard::from_bytes(rest)?;
         }
         Ok(state)
     }
--- a/crates/redwinglatch-fleet/src/state/tests.rs
+++ b/crates/redwinglatch-fleet/src/state/tests.rs
@@ -115,3 +115,26 @@
     state.apply(3, StateCommand::Exonerate { key: 5 });
     assert!(state.server_ends.is_empty());
 }
+
+/// The same if the record is removed before there is a later one.
+#[test]
+fn the_time_since_the_last_end_outlasts_its_removal() {
+    let mut state = FleetState::default();
+    let end = |server, since_previous_ms, digest| {
+        let suspects = vec![Suspect { parts: Vec::new(), digests: vec![digest] }];
+        StateCommand::ServerEnd(ServerEnd {
+            server: BackendKey(server),
+            since_previous_ms,
+            suspects,
+        })
+    };
+    state.apply(1, end(1, 0, 5));
+    state.apply(2, end(2, 150, 6));
+    state.apply(3, StateCommand::Exonerate { key: 6 });
+    let mut restored = FleetState::restore(&state.snapshot()).expect("a snapshot");
+    for state in [&mut state, &mut restored] {
+        state.apply(4, end(2, 4, 5));
+        let times: Vec<u64> = state.server_ends.iter().map(|end| end.since_previous_ms).collect();
+        assert_eq!(times, [0, 154]);
+    }
+}
