Try servers that still accept connections after a failed request once more

The process whose request broke off connected in between, took the server for one that goes on, and reported no end; the backend list showed it a second later, after the coordinator had been lost. In operation the list makes up for it while there is a coordinator, but late. A server that accepts is tried once more after 100 ms.

server_that_closes_its_listening_socket_last_has_ended failed before.

--- a/crates/redwinglatch-fleet/src/entry/ended_servers.rs
+++ b/crates/redwinglatch-fleet/src/entry/ended_servers.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, header::HOST};
+use tokio::time::sleep;
 
 use crate::{
     http::{Body, CallLimits},
@@ -24,6 +25,9 @@
 const PATH: &str = "/redwinglatch/refuses-connections/";
 /// Limits of the question. The other process waits as long for the server as this one.
 const LIMITS: CallLimits = CallLimits { time: Duration::from_millis(600), response_bytes: 1 << 10 };
+/// Time after which a server that accepts connections is tried once more. One that ends may close the
+/// connections of its requests before its listening socket.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The answers to the question.
 const REFUSED: &[u8] = b"refused";
 const ACCEPTED: &[u8] = b"accepted";
@@ -34,7 +38,7 @@
     server: BackendKey,
     address: SocketAddr,
 ) -> bool {
-    let own = check_connection(address).await;
+    let own = check_failed_server(address).await;
     if own != ConnectionCheck::Refused {
         return false;
     }
@@ -44,6 +48,17 @@
     is_end(own, other, context.fleet_view().is_server_path_lost(server))
 }
 
+/// Tries to connect to a server that has just broken a request off.
+async fn check_failed_server(address: SocketAddr) -> ConnectionCheck {
+    match check_connection(address).await {
+        ConnectionCheck::Accepted => {
+            sleep(RETRY_DELAY).await;
+            check_connection(address).await
+        }
+        check => check,
+    }
+}
+
 /// Decides whether a server has ended by what its connections show to this process and to another one, if one
 /// can tell.
 ///
