Count ends of servers by the times at which requests broke off

Reports name the age of the failure now, in a message of its own, since older core processes don't know it.

--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -11,7 +11,7 @@
     link::LinkSender,
     message::{Backend, EntryHello, EntryStatus, FleetMessage},
     request_rate::RequestRate,
-    suspects::Suspect,
+    suspects::{FailedRequest, Suspect},
 };
 
 use super::{Driver, ResponseSender};
@@ -71,10 +71,14 @@
             }
             FleetMessage::PromptFailed { engine, parts } => {
                 let suspect = Suspect { parts, digests: Vec::new() };
-                self.handle_failed_request(engine, suspect, false);
+                let request = FailedRequest { server: engine, suspect, has_ended: false };
+                self.handle_failed_request(0, request);
             }
             FleetMessage::RequestFailed { server, suspect, has_ended } => {
-                self.handle_failed_request(server, suspect, has_ended);
+                self.handle_failed_request(0, FailedRequest { server, suspect, has_ended });
+            }
+            FleetMessage::RequestBrokeOff { age_ms, request } => {
+                self.handle_failed_request(age_ms, request);
             }
             FleetMessage::RequestsCompleted(keys) => {
                 let now_ms = self.now_ms();
@@ -123,10 +127,10 @@
         }
     }
 
-    fn handle_failed_request(&mut self, server: BackendKey, suspect: Suspect, has_ended: bool) {
+    fn handle_failed_request(&mut self, age_ms: u64, request: FailedRequest) {
         let now_ms = self.now_ms();
         if let Some((_, planner)) = &mut self.planner {
-            planner.request_failed(now_ms, server, suspect, has_ended);
+            planner.request_failed(now_ms, age_ms, request);
         }
     }
 
--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests.rs
@@ -38,7 +38,9 @@
 #[derive(Debug)]
 struct Failure {
     server: BackendKey,
-    failed_ms: u64,
+    /// Time of the failure; negative if that was before this process started.
+    failed_ms: i64,
+    recorded_ms: u64,
     suspect: Suspect,
 }
 
@@ -144,11 +146,18 @@
         }
     }
 
-    /// Records a request that broke off before or soon after its first event.
-    pub(super) fn record_failure(&mut self, now_ms: u64, server: BackendKey, suspect: Suspect) {
-        self.failures.retain(|failure| now_ms < failure.failed_ms + CONFIRMATION_MS);
+    /// Records a request that broke off this long ago.
+    pub(super) fn record_failure(
+        &mut self,
+        now_ms: u64,
+        age_ms: u64,
+        server: BackendKey,
+        suspect: Suspect,
+    ) {
+        self.failures.retain(|failure| now_ms < failure.recorded_ms + CONFIRMATION_MS);
         if self.failures.len() < MAX_FAILURES {
-            self.failures.push(Failure { server, failed_ms: now_ms, suspect });
+            let failed_ms = signed(now_ms).saturating_sub_unsigned(age_ms);
+            self.failures.push(Failure { server, failed_ms, recorded_ms: now_ms, suspect });
         }
     }
 
@@ -160,12 +169,14 @@
     /// Records that the server has answered a question that was asked at `asked_ms`, so that the requests
     /// that failed before did not end it.
     pub(super) fn server_answered(&mut self, server: BackendKey, asked_ms: u64) {
+        let asked_ms = signed(asked_ms);
         self.failures.retain(|failure| failure.server != server || asked_ms < failure.failed_ms);
     }
 
     /// Records that the server has ended by `asked_ms`, and decides which of the requests that broke off
     /// are fatal.
     pub(super) fn server_ended(&mut self, server: BackendKey, asked_ms: u64) {
+        let asked_ms = signed(asked_ms);
         let is_evidence =
             |failure: &Failure| failure.server == server && failure.failed_ms <= asked_ms;
         let at_ms = self.failures.iter().filter(|failure| is_evidence(failure));
@@ -213,8 +224,7 @@
         watched
     }
 
-    fn add_end(&mut self, at_ms: u64, server: BackendKey, suspects: &[Suspect]) {
-        let at_ms = signed(at_ms);
+    fn add_end(&mut self, at_ms: i64, server: BackendKey, suspects: &[Suspect]) {
         while self.ends.len() >= MAX_FAILURES
             || self
                 .ends
@@ -257,7 +267,7 @@
     ///
     /// Of a request that other callers send too, only those of the caller under whose requests servers end
     /// are fatal.
-    fn find_fatal_requests(&mut self, now_ms: u64, suspects: &[Suspect]) -> bool {
+    fn find_fatal_requests(&mut self, now_ms: i64, suspects: &[Suspect]) -> bool {
         let mut is_found = false;
         for suspect in suspects {
             let is_fatal =
@@ -269,7 +279,7 @@
                 // a fatal part.
                 self.ends.push_back(End {
                     server: BackendKey(fatal),
-                    at_ms: signed(now_ms),
+                    at_ms: now_ms,
                     count: ENDS_OF_FATAL_REQUEST,
                     suspects: vec![Suspect { parts: suspect.parts.clone(), digests: Vec::new() }],
                 });
@@ -280,7 +290,7 @@
 
     /// Finds the part that is fatal: of several the one with the fewest requests, and of these the last in
     /// its prompt, because the parts before it are shared more widely.
-    fn find_fatal_part(&mut self, now_ms: u64, suspects: &[Suspect]) {
+    fn find_fatal_part(&mut self, now_ms: i64, suspects: &[Suspect]) {
         let parts = suspects.iter().flat_map(|suspect| &suspect.parts).enumerate();
         let fatal = parts.filter(|(_, part)| self.is_fatal(now_ms, **part, COMMON_CAUSE_MS));
         let requests = |part: &u64| self.requests.get(part).copied().unwrap_or_default();
@@ -304,9 +314,9 @@
         self.former.insert(key)
     }
 
-    fn is_fatal(&self, now_ms: u64, key: u64, common_cause_ms: u64) -> bool {
+    fn is_fatal(&self, now_ms: i64, key: u64, common_cause_ms: u64) -> bool {
         let completed_ms = self.completed_ms.get(&key).copied();
-        let completed_ms = completed_ms.filter(|at_ms| now_ms < at_ms + EVIDENCE_MS);
+        let completed_ms = completed_ms.filter(|at_ms| now_ms < signed(at_ms + EVIDENCE_MS));
         let is_after =
             |end: &&End| completed_ms.is_none_or(|completed_ms| signed(completed_ms) < end.at_ms);
         let ends = self.ends.iter().filter(is_after).filter(|end| end.has(key));
--- a/crates/redwinglatch-fleet/src/core/planner/fatal_requests/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/fatal_requests/tests.rs
@@ -26,7 +26,7 @@
     suspects: &[Suspect],
 ) -> Vec<u64> {
     for suspect in suspects {
-        fatal_requests.record_failure(now_ms, server, suspect.clone());
+        fatal_requests.record_failure(now_ms, 0, server, suspect.clone());
     }
     fatal_requests.server_ended(server, now_ms + 5);
     fatal_requests.take_fatal()
@@ -127,7 +127,7 @@
     let mut fatal_requests = FatalRequests::default();
     for number in 0..10 {
         let (now_ms, engine) = (number * 700, BackendKey(1));
-        fatal_requests.record_failure(now_ms, engine, prompt(&[COMMON, FATAL]));
+        fatal_requests.record_failure(now_ms, 0, engine, prompt(&[COMMON, FATAL]));
         assert!(fatal_requests.is_suspected(engine));
         fatal_requests.server_answered(engine, now_ms + 1);
         assert!(!fatal_requests.is_suspected(engine));
--- a/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/quarantined_requests.rs
@@ -4,7 +4,7 @@
     ids::BackendKey,
     message::{PlaceReply, PlaceRequest, RefusalCause},
     quarantine::Quarantine,
-    suspects::{ServerEnd, Suspect},
+    suspects::{FailedRequest, ServerEnd},
 };
 
 use super::{Planner, engine::Engine};
@@ -56,17 +56,17 @@
         self.fatal_requests.take_watched_change()
     }
 
-    /// Records a request that broke off before or soon after its first event.
+    /// Records a request that broke off this long ago.
     ///
     /// The next report shows whether an engine has ended. Of a server without an engine, the entry process
     /// tells whether it refuses connections, and the backend list whether it is gone.
     pub(in crate::core) fn request_failed(
         &mut self,
         now_ms: u64,
-        key: BackendKey,
-        suspect: Suspect,
-        has_ended: bool,
+        age_ms: u64,
+        request: FailedRequest,
     ) {
+        let FailedRequest { server: key, suspect, has_ended } = request;
         let engine = self.engines.get(&key);
         let is_leaving = engine.is_some_and(Engine::is_leaving)
             || self.plain_servers.get(&key).is_some_and(|backend| backend.leaving);
@@ -74,7 +74,7 @@
             return;
         }
         let is_engine = engine.is_some();
-        self.fatal_requests.record_failure(now_ms, key, suspect);
+        self.fatal_requests.record_failure(now_ms, age_ms, key, suspect);
         if is_engine {
             self.request_report_if_suspected(now_ms, key);
         } else if has_ended {
--- a/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/quarantined_requests.rs
@@ -4,7 +4,7 @@
 use crate::message::RefusalCause;
 use crate::{
     quarantine::{Quarantine, QuarantinedKey},
-    suspects::Suspect,
+    suspects::{FailedRequest, Suspect},
 };
 
 fn request_with(parts: &[u64]) -> PlaceRequest {
@@ -12,6 +12,10 @@
     PlaceRequest { prompt_parts, ..request("m") }
 }
 
+fn failed(server: BackendKey, suspect: &Suspect, has_ended: bool) -> FailedRequest {
+    FailedRequest { server, suspect: suspect.clone(), has_ended }
+}
+
 /// Engines end soon after requests with a part are placed on them, while sound requests are served; the
 /// report that follows each failure shows that the engine is gone.
 #[test]
@@ -25,7 +29,7 @@
         simulation.run(100);
         let Some(key) = simulation.engine_of(id) else { break };
         let suspect = Suspect { parts: vec![1, 666], digests: Vec::new() };
-        simulation.planner.request_failed(simulation.now_ms, key, suspect, false);
+        simulation.planner.request_failed(simulation.now_ms, 0, failed(key, &suspect, false));
         assert_eq!(simulation.planner.take_due_reports(simulation.now_ms), [key]);
         simulation.planner.engine_report(simulation.now_ms, key, None);
         fatal.extend(simulation.planner.take_fatal());
@@ -64,12 +68,12 @@
         std::iter::once(backend(0)).chain(numbers.map(plain)).collect()
     };
     planner.set_backends(1_000, &listed(10..14));
-    planner.request_failed(1_000, plain(10).key, suspect.clone(), true);
-    planner.request_failed(2_000, plain(11).key, suspect.clone(), true);
+    planner.request_failed(1_000, 0, failed(plain(10).key, &suspect, true));
+    planner.request_failed(2_000, 0, failed(plain(11).key, &suspect, true));
     // This one accepts connections, so it may go on.
-    planner.request_failed(3_000, plain(12).key, suspect.clone(), false);
+    planner.request_failed(3_000, 0, failed(plain(12).key, &suspect, false));
     assert!(planner.take_fatal().is_empty());
-    planner.request_failed(3_200, plain(13).key, suspect, false);
+    planner.request_failed(3_200, 0, failed(plain(13).key, &suspect, false));
     planner.set_backends(4_000, &listed(10..13));
     assert_eq!(planner.take_fatal(), [666]);
 }
@@ -82,7 +86,25 @@
     let suspect = Suspect { parts: Vec::new(), digests: vec![666, 667] };
     for number in 10..13 {
         let now_ms = u64::from(number) * 100;
-        planner.request_failed(now_ms, backend(number).key, suspect.clone(), true);
+        planner.request_failed(now_ms, 0, failed(backend(number).key, &suspect, true));
+    }
+    assert_eq!(planner.take_fatal(), [666]);
+}
+
+/// Servers that end at once are reported one after the other, because some are found to have ended later, and
+/// ends at different times are reported together to a new coordinator.
+#[test]
+fn ends_of_servers_count_by_their_own_times() {
+    let suspect = Suspect { parts: Vec::new(), digests: vec![666, 667] };
+    let mut planner = Planner::new(0);
+    for (number, age_ms) in (10..).zip([0, 100, 600]) {
+        let request = failed(backend(number).key, &suspect, true);
+        planner.request_failed(1_000 + age_ms, age_ms, request);
+    }
+    assert!(planner.take_fatal().is_empty(), "they have one cause");
+    let mut planner = Planner::new(0);
+    for (number, age_ms) in (10..).zip([2_000, 600, 100]) {
+        planner.request_failed(500, age_ms, failed(backend(number).key, &suspect, true));
     }
     assert_eq!(planner.take_fatal(), [666]);
 }
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/outcomes.rs
@@ -4,8 +4,8 @@
 
 use super::{Capability, FleetView};
 use crate::{
-    ids::BackendKey, message::FleetMessage, quarantine::QuarantinedKey,
-    request_digests::RequestDigests, suspects::Suspect,
+    message::FleetMessage, quarantine::QuarantinedKey, request_digests::RequestDigests,
+    suspects::FailedRequest,
 };
 
 impl FleetView {
@@ -50,33 +50,38 @@
         }
     }
 
-    /// Reports to the coordinator that a request broke off before or soon after its first event, unless its
-    /// server is about to stop or no longer listed. Without a coordinator, the next one is told.
-    pub(crate) fn request_failed(
-        &mut self,
-        now_ms: u64,
-        server: BackendKey,
-        suspect: Suspect,
-        has_ended: bool,
-    ) {
-        if self.backends.get(&server).is_none_or(|state| state.is_leaving()) {
+    /// Reports to the coordinator that a request broke off at `failed_ms`, unless its server is about to stop
+    /// or no longer listed. Without a coordinator, the next one is told.
+    pub(crate) fn request_failed(&mut self, now_ms: u64, failed_ms: u64, request: FailedRequest) {
+        if self.backends.get(&request.server).is_none_or(|state| state.is_leaving()) {
             return;
         }
-        let failure = FleetMessage::RequestFailed { server, suspect, has_ended };
+        let age_ms = now_ms.saturating_sub(failed_ms);
         if !(self.coordinator_has_capability(Capability::RequestLimits)
-            && self.send_to_coordinator(&failure))
+            && self.send_failed_request(age_ms, request.clone()))
         {
-            self.unreported_failures.add(now_ms, failure);
+            self.unreported_failures.add(failed_ms, request);
         }
     }
 
+    /// Tells the coordinator of a failed request, and returns whether it is connected.
+    fn send_failed_request(&self, age_ms: u64, request: FailedRequest) -> bool {
+        let message = if self.coordinator_has_capability(Capability::SoftwareVersions) {
+            FleetMessage::RequestBrokeOff { age_ms, request }
+        } else {
+            let FailedRequest { server, suspect, has_ended } = request;
+            FleetMessage::RequestFailed { server, suspect, has_ended }
+        };
+        self.send_to_coordinator(&message)
+    }
+
     /// Reports the failed requests to a new coordinator that no other was told of.
     pub(crate) fn report_unreported_failures(&mut self, now_ms: u64) {
         if !self.coordinator_has_capability(Capability::RequestLimits) {
             return;
         }
-        for failure in self.unreported_failures.take(now_ms) {
-            self.send_to_coordinator(&failure);
+        for (failed_ms, request) in self.unreported_failures.take(now_ms) {
+            self.send_failed_request(now_ms.saturating_sub(failed_ms), request);
         }
     }
 
--- a/crates/redwinglatch-fleet/src/entry/forward/prepared_request.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/prepared_request.rs
@@ -23,6 +23,7 @@
     ids::{BackendKey, ModelName, SoftwareVersion},
     message::{PlaceRequest, shared_parts},
     request_digests::RequestDigests,
+    suspects::FailedRequest,
 };
 
 use super::{headers, take_up::TakeUp};
@@ -176,16 +177,18 @@
     ) {
         let suspect = request_outcomes::suspect(events, self.shared_parts(), || self.digests());
         let Some(suspect) = suspect else { return };
+        let failed_ms = context.now_ms();
         if self.engine_spec().is_some() {
-            let now_ms = context.now_ms();
-            context.fleet_view().request_failed(now_ms, server, suspect, false);
+            let request = FailedRequest { server, suspect, has_ended: false };
+            context.fleet_view().request_failed(failed_ms, failed_ms, request);
             return;
         }
         let context = Arc::clone(context);
         tokio::spawn(async move {
             let has_ended = ended_servers::has_ended(&context, server, address).await;
+            let request = FailedRequest { server, suspect, has_ended };
             let now_ms = context.now_ms();
-            context.fleet_view().request_failed(now_ms, server, suspect, has_ended);
+            context.fleet_view().request_failed(now_ms, failed_ms, request);
         });
     }
 
--- a/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes.rs
@@ -9,7 +9,10 @@
 
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{message::FleetMessage, request_digests::RequestDigests, suspects::Suspect};
+use crate::{
+    request_digests::RequestDigests,
+    suspects::{FailedRequest, Suspect},
+};
 
 /// Maximum number of parts whose answers are reported together; further ones are reported with the next
 /// requests that have them.
@@ -88,22 +91,24 @@
 /// Failed requests that no coordinator has been told of.
 #[derive(Debug, Default)]
 pub(super) struct UnreportedFailures {
-    failures: VecDeque<(u64, FleetMessage)>,
+    failures: VecDeque<(u64, FailedRequest)>,
 }
 
 impl UnreportedFailures {
-    pub(super) fn add(&mut self, now_ms: u64, failure: FleetMessage) {
+    pub(super) fn add(&mut self, failed_ms: u64, request: FailedRequest) {
         if self.failures.len() >= MAX_UNREPORTED {
             self.failures.pop_front();
         }
-        self.failures.push_back((now_ms, failure));
+        self.failures.push_back((failed_ms, request));
     }
 
-    /// Returns the recent failures, and forgets all.
-    pub(super) fn take(&mut self, now_ms: u64) -> impl Iterator<Item = FleetMessage> + use<> {
+    /// Returns the recent failures with their times, and forgets all.
+    pub(super) fn take(
+        &mut self,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (u64, FailedRequest)> + use<> {
         let failures = std::mem::take(&mut self.failures).into_iter();
-        let recent = failures.filter(move |(at_ms, _)| now_ms <= at_ms + MAX_UNREPORTED_MS);
-        recent.map(|(_, failure)| failure)
+        failures.filter(move |(failed_ms, _)| now_ms <= failed_ms + MAX_UNREPORTED_MS)
     }
 }
 
--- a/crates/redwinglatch-fleet/src/entry/request_outcomes/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/request_outcomes/tests.rs
@@ -3,7 +3,9 @@
     RECENT_MS, RecentCompletions, UnreportedFailures, suspect,
 };
 use crate::{
-    ids::BackendKey, message::FleetMessage, request_digests::RequestDigests, suspects::Suspect,
+    ids::BackendKey,
+    request_digests::RequestDigests,
+    suspects::{FailedRequest, Suspect},
 };
 
 fn digests(content: u64) -> RequestDigests {
@@ -32,7 +34,7 @@
 
 #[test]
 fn failures_wait_for_a_coordinator() {
-    let failure = |server| FleetMessage::RequestFailed {
+    let failure = |server| FailedRequest {
         server: BackendKey(server),
         suspect: Suspect::default(),
         has_ended: true,
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -12,7 +12,7 @@
     limited_servers::RequestLimit,
     quarantine::QuarantinedKey,
     state::StateCommand,
-    suspects::Suspect,
+    suspects::{FailedRequest, Suspect},
 };
 
 /// A message on a link between two processes.
@@ -89,7 +89,7 @@
     BackendChanges(BackendChanges),
     /// The prompt parts and digests whose requests are refused.
     Quarantine(Vec<QuarantinedKey>),
-    /// The same as `RequestFailed`, from entry processes of older versions.
+    /// The same as `RequestBrokeOff`, from entry processes of older versions.
     PromptFailed { engine: BackendKey, parts: Vec<u64> },
     /// Reports the shared prompt parts of requests with complete answers since the last such message, or the
     /// digests that a `WatchedRequests` message asked for.
@@ -105,8 +105,7 @@
     /// Asks which of the requests with these digests had complete answers recently. The coordinator
     /// sends it when servers have ended under them.
     WatchedRequests(Vec<u64>),
-    /// Reports that a request broke off before or soon after its first event, and whether its server refuses
-    /// connections since.
+    /// The same as `RequestBrokeOff`, from entry processes of older versions.
     RequestFailed { server: BackendKey, suspect: Suspect, has_ended: bool },
     /// The backend list that the sender fetched last, with the software version of each entry.
     VersionedBackends { digest: u64, entries: Vec<Backend>, versions: Vec<Box<str>> },
@@ -115,7 +114,7 @@
     VersionedBackendChanges { changes: BackendChanges, versions: Vec<Box<str>> },
     /// The software versions of each service under which streams in progress may have begun. A core process
     /// sends all of them first to every entry process, which shows that it understands all messages up to
-    /// `ServerFull`.
+    /// `RequestBrokeOff`.
     SoftwareVersions(Vec<(Box<str>, Vec<Box<str>>)>),
     /// The software versions that began streams, from an entry process while a service has several.
     StreamsBegan(Vec<(StreamKey, SoftwareVersion)>),
@@ -130,6 +129,8 @@
     BrittleServices(Vec<BrittleService>),
     /// Reports that a brittle server has rejected a request for want of room.
     ServerFull { server: BackendKey },
+    /// Reports a request that broke off this long ago.
+    RequestBrokeOff { age_ms: u64, request: FailedRequest },
 }
 
 impl FleetMessage {
@@ -172,6 +173,7 @@
             FleetMessage::Quarantine(_) | FleetMessage::WatchedRequests(_) => "quarantine",
             FleetMessage::PromptFailed { .. }
             | FleetMessage::RequestFailed { .. }
+            | FleetMessage::RequestBrokeOff { .. }
             | FleetMessage::RequestsCompleted(_) => "request_outcomes",
             FleetMessage::RequestLimits(_) => "request_limits",
             FleetMessage::SoftwareVersions(_) => "software_versions",
--- a/crates/redwinglatch-fleet/src/suspects.rs
+++ b/crates/redwinglatch-fleet/src/suspects.rs
@@ -20,6 +20,15 @@
     }
 }
 
+/// A request that broke off before or soon after its first event.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct FailedRequest {
+    pub(crate) server: BackendKey,
+    pub(crate) suspect: Suspect,
+    /// Whether the server refuses connections since.
+    pub(crate) has_ended: bool,
+}
+
 /// The end of a backend server, with the requests that broke off.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ServerEnd {
