Test reports of failed requests to core processes of an older version

During an upgrade the coordinator may be one that doesn't know RequestBrokeOff: it gets RequestFailed, also for failures that waited for it.

--- a/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
@@ -5,7 +5,9 @@
 use super::{BackendSelection, FleetView};
 use crate::{
     ids::{BackendKey, ModelName},
-    message::{Backend, EntryEndpoint, ModelLocation, ModelLocationChange},
+    link::LinkQueue,
+    message::{Backend, EntryEndpoint, FleetMessage, ModelLocation, ModelLocationChange},
+    suspects::{FailedRequest, Suspect},
 };
 
 fn address(last: u8) -> SocketAddr {
@@ -208,3 +210,43 @@
     view.start_draining(0);
     assert_eq!(view.ready_entry_addresses(), [address(101), address(102)]);
 }
+
+/// Core processes are upgraded one after the other, and those of older versions don't know the age of a failure.
+#[test]
+fn failed_requests_are_reported_as_the_coordinator_understands_it() {
+    let mut view = FleetView::new(address(100));
+    view.set_backends(1, vec![backend(1, "desk")]);
+    let (older, newer) = (address(50), address(51));
+    let mut queues = Vec::new();
+    for (core, epoch) in [(older, 1), (newer, 2)] {
+        let (sender, queue) = LinkQueue::without_connection(usize::MAX);
+        view.core_connected(core, sender);
+        queues.push(queue);
+        view.add_request_limits(0, core, Vec::new());
+        if core == newer {
+            view.add_software_versions(0, core, Vec::new());
+        }
+        let server = backend(1, "desk").key;
+        let request = FailedRequest { server, suspect: Suspect::default(), has_ended: true };
+        // One fails while there is no coordinator, and one later.
+        view.request_failed(1_000, 900, request.clone());
+        view.accept_coordinator(core, epoch);
+        view.report_unreported_failures(1_500);
+        view.request_failed(1_600, 1_500, request);
+        view.core_disconnected(core);
+    }
+    let mut received = queues.iter_mut().map(|queue| {
+        let frames = std::iter::from_fn(|| queue.try_next());
+        let messages = frames.map(|frame| postcard::from_bytes(&frame.bytes()[4..]));
+        messages.collect::<Result<Vec<FleetMessage>, _>>().expect("messages")
+    });
+    let to_older = received.next().expect("the older one");
+    let is_plain = |message: &FleetMessage| matches!(message, FleetMessage::RequestFailed { .. });
+    assert_eq!(to_older.iter().filter(|message| is_plain(message)).count(), 2);
+    let to_newer = received.next().expect("the newer one");
+    let ages_ms = to_newer.iter().filter_map(|message| match message {
+        FleetMessage::RequestBrokeOff { age_ms, .. } => Some(*age_ms),
+        _ => None,
+    });
+    assert_eq!(ages_ms.collect::<Vec<_>>(), [600, 100]);
+}
