Take servers with invalid answers for reachable

Its log: after the first heads that were too large, one from each server, "no server of scripted accepts connections or answers; 2 were tried"; what was not yet sent was refused.

Cause: a request on a new connection that gets no response counts as a failed connection, because a cut may look so. An invalid or endless head is no response either, but it shows that the server is heard. It counts as data from the server now. servers_with_invalid_answers_are_not_out_of_reach, six requests one after the other, failed before.

--- a/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/attempt.rs
@@ -95,11 +95,18 @@
                         context.client.close_idle(selected.address);
                         return AttemptOutcome::NotSent;
                     }
-                    SendError::MaybeSent { is_new, .. } => {
+                    SendError::MaybeSent { is_new, has_answered, .. } => {
                         context.metrics.record_backend_failure("no_response");
-                        if is_new {
-                            context.fleet_view().record_connect_failure(now_ms, selected.key);
+                        let mut view = context.fleet_view();
+                        if has_answered {
+                            view.record_heard(now_ms, selected.key);
                         }
+                        match (is_new, has_answered) {
+                            (true, true) => view.record_connected(now_ms, selected.key),
+                            (true, false) => view.record_connect_failure(now_ms, selected.key),
+                            (false, _) => {}
+                        }
+                        drop(view);
                         prepared.record_failure(context, selected.key, selected.address, 0);
                         return AttemptOutcome::MaybeRan;
                     }
--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -92,9 +92,9 @@
     /// Nothing of the request was sent.
     #[error("the connection to {address} failed: {reason}")]
     NotSent { address: SocketAddr, failure: ConnectFailure, reason: Box<str> },
-    /// The request may have reached the server. A connection that was opened for it has brought nothing.
+    /// The request may have reached the server. If it has answered, it sent something that is no response.
     #[error("no response from {address}: {reason}")]
-    MaybeSent { address: SocketAddr, is_new: bool, reason: Box<str> },
+    MaybeSent { address: SocketAddr, is_new: bool, has_answered: bool, reason: Box<str> },
 }
 
 /// An error that left a request without a complete response.
@@ -337,7 +337,8 @@
 }
 
 fn maybe_sent(address: SocketAddr, is_new: bool, error: &hyper::Error) -> SendError {
-    SendError::MaybeSent { address, is_new, reason: error.to_string().into() }
+    let has_answered = error.is_parse();
+    SendError::MaybeSent { address, is_new, has_answered, reason: error.to_string().into() }
 }
 
 #[cfg(test)]
