--- a/crates/redwinglatch-fleet/src/core/planner/request_grants.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/request_grants.rs
@@ -22,7 +22,7 @@
 #[derive(Debug, Default)]
 pub(super) struct RequestGrants {
     servers: LimitedServers<TokenBucket>,
-    /// Whether this process is certain that no other one is the coordinator.
+    /// This process is certain that no other one is the coordinator.
     is_active: bool,
 }
 
--- a/crates/redwinglatch-fleet/src/core/planner/server_rooms.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/server_rooms.rs
@@ -53,7 +53,7 @@
     services: BrittleServices,
     rooms: HashMap<BackendKey, Room>,
     started_ms: u64,
-    /// Whether this process is certain that no other one is the coordinator.
+    /// This process is certain that no other one is the coordinator.
     is_active: bool,
 }
 
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -69,7 +69,7 @@
     pub(crate) maybe_executed: u32,
     /// Number of attempts whose connections failed before anything was sent.
     not_sent: u32,
-    /// Whether the request counts for the retry budget.
+    /// The request counts for the retry budget.
     is_counted: bool,
     /// Servers that must not receive the request again.
     pub(crate) excluded: SmallVec<[BackendKey; 4]>,
--- a/crates/redwinglatch-fleet/src/entry/server_paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/server_paths.rs
@@ -44,7 +44,7 @@
     pub(super) service: Box<str>,
     /// Servers of which the result is known.
     pub(super) failed: SmallVec<[BackendKey; 4]>,
-    /// Whether servers must answer as well. While the path is in doubt, it is enough that they accept a
+    /// Servers must answer as well. While the path is in doubt, it is enough that they accept a
     /// connection.
     pub(super) needs_answer: bool,
 }
--- a/crates/redwinglatch-fleet/src/suspects.rs
+++ b/crates/redwinglatch-fleet/src/suspects.rs
@@ -25,7 +25,7 @@
 pub(crate) struct FailedRequest {
     pub(crate) server: BackendKey,
     pub(crate) suspect: Suspect,
-    /// Whether the server refuses connections since.
+    /// The server has refused connections since the failure.
     pub(crate) has_ended: bool,
 }
 
