Log when the coordinator doesn't reach the engines of a service

The path of entry processes to servers and that of the coordinator to engines are decided by the same rule, so server_paths.rs moves to the root of the package.

No change of behaviour. The unit tests of the package pass.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -14,6 +14,7 @@
 mod brittle_servers;
 mod demand;
 mod engine;
+mod engine_paths;
 mod fatal_requests;
 mod limited_engines;
 mod load_choice;
@@ -37,6 +38,7 @@
         RefusalCause,
     },
     quarantine::Quarantine,
+    server_paths::ServerPaths,
 };
 
 pub(super) use self::base_models::BaseModels;
@@ -215,6 +217,8 @@
     quarantine: Quarantine,
     grants: RequestGrants,
     rooms: ServerRooms,
+    /// Whether the engines of each service answer report requests.
+    paths: ServerPaths,
     /// Limited engines that get no loads, by the last planning pass.
     spared_engines: HashSet<BackendKey>,
     /// The last time at which a refused caller of each service was asked to return, while all engines of
@@ -254,6 +258,7 @@
             quarantine: Quarantine::default(),
             grants: RequestGrants::default(),
             rooms: ServerRooms::default(),
+            paths: ServerPaths::default(),
             spared_engines: HashSet::new(),
             next_returns_ms: HashMap::new(),
             store: StoreLimit::default(),
@@ -362,6 +367,7 @@
     ) {
         let report_interval_ms =
             REPORT_INTERVAL_MS.max(self.engines.len() as u64 * 1_000 / MAX_REPORTS_PER_S);
+        self.record_path(now_ms, key, report.is_some());
         let Some(engine) = self.engines.get_mut(&key) else { return };
         engine.report_in_flight = false;
         let requested_ms = engine.report_requested_ms;
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -22,7 +22,6 @@
 mod relay;
 mod request_limits;
 mod request_outcomes;
-mod server_paths;
 mod state_sources;
 mod stream;
 mod stream_versions;
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -33,7 +33,6 @@
     ready_entries::ReadyEntries,
     request_limits::RequestLimits,
     request_outcomes::{CompletedParts, RecentCompletions, UnreportedFailures},
-    server_paths::ServerPaths,
     stream_versions::StreamVersions,
 };
 use crate::{
@@ -44,6 +43,7 @@
         ModelLocationChange, PlaceReply, StreamVersionReply,
     },
     quarantine::Quarantine,
+    server_paths::ServerPaths,
 };
 
 /// State of a backend server as this process knows it.
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/paths.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::FleetView;
-use crate::{entry::server_paths::PathChange, ids::BackendKey};
+use crate::{ids::BackendKey, server_paths::PathChange};
 
 /// A server that is to be checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod request_digests;
 mod request_rate;
+mod server_paths;
 mod settings;
 mod state;
 mod suspects;
--- a/crates/redwinglatch-fleet/src/entry/server_paths.rs
+++ b/crates/redwinglatch-fleet/src/server_paths.rs
@@ -1,4 +1,4 @@
-//! Whether this process reaches the servers of each service.
+//! Whether a process reaches the servers of each service.
 
 use std::collections::HashMap;
 
@@ -40,13 +40,13 @@
 
 /// What must be checked of the path to a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct PathCheck {
-    pub(super) service: Box<str>,
+pub(crate) struct PathCheck {
+    pub(crate) service: Box<str>,
     /// Servers of which the result is known.
-    pub(super) failed: SmallVec<[BackendKey; 4]>,
+    pub(crate) failed: SmallVec<[BackendKey; 4]>,
     /// Servers must answer as well. While the path is in doubt, it is enough that they accept a
     /// connection.
-    pub(super) needs_answer: bool,
+    pub(crate) needs_answer: bool,
 }
 
 /// The path from this process to the servers of one service.
@@ -142,7 +142,7 @@
 /// Answers a cut between some entry processes and all servers. For one that is cut off, every server looks as if
 /// it had ended; only what other servers do tells the difference.
 #[derive(Debug, Default)]
-pub(super) struct ServerPaths {
+pub(crate) struct ServerPaths {
     services: HashMap<Box<str>, ServicePath>,
 }
 
@@ -155,7 +155,7 @@
     }
 
     /// Records that a request was sent to a server.
-    pub(super) fn sent(&mut self, now_ms: u64, service: &str, server: BackendKey) {
+    pub(crate) fn sent(&mut self, now_ms: u64, service: &str, server: BackendKey) {
         let path = self.path(service);
         if !path.unanswered.iter().any(|(unanswered, _)| *unanswered == server) {
             path.unanswered.push((server, now_ms));
@@ -163,7 +163,7 @@
     }
 
     /// Records that a server has sent something.
-    pub(super) fn heard(&mut self, now_ms: u64, service: &str) -> Option<PathChange> {
+    pub(crate) fn heard(&mut self, now_ms: u64, service: &str) -> Option<PathChange> {
         let path = self.path(service);
         path.heard_ms = now_ms;
         path.unanswered.clear();
@@ -172,7 +172,7 @@
     }
 
     /// Records whether one of a service's `servers` servers has accepted a connection.
-    pub(super) fn tried(
+    pub(crate) fn tried(
         &mut self,
         now_ms: u64,
         service: &str,
@@ -189,7 +189,7 @@
     }
 
     /// Returns the servers of a service at which connections have failed lately.
-    pub(super) fn failed_servers(
+    pub(crate) fn failed_servers(
         &self,
         now_ms: u64,
         service: &str,
@@ -198,7 +198,7 @@
     }
 
     /// Returns the services of which a server has been silent for so long that it counts as failed.
-    pub(super) fn services_with_silence(&self, now_ms: u64) -> Vec<Box<str>> {
+    pub(crate) fn services_with_silence(&self, now_ms: u64) -> Vec<Box<str>> {
         let silent = self.services.iter().filter(|(_, path)| {
             !path.is_silent && path.unanswered_for(now_ms, FAILED_SILENCE_MS) > 0
         });
@@ -206,7 +206,7 @@
     }
 
     /// Looks whether a service of `servers` servers has fallen silent.
-    pub(super) fn check_silence(
+    pub(crate) fn check_silence(
         &mut self,
         now_ms: u64,
         service: &str,
@@ -218,25 +218,25 @@
     }
 
     /// Returns whether requests to a service must go another way.
-    pub(super) fn is_lost(&self, service: &str) -> bool {
+    pub(crate) fn is_lost(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|path| path.lost_since_ms.is_some())
     }
 
     /// Returns whether requests may still be sent on kept connections, although no new ones are accepted.
-    pub(super) fn has_sound_connections(&self, now_ms: u64, service: &str) -> bool {
+    pub(crate) fn has_sound_connections(&self, now_ms: u64, service: &str) -> bool {
         self.services
             .get(service)
             .is_some_and(|path| !path.is_silent && now_ms <= path.heard_ms + SOUND_CONNECTIONS_MS)
     }
 
     /// Returns whether the paths to all of some services are lost, and there are any.
-    pub(super) fn are_all_lost<'a>(&self, services: impl Iterator<Item = &'a str>) -> bool {
+    pub(crate) fn are_all_lost<'a>(&self, services: impl Iterator<Item = &'a str>) -> bool {
         let mut used = services.filter(|service| self.services.contains_key(*service)).peekable();
         used.peek().is_some() && used.all(|service| self.is_lost(service))
     }
 
     /// Returns what must be checked now by one of `processes` processes.
-    pub(super) fn take_due_checks(&mut self, now_ms: u64, processes: usize) -> Vec<PathCheck> {
+    pub(crate) fn take_due_checks(&mut self, now_ms: u64, processes: usize) -> Vec<PathCheck> {
         let lost_interval_ms =
             LOST_CHECK_INTERVAL_MS.max(processes as u64 * LOST_CHECK_INTERVAL_MS_PER_PROCESS);
         let due = self.services.iter_mut().filter_map(|(service, path)| {
