Place requests on engines that only the coordinator doesn't reach

Callers of all processes got no stream while the machine of the coordinator was cut off from the engines, for as long as the cut lasted: 0 of 200, while 200 of 200 plain requests were served.

Cause: engines whose reports fail count as unresponsive, and get no requests. The coordinator didn't tell ends of engines from a cut of its own. Evidence: its line waiting=104 unresponsive=4 of the four engines of the service, and refusals with cause=not_loaded_in_time, while entry processes went on with their streams at these engines.

--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -189,6 +189,9 @@
     pub(super) report_in_flight: bool,
     pub(super) report_requested_ms: u64,
     pub(super) failed_reports: u32,
+    /// Whether the coordinator reaches hardly any engine of the service. Then a report that fails says nothing of
+    /// this one, which entry processes may reach.
+    pub(super) is_path_lost: bool,
     /// Placed requests that have not ended, and the tokens that they may occupy.
     pub(super) placed_requests: u32,
     pub(super) placed_tokens: u64,
@@ -223,6 +226,7 @@
             report_in_flight: false,
             report_requested_ms: 0,
             failed_reports: 0,
+            is_path_lost: false,
             placed_requests: 0,
             placed_tokens: 0,
             prefills: Vec::new(),
@@ -234,6 +238,7 @@
         self.sequence.is_some()
             && self.order_sent_ms.is_none()
             && self.orders_paused_until_ms <= now_ms
+            && !self.is_path_lost
     }
 
     /// Returns whether the engine has reported that no model is loaded or loading.
@@ -310,7 +315,7 @@
     }
 
     pub(super) fn is_unresponsive(&self) -> bool {
-        self.failed_reports >= UNRESPONSIVE_AFTER_FAILED_REPORTS
+        self.failed_reports >= UNRESPONSIVE_AFTER_FAILED_REPORTS && !self.is_path_lost
     }
 
     pub(super) fn adapter_loads(&self) -> usize {
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -13,6 +13,7 @@
 use super::{BaseModels, EngineLimits, EngineService, PlannedOrder, Planner};
 
 mod base_versions;
+mod engine_paths;
 mod fake_engine;
 mod leaving;
 mod limited_engines;
@@ -30,6 +31,8 @@
     planner: Planner,
     now_ms: u64,
     engines: BTreeMap<BackendKey, FakeEngine>,
+    /// Engines whose reports don't arrive.
+    unreached: HashSet<BackendKey>,
     replies: BTreeMap<u64, PlaceReply>,
 }
 
@@ -43,8 +46,13 @@
         let engine =
             || FakeEngine { base_version: 1, newest_base_version: 1, ..FakeEngine::default() };
         let engines = backends.iter().map(|backend| (backend.key, engine()));
-        let mut simulation =
-            Simulation { planner, now_ms: 0, engines: engines.collect(), replies: BTreeMap::new() };
+        let mut simulation = Simulation {
+            planner,
+            now_ms: 0,
+            engines: engines.collect(),
+            unreached: HashSet::new(),
+            replies: BTreeMap::new(),
+        };
         simulation.replace_planner(simulation.planner.earliest_order_ms);
         simulation.deliver_reports();
         simulation
@@ -62,13 +70,14 @@
         self.planner.set_backends(self.now_ms, &backends);
     }
 
-    /// Delivers the due reports of the engines.
+    /// Delivers the due reports of the engines that the planner reaches.
     fn deliver_reports(&mut self) {
         let due = self.planner.take_due_reports(self.now_ms);
         for (key, engine) in &mut self.engines {
             let report = engine.report(self.now_ms);
             if due.contains(key) {
-                self.planner.engine_report(self.now_ms, *key, Some(report));
+                let is_reached = !self.unreached.contains(key);
+                self.planner.engine_report(self.now_ms, *key, is_reached.then_some(report));
             }
         }
     }
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
@@ -0,0 +1,57 @@
+//! A coordinator that doesn't reach the engines.
+
+use super::*;
+
+const ENGINES: u16 = 6;
+/// Time until the outcome of all reports is known.
+const REACTION_MS: u64 = 3_000;
+
+/// Loads an adapter and returns its engine.
+fn load(simulation: &mut Simulation) -> BackendKey {
+    simulation.place(1, request("m/a1"));
+    simulation.run(400);
+    simulation.planner.first_event(1, 1);
+    simulation.engine_of(1).expect("the request was placed")
+}
+
+/// Guards against a cut between the coordinator and all engines that is taken for the end of them: no stream was
+/// placed, though entry processes reached the engines.
+#[test]
+fn requests_are_placed_while_no_engine_reports() {
+    let mut simulation = Simulation::new(ENGINES);
+    let home = load(&mut simulation);
+    simulation.unreached = simulation.engines.keys().copied().collect();
+    for id in 2..10 {
+        simulation.place(id, request("m/a1"));
+        simulation.run(REACTION_MS / 4);
+        assert_eq!(simulation.engine_of(id), Some(home), "request {id}");
+        simulation.planner.first_event(1, id);
+    }
+    assert_eq!(simulation.planner.unresponsive(), []);
+}
+
+#[test]
+fn no_orders_are_sent_to_engines_that_are_out_of_reach() {
+    let mut simulation = Simulation::new(ENGINES);
+    load(&mut simulation);
+    simulation.unreached = simulation.engines.keys().copied().collect();
+    simulation.run(REACTION_MS);
+    simulation.place(2, request("m/a2"));
+    simulation.run_with(1_000, |_, order| panic!("{order:?} was sent"));
+    simulation.unreached.clear();
+    simulation.place(3, request("m/a2"));
+    simulation.run(REACTION_MS);
+    assert!(simulation.engine_of(3).is_some(), "nothing was loaded after the cut");
+}
+
+#[test]
+fn an_engine_that_alone_answers_no_reports_gets_no_requests() {
+    let mut simulation = Simulation::new(ENGINES);
+    let home = load(&mut simulation);
+    simulation.unreached = HashSet::from([home]);
+    simulation.run(REACTION_MS);
+    simulation.place(2, request("m/a1"));
+    simulation.run(1_000);
+    assert!(simulation.engine_of(2).is_some_and(|engine| engine != home));
+    assert_eq!(simulation.planner.unresponsive(), [home]);
+}
