Hand the lead over to a core process that reaches the engines

While the machine of the coordinator was cut off from the engines, callers of all processes were refused with 503 for adapters that were on no engine, although the other core processes reached the engines.

Cause: only the coordinator sends orders and fetches reports, and nothing made it give up the lead. Evidence: the line 'engines of barge answer no report requests' at the leader, and no order of another process.

A core process shows that it understands the question by a message that older versions ignore.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -1,6 +1,7 @@
 //! The task that owns the state of a core process.
 
 mod coordinator;
+mod engine_reach;
 mod leader_requests;
 mod membership;
 mod messages;
@@ -97,7 +98,7 @@
     /// A link to another core process was established.
     CoreConnected { address: SocketAddr, sender: LinkSender },
     /// A message arrived on an outgoing link to another core process.
-    CoreMessageReceived { message: FleetMessage },
+    CoreMessageReceived { address: SocketAddr, message: FleetMessage },
     /// An operator's request that only the leader can answer.
     OperatorRequest { request: LeaderRequest, reply: oneshot::Sender<LeaderResponse> },
     /// The platform's list of backend servers was fetched.
@@ -312,7 +313,9 @@
                 self.cores.connected(address, sender);
                 self.join_due_ms = 0;
             }
-            DriverEvent::CoreMessageReceived { message } => self.handle_core_message(message),
+            DriverEvent::CoreMessageReceived { address, message } => {
+                self.handle_core_message(address, message);
+            }
             DriverEvent::OperatorRequest { request, reply } => {
                 self.handle_operator_request(request, reply);
             }
@@ -389,6 +392,7 @@
         }
         self.update_membership(now_ms);
         self.transfer_leadership_when_slow(now_ms);
+        self.ask_for_engine_reach(now_ms);
         self.coordinate(now_ms);
         self.end_quarantines(now_ms);
         self.propose_software_versions(now_ms);
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -221,6 +221,6 @@
     }
 }
 
-fn engine_address(backend: &Backend) -> EngineAddress {
+pub(super) fn engine_address(backend: &Backend) -> EngineAddress {
     EngineAddress { address: backend.address, id: backend.id.clone() }
 }
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -1,6 +1,8 @@
 //! Handles messages of entry processes and other core processes, and sends updates to entry
 //! processes.
 
+use std::net::SocketAddr;
+
 use redwinglatch_log::LogMessage;
 
 use crate::{
@@ -24,6 +26,7 @@
         match message {
             FleetMessage::EntryHello(hello) => self.handle_entry_hello(link, sender, hello),
             FleetMessage::CoreHello { replica, link } => {
+                sender.send(&FleetMessage::CoreDataCentre(self.settings.data_centre.clone()));
                 self.core_addresses.insert(replica.0, link);
                 self.dial(link);
             }
@@ -116,6 +119,7 @@
                     }
                 }
             }
+            FleetMessage::ReachRequest { engines } => self.answer_reach(sender, &engines),
             FleetMessage::CoordinatorStopping => {
                 self.other_coordinator_stopped_ms = Some(self.now_ms());
             }
@@ -134,8 +138,12 @@
         }
     }
 
-    pub(super) fn handle_core_message(&mut self, message: FleetMessage) {
+    pub(super) fn handle_core_message(&mut self, address: SocketAddr, message: FleetMessage) {
         match message {
+            FleetMessage::CoreDataCentre(_) => self.cores.understands_reach(address),
+            FleetMessage::ReachReply { replica, reached } => {
+                self.hand_over_to(replica, &reached);
+            }
             FleetMessage::LeaderResponse { id, response } => {
                 if let Some(reply) = self.forwarded_requests.remove(&id) {
                     // The operator may have disconnected.
--- a/crates/redwinglatch-fleet/src/core/links.rs
+++ b/crates/redwinglatch-fleet/src/core/links.rs
@@ -93,7 +93,8 @@
                     if matches!(message, FleetMessage::Ping) {
                         continue;
                     }
-                    if events.send(DriverEvent::CoreMessageReceived { message }).await.is_err() {
+                    let event = DriverEvent::CoreMessageReceived { address, message };
+                    if events.send(event).await.is_err() {
                         return;
                     }
                 }
@@ -109,41 +110,73 @@
     }
 }
 
+/// An outgoing link to another core process.
+#[derive(Debug)]
+struct CoreLink {
+    address: SocketAddr,
+    sender: Option<LinkSender>,
+    /// Whether the process understands questions about engines.
+    understands_reach: bool,
+}
+
 /// The outgoing links to other core processes.
 #[derive(Debug, Default)]
 pub(super) struct CoreLinks {
-    links: Vec<(SocketAddr, Option<LinkSender>)>,
+    links: Vec<CoreLink>,
 }
 
 impl CoreLinks {
     /// Registers a link to `address`; returns false if it is already registered.
     pub(super) fn add(&mut self, address: SocketAddr) -> bool {
-        if self.links.iter().any(|(linked, _)| *linked == address) {
+        if self.links.iter().any(|link| link.address == address) {
             return false;
         }
-        self.links.push((address, None));
+        self.links.push(CoreLink { address, sender: None, understands_reach: false });
         true
     }
 
+    fn link_mut(&mut self, address: SocketAddr) -> Option<&mut CoreLink> {
+        self.links.iter_mut().find(|link| link.address == address)
+    }
+
     pub(super) fn connected(&mut self, address: SocketAddr, sender: LinkSender) {
-        if let Some((_, link)) = self.links.iter_mut().find(|(linked, _)| *linked == address) {
-            *link = Some(sender);
+        if let Some(link) = self.link_mut(address) {
+            link.sender = Some(sender);
+            // The process may have been replaced by one of an older version.
+            link.understands_reach = false;
+        }
+    }
+
+    /// Records that the process at `address` understands questions about engines.
+    pub(super) fn understands_reach(&mut self, address: SocketAddr) {
+        if let Some(link) = self.link_mut(address) {
+            link.understands_reach = true;
         }
     }
 
     pub(super) fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.links.iter().map(|(address, _)| *address)
+        self.links.iter().map(|link| link.address)
     }
 
     /// Sends a message if the link to `address` is established; returns whether it was queued.
     pub(super) fn send(&self, address: SocketAddr, message: &FleetMessage) -> bool {
-        let link = self.links.iter().find(|(linked, _)| *linked == address);
-        link.and_then(|(_, sender)| sender.as_ref()).is_some_and(|sender| sender.send(message))
+        let link = self.links.iter().find(|link| link.address == address);
+        link.and_then(|link| link.sender.as_ref()).is_some_and(|sender| sender.send(message))
     }
 
     pub(super) fn send_all(&self, message: &FleetMessage) {
+        self.send_where(message, |_| true);
+    }
+
+    /// Sends a message to all processes that understand questions about engines.
+    pub(super) fn send_reach(&self, message: &FleetMessage) {
+        self.send_where(message, |link| link.understands_reach);
+    }
+
+    fn send_where(&self, message: &FleetMessage, is_wanted: impl Fn(&CoreLink) -> bool) {
         let frame = Frame::encode(message);
-        for sender in self.links.iter().filter_map(|(_, sender)| sender.as_ref()) {
+        let wanted = self.links.iter().filter(|link| is_wanted(link));
+        for sender in wanted.filter_map(|link| link.sender.as_ref()) {
             sender.send_frame(frame.clone());
         }
     }
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -44,6 +44,7 @@
 pub(super) use self::base_models::BaseModels;
 use self::{
     engine::{Engine, ModelPhase, OrderState},
+    engine_paths::ReachQuestion,
     fatal_requests::FatalRequests,
     model_index::{ModelIndex, ReportedUse, UnloadedAdapters},
     request_grants::RequestGrants,
@@ -219,6 +220,7 @@
     rooms: ServerRooms,
     /// Whether the engines of each service answer report requests.
     paths: ServerPaths,
+    reach_question: ReachQuestion,
     /// Limited engines that get no loads, by the last planning pass.
     spared_engines: HashSet<BackendKey>,
     /// The last time at which a refused caller of each service was asked to return, while all engines of
@@ -259,6 +261,7 @@
             grants: RequestGrants::default(),
             rooms: ServerRooms::default(),
             paths: ServerPaths::default(),
+            reach_question: ReachQuestion::default(),
             spared_engines: HashSet::new(),
             next_returns_ms: HashMap::new(),
             store: StoreLimit::default(),
--- a/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
@@ -1,9 +1,35 @@
 //! Whether the coordinator reaches the engines.
 
+use smallvec::SmallVec;
+
 use crate::{ids::BackendKey, server_paths::PathChange};
 
 use super::{Planner, engine::Engine};
 
+/// Interval between questions to the other core processes about engines that the coordinator doesn't reach.
+const QUESTION_INTERVAL_MS: u64 = 500;
+/// Engines of each service about which they are asked.
+const ENGINES_PER_QUESTION: usize = 4;
+
+/// The question to the other core processes about the engines that answer them.
+#[derive(Debug, Default)]
+pub(super) struct ReachQuestion {
+    due_ms: u64,
+    /// The engines of each service.
+    asked: Vec<SmallVec<[BackendKey; ENGINES_PER_QUESTION]>>,
+}
+
+impl ReachQuestion {
+    /// Returns whether a process that reaches these engines reaches at least half of those of each service.
+    fn is_satisfied_by(&self, reached: &[BackendKey]) -> bool {
+        let is_reached = |engines: &SmallVec<[BackendKey; ENGINES_PER_QUESTION]>| {
+            let answered = engines.iter().filter(|engine| reached.contains(engine)).count();
+            answered * 2 >= engines.len()
+        };
+        !self.asked.is_empty() && self.asked.iter().all(is_reached)
+    }
+}
+
 impl Planner {
     /// Records whether an engine answered a report request.
     ///
@@ -29,6 +55,49 @@
         }
     }
 
+    /// Returns the engines of the question that is due to the other core processes, while the path to a service is
+    /// lost.
+    ///
+    /// Answers a cut between the coordinator and the engines that other core processes reach: without reports and
+    /// orders nothing is loaded. All services are asked about, so that leadership doesn't go to a process that
+    /// reaches others only.
+    pub(in crate::core) fn take_due_reach_question(
+        &mut self,
+        now_ms: u64,
+    ) -> Option<Vec<BackendKey>> {
+        if now_ms < self.reach_question.due_ms || !self.is_any_path_lost() {
+            return None;
+        }
+        let asked = self.services.keys().map(|service| {
+            // Engines that have crashed tell nothing of the path to the others.
+            let is_sound = |engine: &&Engine| {
+                !engine.is_leaving() && (engine.is_path_lost || engine.failed_reports == 0)
+            };
+            let mut engines: Vec<BackendKey> = self
+                .engines_of(service)
+                .filter(is_sound)
+                .map(|engine| engine.backend.key)
+                .collect();
+            fastrand::shuffle(&mut engines);
+            engines.into_iter().take(ENGINES_PER_QUESTION).collect()
+        });
+        let asked: Vec<SmallVec<_>> =
+            asked.filter(|engines: &SmallVec<_>| !engines.is_empty()).collect();
+        let engines = asked.iter().flatten().copied().collect();
+        self.reach_question = ReachQuestion { due_ms: now_ms + QUESTION_INTERVAL_MS, asked };
+        Some(engines)
+    }
+
+    /// Returns whether the path to a service is lost, and a process that reaches these engines of the last question
+    /// reaches all services.
+    pub(in crate::core) fn is_reached_better(&self, reached: &[BackendKey]) -> bool {
+        self.is_any_path_lost() && self.reach_question.is_satisfied_by(reached)
+    }
+
+    fn is_any_path_lost(&self) -> bool {
+        self.services.keys().any(|service| self.paths.is_lost(service))
+    }
+
     fn engines_of(&self, service: &str) -> impl Iterator<Item = &Engine> {
         self.engines.values().filter(move |engine| *engine.backend.service == *service)
     }
--- a/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
@@ -55,3 +55,25 @@
     assert!(simulation.engine_of(2).is_some_and(|engine| engine != home));
     assert_eq!(simulation.planner.unresponsive(), [home]);
 }
+
+/// Returns the engines that the other core processes are asked about.
+fn question(simulation: &mut Simulation) -> Option<Vec<BackendKey>> {
+    simulation.planner.take_due_reach_question(simulation.now_ms)
+}
+
+#[test]
+fn others_are_asked_about_engines_only_while_the_path_is_lost() {
+    let mut simulation = Simulation::new(ENGINES);
+    simulation.run(REACTION_MS);
+    assert_eq!(question(&mut simulation), None);
+    simulation.unreached = simulation.engines.keys().copied().collect();
+    simulation.run(REACTION_MS);
+    let asked = question(&mut simulation).expect("the path is lost");
+    assert_eq!(question(&mut simulation), None, "asked again at once");
+    assert!(!simulation.planner.is_reached_better(&[]), "the engines have ended");
+    assert!(!simulation.planner.is_reached_better(&asked[..1]));
+    assert!(simulation.planner.is_reached_better(&asked[..2]));
+    simulation.unreached.clear();
+    simulation.run(REACTION_MS);
+    assert!(!simulation.planner.is_reached_better(&asked), "the path is found again");
+}
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -79,7 +79,8 @@
     LeaderRequest { id: u64, request: LeaderRequest },
     /// The response to a `LeaderRequest`.
     LeaderResponse { id: u64, response: LeaderResponse },
-    /// The data centre of the sending core process; its first message to an entry process.
+    /// The data centre of the sending core process; its first message to an entry process. To another core process
+    /// it shows that the sender understands all messages up to `ReachReply`.
     CoreDataCentre(Box<str>),
     /// Changes to the sender's entry processes since its previous message about them.
     EntryEndpointChanges(EntryEndpointChanges),
@@ -131,6 +132,10 @@
     ServerFull { server: BackendKey },
     /// Reports a request that broke off this long ago.
     RequestBrokeOff { age_ms: u64, request: FailedRequest },
+    /// Asks a core process which of these engines answer it, from a coordinator that doesn't reach them.
+    ReachRequest { engines: Vec<BackendKey> },
+    /// The answer to a `ReachRequest`: those that answer.
+    ReachReply { replica: ReplicaId, reached: Vec<BackendKey> },
 }
 
 impl FleetMessage {
@@ -184,6 +189,7 @@
             | FleetMessage::GrantReply { .. }
             | FleetMessage::BrittleServices(_)
             | FleetMessage::ServerFull { .. } => "grants",
+            FleetMessage::ReachRequest { .. } | FleetMessage::ReachReply { .. } => "reach",
             FleetMessage::LeaderRequest { .. } => "leader_request",
             FleetMessage::LeaderResponse { .. } => "leader_response",
         }
