Leave placements to entry processes while a coordinator knows no engine

Cause: such a coordinator queues requests until their callers leave, because no engine has reported to it. Entry processes reach engines and know from earlier coordinators where models are, but they choose engines only when no coordinator replies.

A coordinator to which no engine of a service has reported doesn't reply to placement requests for it once its path to the service is lost, and refuses those that wait.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -437,6 +437,9 @@
         request: PlaceRequest,
         software: Option<SoftwareVersion>,
     ) {
+        if self.knows_no_engine(&request.service) {
+            return;
+        }
         let waiting = WaitingRequest::new(now_ms, entry, id, request, software);
         if let Some(retry_after_ms) = self.quarantine_ms(now_ms, &waiting.request) {
             let cause = RefusalCause::Quarantined;
--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -234,8 +234,13 @@
         }
     }
 
-    pub(super) fn can_take_order(&self, now_ms: u64) -> bool {
+    /// Returns whether the engine has reported its state to this coordinator.
+    pub(super) fn has_reported(&self) -> bool {
         self.sequence.is_some()
+    }
+
+    pub(super) fn can_take_order(&self, now_ms: u64) -> bool {
+        self.has_reported()
             && self.order_sent_ms.is_none()
             && self.orders_paused_until_ms <= now_ms
             && !self.is_path_lost
--- a/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
@@ -2,9 +2,13 @@
 
 use smallvec::SmallVec;
 
-use crate::{ids::BackendKey, server_paths::PathChange};
+use crate::{
+    ids::BackendKey,
+    message::{PlaceReply, RefusalCause},
+    server_paths::PathChange,
+};
 
-use super::{Planner, engine::Engine};
+use super::{Planner, RETRY_AFTER_RANGE_MS, engine::Engine};
 
 /// Interval between questions to the other core processes about engines that the coordinator doesn't reach.
 const QUESTION_INTERVAL_MS: u64 = 500;
@@ -53,6 +57,30 @@
         for engine in self.engines.values_mut().filter(|engine| engine.backend.service == service) {
             engine.is_path_lost = is_path_lost;
         }
+        if self.knows_no_engine(&service) {
+            self.refuse_service(&service);
+        }
+    }
+
+    /// Returns whether no engine of a service can be reached, and none has reported to this coordinator yet.
+    ///
+    /// Answers a coordinator that begins while it is cut off: placement requests get no reply, so that entry processes
+    /// choose engines by what earlier coordinators told them.
+    pub(super) fn knows_no_engine(&self, service: &str) -> bool {
+        self.paths.is_lost(service) && self.engines_of(service).all(|engine| !engine.has_reported())
+    }
+
+    /// Refuses the requests that wait for engines of a service.
+    fn refuse_service(&mut self, service: &str) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (refused, waiting): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|waiting| *waiting.request.service == *service);
+        self.waiting = waiting;
+        let cause = RefusalCause::NotLoadedInTime { loads_in_flight: 0, load_limit: 0 };
+        for waiting in &refused {
+            let retry_after_ms = fastrand::u64(RETRY_AFTER_RANGE_MS);
+            self.push_reply(waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
+        }
     }
 
     /// Returns the engines of the question that is due to the other core processes, while the path to a service is
--- a/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
@@ -77,3 +77,22 @@
     simulation.run(REACTION_MS);
     assert!(!simulation.planner.is_reached_better(&asked), "the path is found again");
 }
+
+/// Guards against a coordinator that begins while it is cut off, and keeps requests that entry processes could send
+/// to engines they know.
+#[test]
+fn a_coordinator_that_knows_no_engine_takes_no_requests() {
+    let mut simulation = Simulation::new(ENGINES);
+    simulation.replace_planner(0);
+    simulation.unreached = simulation.engines.keys().copied().collect();
+    simulation.place(1, request("m/a1"));
+    simulation.run(REACTION_MS);
+    assert!(matches!(simulation.replies.get(&1), Some(PlaceReply::RefusedFor { .. })));
+    simulation.place(2, request("m/a1"));
+    assert!(simulation.planner.take_replies().is_empty(), "the request is queued");
+    simulation.unreached.clear();
+    simulation.run(REACTION_MS);
+    simulation.place(3, request("m/a1"));
+    simulation.run(1_000);
+    assert!(simulation.engine_of(3).is_some());
+}
