Don't send a request again on a connection on which it was refused

Callers were told 503 for requests that an engine had run or was running, and such requests ran twice (REFUSED, TWICE).

Cause: a request for a model that only one engine has goes to the same engine again after a rejection, 25 ms later, on the kept connection that brought the rejection. A faulty engine that writes the rejection once more is believed, since the id is that of the request; what the engine runs meanwhile is sent again, or refused to the caller. Evidence: the lines refused=503 with the same id and server, 26 ms apart, while the engine had begun to run the request.

A connection remembers the requests that the server answered with a failure, by a hash of their ids, and isn't used for them again; after 32 it isn't used at all.

Before: rejection_that_precedes_the_answer_to_the_next_attempt_is_not_believed 't0 ran 2 times'. After: it passes, like the other tests of promises.rs.

--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
@@ -17,9 +18,10 @@
         TrySendError,
         http1::{self, SendRequest},
     },
-    header::{CONNECTION, HeaderMap, HeaderName},
+    header::{CONNECTION, HeaderMap, HeaderName, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
+use smallvec::SmallVec;
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -42,6 +44,8 @@
 const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(800);
 /// Time after the time limit of a call for reading a response that has arrived.
 const LATE_READ_TIMEOUT: Duration = Duration::from_millis(20);
+/// Requests with failures as answers after which a connection isn't reused.
+const MAX_FAILED_REQUESTS: usize = 32;
 /// Maximum size of a response head, and of the part of a body that is read at a time.
 const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
@@ -121,6 +125,18 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     expected_id: ExpectedId,
+    /// The requests that the server answered with a failure. It may write such an answer once more, and that would
+    /// be taken for the answer to a further attempt of the same request.
+    failed_requests: SmallVec<[RequestHash; 2]>,
+}
+
+/// A hash of a request's id. Two requests with the same hash only use more connections.
+type RequestHash = u64;
+
+fn request_hash(id: &HeaderValue) -> RequestHash {
+    let mut hasher = DefaultHasher::new();
+    id.as_bytes().hash(&mut hasher);
+    hasher.finish()
 }
 
 #[derive(Debug)]
@@ -149,7 +165,8 @@
     pub(crate) fn reuse(self) {
         let Some(idle_timeout) = self.idle_timeout else { return };
         let connection = self.connection;
-        if connection.sender.is_closed() {
+        let has_many_failures = connection.failed_requests.len() >= MAX_FAILED_REQUESTS;
+        if connection.sender.is_closed() || has_many_failures {
             return;
         }
         let idle = IdleConnection { connection, usable_until: Instant::now() + idle_timeout };
@@ -195,16 +212,17 @@
         Ok(())
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection on which no earlier attempt of the request has failed.
+    fn take_idle(&self, address: SocketAddr, request: Option<RequestHash>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(IdleConnection { connection, usable_until }) = connections.pop() {
-            if now < usable_until && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|idle| now < idle.usable_until && idle.connection.sender.is_ready());
+        let is_suitable = |idle: &IdleConnection| {
+            request.is_none_or(|request| !idle.connection.failed_requests.contains(&request))
+        };
+        let at = connections.iter().rposition(is_suitable)?;
+        Some(connections.remove(at).connection)
     }
 
     /// Sends a request and returns the response with its body unread.
@@ -217,9 +235,10 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, ConnectionLease), SendError> {
-        while let Some(mut connection) = self.take_idle(address) {
+        let hash = request.headers().get(&self.id_header).map(request_hash);
+        while let Some(mut connection) = self.take_idle(address, hash) {
             match self.send_on(&mut connection, request).await {
-                Ok(response) => return Ok(self.lease(address, connection, response, false)),
+                Ok(response) => return Ok(self.lease(address, connection, hash, response, false)),
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection before anything was written.
                     Some(unsent) => request = unsent,
@@ -233,7 +252,7 @@
             reason: error.to_string().into(),
         })?;
         match self.send_on(&mut connection, request).await {
-            Ok(response) => Ok(self.lease(address, connection, response, true)),
+            Ok(response) => Ok(self.lease(address, connection, hash, response, true)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendError::NotSent {
                     address,
@@ -302,16 +321,20 @@
                 log::trace!("backends: the connection to {address} failed: {error}");
             }
         });
-        Ok(Connection { sender, expected_id })
+        Ok(Connection { sender, expected_id, failed_requests: SmallVec::new() })
     }
 
     fn lease(
         self: &Arc<Self>,
         address: SocketAddr,
-        connection: Connection,
+        mut connection: Connection,
+        request: Option<RequestHash>,
         response: Response<Incoming>,
         is_new: bool,
     ) -> (Response<Incoming>, ConnectionLease) {
+        if !response.status().is_success() {
+            connection.failed_requests.extend(request);
+        }
         let idle_timeout = idle_timeout(response.headers());
         let client = Arc::clone(self);
         (response, ConnectionLease { client, address, connection, idle_timeout, is_new })
