Announce servers of a new software version once the log has the version

Cause: streams began at a version before the replicated log had it, for up to a poll of the backend list, or for as long as there was no leader. If its servers were gone after the kill, one version was listed and recorded, so a core process that heard its leader was sure that no other had begun the streams.

Servers of a version that isn't recorded are withheld from entry processes and the coordinator, for 10 s at most, while the service has servers of a recorded version. Leaders see them and record the version.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -32,13 +32,13 @@
     http::HttpClient,
     ids::BackendKey,
     link::LinkSender,
-    message::{FleetMessage, LeaderRequest, LeaderResponse},
+    message::{Backend, FleetMessage, LeaderRequest, LeaderResponse},
     metrics::Metrics,
     quarantine::Quarantine,
     state::{FleetState, StateChange, StateCommand},
 };
 
-use self::software_versions::SoftwareVersions;
+use self::software_versions::{SoftwareVersions, UnrecordedVersions};
 use super::{
     announced_backends::AnnouncedBackends,
     compressed_configuration::CompressedConfiguration,
@@ -174,6 +174,9 @@
     ready_reads: Vec<(Index, ResponseSender)>,
     forwarded_requests: HashMap<u64, oneshot::Sender<LeaderResponse>>,
     next_request_id: u64,
+    /// The backend list as it was fetched last.
+    listed_backends: Vec<Backend>,
+    unrecorded_versions: UnrecordedVersions,
     backends: AnnouncedBackends,
     software_versions: SoftwareVersions,
     quarantine: Quarantine,
@@ -236,6 +239,8 @@
             ready_reads: Vec::new(),
             forwarded_requests: HashMap::new(),
             next_request_id: 0,
+            listed_backends: Vec::new(),
+            unrecorded_versions: UnrecordedVersions::default(),
             backends: AnnouncedBackends::default(),
             software_versions: SoftwareVersions::default(),
             quarantine: Quarantine::default(),
@@ -480,7 +485,7 @@
                 self.announce_configuration();
                 self.entries.broadcast(&self.versions_message());
                 self.update_quarantine();
-                self.announce_software_versions();
+                self.update_recorded_versions();
             }
             Err(error) => {
                 log::error!("core: cannot restore the snapshot: {error}");
@@ -508,7 +513,7 @@
                         StateChange::Version => has_new_versions = true,
                         StateChange::Core => self.update_core_addresses(),
                         StateChange::Quarantine => self.update_quarantine(),
-                        StateChange::SoftwareVersions => self.announce_software_versions(),
+                        StateChange::SoftwareVersions => self.update_recorded_versions(),
                         StateChange::Nothing => {}
                     },
                     Err(error) => {
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -277,13 +277,8 @@
     }
 
     pub(super) fn handle_backend_list(&mut self, entries: Vec<BackendEntry>) {
-        let now_ms = self.now_ms();
-        let backends = entries.into_iter().map(Backend::from).collect();
-        self.backends.set(backends);
+        self.listed_backends = entries.into_iter().map(Backend::from).collect();
         self.update_listed_versions();
-        if let Some((_, planner)) = &mut self.planner {
-            planner.set_backends(now_ms, self.backends.list());
-        }
-        self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
+        self.announce_backends();
     }
 }
--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -9,7 +9,7 @@
     expiring_map::ExpiringMap,
     ids::{SoftwareVersion, StreamKey},
     link::LinkSender,
-    message::{FleetMessage, StreamVersionReply},
+    message::{Backend, FleetMessage, StreamVersionReply},
     state::StateCommand,
 };
 
@@ -22,9 +22,58 @@
 /// Time without a message of the leader after which this process may not know the newest state.
 const MAX_LEADER_SILENCE_MS: u64 = 1_000;
 
+/// Time for which servers of a version that isn't recorded are withheld.
+const MAX_WITHHELD_MS: u64 = 10_000;
+
 /// A service and the name of one of its software versions.
 type NamedVersion = (Box<str>, Box<str>);
 
+fn version_of(backend: &Backend) -> NamedVersion {
+    (backend.service.clone(), backend.software_version.clone())
+}
+
+/// Software versions that the replicated log doesn't have yet.
+///
+/// Answers the loss of all processes just after a version has come: what began at it must be told from streams of
+/// other versions, also if its servers are gone by then. Its servers are therefore announced once the log has the
+/// version, unless the service has no other servers or that takes too long.
+#[derive(Debug, Default)]
+pub(super) struct UnrecordedVersions {
+    listed_since_ms: HashMap<NamedVersion, u64>,
+    /// Versions whose servers were announced nevertheless; they aren't withheld again.
+    admitted: BTreeSet<NamedVersion>,
+}
+
+impl UnrecordedVersions {
+    /// Returns the listed servers that may be announced.
+    fn announced(
+        &mut self,
+        now_ms: u64,
+        listed: &[Backend],
+        recorded: &BTreeSet<NamedVersion>,
+    ) -> Vec<Backend> {
+        let versions: BTreeSet<NamedVersion> = listed.iter().map(version_of).collect();
+        self.listed_since_ms
+            .retain(|version, _| versions.contains(version) && !recorded.contains(version));
+        self.admitted.retain(|version| versions.contains(version));
+        let is_usable =
+            |backend: &&Backend| !backend.leaving && recorded.contains(&version_of(backend));
+        let served: BTreeSet<&str> =
+            listed.iter().filter(is_usable).map(|backend| &*backend.service).collect();
+        for version in versions.difference(recorded) {
+            let since_ms = *self.listed_since_ms.entry(version.clone()).or_insert(now_ms);
+            if !served.contains(&*version.0) || since_ms + MAX_WITHHELD_MS <= now_ms {
+                self.admitted.insert(version.clone());
+            }
+        }
+        let may_announce = |backend: &&Backend| {
+            let version = version_of(backend);
+            recorded.contains(&version) || self.admitted.contains(&version)
+        };
+        listed.iter().filter(may_announce).cloned().collect()
+    }
+}
+
 /// The software versions under which streams in progress may have begun.
 ///
 /// The replicated log keeps them, so that after the loss of all processes a service that has only one version is
@@ -99,13 +148,22 @@
         is_in_contact && self.state.version > 0 && !self.software_versions.listed.is_empty()
     }
 
-    /// Applies a new backend list.
+    /// Announces the listed servers whose versions are recorded to entry processes and the coordinator.
+    pub(super) fn announce_backends(&mut self) {
+        let now_ms = self.now_ms();
+        let recorded = &self.state.software_versions;
+        let announced = self.unrecorded_versions.announced(now_ms, &self.listed_backends, recorded);
+        self.backends.set(announced);
+        if let Some((_, planner)) = &mut self.planner {
+            planner.set_backends(now_ms, self.backends.list());
+        }
+        self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
+    }
+
+    /// Applies the versions on a new backend list.
     pub(super) fn update_listed_versions(&mut self) {
         let now_ms = self.now_ms();
-        let listed = self.backends.list().iter();
-        let listed: BTreeSet<NamedVersion> = listed
-            .map(|backend| (backend.service.clone(), backend.software_version.clone()))
-            .collect();
+        let listed: BTreeSet<NamedVersion> = self.listed_backends.iter().map(version_of).collect();
         let versions = &mut self.software_versions;
         for version in versions.listed.difference(&listed) {
             versions.unlisted_ms.insert(version.clone(), now_ms);
@@ -149,6 +207,12 @@
         }
     }
 
+    /// Applies a change of the recorded versions.
+    pub(super) fn update_recorded_versions(&mut self) {
+        self.announce_software_versions();
+        self.announce_backends();
+    }
+
     /// Tells entry processes all versions if they have changed.
     pub(super) fn announce_software_versions(&mut self) {
         let versions = &self.software_versions;
@@ -168,3 +232,6 @@
         FleetMessage::SoftwareVersions(services.into_iter().collect())
     }
 }
+
+#[cfg(test)]
+mod tests;
