Don't take a state of an earlier term for the newest

A process counts as current once it has applied an entry of the present term, which comes after all that was committed before. Test: process_that_has_applied_nothing_of_the_term_is_not_current.

--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use redwinglatch_log::Term;
 use redwinglatch_routing::RequestKind;
 
 use crate::{
@@ -28,6 +29,27 @@
 /// A service and the name of one of its software versions.
 type NamedVersion = (Box<str>, Box<str>);
 
+/// How far a process has come in the replicated log.
+#[derive(Debug, Clone, Copy)]
+struct LogPosition {
+    term: Term,
+    /// The term of the last entry that was applied.
+    applied_term: Term,
+    is_leader: bool,
+    /// The time of the last message of the leader, if there is another one.
+    leader_heard_ms: Option<u64>,
+}
+
+impl LogPosition {
+    /// Returns whether all that was committed before the present leader began is applied. The state of a process
+    /// that has just started may be much older, although it hears the leader.
+    fn is_current(&self, now_ms: u64) -> bool {
+        let hears_leader =
+            self.leader_heard_ms.is_some_and(|heard_ms| now_ms <= heard_ms + MAX_LEADER_SILENCE_MS);
+        self.applied_term == self.term && (self.is_leader || hears_leader)
+    }
+}
+
 fn version_of(backend: &Backend) -> NamedVersion {
     (backend.service.clone(), backend.software_version.clone())
 }
@@ -140,12 +162,16 @@
 
     /// Returns whether the state of this process has all versions under which streams may have begun.
     fn knows_all_versions(&self) -> bool {
-        let now_ms = self.now_ms();
         let leader = self.replica.leader().and_then(|leader| self.last_message_ms.get(&leader.0));
-        let hears_leader =
-            leader.is_some_and(|heard_ms| now_ms <= heard_ms + MAX_LEADER_SILENCE_MS);
-        let is_in_contact = self.is_current_leader() || (!self.replica.is_leader() && hears_leader);
-        is_in_contact && self.state.version > 0 && !self.software_versions.listed.is_empty()
+        let position = LogPosition {
+            term: self.replica.term(),
+            applied_term: self.applied_term,
+            is_leader: self.replica.is_leader(),
+            leader_heard_ms: leader.copied(),
+        };
+        position.is_current(self.now_ms())
+            && self.state.version > 0
+            && !self.software_versions.listed.is_empty()
     }
 
     /// Announces the listed servers whose versions are recorded to entry processes and the coordinator.
--- a/crates/redwinglatch-fleet/src/core/driver/software_versions/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions/tests.rs
@@ -1,6 +1,8 @@
 use std::{collections::BTreeSet, net::SocketAddr};
 
-use super::{MAX_WITHHELD_MS, NamedVersion, UnrecordedVersions};
+use super::{
+    LogPosition, MAX_LEADER_SILENCE_MS, MAX_WITHHELD_MS, NamedVersion, UnrecordedVersions,
+};
 use crate::{ids::BackendKey, message::Backend};
 
 fn server(number: u16, version: &str) -> Backend {
@@ -58,3 +60,15 @@
     let listed = [server(1, "v1"), server(2, "v2")];
     assert_eq!(UnrecordedVersions::default().announced(0, &listed, &recorded(&[])), listed);
 }
+
+/// Guards against a process that restores a snapshot, hears the new leader and is sure of all versions before it has
+/// applied the entries behind the snapshot.
+#[test]
+fn process_that_has_applied_nothing_of_the_term_is_not_current() {
+    let follower =
+        LogPosition { term: 4, applied_term: 3, is_leader: false, leader_heard_ms: Some(1_000) };
+    assert!(!follower.is_current(1_010));
+    assert!(LogPosition { applied_term: 4, ..follower }.is_current(1_010));
+    assert!(!LogPosition { applied_term: 4, ..follower }.is_current(1_001 + MAX_LEADER_SILENCE_MS));
+    assert!(!LogPosition { is_leader: true, leader_heard_ms: None, ..follower }.is_current(1_010));
+}
