Keep on disk which versions began streams

Callers whose streams broke off when all processes were killed were refused with 503, although servers of the version that began their streams served: 0 of 96 take-ups went on.

Cause: which version began a stream was known to processes only, and all of them were gone. Evidence: each take-up ends as stream_version_unknown versions=2 replies=3.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod planner;
 mod start;
+mod stream_records;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -25,6 +26,7 @@
     metrics::{self, Metrics},
 };
 
+use self::stream_records::StreamRecords;
 pub(crate) use backend_list::fetch as fetch_backend_list;
 pub(crate) use compressed_configuration::decompress as decompress_configuration;
 
@@ -84,8 +86,18 @@
         let handler = move |request| metrics::serve_page(Arc::clone(&metrics), request);
         tokio::spawn(http::serve(listener, ServerLimits::default, stop.subscribe(), handler));
     }
-    let context = driver::DriverContext { dialect, clock, metrics, coordinator_state };
-    let driver = driver::Driver::new(settings, context, link, start_state, events.clone());
+    let (stream_records, recorded_streams) = StreamRecords::open(&data_dir, clock);
+    let context =
+        driver::DriverContext { dialect, clock, metrics, coordinator_state, stream_records };
+    let events_of_driver = events.clone();
+    let driver = driver::Driver::new(
+        settings,
+        context,
+        link,
+        start_state,
+        &recorded_streams,
+        events_of_driver,
+    );
     let driver = driver.run(received);
     tokio::pin!(driver);
     tokio::select! {
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -47,6 +47,7 @@
     orders::{EngineAnswer, OrderOutcome},
     planner::{PlannedOrder, Planner},
     start::StartState,
+    stream_records::{StreamRecord, StreamRecords},
 };
 
 /// Interval between ticks, which advance the clock of the log and plan orders.
@@ -139,6 +140,7 @@
     pub(super) metrics: Arc<Metrics>,
     /// Tells the other tasks whether this process is the coordinator.
     pub(super) coordinator_state: watch::Sender<bool>,
+    pub(super) stream_records: StreamRecords,
 }
 
 /// The state of a core process.
@@ -179,6 +181,7 @@
     unrecorded_versions: UnrecordedVersions,
     backends: AnnouncedBackends,
     software_versions: SoftwareVersions,
+    stream_records: StreamRecords,
     quarantine: Quarantine,
     /// Earliest time of the next proposals to end quarantines.
     quarantine_ends_due_ms: u64,
@@ -207,9 +210,10 @@
         context: DriverContext,
         own_link: SocketAddr,
         start_state: StartState,
+        recorded_streams: &[StreamRecord],
         events: mpsc::Sender<DriverEvent>,
     ) -> Driver {
-        let DriverContext { dialect, clock, metrics, coordinator_state } = context;
+        let DriverContext { dialect, clock, metrics, coordinator_state, stream_records } = context;
         let mut driver = Driver {
             dialect,
             coordinator_state,
@@ -243,6 +247,7 @@
             unrecorded_versions: UnrecordedVersions::default(),
             backends: AnnouncedBackends::default(),
             software_versions: SoftwareVersions::default(),
+            stream_records,
             quarantine: Quarantine::default(),
             quarantine_ends_due_ms: 0,
             watch_due_ms: 0,
@@ -260,6 +265,7 @@
             settings,
         };
         driver.load_configuration();
+        driver.remember_streams(recorded_streams);
         driver.update_quarantine();
         driver.announce_software_versions();
         driver
--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -6,6 +6,7 @@
 use redwinglatch_routing::RequestKind;
 
 use crate::{
+    core::stream_records::StreamRecord,
     entry::stream_lifetime_ms,
     expiring_map::ExpiringMap,
     ids::{SoftwareVersion, StreamKey},
@@ -142,7 +143,19 @@
 
 impl Driver {
     /// Records the versions that began streams, as an entry process tells.
-    pub(super) fn handle_begun_streams(&mut self, streams: &[(StreamKey, SoftwareVersion)]) {
+    pub(super) fn handle_begun_streams(&mut self, streams: &[StreamRecord]) {
+        let began = &self.software_versions.began;
+        // Entry processes tell all their streams again on a new link.
+        let is_new = |(stream, _): &&StreamRecord| began.get(*stream).is_none();
+        let new: Vec<StreamRecord> = streams.iter().filter(is_new).copied().collect();
+        if !new.is_empty() {
+            self.stream_records.add(&new, self.software_versions.lifetime_ms);
+            self.remember_streams(&new);
+        }
+    }
+
+    /// Remembers the versions that began streams.
+    pub(super) fn remember_streams(&mut self, streams: &[StreamRecord]) {
         let now_ms = self.now_ms();
         let versions = &mut self.software_versions;
         let oldest_ms = now_ms.saturating_sub(versions.lifetime_ms);
