Don't take crashed engines for a cut when a coordinator begins

Cause: reports of engines that have crashed fail at once, before those of the others arrive, and three failed of three tried were enough.

A third of the engines of a service, 40 at the most, must leave reports unanswered for the coordinator, which asks all of them. One that knows no engine takes no requests only after 400 ms of that. Entry processes, which try single servers, keep their rule.

Test: engines_that_crashed_before_a_coordinator_began_do_not_cut_it_off, which fails with the rule of entry processes (three of three).

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -44,7 +44,7 @@
 pub(super) use self::base_models::BaseModels;
 use self::{
     engine::{Engine, ModelPhase, OrderState},
-    engine_paths::ReachQuestion,
+    engine_paths::{ReachQuestion, min_unanswered},
     fatal_requests::FatalRequests,
     model_index::{ModelIndex, ReportedUse, UnloadedAdapters},
     request_grants::RequestGrants,
@@ -260,7 +260,7 @@
             quarantine: Quarantine::default(),
             grants: RequestGrants::default(),
             rooms: ServerRooms::default(),
-            paths: ServerPaths::default(),
+            paths: ServerPaths::new(min_unanswered),
             reach_question: ReachQuestion::default(),
             spared_engines: HashSet::new(),
             next_returns_ms: HashMap::new(),
@@ -437,7 +437,7 @@
         request: PlaceRequest,
         software: Option<SoftwareVersion>,
     ) {
-        if self.knows_no_engine(&request.service) {
+        if self.knows_no_engine(now_ms, &request.service) {
             return;
         }
         let waiting = WaitingRequest::new(now_ms, entry, id, request, software);
@@ -569,6 +569,7 @@
             engine.expire_prefills(now_ms);
         }
         self.place_waiting(now_ms);
+        self.refuse_unknown_services(now_ms);
         self.refuse_beyond_limits(now_ms);
         let loads = self.engines.values().map(|engine| engine.store_loads_in_flight(now_ms)).sum();
         self.store.set_in_flight(loads);
--- a/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
@@ -8,13 +8,27 @@
     server_paths::PathChange,
 };
 
-use super::{Planner, RETRY_AFTER_RANGE_MS, engine::Engine};
+use super::{Planner, RETRY_AFTER_RANGE_MS, engine::Engine, waiting_request::WaitingRequest};
 
+/// Part of the engines of a service that must leave reports unanswered before the path to them counts as lost, and the
+/// most that must. Engines that have crashed fail at once, before others have answered.
+const MIN_UNANSWERED_PART: usize = 3;
+const MAX_MIN_UNANSWERED: usize = 40;
+/// Fewest engines for that, unless the service has fewer.
+const MIN_UNANSWERED: usize = 3;
+/// Time for which the path must be lost before a coordinator that knows no engine takes no requests.
+const UNKNOWN_AFTER_MS: u64 = 400;
 /// Interval between questions to the other core processes about engines that the coordinator doesn't reach.
 const QUESTION_INTERVAL_MS: u64 = 500;
 /// Engines of each service about which they are asked.
 const ENGINES_PER_QUESTION: usize = 4;
 
+/// Returns how many of a service's engines must leave reports unanswered before the path to them counts as lost.
+pub(super) fn min_unanswered(engines: usize) -> usize {
+    let least = engines.clamp(1, MIN_UNANSWERED);
+    (engines / MIN_UNANSWERED_PART).clamp(least, MAX_MIN_UNANSWERED)
+}
+
 /// The question to the other core processes about the engines that answer them.
 #[derive(Debug, Default)]
 pub(super) struct ReachQuestion {
@@ -57,24 +71,26 @@
         for engine in self.engines.values_mut().filter(|engine| engine.backend.service == service) {
             engine.is_path_lost = is_path_lost;
         }
-        if self.knows_no_engine(&service) {
-            self.refuse_service(&service);
-        }
     }
 
     /// Returns whether no engine of a service can be reached, and none has reported to this coordinator yet.
     ///
     /// Answers a coordinator that begins while it is cut off: placement requests get no reply, so that entry processes
     /// choose engines by what earlier coordinators told them.
-    pub(super) fn knows_no_engine(&self, service: &str) -> bool {
-        self.paths.is_lost(service) && self.engines_of(service).all(|engine| !engine.has_reported())
+    pub(super) fn knows_no_engine(&self, now_ms: u64, service: &str) -> bool {
+        self.paths.lost_for_ms(now_ms, service).is_some_and(|lost_ms| lost_ms >= UNKNOWN_AFTER_MS)
+            && self.engines_of(service).all(|engine| !engine.has_reported())
     }
 
-    /// Refuses the requests that wait for engines of a service.
-    fn refuse_service(&mut self, service: &str) {
+    /// Refuses the requests that wait for services of which no engine is known.
+    pub(super) fn refuse_unknown_services(&mut self, now_ms: u64) {
+        if !self.is_any_path_lost() {
+            return;
+        }
         let waiting = std::mem::take(&mut self.waiting);
-        let (refused, waiting): (Vec<_>, Vec<_>) =
-            waiting.into_iter().partition(|waiting| *waiting.request.service == *service);
+        let is_unknown =
+            |waiting: &WaitingRequest| self.knows_no_engine(now_ms, &waiting.request.service);
+        let (refused, waiting): (Vec<_>, Vec<_>) = waiting.into_iter().partition(is_unknown);
         self.waiting = waiting;
         let cause = RefusalCause::NotLoadedInTime { loads_in_flight: 0, load_limit: 0 };
         for waiting in &refused {
--- a/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
@@ -96,3 +96,27 @@
     simulation.run(1_000);
     assert!(simulation.engine_of(3).is_some());
 }
+
+/// Guards against a coordinator that begins after some engines have crashed: their reports fail before those of the
+/// others arrive.
+#[test]
+fn engines_that_crashed_before_a_coordinator_began_do_not_cut_it_off() {
+    const ENGINES: u16 = 18;
+    let mut simulation = Simulation::new(ENGINES);
+    simulation.replace_planner(0);
+    let crashed: Vec<BackendKey> = simulation.engines.keys().take(5).copied().collect();
+    simulation.place(1, request("m/a1"));
+    assert_eq!(simulation.planner.take_due_reports(0).len(), usize::from(ENGINES));
+    for engine in &crashed {
+        simulation.planner.engine_report(simulation.now_ms, *engine, None);
+    }
+    assert_eq!(question(&mut simulation), None);
+    for (key, engine) in &mut simulation.engines {
+        if !crashed.contains(key) {
+            let report = engine.report(simulation.now_ms);
+            simulation.planner.engine_report(simulation.now_ms, *key, Some(report));
+        }
+    }
+    simulation.run(1_000);
+    assert!(simulation.engine_of(1).is_some());
+}
--- a/crates/redwinglatch-fleet/src/server_paths.rs
+++ b/crates/redwinglatch-fleet/src/server_paths.rs
@@ -90,19 +90,19 @@
         failed.map(|(server, _)| *server)
     }
 
-    /// Records the outcome of a connection attempt at one of `servers` servers.
+    /// Records the outcome of a connection attempt; `min_failed` servers must fail for a loss of the path.
     fn record_attempt(
         &mut self,
         now_ms: u64,
         server: BackendKey,
         is_accepted: bool,
-        servers: usize,
+        min_failed: usize,
     ) {
         self.attempts.retain(|_, (at_ms, _)| now_ms <= *at_ms + OUTCOME_MS);
         self.attempts.insert(server, (now_ms, is_accepted));
         let (failed, tried) = self.recent_attempts(now_ms);
         let share = failed as f64 / tried as f64;
-        if failed >= min_failed(servers) && share > LOST_SHARE {
+        if failed >= min_failed && share > LOST_SHARE {
             self.accepts_none = true;
         } else if is_accepted && share <= FOUND_SHARE {
             self.accepts_none = false;
@@ -132,8 +132,9 @@
     }
 }
 
-/// Returns how many of a service's servers must fail before the path counts as lost.
-fn min_failed(servers: usize) -> usize {
+/// Returns how many of a service's servers must fail before the path counts as lost, unless the process tries all
+/// of them together.
+fn min_failed_servers(servers: usize) -> usize {
     servers.clamp(1, MIN_FAILED_SERVERS)
 }
 
@@ -141,12 +142,26 @@
 ///
 /// Answers a cut between some entry processes and all servers. For one that is cut off, every server looks as if
 /// it had ended; only what other servers do tells the difference.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ServerPaths {
     services: HashMap<Box<str>, ServicePath>,
+    /// Returns how many of a service's servers must fail before the path counts as lost.
+    min_failed: fn(usize) -> usize,
+}
+
+impl Default for ServerPaths {
+    fn default() -> ServerPaths {
+        ServerPaths::new(min_failed_servers)
+    }
 }
 
 impl ServerPaths {
+    /// Creates paths that count as lost when `min_failed` of the servers of a service have failed, and most of those
+    /// that were tried.
+    pub(crate) fn new(min_failed: fn(usize) -> usize) -> ServerPaths {
+        ServerPaths { services: HashMap::new(), min_failed }
+    }
+
     fn path(&mut self, service: &str) -> &mut ServicePath {
         if !self.services.contains_key(service) {
             self.services.insert(service.into(), ServicePath::default());
@@ -180,11 +195,12 @@
         is_accepted: bool,
         servers: usize,
     ) -> Option<PathChange> {
+        let min_failed = (self.min_failed)(servers);
         let path = self.path(service);
         if !is_accepted && path.failed(now_ms).next().is_none() {
             path.check_due_ms = path.check_due_ms.min(now_ms);
         }
-        path.record_attempt(now_ms, server, is_accepted, servers);
+        path.record_attempt(now_ms, server, is_accepted, min_failed);
         path.take_change(now_ms)
     }
 
@@ -212,8 +228,9 @@
         service: &str,
         servers: usize,
     ) -> Option<PathChange> {
+        let min_failed = (self.min_failed)(servers);
         let path = self.services.get_mut(service)?;
-        path.is_silent |= path.unanswered_for(now_ms, FAILED_SILENCE_MS) >= min_failed(servers);
+        path.is_silent |= path.unanswered_for(now_ms, FAILED_SILENCE_MS) >= min_failed;
         path.take_change(now_ms)
     }
 
@@ -222,6 +239,12 @@
         self.services.get(service).is_some_and(|path| path.lost_since_ms.is_some())
     }
 
+    /// Returns for how long the path to a service has been lost, if it is.
+    pub(crate) fn lost_for_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+        let since_ms = self.services.get(service)?.lost_since_ms?;
+        Some(now_ms.saturating_sub(since_ms))
+    }
+
     /// Returns whether requests may still be sent on kept connections, although no new ones are accepted.
     pub(crate) fn has_sound_connections(&self, now_ms: u64, service: &str) -> bool {
         self.services
