Announce differences of model locations, also after a change of the coordinator

Cause: a new coordinator reads all engines anew, and announced every model that they have to every entry process, though these had kept what the coordinator before had announced. The log is replicated over the same links of 100 Mbit/s.

The coordinator tells the other core processes what it announces, and a new one announces the differences. Entry processes that have never been told all locations, or were without a coordinator for 2 s, ask for them. Changes that cancel each other until they are due aren't announced, and changes take 2 kB a second for each entry process at the most; they are used only while no coordinator replies.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -1,6 +1,7 @@
 //! A core process: the replicated log, the operators' API and the coordinator of engines.
 
 mod announced_backends;
+mod announced_locations;
 mod backend_list;
 mod compressed_configuration;
 mod control_api;
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -41,6 +41,7 @@
 use self::software_versions::{SoftwareVersions, UnrecordedVersions};
 use super::{
     announced_backends::AnnouncedBackends,
+    announced_locations::AnnouncedLocations,
     compressed_configuration::CompressedConfiguration,
     entry_links::EntryLinks,
     links::{self, CoreLinks},
@@ -63,9 +64,15 @@
 const ENGINE_LOAD_BYTES: u64 = 12;
 /// Traffic of these messages to all entry processes beyond which the interval grows.
 const MAX_ENGINE_LOAD_BYTES_PER_MS: u64 = 300;
-/// Interval between messages to entry processes about changes of model locations. They place
+/// Shortest interval between messages to entry processes about changes of model locations. They place
 /// requests by these only while there is no coordinator.
 const LOCATION_CHANGES_INTERVAL_MS: u64 = 300;
+/// Size of a change of a model location, and the traffic of changes to each entry process beyond which the interval
+/// grows.
+const LOCATION_CHANGE_BYTES: u64 = 30;
+const MAX_LOCATION_BYTES_PER_S: u64 = 2_000;
+/// Changes in one message.
+const MAX_LOCATION_CHANGES: usize = 1_000;
 /// Interval between requests to join the log while the process isn't a voter.
 const JOIN_INTERVAL_MS: u64 = 250;
 /// A leader transfers leadership when a write takes longer than this.
@@ -199,6 +206,9 @@
     leadership_transfer_due_ms: u64,
     backend_loads_due_ms: u64,
     engine_loads_due_ms: u64,
+    /// The model locations that entry processes know, and the epoch of the coordinator that announced them last.
+    locations: AnnouncedLocations,
+    locations_epoch: Term,
     location_changes_due_ms: u64,
     idle_check_due_ms: u64,
     traffic_log_due_ms: u64,
@@ -259,6 +269,8 @@
             is_stopping: false,
             backend_loads_due_ms: 0,
             engine_loads_due_ms: 0,
+            locations: AnnouncedLocations::default(),
+            locations_epoch: 0,
             location_changes_due_ms: 0,
             idle_check_due_ms: 0,
             traffic_log_due_ms: TRAFFIC_LOG_INTERVAL_MS,
@@ -321,6 +333,7 @@
             DriverEvent::LinkClosed { link } => self.handle_link_closed(link),
             DriverEvent::CoreConnected { address, sender } => {
                 log::info!("core: connected to the core process at {address}");
+                sender.send(&FleetMessage::ModelLocationsRequest);
                 self.cores.connected(address, sender);
                 self.join_due_ms = 0;
             }
@@ -338,7 +351,11 @@
                     if answer.is_leaving {
                         planner.engine_leaving(engine);
                     }
+                    let is_first = !planner.has_reported(engine);
                     planner.engine_report(now_ms, engine, answer.result);
+                    if is_first && planner.has_reported(engine) {
+                        self.locations.confirm(engine, |model| planner.is_loaded(engine, model));
+                    }
                 }
             }
             DriverEvent::OrderFinished { order, answer } => {
--- a/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/coordinator.rs
@@ -18,8 +18,9 @@
 
 use super::{
     BACKEND_LOADS_INTERVAL_MS, BROADCAST_INTERVAL_MS_PER_LINK, Driver, DriverEvent,
-    ENGINE_LOAD_BYTES, ENGINE_LOADS_INTERVAL_MS, FORMER_LEADER_TIMEOUT_MS,
-    LOCATION_CHANGES_INTERVAL_MS, MAX_ENGINE_LOAD_BYTES_PER_MS,
+    ENGINE_LOAD_BYTES, ENGINE_LOADS_INTERVAL_MS, FORMER_LEADER_TIMEOUT_MS, LOCATION_CHANGE_BYTES,
+    LOCATION_CHANGES_INTERVAL_MS, MAX_ENGINE_LOAD_BYTES_PER_MS, MAX_LOCATION_BYTES_PER_S,
+    MAX_LOCATION_CHANGES,
 };
 
 impl Driver {
@@ -56,9 +57,9 @@
             planner.restore_ends(now_ms, self.state.server_ends.iter().cloned());
             self.planner = Some((term, planner));
             self.update_planner_services();
-            // Entry processes send their requests here from now on; locations follow with the reports.
-            let locations = Vec::new();
-            self.entries.broadcast(&FleetMessage::ModelLocations { epoch: term, locations });
+            self.locations.forget_pending();
+            // Entry processes send their requests here from now on; changes of locations follow with the reports.
+            self.send_location_changes(term, Vec::new());
         } else if !is_leader && self.planner.is_some() {
             log::info!("core: replica {} is no longer the leader", self.replica.id());
             self.planner = None;
@@ -89,7 +90,6 @@
     pub(super) fn plan(&mut self, now_ms: u64) {
         self.quarantine_fatal_requests(now_ms);
         self.ask_for_completions(now_ms);
-        let interval_ms = self.broadcast_interval_ms();
         let Some((epoch, planner)) = &mut self.planner else { return };
         let epoch = *epoch;
         let is_only_coordinator = self.replica.leader_lease_valid(now_ms);
@@ -101,19 +101,38 @@
             }
             self.entries.send(entry, &FleetMessage::PlaceReply { id, reply });
         }
-        let mut changes: Vec<ModelLocationChange> = Vec::new();
-        if self.location_changes_due_ms <= now_ms {
-            changes = planner.take_changes();
-            self.location_changes_due_ms = now_ms + LOCATION_CHANGES_INTERVAL_MS.max(interval_ms);
+        for change in planner.take_changes() {
+            self.locations.add(change);
         }
         for order in orders {
             self.send_order(epoch, order);
         }
+        self.announce_locations(now_ms, epoch);
+    }
+
+    /// Announces changes of model locations if they are due.
+    fn announce_locations(&mut self, now_ms: u64, epoch: Term) {
+        if now_ms < self.location_changes_due_ms {
+            return;
+        }
+        let changes = self.locations.take_changes(MAX_LOCATION_CHANGES);
+        let traffic_ms =
+            changes.len() as u64 * LOCATION_CHANGE_BYTES * 1_000 / MAX_LOCATION_BYTES_PER_S;
+        let interval_ms = self.broadcast_interval_ms().max(LOCATION_CHANGES_INTERVAL_MS);
+        self.location_changes_due_ms = now_ms + interval_ms.max(traffic_ms);
         if !changes.is_empty() {
-            self.entries.broadcast(&FleetMessage::ModelLocationChanges { epoch, changes });
+            self.send_location_changes(epoch, changes);
         }
     }
 
+    /// Tells entry processes changes of model locations, and the other core processes what these know.
+    fn send_location_changes(&mut self, epoch: Term, changes: Vec<ModelLocationChange>) {
+        self.locations_epoch = epoch;
+        let message = FleetMessage::ModelLocationChanges { epoch, changes };
+        self.entries.broadcast(&message);
+        self.cores.send_all(&message);
+    }
+
     /// Returns the interval between messages to all entry processes, which grows with their number, so
     /// that a coordinator of a large fleet keeps its processor time for requests.
     fn broadcast_interval_ms(&self) -> u64 {
@@ -164,12 +183,8 @@
         }
         if let Some(loads) = loads {
             self.backend_loads_due_ms = now_ms + interval_ms;
-            // Sent together with the loads, so that they share a write on each link.
-            let changes = planner.take_changes();
-            self.location_changes_due_ms = now_ms + LOCATION_CHANGES_INTERVAL_MS.max(interval_ms);
-            if !changes.is_empty() {
-                self.entries.broadcast(&FleetMessage::ModelLocationChanges { epoch, changes });
-            }
+            // Changes are sent together with the loads, so that they share a write on each link.
+            self.announce_locations(now_ms, epoch);
             self.entries.broadcast(&loads);
         }
     }
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use redwinglatch_log::LogMessage;
+use redwinglatch_log::{LogMessage, Term};
 
 use crate::{
     BackendEntry,
@@ -109,6 +109,11 @@
             FleetMessage::ModelLocationsRequest => {
                 self.send_model_locations(&sender);
             }
+            FleetMessage::ModelLocationChanges { epoch, changes } => {
+                if self.follows_coordinator_of(epoch) {
+                    self.locations.heard(&changes);
+                }
+            }
             FleetMessage::Log { from, to, message } if to == self.replica.id() => {
                 let now_ms = self.now_ms();
                 self.last_message_ms.insert(from.0, now_ms);
@@ -141,6 +146,11 @@
     pub(super) fn handle_core_message(&mut self, address: SocketAddr, message: FleetMessage) {
         match message {
             FleetMessage::CoreDataCentre(_) => self.cores.understands_reach(address),
+            FleetMessage::ModelLocations { epoch, locations } => {
+                if self.follows_coordinator_of(epoch) {
+                    locations.iter().for_each(|location| self.locations.know(location));
+                }
+            }
             FleetMessage::ReachReply { replica, reached } => {
                 self.hand_over_to(replica, &reached);
             }
@@ -213,8 +223,8 @@
     /// Sends the locations of all models if this process is the coordinator, in parts that leave
     /// room for other messages.
     fn send_model_locations(&self, sender: &LinkSender) {
-        let Some((epoch, planner)) = &self.planner else { return };
-        let locations = planner.model_locations();
+        let Some((epoch, _)) = &self.planner else { return };
+        let locations = self.locations.all();
         for part in locations.chunks(MAX_LOCATIONS_PER_MESSAGE) {
             let locations = part.to_vec();
             sender.send(&FleetMessage::ModelLocations { epoch: *epoch, locations });
@@ -224,6 +234,15 @@
         }
     }
 
+    /// Returns whether another process announces model locations as the coordinator of an epoch, and no newer one has.
+    fn follows_coordinator_of(&mut self, epoch: Term) -> bool {
+        if self.planner.is_some() || epoch < self.locations_epoch {
+            return false;
+        }
+        self.locations_epoch = epoch;
+        true
+    }
+
     fn request_limits_message(&self) -> FleetMessage {
         let planner = self.planner.as_ref();
         let limits = planner.map_or_else(Vec::new, |(_, planner)| planner.request_limits());
--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -1,6 +1,6 @@
 //! Software versions of services, and the streams that they began.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use redwinglatch_log::Term;
 use redwinglatch_routing::RequestKind;
@@ -9,7 +9,7 @@
     core::stream_records::StreamRecord,
     entry::stream_lifetime_ms,
     expiring_map::ExpiringMap,
-    ids::{SoftwareVersion, StreamKey},
+    ids::{BackendKey, SoftwareVersion, StreamKey},
     link::LinkSender,
     message::{Backend, FleetMessage, StreamVersionReply},
     state::StateCommand,
@@ -193,6 +193,9 @@
         let recorded = &self.state.software_versions;
         let announced = self.unrecorded_versions.announced(now_ms, &self.listed_backends, recorded);
         self.backends.set(announced);
+        let listed: HashSet<BackendKey> =
+            self.backends.list().iter().map(|backend| backend.key).collect();
+        self.locations.retain(|engine| listed.contains(engine));
         if let Some((_, planner)) = &mut self.planner {
             planner.set_backends(now_ms, self.backends.list());
         }
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -33,10 +33,7 @@
 use crate::{
     EngineReport, OrderKind,
     ids::{BackendKey, ModelName, SoftwareVersion, is_adapter},
-    message::{
-        Backend, EntryStatus, ModelLocation, ModelLocationChange, PlaceReply, PlaceRequest,
-        RefusalCause,
-    },
+    message::{Backend, EntryStatus, ModelLocationChange, PlaceReply, PlaceRequest, RefusalCause},
     quarantine::Quarantine,
     server_paths::ServerPaths,
 };
@@ -503,22 +500,16 @@
         }
     }
 
-    /// Returns the models and adapters that engines serve.
-    pub(super) fn model_locations(&self) -> Vec<ModelLocation> {
-        let engines = self.engines.iter().filter(|(_, engine)| engine.base_update.is_none());
-        engines
-            .flat_map(|(key, engine)| {
-                let loaded = engine
-                    .models
-                    .iter()
-                    .filter(|(_, model_state)| model_state.phase == ModelPhase::Loaded);
-                loaded.map(|(model, model_state)| ModelLocation {
-                    engine: *key,
-                    model: model.clone(),
-                    version: model_state.version,
-                })
-            })
-            .collect()
+    /// Returns whether an engine has reported its state to this coordinator.
+    pub(super) fn has_reported(&self, key: BackendKey) -> bool {
+        self.engines.get(&key).is_some_and(Engine::has_reported)
+    }
+
+    /// Returns whether an engine serves a model.
+    pub(super) fn is_loaded(&self, key: BackendKey, model: &ModelName) -> bool {
+        let engine = self.engines.get(&key).filter(|engine| engine.base_update.is_none());
+        let model_state = engine.and_then(|engine| engine.models.get(model));
+        model_state.is_some_and(|model_state| model_state.phase == ModelPhase::Loaded)
     }
 
     pub(super) fn take_changes(&mut self) -> Vec<ModelLocationChange> {
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -131,7 +131,8 @@
                         Err(error) => break error,
                     }
                 };
-                context.fleet_view().core_disconnected(address);
+                let now_ms = context.now_ms();
+                context.fleet_view().core_disconnected(now_ms, address);
                 context.state_sources().disconnected(address);
                 log::warn!("entry: lost the core process at {address}: {error}");
                 reconnect_delay.after_loss()
@@ -245,13 +246,21 @@
             }
         }
         FleetMessage::ModelLocations { epoch, locations } => {
-            if accept_coordinator(context, core, epoch) {
-                context.fleet_view().merge_model_locations(locations);
+            if accept_coordinator(context, core, epoch) != CoordinatorAcceptance::Outdated {
+                let mut view = context.fleet_view();
+                view.locations_received();
+                view.merge_model_locations(locations);
             }
         }
         FleetMessage::ModelLocationChanges { epoch, changes } => {
-            if accept_coordinator(context, core, epoch) {
-                context.fleet_view().apply_model_location_changes(changes);
+            let acceptance = accept_coordinator(context, core, epoch);
+            let now_ms = context.now_ms();
+            let mut view = context.fleet_view();
+            if acceptance == CoordinatorAcceptance::New && view.take_needs_locations(now_ms) {
+                sender.send(&FleetMessage::ModelLocationsRequest);
+            }
+            if acceptance != CoordinatorAcceptance::Outdated {
+                view.apply_model_location_changes(changes);
             }
         }
         FleetMessage::PlaceReply { id, reply } => {
@@ -289,7 +298,11 @@
 
 /// Accepts the sender of model locations as the coordinator unless it is outdated. A new one gets the
 /// status of this process at once, so that it knows which adapters are in use.
-fn accept_coordinator(context: &EntryContext, core: SocketAddr, epoch: u64) -> bool {
+fn accept_coordinator(
+    context: &EntryContext,
+    core: SocketAddr,
+    epoch: u64,
+) -> CoordinatorAcceptance {
     let acceptance = context.fleet_view().accept_coordinator(core, epoch);
     if acceptance == CoordinatorAcceptance::New {
         log::info!("entry: the core process at {core} is the coordinator of epoch {epoch}");
@@ -300,7 +313,7 @@
         view.report_all_brittle_services();
         view.report_unreported_failures(now_ms);
     }
-    acceptance != CoordinatorAcceptance::Outdated
+    acceptance
 }
 
 fn install_configuration(context: &EntryContext, version: u64, document: &[u8]) {
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -73,6 +73,10 @@
     /// The engines on which each model or adapter is loaded, with its version.
     model_locations: HashMap<ModelName, SmallVec<[(BackendKey, u64); 2]>>,
     coordinator_epoch: u64,
+    /// Whether a coordinator has told this process all model locations.
+    has_all_locations: bool,
+    /// The time at which the link to the coordinator was lost.
+    coordinator_lost_ms: Option<u64>,
     /// The number of concurrent loads that the weight store sustains, as last announced by a
     /// coordinator; it is passed on to the next one.
     store_limit: u32,
@@ -127,6 +131,8 @@
             brittle_rooms: BrittleRooms::default(),
             model_locations: HashMap::new(),
             coordinator_epoch: 0,
+            has_all_locations: false,
+            coordinator_lost_ms: None,
             store_limit: 0,
             versions: HashMap::new(),
             cores: BTreeMap::new(),
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/cores.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/cores.rs
@@ -11,6 +11,9 @@
     message::{FleetMessage, PlaceReply, PlaceRequest},
 };
 
+/// Time without a coordinator after which changes of model locations may have been missed.
+const MAX_MISSED_MS: u64 = 2_000;
+
 /// Messages that a core process understands. It shows so by a message that older versions don't send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Capability {
@@ -45,7 +48,7 @@
         self.cores.insert(address, Some(sender));
     }
 
-    pub(crate) fn core_disconnected(&mut self, address: SocketAddr) {
+    pub(crate) fn core_disconnected(&mut self, now_ms: u64, address: SocketAddr) {
         self.cores.insert(address, None);
         self.capabilities.remove(&address);
         self.forget_announced_versions(address);
@@ -54,6 +57,7 @@
         }
         if self.coordinator_address == Some(address) {
             self.coordinator_address = None;
+            self.coordinator_lost_ms = Some(now_ms);
             self.forget_requests_to_coordinator();
         }
     }
@@ -75,6 +79,19 @@
         self.coordinator_address.is_some_and(|core| self.has_capability(core, capability))
     }
 
+    /// Records that this process was told all model locations.
+    pub(crate) fn locations_received(&mut self) {
+        self.has_all_locations = true;
+        self.coordinator_lost_ms = None;
+    }
+
+    /// Returns whether a new coordinator must be asked for all model locations, because this process has never been
+    /// told them or may have missed changes.
+    pub(crate) fn take_needs_locations(&mut self, now_ms: u64) -> bool {
+        let lost_ms = self.coordinator_lost_ms.take();
+        !self.has_all_locations || lost_ms.is_some_and(|lost_ms| lost_ms + MAX_MISSED_MS < now_ms)
+    }
+
     /// Lets requests that wait for the previous coordinator go on without it.
     fn forget_requests_to_coordinator(&mut self) {
         self.placement_replies.clear();
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/tests.rs
@@ -233,7 +233,7 @@
         view.accept_coordinator(core, epoch);
         view.report_unreported_failures(1_500);
         view.request_failed(1_600, 1_500, request);
-        view.core_disconnected(core);
+        view.core_disconnected(0, core);
     }
     let mut received = queues.iter_mut().map(|queue| {
         let frames = std::iter::from_fn(|| queue.try_next());
@@ -250,3 +250,19 @@
     });
     assert_eq!(ages_ms.collect::<Vec<_>>(), [600, 100]);
 }
+
+/// A new coordinator announces only what differs from what the one before has announced.
+#[test]
+fn a_process_asks_for_all_locations_unless_it_has_heard_the_coordinator_until_now() {
+    let (core, other) = (address(1), address(2));
+    let mut view = FleetView::new(address(100));
+    assert!(view.take_needs_locations(0), "it was told nothing yet");
+    view.accept_coordinator(core, 1);
+    view.locations_received();
+    assert!(!view.take_needs_locations(10));
+    view.core_disconnected(100, core);
+    view.accept_coordinator(other, 2);
+    assert!(!view.take_needs_locations(600), "the coordinator was lost a moment ago");
+    view.core_disconnected(1_000, other);
+    assert!(view.take_needs_locations(9_000), "changes were missed");
+}
