Tell ended engines of a large fleet from a cut of the coordinator

A coordinator of a large fleet took its path to the engines for lost when some had ended, loaded no adapter and placed requests on the ended ones.

Cause: engines that have ended are asked for reports every 250 ms, the others every 20 s in a fleet of that size. So the ended ones were most of those that had been asked in the last 2 s. Evidence: the test below, with 150 ended engines of 600. Besides, the engines with the lowest keys were asked first, which left no room for reports of others.

Only the first failed report of an engine counts against the path. Engines that wait for their report for the longest time are asked first. The look at the versions of a list doesn't copy the names of thousands of servers.

Test: ended_engines_of_a_large_fleet_do_not_cut_the_coordinator_off, which fails without the change 3 s after the ends.

--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -51,8 +51,9 @@
     }
 }
 
-fn version_of(backend: &Backend) -> NamedVersion {
-    (backend.service.clone(), backend.software_version.clone())
+/// Returns the names of a server's service and software version.
+fn names_of(backend: &Backend) -> (&str, &str) {
+    (&backend.service, &backend.software_version)
 }
 
 /// Software versions that the replicated log doesn't have yet.
@@ -75,25 +76,39 @@
         listed: &[Backend],
         recorded: &BTreeSet<NamedVersion>,
     ) -> Vec<Backend> {
-        let versions: BTreeSet<NamedVersion> = listed.iter().map(version_of).collect();
-        self.listed_since_ms
-            .retain(|version, _| versions.contains(version) && !recorded.contains(version));
-        self.admitted.retain(|version| versions.contains(version));
-        let is_usable =
-            |backend: &&Backend| !backend.leaving && recorded.contains(&version_of(backend));
-        let served: BTreeSet<&str> =
-            listed.iter().filter(is_usable).map(|backend| &*backend.service).collect();
-        for version in versions.difference(recorded) {
+        // Lists have thousands of servers, and few versions.
+        let mut versions: BTreeMap<(&str, &str), bool> = BTreeMap::new();
+        for backend in listed {
+            let has_usable = versions.entry(names_of(backend)).or_default();
+            *has_usable |= !backend.leaving;
+        }
+        let is_listed = |version: &NamedVersion| versions.contains_key(&(&*version.0, &*version.1));
+        self.listed_since_ms.retain(|version, _| is_listed(version) && !recorded.contains(version));
+        self.admitted.retain(is_listed);
+        let named = versions.iter().map(|((service, version), has_usable)| {
+            let named: NamedVersion = ((*service).into(), (*version).into());
+            let is_recorded = recorded.contains(&named);
+            (named, is_recorded, is_recorded && *has_usable)
+        });
+        let named: Vec<(NamedVersion, bool, bool)> = named.collect();
+        let mut withheld: BTreeSet<(&str, &str)> = BTreeSet::new();
+        for (version, is_recorded, _) in &named {
+            if *is_recorded {
+                continue;
+            }
+            let is_served = named
+                .iter()
+                .any(|((service, _), _, is_usable)| *is_usable && *service == version.0);
             let since_ms = *self.listed_since_ms.entry(version.clone()).or_insert(now_ms);
-            if !served.contains(&*version.0) || since_ms + MAX_WITHHELD_MS <= now_ms {
+            if !is_served || since_ms + MAX_WITHHELD_MS <= now_ms {
                 self.admitted.insert(version.clone());
             }
+            if !self.admitted.contains(version) {
+                withheld.insert((&version.0, &version.1));
+            }
         }
-        let may_announce = |backend: &&Backend| {
-            let version = version_of(backend);
-            recorded.contains(&version) || self.admitted.contains(&version)
-        };
-        listed.iter().filter(may_announce).cloned().collect()
+        let announced = listed.iter().filter(|backend| !withheld.contains(&names_of(backend)));
+        announced.cloned().collect()
     }
 }
 
@@ -205,7 +220,9 @@
     /// Applies the versions on a new backend list.
     pub(super) fn update_listed_versions(&mut self) {
         let now_ms = self.now_ms();
-        let listed: BTreeSet<NamedVersion> = self.listed_backends.iter().map(version_of).collect();
+        let names: BTreeSet<(&str, &str)> = self.listed_backends.iter().map(names_of).collect();
+        let listed: BTreeSet<NamedVersion> =
+            names.into_iter().map(|(service, version)| (service.into(), version.into())).collect();
         let versions = &mut self.software_versions;
         for version in versions.listed.difference(&listed) {
             versions.unlisted_ms.insert(version.clone(), now_ms);
--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -327,20 +327,21 @@
 
     /// Returns the engines whose report is due, and marks their reports as in flight.
     pub(super) fn take_due_reports(&mut self, now_ms: u64) -> Vec<BackendKey> {
-        let is_large = self.engines.len() as u64 > MAX_REPORTS_PER_S;
-        let max_due = if is_large { MAX_REPORTS_AT_A_TIME } else { usize::MAX };
-        let mut due = Vec::new();
-        for (key, engine) in &mut self.engines {
-            if due.len() >= max_due {
-                break;
-            }
-            if !engine.report_in_flight && engine.report_due_ms <= now_ms {
-                engine.report_in_flight = true;
-                engine.report_requested_ms = now_ms;
-                due.push(*key);
-            }
+        let is_due = |engine: &Engine| !engine.report_in_flight && engine.report_due_ms <= now_ms;
+        let due = self.engines.iter().filter(|(_, engine)| is_due(engine));
+        let mut due: Vec<_> = due.map(|(key, engine)| (engine.report_due_ms, *key)).collect();
+        if self.engines.len() as u64 > MAX_REPORTS_PER_S {
+            // Those that wait for the longest time come first, so that engines that have ended, which are asked more
+            // often, leave room for the others.
+            due.sort_unstable();
+            due.truncate(MAX_REPORTS_AT_A_TIME);
+        }
+        for (_, key) in &due {
+            let Some(engine) = self.engines.get_mut(key) else { continue };
+            engine.report_in_flight = true;
+            engine.report_requested_ms = now_ms;
         }
-        due
+        due.into_iter().map(|(_, key)| key).collect()
     }
 
     pub(super) fn backend(&self, key: BackendKey) -> Option<&Backend> {
--- a/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine_paths.rs
@@ -55,6 +55,10 @@
     /// by what the engines reported last.
     pub(super) fn record_path(&mut self, now_ms: u64, key: BackendKey, is_answered: bool) {
         let Some(engine) = self.engines.get(&key) else { return };
+        if !is_answered && engine.failed_reports > 0 && !engine.is_path_lost {
+            // Engines that have ended are asked again and again, and tell nothing of the path to the others.
+            return;
+        }
         let service = engine.backend.service.clone();
         let engines = self.engines_of(&service).filter(|engine| !engine.is_leaving()).count();
         match self.paths.tried(now_ms, &service, key, is_answered, engines) {
--- a/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/engine_paths.rs
@@ -120,3 +120,20 @@
     simulation.run(1_000);
     assert!(simulation.engine_of(1).is_some());
 }
+
+/// Guards against a large fleet in which engines have ended: they are asked for reports more often than the others, and
+/// were most of those that had been asked lately.
+#[test]
+fn ended_engines_of_a_large_fleet_do_not_cut_the_coordinator_off() {
+    const ENGINES: u16 = 600;
+    let mut simulation = Simulation::new(ENGINES);
+    simulation.run(REACTION_MS);
+    let ended = simulation.engines.keys().step_by(4).copied();
+    simulation.unreached = ended.collect();
+    for second in 0..10 {
+        simulation.run(1_000);
+        assert_eq!(question(&mut simulation), None, "{second} s after the ends");
+    }
+    let ended = simulation.unreached.len();
+    assert_eq!(simulation.planner.unresponsive().len(), ended, "not all ends are known");
+}
