Pass the attempts of a request on with it

Cause: a process that can't reach the other servers passes a request on, also if it has run once and may be repeated. The other process began to count anew, and counted it for the retry budget again.

The number of attempts that reached a server, those that may have run, and their servers go with the request. Servers that only the first process didn't reach stay candidates. An older process ignores the header.

Before: request_that_has_run_before_it_is_passed_on_runs_once_more_at_the_most, 2 runs where 1 is allowed.

--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards a request to a backend server and returns its response.
 
 mod attempt;
+mod attempts;
 mod find_backend;
 mod headers;
 mod prepared_request;
@@ -13,11 +14,10 @@
 use http_body_util::BodyExt;
 use hyper::{Request, Response, body::Incoming, http::request::Parts};
 use redwinglatch_body::{BufferError, BufferReservation};
-use redwinglatch_routing::{RequestKind, Route, RouteTable};
-use smallvec::SmallVec;
+use redwinglatch_routing::{RequestKind, RouteTable};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::{REQUEST_PLACED_TARGET, http::Body, ids::BackendKey};
+use crate::{REQUEST_PLACED_TARGET, http::Body};
 
 use super::{
     EntryContext,
@@ -30,6 +30,7 @@
 
 pub(crate) use self::{
     attempt::{AttemptOutcome, BackendAttempt, StartedStream},
+    attempts::{MAX_SENDS, RequestAttempts},
     find_backend::find_backend,
     headers::for_caller as headers_for_caller,
     prepared_request::PreparedRequest,
@@ -49,8 +50,6 @@
 const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay before a request that an engine rejected is retried.
 const NOT_RUN_RETRY_DELAY: Duration = Duration::from_millis(25);
-/// Maximum number of times that a request is sent, whether or not it was executed.
-pub(crate) const MAX_SENDS: u32 = 4;
 /// Length to which paths are truncated in log lines.
 const MAX_LOGGED_PATH_CHARS: usize = 120;
 /// Time that a busy engine may need for the first event of a stream.
@@ -60,35 +59,12 @@
 /// Time after SIGTERM during which new streams are accepted; they must end within the grace period.
 const DRAIN_ACCEPT_STREAMS_MS: u64 = 2_900;
 
-/// Attempts to send a request.
-#[derive(Default)]
-pub(crate) struct RequestAttempts {
-    /// Number of times that the request was sent.
-    pub(crate) sent: u32,
-    /// Number of attempts that may have been executed.
-    pub(crate) maybe_executed: u32,
-    /// Number of attempts whose connections failed before anything was sent.
-    not_sent: u32,
-    /// The request counts for the retry budget.
-    is_counted: bool,
-    /// Servers that must not receive the request again.
-    pub(crate) excluded: SmallVec<[BackendKey; 4]>,
-}
-
-impl RequestAttempts {
-    /// Returns whether the request may be sent once more.
-    fn allow_another(&self, route: &Route) -> bool {
-        self.sent < MAX_SENDS
-            && self.maybe_executed < route.max_attempts.max(1)
-            && (self.maybe_executed == 0 || route.kind.may_repeat())
-    }
-}
-
-/// Serves one request.
+/// Serves one request; `earlier` are the attempts of a process that has passed it on.
 pub(crate) async fn serve(
     context: &Arc<EntryContext>,
     request: Request<Incoming>,
     origin: RequestOrigin,
+    earlier: RequestAttempts,
 ) -> Response<Body> {
     let received_at = Instant::now();
     let caller = Arc::new(CallerRequest::start(context));
@@ -107,7 +83,8 @@
     };
     let name = prepared.log_name();
     let objective_ms = u128::from(prepared.route().objective_ms);
-    let response = match forward_with_retries(context, prepared, caller, received_at).await {
+    let response = match forward_with_retries(context, prepared, earlier, caller, received_at).await
+    {
         Ok(response) => response,
         Err(reason) => return refuse(&name, reason),
     };
@@ -200,13 +177,13 @@
 async fn forward_with_retries(
     context: &Arc<EntryContext>,
     prepared: PreparedRequest,
+    mut attempts: RequestAttempts,
     caller: Arc<CallerRequest>,
     received_at: Instant,
 ) -> Result<Response<Body>, RefusalReason> {
     if cannot_end_before_stop(context, &prepared) {
         return Err(RefusalReason::Draining);
     }
-    let mut attempts = RequestAttempts::default();
     let mut tried_peers = TriedPeers::new();
     loop {
         if !attempts.allow_another(prepared.route()) {
@@ -214,7 +191,7 @@
         }
         let way = choose_way(context, &prepared, &attempts);
         if way != Way::Own {
-            match relay::send(context, &prepared, &mut tried_peers, &caller).await {
+            match relay::send(context, &prepared, &attempts, &mut tried_peers, &caller).await {
                 RelayOutcome::Answered(response) => return Ok(response),
                 RelayOutcome::NotSent if way == Way::OtherProcess => {
                     return Err(final_reason(&attempts, RefusalReason::ServersUnreachable));
@@ -294,7 +271,7 @@
                     received_at,
                 ));
             }
-            AttemptOutcome::NotSent => attempts.not_sent += 1,
+            AttemptOutcome::NotSent => attempts.unreached.push(selected.key),
             AttemptOutcome::NotRun if prepared.model.is_some() => {
                 // The engine is full, is executing an order for the adapter or has unloaded it. It
                 // may accept the request soon, so it stays a candidate if there is no other.
--- a/crates/redwinglatch-fleet/src/entry/forward/way.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/way.rs
@@ -6,7 +6,7 @@
 
 /// Connections to different servers that must fail before another process is asked, although the path to the
 /// service doesn't count as lost.
-const MAX_UNSENT_ATTEMPTS: u32 = 2;
+const MAX_UNSENT_ATTEMPTS: usize = 2;
 
 /// The ways on which a request may reach a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,10 +31,11 @@
     let view = context.fleet_view();
     let is_lost = view.is_path_lost(&prepared.service);
     let may_use_kept =
-        attempts.not_sent == 0 && view.has_sound_connections(now_ms, &prepared.service);
+        attempts.unreached.is_empty() && view.has_sound_connections(now_ms, &prepared.service);
     if is_lost && !may_use_kept {
         Way::OtherProcess
-    } else if attempts.not_sent >= MAX_UNSENT_ATTEMPTS && prepared.origin() == RequestOrigin::Caller
+    } else if attempts.unreached.len() >= MAX_UNSENT_ATTEMPTS
+        && prepared.origin() == RequestOrigin::Caller
     {
         Way::OtherProcessFirst
     } else {
--- a/crates/redwinglatch-fleet/src/entry/front.rs
+++ b/crates/redwinglatch-fleet/src/entry/front.rs
@@ -7,7 +7,11 @@
 
 use crate::http::{self, ServerLimits};
 
-use super::{EntryContext, forward, relay::RequestOrigin};
+use super::{
+    EntryContext,
+    forward::{self, RequestAttempts},
+    relay::RequestOrigin,
+};
 
 /// Time by which idle connections outlast the time in which callers reuse them, so that no request
 /// arrives on a connection that is being closed.
@@ -30,7 +34,13 @@
     let handler = move |request| {
         let context = Arc::clone(&context);
         async move {
-            let mut response = forward::serve(&context, request, RequestOrigin::Caller).await;
+            let mut response = forward::serve(
+                &context,
+                request,
+                RequestOrigin::Caller,
+                RequestAttempts::default(),
+            )
+            .await;
             if context.fleet_view().draining_since_ms().is_some() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/redwinglatch-fleet/src/entry/relay.rs
+++ b/crates/redwinglatch-fleet/src/entry/relay.rs
@@ -1,7 +1,8 @@
 //! Requests that one entry process passes on to another, because it doesn't reach their servers.
 //!
-//! The other process serves such a request like that of a caller, with the caller's address, its remaining time
-//! and at least the configuration that the first process has in force. It never passes a request on again.
+//! The other process serves such a request like that of a caller, with the caller's address, its remaining time, the
+//! attempts of the first process and at least the configuration that this one has in force. It never passes a request
+//! on again.
 
 use std::{
     net::{IpAddr, SocketAddr},
@@ -30,7 +31,7 @@
 
 use super::{
     EntryContext, ended_servers,
-    forward::{self, PreparedRequest},
+    forward::{self, PreparedRequest, RequestAttempts},
     in_flight::CallerRequest,
     peers::{MAX_PEERS_PER_REQUEST, TriedPeers},
 };
@@ -39,6 +40,8 @@
 const CALLER: HeaderName = HeaderName::from_static("redwinglatch-relay-caller");
 /// The version of the configuration that the sender has in force.
 const CONFIGURATION: HeaderName = HeaderName::from_static("redwinglatch-relay-configuration");
+/// The attempts of the sender.
+const ATTEMPTS: HeaderName = HeaderName::from_static("redwinglatch-relay-attempts");
 /// States in an answer that another process may serve the request, which has not run.
 const ELSEWHERE: HeaderName = HeaderName::from_static("redwinglatch-relay-elsewhere");
 /// Time for which the sender's configuration is awaited.
@@ -84,8 +87,9 @@
         |name: &HeaderName| request.headers().get(name).and_then(|value| value.to_str().ok());
     let caller: Option<IpAddr> = text(&CALLER).and_then(|text| text.parse().ok());
     let configuration = text(&CONFIGURATION).and_then(|text| text.parse().ok()).unwrap_or_default();
+    let attempts = text(&ATTEMPTS).map(RequestAttempts::of_other_process).unwrap_or_default();
     let request_id = request.headers().get(&context.dialect.headers.request_id).cloned();
-    for name in [CALLER, CONFIGURATION] {
+    for name in [CALLER, CONFIGURATION, ATTEMPTS] {
         request.headers_mut().remove(name);
     }
     if let Some(caller) = caller {
@@ -93,7 +97,7 @@
     }
     wait_for_configuration(&context, configuration).await;
     context.metrics.record_relay("received");
-    let mut response = forward::serve(&context, request, RequestOrigin::Process).await;
+    let mut response = forward::serve(&context, request, RequestOrigin::Process, attempts).await;
     // The sender finds its answer by the id, which a refusal of this process doesn't have.
     if let Some(id) = request_id {
         let name = context.dialect.headers.request_id.clone();
@@ -119,6 +123,7 @@
 pub(super) async fn send(
     context: &Arc<EntryContext>,
     prepared: &PreparedRequest,
+    attempts: &RequestAttempts,
     tried: &mut TriedPeers,
     caller: &Arc<CallerRequest>,
 ) -> RelayOutcome {
@@ -132,7 +137,7 @@
             tried.len(),
         );
         let in_flight = PeerRequest::start(context, peer);
-        let request = build_request(context, prepared);
+        let request = build_request(context, prepared, attempts);
         let sent = timeout_at(prepared.deadline, context.client.send(address, request)).await;
         let (response, lease) = match sent {
             Ok(Ok(answered)) => answered,
@@ -162,13 +167,19 @@
     RelayOutcome::NotSent
 }
 
-fn build_request(context: &EntryContext, prepared: &PreparedRequest) -> Request<Full<Bytes>> {
+fn build_request(
+    context: &EntryContext,
+    prepared: &PreparedRequest,
+    attempts: &RequestAttempts,
+) -> Request<Full<Bytes>> {
     let mut request = prepared.to_send(context);
     let headers = request.headers_mut();
-    let caller = prepared.caller().to_string();
-    match HeaderValue::from_str(&caller) {
-        Ok(caller) => drop(headers.insert(CALLER, caller)),
-        Err(error) => log::error!("request: the address {caller:?} is unusable: {error}"),
+    for (name, text) in [(CALLER, prepared.caller().to_string()), (ATTEMPTS, attempts.to_string())]
+    {
+        match HeaderValue::from_str(&text) {
+            Ok(value) => drop(headers.insert(name, value)),
+            Err(error) => log::error!("request: {text:?} can't be passed on: {error}"),
+        }
     }
     headers.insert(CONFIGURATION, HeaderValue::from(prepared.table.configuration().version));
     request
