--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -76,42 +76,49 @@
         listed: &[Backend],
         recorded: &BTreeSet<NamedVersion>,
     ) -> Vec<Backend> {
-        // Lists have thousands of servers, and few versions.
-        let mut versions: BTreeMap<(&str, &str), bool> = BTreeMap::new();
-        for backend in listed {
-            let has_usable = versions.entry(names_of(backend)).or_default();
-            *has_usable |= !backend.leaving;
-        }
-        let is_listed = |version: &NamedVersion| versions.contains_key(&(&*version.0, &*version.1));
-        self.listed_since_ms.retain(|version, _| is_listed(version) && !recorded.contains(version));
-        self.admitted.retain(is_listed);
-        let named = versions.iter().map(|((service, version), has_usable)| {
-            let named: NamedVersion = ((*service).into(), (*version).into());
-            let is_recorded = recorded.contains(&named);
-            (named, is_recorded, is_recorded && *has_usable)
-        });
-        let named: Vec<(NamedVersion, bool, bool)> = named.collect();
-        let mut withheld: BTreeSet<(&str, &str)> = BTreeSet::new();
-        for (version, is_recorded, _) in &named {
-            if *is_recorded {
-                continue;
-            }
-            let is_served = named
-                .iter()
-                .any(|((service, _), _, is_usable)| *is_usable && *service == version.0);
+        let versions = versions_of(listed);
+        self.listed_since_ms
+            .retain(|version, _| versions.contains(version) && !recorded.contains(version));
+        self.admitted.retain(|version| versions.contains(version));
+        let mut withheld: Vec<&NamedVersion> = Vec::new();
+        for version in versions.difference(recorded) {
             let since_ms = *self.listed_since_ms.entry(version.clone()).or_insert(now_ms);
-            if !is_served || since_ms + MAX_WITHHELD_MS <= now_ms {
+            let has_taken_long = since_ms + MAX_WITHHELD_MS <= now_ms;
+            if has_taken_long || !has_other_servers(version, listed, recorded) {
                 self.admitted.insert(version.clone());
             }
             if !self.admitted.contains(version) {
-                withheld.insert((&version.0, &version.1));
+                withheld.push(version);
             }
         }
-        let announced = listed.iter().filter(|backend| !withheld.contains(&names_of(backend)));
-        announced.cloned().collect()
+        let may_announce = |backend: &&Backend| {
+            let names = names_of(backend);
+            !withheld.iter().any(|(service, version)| (&**service, &**version) == names)
+        };
+        listed.iter().filter(may_announce).cloned().collect()
     }
 }
 
+/// Returns the software versions of all listed servers.
+fn versions_of(listed: &[Backend]) -> BTreeSet<NamedVersion> {
+    // Lists have thousands of servers, and few versions.
+    let names: BTreeSet<(&str, &str)> = listed.iter().map(names_of).collect();
+    names.into_iter().map(|(service, version)| (service.into(), version.into())).collect()
+}
+
+/// Returns whether the service of a version has servers of a recorded one that aren't about to stop.
+fn has_other_servers(
+    version: &NamedVersion,
+    listed: &[Backend],
+    recorded: &BTreeSet<NamedVersion>,
+) -> bool {
+    let of_service = listed.iter().filter(|backend| backend.service == version.0);
+    of_service.filter(|backend| !backend.leaving).any(|backend| {
+        let (service, version) = names_of(backend);
+        recorded.contains(&(service.into(), version.into()))
+    })
+}
+
 /// The software versions under which streams in progress may have begun.
 ///
 /// The replicated log keeps them, so that after the loss of all processes a service that has only one version is
@@ -220,9 +227,7 @@
     /// Applies the versions on a new backend list.
     pub(super) fn update_listed_versions(&mut self) {
         let now_ms = self.now_ms();
-        let names: BTreeSet<(&str, &str)> = self.listed_backends.iter().map(names_of).collect();
-        let listed: BTreeSet<NamedVersion> =
-            names.into_iter().map(|(service, version)| (service.into(), version.into())).collect();
+        let listed = versions_of(&self.listed_backends);
         let versions = &mut self.software_versions;
         for version in versions.listed.difference(&listed) {
             versions.unlisted_ms.insert(version.clone(), now_ms);
