--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -66,6 +66,9 @@
     listed_since_ms: HashMap<NamedVersion, u64>,
     /// Versions whose servers were announced nevertheless; they aren't withheld again.
     admitted: BTreeSet<NamedVersion>,
+    /// Whether this process has once known all that the log has. Before, it may know fewer versions than it announced
+    /// before its start.
+    is_log_known: bool,
 }
 
 impl UnrecordedVersions {
@@ -84,7 +87,8 @@
         for version in versions.difference(recorded) {
             let since_ms = *self.listed_since_ms.entry(version.clone()).or_insert(now_ms);
             let has_taken_long = since_ms + MAX_WITHHELD_MS <= now_ms;
-            if has_taken_long || !has_other_servers(version, listed, recorded) {
+            let may_withhold = self.is_log_known && has_other_servers(version, listed, recorded);
+            if has_taken_long || !may_withhold {
                 self.admitted.insert(version.clone());
             }
             if !self.admitted.contains(version) {
@@ -195,8 +199,8 @@
         sender.send(&FleetMessage::StreamVersionReply { id, reply });
     }
 
-    /// Returns whether the state of this process has all versions under which streams may have begun.
-    fn knows_all_versions(&self) -> bool {
+    /// Returns whether this process has applied all that was committed before the present leader began.
+    fn knows_log(&self) -> bool {
         let leader = self.replica.leader().and_then(|leader| self.last_message_ms.get(&leader.0));
         let position = LogPosition {
             term: self.replica.term(),
@@ -205,13 +209,17 @@
             leader_heard_ms: leader.copied(),
         };
         position.is_current(self.now_ms())
-            && self.state.version > 0
-            && !self.software_versions.listed.is_empty()
+    }
+
+    /// Returns whether the state of this process has all versions under which streams may have begun.
+    fn knows_all_versions(&self) -> bool {
+        self.knows_log() && self.state.version > 0 && !self.software_versions.listed.is_empty()
     }
 
     /// Announces the listed servers whose versions are recorded to entry processes and the coordinator.
     pub(super) fn announce_backends(&mut self) {
         let now_ms = self.now_ms();
+        self.unrecorded_versions.is_log_known |= self.knows_log();
         let recorded = &self.state.software_versions;
         let announced = self.unrecorded_versions.announced(now_ms, &self.listed_backends, recorded);
         self.backends.set(announced);
--- a/crates/redwinglatch-fleet/src/core/stream_records.rs
+++ b/crates/redwinglatch-fleet/src/core/stream_records.rs
@@ -67,6 +67,7 @@
 
 /// Writes the records that arrive in each interval together.
 async fn write_batches(mut files: RecordFiles, mut batches: mpsc::Receiver<Batch>, clock: Clock) {
+    let mut was_written = true;
     while let Some(Batch { mut records, mut lifetime_ms }) = batches.recv().await {
         sleep(WRITE_INTERVAL).await;
         while let Ok(batch) = batches.try_recv() {
@@ -83,8 +84,12 @@
             Ok(written) => written,
             Err(error) => return log::error!("core: versions of streams aren't written: {error}"),
         };
-        if let Err(error) = result {
+        let is_written = result.is_ok();
+        if let Err(error) = result
+            && was_written
+        {
             log::warn!("core: cannot write versions of streams: {error}");
         }
+        was_written = is_written;
     }
 }
