--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -363,6 +363,17 @@
         None
     }
 
+    /// Returns the most memory that each process has used so far.
+    pub fn peaks_mb(&self) -> Vec<(String, u64)> {
+        let peaks = self.processes.iter().filter_map(|(name, child)| {
+            let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+            let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+            let peak_kb: u64 = peak.trim().strip_suffix(" kB")?.parse().ok()?;
+            Some((name.clone(), peak_kb * 1_024 / 1_000_000))
+        });
+        peaks.collect()
+    }
+
     /// Sends a change to core processes until it is acknowledged, as the operator does.
     pub fn put(&self, method: &str, path: &str, body: &[u8], limit: Duration) -> Option<u16> {
         let deadline = Instant::now() + limit;
