--- a/review/standins/src/bin/crowd.rs
+++ b/review/standins/src/bin/crowd.rs
@@ -6,7 +6,6 @@
     io::{BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     os::fd::FromRawFd,
-    path::Path,
     sync::{Arc, Condvar, Mutex},
     thread::{self, JoinHandle, sleep},
     time::{Duration, Instant},
@@ -68,7 +67,7 @@
 }
 
 fn main() {
-    let record = Record::create(Path::new("record.txt"));
+    let record = Record::create();
     let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
     let files = limits.lines().find_map(|line| line.strip_prefix("Max open files")).unwrap_or("0");
     let files: usize = files.split_whitespace().next().and_then(|text| text.parse().ok()).unwrap_or(0);
--- a/review/standins/src/bin/disks.rs
+++ b/review/standins/src/bin/disks.rs
@@ -4,7 +4,6 @@
 
 use std::{
     net::TcpListener,
-    path::Path,
     thread::sleep,
     time::{Duration, Instant},
 };
@@ -28,7 +27,7 @@
 
 fn main() {
     let mode = std::env::args().nth(1).unwrap_or_default();
-    let record = Record::create(Path::new("record.txt"));
+    let record = Record::create();
     let list = serve(TcpListener::bind("127.0.0.1:0").expect("a free port"), |_| {
         let body = br#"{"instances":[],"next-token":null}"#;
         answer("200 OK", &[("Content-Type", "application/json")], body)
--- a/review/standins/src/bin/foreign_entry.rs
+++ b/review/standins/src/bin/foreign_entry.rs
@@ -3,7 +3,6 @@
 
 use std::{
     net::TcpListener,
-    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -27,7 +26,7 @@
 }
 
 fn main() {
-    let record = Record::create(Path::new("record.txt"));
+    let record = Record::create();
     let servers = vec![
         start_server(&record, 1, "desk", "/page/"),
         start_server(&record, 2, "desk", "/page/"),
--- a/review/standins/src/bin/list_entry.rs
+++ b/review/standins/src/bin/list_entry.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
-    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -17,7 +16,7 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
 fn main() {
-    let record = Record::create(Path::new("record.txt"));
+    let record = Record::create();
     let is_foreign_entry_listed = Arc::new(AtomicBool::new(false));
     let runs = Arc::new(AtomicUsize::new(0));
     let servers: Vec<String> = (1..=3).map(|number| start_server(number, &record, &runs)).collect();
--- a/review/standins/src/bin/weights.rs
+++ b/review/standins/src/bin/weights.rs
@@ -4,7 +4,6 @@
     collections::BTreeMap,
     io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::Path,
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -54,7 +53,7 @@
 static CUT: AtomicUsize = AtomicUsize::new(0);
 
 fn main() {
-    let record = Record::create(Path::new("record.txt"));
+    let record = Record::create();
     let engine = Arc::new(Engine {
         id: "i-000001".into(),
         record: Arc::clone(&record),
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -29,7 +29,9 @@
 }
 
 impl Record {
-    pub fn create(path: &Path) -> Arc<Record> {
+    /// Creates the file that `run.sh` names.
+    pub fn create() -> Arc<Record> {
+        let path = std::env::var("REVIEW_RECORD").expect("run.sh names the record");
         let file = Mutex::new(File::create(path).expect("the record can be created"));
         Arc::new(Record { started_at: Instant::now(), file })
     }
