Let a learner take the place of a voter that stops or is silent

Seen: after a planned replacement of a core machine, a disk lost on another one took the log's majority for good.

Cause: a voter that was gone was replaced after 1.5 s only if it had become silent before the newest member joined. In a planned replacement the successor joins first, so the log went on for 20 s with two live voters of three. The time was long because a replaced voter was removed for good.

Change: a voter that acknowledges nothing for 1 s, or announces that it stops, becomes a learner, and a responsive learner becomes a voter before that. Nothing is removed, so a slow voter loses nothing. What the leader knows follows from the acknowledgements of the log, so a new leader needs no memory of its predecessor.

a_lost_voter_is_replaced_by_the_learner asserted that the lost voter is no member; it asserts now that it doesn't vote and the learner does, because a voter that is silent must be able to come back.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -118,8 +118,15 @@
         );
     }
     let (stream_records, recorded_streams) = StreamRecords::open(&data_dir, clock);
-    let context =
-        driver::DriverContext { dialect, clock, metrics, coordinator_state, stream_records };
+    let (is_replaced, mut replaced) = watch::channel(false);
+    let context = driver::DriverContext {
+        dialect,
+        clock,
+        metrics,
+        coordinator_state,
+        stream_records,
+        is_replaced,
+    };
     let events_of_driver = events.clone();
     let driver = driver::Driver::new(
         settings,
@@ -142,7 +149,13 @@
     let all_answered = async {
         tokio::time::sleep(STOP_PAUSE).await;
         let remaining = STOP_TIMEOUT.saturating_sub(STOP_PAUSE);
-        if tokio::time::timeout(remaining, control_server).await.is_err() {
+        let replacement = tokio::time::timeout(remaining, replaced.wait_for(|replaced| *replaced));
+        let answers = tokio::time::timeout(remaining, control_server);
+        let (replacement, answers) = tokio::join!(replacement, answers);
+        if replacement.is_err() {
+            log::warn!("core: the process ends as a voter of the log although there is a learner");
+        }
+        if answers.is_err() {
             log::warn!("core: the process ends with requests of operators in flight");
         }
     };
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -91,11 +91,6 @@
 /// Shortest time of leadership after which an overloaded leader transfers it, so that a load which is too
 /// high for every core process doesn't make them take turns.
 const MIN_LEADERSHIP_MS: u64 = 1_500;
-/// A voter that is unresponsive for this long is removed if a replica has joined since then.
-const REPLACED_VOTER_TIMEOUT_MS: u64 = 1_500;
-/// A voter that is unresponsive for this long is removed even without a new replica; machines that
-/// lose power are back sooner.
-const VOTER_TIMEOUT_MS: u64 = 20_000;
 /// Interval between checks for idle connections to engines.
 const IDLE_CHECK_INTERVAL_MS: u64 = 1_000;
 /// Interval between log lines about the traffic on links.
@@ -155,6 +150,8 @@
     /// Tells the other tasks whether this process is the coordinator.
     pub(super) coordinator_state: watch::Sender<bool>,
     pub(super) stream_records: StreamRecords,
+    /// Tells whether the log needs this process no longer as a voter while it shuts down.
+    pub(super) is_replaced: watch::Sender<bool>,
 }
 
 /// The state of a core process.
@@ -179,9 +176,10 @@
     join_due_ms: u64,
     cores: CoreLinks,
     core_addresses: BTreeMap<u32, SocketAddr>,
-    /// Time of the last message of each core process, and of its first request to join.
+    /// Time of the last message of each core process.
     last_message_ms: HashMap<u32, u64>,
-    join_requested_ms: HashMap<u32, u64>,
+    /// Time at which each core process announced last that it stops.
+    stop_announced_ms: HashMap<u32, u64>,
     leader_since_ms: u64,
     entries: EntryLinks,
     compressed_configuration: CompressedConfiguration,
@@ -209,6 +207,9 @@
     former_coordinator: FormerCoordinator,
     /// Whether the process is shutting down and no longer acts as coordinator.
     is_stopping: bool,
+    stop_announcement_due_ms: u64,
+    /// Tells whether the log needs this process no longer as a voter while it shuts down.
+    is_replaced: watch::Sender<bool>,
     lag: TimerLag,
     /// Earliest time of the next attempt to transfer leadership.
     leadership_transfer_due_ms: u64,
@@ -231,7 +232,14 @@
         recorded_streams: &[StreamRecord],
         events: mpsc::Sender<DriverEvent>,
     ) -> Driver {
-        let DriverContext { dialect, clock, metrics, coordinator_state, stream_records } = context;
+        let DriverContext {
+            dialect,
+            clock,
+            metrics,
+            coordinator_state,
+            stream_records,
+            is_replaced,
+        } = context;
         let mut driver = Driver {
             dialect,
             coordinator_state,
@@ -252,7 +260,7 @@
             cores: CoreLinks::default(),
             core_addresses: start_state.core_addresses,
             last_message_ms: HashMap::new(),
-            join_requested_ms: HashMap::new(),
+            stop_announced_ms: HashMap::new(),
             leader_since_ms: 0,
             entries: EntryLinks::default(),
             compressed_configuration: CompressedConfiguration::default(),
@@ -279,6 +287,8 @@
             lag: TimerLag::default(),
             leadership_transfer_due_ms: 0,
             is_stopping: false,
+            stop_announcement_due_ms: 0,
+            is_replaced,
             backend_loads_due_ms: 0,
             engine_loads_due_ms: 0,
             locations: AnnouncedLocations::default(),
@@ -437,6 +447,9 @@
             }
         }
         self.update_membership(now_ms);
+        if self.is_stopping {
+            self.announce_stop(now_ms);
+        }
         self.transfer_leadership_when_slow(now_ms);
         self.ask_for_engine_reach(now_ms);
         self.coordinate(now_ms);
--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -3,18 +3,24 @@
 use std::net::SocketAddr;
 
 use redwinglatch_core::ReplicaId;
-use redwinglatch_log::{Membership, MembershipChange};
+use redwinglatch_log::MembershipChange;
+use smallvec::SmallVec;
 
 use crate::{
     clock::CORE_OVERLOAD_LAG_MS,
-    core::member_choice::{MemberStates, next_change},
+    core::member_choice::{MemberState, next_change},
+    message::FleetMessage,
     state::StateCommand,
 };
 
-use super::{
-    Driver, LEADERSHIP_TRANSFER_INTERVAL_MS, MIN_LEADERSHIP_MS, REPLACED_VOTER_TIMEOUT_MS,
-    SLOW_WRITE_MS, VOTER_TIMEOUT_MS,
-};
+use super::{Driver, LEADERSHIP_TRANSFER_INTERVAL_MS, MIN_LEADERSHIP_MS, SLOW_WRITE_MS};
+
+/// A member that acknowledges nothing for this long is unresponsive. It is longer than an election timeout, so that a
+/// leader that was suspended has lost its leadership before it takes the others for unresponsive.
+const UNRESPONSIVE_MEMBER_TIMEOUT_MS: u64 = 1_000;
+/// Time for which an announced stop counts; a process that stops repeats the announcement.
+const STOP_ANNOUNCEMENT_MS: u64 = 1_000;
+const STOP_ANNOUNCEMENT_INTERVAL_MS: u64 = 100;
 
 impl Driver {
     pub(super) fn handle_join(&mut self, replica: ReplicaId, link: SocketAddr) {
@@ -25,9 +31,6 @@
         }
         let now_ms = self.now_ms();
         self.last_message_ms.insert(replica.0, now_ms);
-        if !self.replica.membership().members().any(|member| member == replica) {
-            self.join_requested_ms.entry(replica.0).or_insert(now_ms);
-        }
         if self.state.cores.get(&replica.0).is_none_or(|(address, _)| *address != link) {
             self.propose(&StateCommand::SetCoreAddress { replica, link }, None);
         }
@@ -50,32 +53,60 @@
                 self.propose(&StateCommand::SetCoreAddress { replica: own, link }, None);
             }
         }
-        let membership = self.replica.membership().clone();
-        let members: Vec<_> = membership.members().collect();
-        let states = MemberStates {
-            superseded: self.state.superseded_member(&members),
-            lost: self.lost_voter(now_ms, &membership),
+        let membership = self.replica.membership();
+        let Some(change) = next_change(membership, own, |member| self.member_state(now_ms, member))
+        else {
+            return;
         };
-        let Some(change) = next_change(&membership, states) else { return };
         if self.replica.propose_membership(change, now_ms).is_ok() {
             log::info!("core: changing the members of the log: {change:?}");
         }
     }
 
-    /// Returns a voter that became unresponsive before a new replica joined, or that has been unresponsive
-    /// for a long time.
-    fn lost_voter(&self, now_ms: u64, membership: &Membership) -> Option<ReplicaId> {
-        let joins = membership.members().filter_map(|member| self.join_requested_ms.get(&member.0));
-        let last_join_ms = joins.max().copied();
-        membership.voters().iter().copied().find(|voter| {
-            let last_message_ms =
-                self.last_message_ms.get(&voter.0).copied().unwrap_or(self.leader_since_ms);
-            let is_unresponsive = last_message_ms + REPLACED_VOTER_TIMEOUT_MS < now_ms;
-            let was_replaced =
-                last_join_ms.is_some_and(|last_join_ms| last_message_ms < last_join_ms);
-            let has_timed_out = last_message_ms + VOTER_TIMEOUT_MS < now_ms;
-            *voter != self.replica.id() && is_unresponsive && (was_replaced || has_timed_out)
-        })
+    /// Returns the state of a member, on the leader.
+    fn member_state(&self, now_ms: u64, member: ReplicaId) -> MemberState {
+        if member == self.replica.id() {
+            return MemberState::Responsive;
+        }
+        let members: SmallVec<[ReplicaId; 8]> = self.replica.membership().members().collect();
+        if self.state.is_superseded(member, &members) {
+            return MemberState::Superseded;
+        }
+        let is_stopping = self
+            .stop_announced_ms
+            .get(&member.0)
+            .is_some_and(|announced_ms| now_ms < announced_ms + STOP_ANNOUNCEMENT_MS);
+        let last_contact_ms = self.replica.last_ack_ms(member).max(self.replica.elected_ms());
+        let is_silent =
+            last_contact_ms.is_some_and(|ms| ms + UNRESPONSIVE_MEMBER_TIMEOUT_MS < now_ms);
+        if is_stopping || is_silent { MemberState::Unresponsive } else { MemberState::Responsive }
+    }
+
+    /// Records that another core process has received SIGTERM.
+    pub(super) fn handle_stop_announcement(&mut self, replica: ReplicaId) {
+        let now_ms = self.now_ms();
+        if self.stop_announced_ms.insert(replica.0, now_ms).is_none() {
+            log::info!("core: replica {replica} stops");
+        }
+        self.stop_announced_ms
+            .retain(|_, announced_ms| now_ms < *announced_ms + STOP_ANNOUNCEMENT_MS);
+    }
+
+    /// Announces to the other core processes that this one stops, until a learner has taken its place as a voter.
+    ///
+    /// Answers a planned replacement: the successor joins first, and the log must tolerate the next loss from the
+    /// moment at which this process is gone.
+    pub(super) fn announce_stop(&mut self, now_ms: u64) {
+        let id = self.replica.id();
+        let membership = self.replica.membership();
+        if !membership.is_voter(id) || membership.learners().is_empty() {
+            self.is_replaced.send_replace(true);
+            return;
+        }
+        if self.stop_announcement_due_ms <= now_ms {
+            self.stop_announcement_due_ms = now_ms + STOP_ANNOUNCEMENT_INTERVAL_MS;
+            self.cores.send_stop_announcement(&FleetMessage::CoreStopping { replica: id });
+        }
     }
 
     /// Transfers leadership when this machine is too slow.
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -27,6 +27,10 @@
             FleetMessage::EntryHello(hello) => self.handle_entry_hello(link, sender, hello),
             FleetMessage::CoreHello { replica, link } => {
                 sender.send(&FleetMessage::CoreDataCentre(self.settings.data_centre.clone()));
+                sender.send(&FleetMessage::CoreHello {
+                    replica: self.replica.id(),
+                    link: self.own_link,
+                });
                 self.announce_caps(&sender);
                 self.core_addresses.insert(replica.0, link);
                 self.dial(link);
@@ -138,6 +142,7 @@
             FleetMessage::CoordinatorStopping => {
                 self.former_coordinator.stopped_ms = Some(self.now_ms());
             }
+            FleetMessage::CoreStopping { replica } => self.handle_stop_announcement(replica),
             FleetMessage::Join { replica, link } => self.handle_join(replica, link),
             FleetMessage::LeaderRequest { id, request } => {
                 self.handle_leader_request(request, ResponseSender::Remote { sender, id });
@@ -157,6 +162,7 @@
         match message {
             FleetMessage::CoreDataCentre(_) => self.cores.understands_reach(address),
             FleetMessage::CustomerGrants => self.cores.understands_credits(address),
+            FleetMessage::CoreHello { .. } => self.cores.understands_stop(address),
             FleetMessage::CustomerCreditReply { id, reply } => self.handle_credit_reply(id, reply),
             FleetMessage::ModelLocations { epoch, locations } => {
                 if self.follows_coordinator_of(epoch) {
--- a/crates/redwinglatch-fleet/src/core/links.rs
+++ b/crates/redwinglatch-fleet/src/core/links.rs
@@ -119,6 +119,8 @@
     understands_reach: bool,
     /// Whether the process understands requests for credits.
     understands_credits: bool,
+    /// Whether the process understands the announcement that another one stops.
+    understands_stop: bool,
 }
 
 /// The outgoing links to other core processes.
@@ -138,6 +140,7 @@
             sender: None,
             understands_reach: false,
             understands_credits: false,
+            understands_stop: false,
         });
         true
     }
@@ -152,6 +155,7 @@
             // The process may have been replaced by one of an older version.
             link.understands_reach = false;
             link.understands_credits = false;
+            link.understands_stop = false;
         }
     }
 
@@ -169,6 +173,13 @@
             && self.send(address, message)
     }
 
+    /// Records that the process at `address` understands announcements that a core process stops.
+    pub(super) fn understands_stop(&mut self, address: SocketAddr) {
+        if let Some(link) = self.link_mut(address) {
+            link.understands_stop = true;
+        }
+    }
+
     /// Records that the process at `address` understands questions about engines.
     pub(super) fn understands_reach(&mut self, address: SocketAddr) {
         if let Some(link) = self.link_mut(address) {
@@ -195,6 +206,11 @@
         self.send_where(message, |link| link.understands_reach);
     }
 
+    /// Announces a stop to all processes that understand the announcement.
+    pub(super) fn send_stop_announcement(&self, message: &FleetMessage) {
+        self.send_where(message, |link| link.understands_stop);
+    }
+
     fn send_where(&self, message: &FleetMessage, is_wanted: impl Fn(&CoreLink) -> bool) {
         let frame = Frame::encode(message);
         let wanted = self.links.iter().filter(|link| is_wanted(link));
--- a/crates/redwinglatch-fleet/src/core/member_choice.rs
+++ b/crates/redwinglatch-fleet/src/core/member_choice.rs
@@ -4,47 +4,58 @@
 use redwinglatch_log::{Membership, MembershipChange};
 
 /// The smallest number of voters that tolerates the loss of one.
-pub(super) const MIN_VOTERS: usize = 3;
+const MIN_VOTERS: usize = 3;
 
-/// What the leader knows of the members besides their roles.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct MemberStates {
-    /// A member whose address another member has taken since.
-    pub(super) superseded: Option<ReplicaId>,
-    /// A voter that became unresponsive before another replica joined, or that has been unresponsive for a
-    /// long time.
-    pub(super) lost: Option<ReplicaId>,
+/// What the leader knows of a member besides its role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum MemberState {
+    /// The member acknowledges messages, or did so a moment ago.
+    Responsive,
+    /// The member has acknowledged nothing for some time, or has announced that it stops.
+    Unresponsive,
+    /// Another member has taken its address, because its process was started anew without its disk.
+    Superseded,
 }
 
-/// Returns the next change towards an odd number of voters that exist.
+/// Returns the next change towards an odd number of voters that are all responsive.
 ///
-/// Answers a partition that splits the core processes into two halves: of an even number of voters neither half
+/// Answers the loss of a voter: the log tolerates a further one only after a learner has taken its place. An
+/// unresponsive voter becomes a learner and is not removed, so one that is slow or cut off loses nothing: it keeps
+/// receiving the log and takes the place of the next voter that fails. The learner is promoted first, so that the
+/// number of voters never falls.
+///
+/// Answers also a partition that splits the core processes into two halves: of an even number of voters neither half
 /// has a majority, and nothing is coordinated until the partition ends. With one voter fewer, the losses that
-/// are tolerated are the same and one half has a majority. The last core process stays a learner, and takes
-/// the place of a voter that is lost.
+/// are tolerated are the same and one half has a majority. The last core process stays a learner.
 pub(super) fn next_change(
     membership: &Membership,
-    states: MemberStates,
+    leader: ReplicaId,
+    state_of: impl Fn(ReplicaId) -> MemberState,
 ) -> Option<MembershipChange> {
     let (voters, learners) = (membership.voters(), membership.learners());
-    let is_even = voters.len().is_multiple_of(2);
-    if let Some(old) = states.superseded.filter(|old| membership.is_learner(*old)) {
+    let find = |members: &[ReplicaId], state| {
+        members.iter().copied().find(|member| state_of(*member) == state)
+    };
+    if let Some(old) = find(learners, MemberState::Superseded) {
         return Some(MembershipChange::Remove(old));
     }
-    let outdated = states.superseded.or(states.lost.filter(|_| voters.len() > MIN_VOTERS));
-    let Some(learner) = learners.first() else {
-        let may_remove = is_even || states.superseded.is_some();
-        return outdated.filter(|_| may_remove).map(MembershipChange::Remove);
-    };
-    if is_even && let Some(outdated) = outdated {
-        return Some(MembershipChange::Remove(outdated));
+    let is_even = voters.len().is_multiple_of(2);
+    let superseded = find(voters, MemberState::Superseded).map(MembershipChange::Remove);
+    let unresponsive = find(voters, MemberState::Unresponsive).map(MembershipChange::Demote);
+    let outdated = superseded.or(unresponsive);
+    if is_even && voters.len() > MIN_VOTERS && outdated.is_some() {
+        return outdated;
     }
-    let is_needed = is_even
-        || states.superseded.is_some()
-        || states.lost.is_some()
-        || learners.len() > 1
-        || voters.len() < MIN_VOTERS;
-    is_needed.then_some(MembershipChange::Promote(*learner))
+    let mut candidates =
+        learners.iter().filter(|learner| state_of(**learner) == MemberState::Responsive);
+    let Some(candidate) = candidates.next() else {
+        let spare = voters.iter().rev().find(|voter| **voter != leader).copied();
+        let is_spare = is_even && voters.len() > MIN_VOTERS;
+        return spare.filter(|_| is_spare).map(MembershipChange::Demote);
+    };
+    let is_needed =
+        is_even || outdated.is_some() || candidates.next().is_some() || voters.len() < MIN_VOTERS;
+    is_needed.then_some(MembershipChange::Promote(*candidate))
 }
 
 #[cfg(test)]
--- a/crates/redwinglatch-fleet/src/core/member_choice/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/member_choice/tests.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The leader; it never loses its own state.
+const LEADER: ReplicaId = ReplicaId(1);
+
 fn replicas(ids: std::ops::RangeInclusive<u32>) -> Vec<ReplicaId> {
     ids.map(ReplicaId).collect()
 }
@@ -21,20 +24,93 @@
         Members { membership }
     }
 
-    /// Carries out changes until none is due; `states` tells about the members.
-    fn settle(&mut self, states: impl Fn(&Membership) -> MemberStates) {
+    /// Carries out changes until none is due; `state_of` tells about the members.
+    fn settle(&mut self, state_of: impl Fn(ReplicaId) -> MemberState) {
+        let is_alive = |member: &&ReplicaId| state_of(**member) == MemberState::Responsive;
         for _ in 0..20 {
-            let Some(change) = next_change(&self.membership, states(&self.membership)) else {
-                return;
-            };
-            self.membership = self.membership.with_change(change).expect("a valid change");
+            let Some(change) = next_change(&self.membership, LEADER, &state_of) else { return };
+            if let MembershipChange::Promote(learner) = change {
+                assert!(is_alive(&&learner), "{learner} never catches up: {:?}", self.membership);
+            }
+            let changed = self.membership.with_change(change).expect("a valid change");
+            let alive = changed.voters().iter().filter(is_alive).count();
+            assert!(alive >= changed.majority(), "{change:?} can't be committed: {changed:?}");
+            self.membership = changed;
         }
         panic!("the members change without end: {:?}", self.membership);
     }
+
+    fn alive_voters(&self, state_of: impl Fn(ReplicaId) -> MemberState) -> usize {
+        let voters = self.membership.voters().iter();
+        voters.filter(|voter| state_of(**voter) == MemberState::Responsive).count()
+    }
 }
 
-fn no_losses(_: &Membership) -> MemberStates {
-    MemberStates::default()
+fn no_losses(_: ReplicaId) -> MemberState {
+    MemberState::Responsive
+}
+
+/// Returns a state in which the members of `ids` are in `state`, and all others are responsive.
+fn members_in(state: MemberState, ids: &[ReplicaId]) -> impl Fn(ReplicaId) -> MemberState + '_ {
+    move |member| if ids.contains(&member) { state } else { MemberState::Responsive }
+}
+
+/// Calls `check` for each log with up to seven voters and three learners and each set of lost members with which the
+/// log still has a majority.
+fn for_each_loss(learners_are_lost: bool, check: impl Fn(Members, &[ReplicaId])) {
+    for (voters, learners) in (3..=7).flat_map(|voters| (0..=3).map(move |l| (voters, l))) {
+        for set in 0..1u32 << (voters + learners) {
+            let is_lost = |id: &ReplicaId| set & (1 << (id.0 - 1)) != 0;
+            let lost: Vec<_> =
+                replicas(1..=voters + learners).into_iter().filter(is_lost).collect();
+            let lost_voters = lost.iter().filter(|id| id.0 <= voters).count() as u32;
+            let has_majority = 2 * (voters - lost_voters) > voters;
+            if !has_majority
+                || lost.contains(&LEADER)
+                || (!learners_are_lost && lost.len() as u32 > lost_voters)
+            {
+                continue;
+            }
+            let spare = replicas(voters + 1..=voters + learners);
+            check(Members::new(replicas(1..=voters), spare), &lost);
+        }
+    }
+}
+
+/// Checks that the log tolerates as many further losses as the responsive members allow without fewer voters.
+fn check_margin(mut members: Members, lost: &[ReplicaId], lost_as: MemberState) {
+    let alive = members.membership.members().filter(|member| !lost.contains(member)).count();
+    let voters = members.membership.voters().len();
+    let best_margin = alive.min(voters).saturating_sub(members.membership.majority());
+    let before = format!("{:?} without {lost:?}", members.membership);
+    let state_of = members_in(lost_as, lost);
+    members.settle(&state_of);
+    assert_eq!(members.membership.voters().len() % 2, 1, "even number of voters: {before}");
+    let margin = members.alive_voters(&state_of) - members.membership.majority();
+    assert!(margin >= best_margin, "one more loss is not tolerated: {before}");
+    let sound = replicas(1..=10).into_iter().filter(|id| id.0 as usize <= alive + lost.len());
+    for member in sound.filter(|member| !lost.contains(member)) {
+        assert!(membership_has(&members.membership, member), "{member} was removed: {before}");
+    }
+}
+
+/// Guards against a log that tolerates no further loss although the successor of a lost voter has joined.
+#[test]
+fn responsive_learners_take_the_place_of_unresponsive_voters() {
+    for_each_loss(false, |members, lost| {
+        check_margin(members, lost, MemberState::Unresponsive);
+    });
+}
+
+/// Guards against a sound voter that is removed for good because it was slow or cut off for a while.
+#[test]
+fn an_unresponsive_voter_stays_a_member() {
+    for_each_loss(false, |mut members, lost| {
+        members.settle(members_in(MemberState::Unresponsive, lost));
+        for member in lost {
+            assert!(membership_has(&members.membership, *member), "{member} was removed");
+        }
+    });
 }
 
 /// Guards against a partition into halves of which neither has a majority.
@@ -59,6 +135,12 @@
     }
 }
 
+/// The same for voters whose processes were started anew without their disks.
+#[test]
+fn responsive_learners_take_the_place_of_superseded_voters() {
+    for_each_loss(false, |members, lost| check_margin(members, lost, MemberState::Superseded));
+}
+
 /// Guards against a voter without a disk that stays a voter beside its successor.
 #[test]
 fn a_superseded_voter_is_replaced() {
@@ -70,11 +152,8 @@
             .membership
             .with_change(MembershipChange::AddLearner(successor))
             .expect("a new learner");
-        let old = ReplicaId(1);
-        members.settle(|membership| MemberStates {
-            superseded: membership.members().find(|member| *member == old),
-            lost: None,
-        });
+        let old = ReplicaId(2);
+        members.settle(members_in(MemberState::Superseded, &[old]));
         assert!(!membership_has(&members.membership, old));
         assert_eq!(members.membership.voters().len(), voters as usize);
     }
@@ -84,18 +163,16 @@
 fn a_lost_voter_is_replaced_by_the_learner() {
     let mut members = Members::new(replicas(1..=5), replicas(6..=6));
     let lost = ReplicaId(2);
-    members.settle(|membership| MemberStates {
-        superseded: None,
-        lost: membership.voters().contains(&lost).then_some(lost),
-    });
-    assert!(!membership_has(&members.membership, lost));
+    members.settle(members_in(MemberState::Unresponsive, &[lost]));
+    assert!(!members.membership.is_voter(lost));
+    assert!(members.membership.is_voter(ReplicaId(6)));
     assert_eq!(members.membership.voters().len(), 5);
 }
 
 #[test]
 fn without_a_successor_three_voters_are_kept() {
     let mut members = Members::new(replicas(1..=3), vec![]);
-    members.settle(|_| MemberStates { superseded: None, lost: Some(ReplicaId(2)) });
+    members.settle(members_in(MemberState::Unresponsive, &[ReplicaId(2)]));
     assert_eq!(members.membership.voters().len(), 3);
 }
 
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -21,7 +21,8 @@
 pub(crate) enum FleetMessage {
     /// The first message of an entry process.
     EntryHello(EntryHello),
-    /// The first message of a core process; `link` is the address at which it accepts links.
+    /// The first message of a core process; `link` is the address at which it accepts links. As an answer to another
+    /// core process it shows that the sender understands `CoreStopping`.
     CoreHello { replica: ReplicaId, link: SocketAddr },
     /// Keep-alive message on an idle link.
     Ping,
@@ -145,6 +146,8 @@
     CustomerCreditRequest { id: u64, customer: Box<str>, needed: u64, ahead: u64 },
     /// The decision on a `CustomerCreditRequest`.
     CustomerCreditReply { id: u64, reply: CreditReply },
+    /// The sender, a voter of the replicated log, is shutting down.
+    CoreStopping { replica: ReplicaId },
 }
 
 impl FleetMessage {
@@ -184,6 +187,7 @@
             FleetMessage::Log { .. } => "log",
             FleetMessage::Join { .. } => "join",
             FleetMessage::CoordinatorStopping => "coordinator_stopping",
+            FleetMessage::CoreStopping { .. } => "core_stopping",
             FleetMessage::Quarantine(_) | FleetMessage::WatchedRequests(_) => "quarantine",
             FleetMessage::PromptFailed { .. }
             | FleetMessage::RequestFailed { .. }
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -193,15 +193,13 @@
         Ok(state)
     }
 
-    /// Returns a member whose address another member has taken since, because its process was
-    /// started anew with another id.
-    pub(crate) fn superseded_member(&self, members: &[ReplicaId]) -> Option<ReplicaId> {
-        members.iter().copied().find(|old| {
-            let Some((old_link, old_index)) = self.cores.get(&old.0) else { return false };
-            members.iter().any(|new| {
-                let newer = self.cores.get(&new.0);
-                newer.is_some_and(|(link, index)| link == old_link && index > old_index)
-            })
+    /// Returns whether another member has taken the address of `old` since, because its process was started anew with
+    /// another id.
+    pub(crate) fn is_superseded(&self, old: ReplicaId, members: &[ReplicaId]) -> bool {
+        let Some((old_link, old_index)) = self.cores.get(&old.0) else { return false };
+        members.iter().any(|new| {
+            let newer = self.cores.get(&new.0);
+            newer.is_some_and(|(link, index)| link == old_link && index > old_index)
         })
     }
 }
--- a/crates/redwinglatch-fleet/src/state/tests.rs
+++ b/crates/redwinglatch-fleet/src/state/tests.rs
@@ -28,6 +28,10 @@
     assert_eq!(state.versions["m/a1"], 2);
 }
 
+fn superseded(state: &FleetState, members: &[ReplicaId]) -> Option<ReplicaId> {
+    members.iter().copied().find(|member| state.is_superseded(*member, members))
+}
+
 #[test]
 fn a_replica_that_lost_its_disk_is_superseded_at_its_address() {
     let mut state = FleetState::default();
@@ -36,11 +40,11 @@
     state.apply(1, StateCommand::SetCoreAddress { replica: ReplicaId(1), link });
     state.apply(2, StateCommand::SetCoreAddress { replica: ReplicaId(2), link: other });
     let members = [ReplicaId(1), ReplicaId(2)];
-    assert_eq!(state.superseded_member(&members), None);
+    assert_eq!(superseded(&state, &members), None);
     state.apply(3, StateCommand::SetCoreAddress { replica: ReplicaId(5_000), link });
-    assert_eq!(state.superseded_member(&members), None, "the new replica doesn't vote yet");
+    assert_eq!(superseded(&state, &members), None, "the new replica doesn't vote yet");
     let members = [ReplicaId(1), ReplicaId(2), ReplicaId(5_000)];
-    assert_eq!(state.superseded_member(&members), Some(ReplicaId(1)));
+    assert_eq!(superseded(&state, &members), Some(ReplicaId(1)));
 }
 
 #[test]
--- a/crates/redwinglatch-log/src/membership.rs
+++ b/crates/redwinglatch-log/src/membership.rs
@@ -32,6 +32,8 @@
     Promote(ReplicaId),
     /// Removes a voter or learner; its id is never used again.
     Remove(ReplicaId),
+    /// Makes a learner of a voter. It keeps receiving the log and can be promoted again.
+    Demote(ReplicaId),
 }
 
 /// The reason why a membership change was rejected.
@@ -53,7 +55,7 @@
     /// The replica is already a member in that role.
     #[error("replica {0} is already a member in that role")]
     AlreadyMember(ReplicaId),
-    /// The replica is not a member, or not a learner in case of a promotion.
+    /// The replica is not a member, not a learner in case of a promotion, or not a voter in case of a demotion.
     #[error("replica {0} is not a member that the change applies to; add it as a learner first")]
     NotMember(ReplicaId),
     /// The id belongs to a removed replica, whose votes may still be in flight.
@@ -177,6 +179,19 @@
                 }
                 changed.removed_ids.push(replica);
             }
+            MembershipChange::Demote(replica) => {
+                if !self.is_voter(replica) {
+                    return Err(MembershipError::NotMember(replica));
+                }
+                if self.voters == [replica] {
+                    return Err(MembershipError::QuorumAtRisk);
+                }
+                if self.learners.len() == MAX_MEMBERS {
+                    return Err(MembershipError::TooManyMembers);
+                }
+                changed.voters.retain(|&voter| voter != replica);
+                changed.learners.push(replica);
+            }
         }
         Ok(changed)
     }
--- a/crates/redwinglatch-log/src/replica/leader.rs
+++ b/crates/redwinglatch-log/src/replica/leader.rs
@@ -20,7 +20,7 @@
     pub(super) progress: Vec<(ReplicaId, Progress)>,
     /// The index of the leader's first entry.
     pub(super) first_index: Index,
-    elected_ms: u64,
+    pub(super) elected_ms: u64,
     pub(super) next_heartbeat_ms: u64,
     /// The latest round of read confirmations.
     pub(super) read_round: u64,
@@ -121,6 +121,19 @@
         others.map(|(_, progress)| progress.acked_sent_ms)
     }
 
+    /// Returns when the latest message that `replica` has acknowledged was sent, if this replica leads and it has
+    /// acknowledged one.
+    #[must_use]
+    pub fn last_ack_ms(&self, replica: ReplicaId) -> Option<u64> {
+        self.leader_state.as_ref()?.progress(replica)?.acked_sent_ms
+    }
+
+    /// Returns when this replica was elected, if it leads.
+    #[must_use]
+    pub fn elected_ms(&self) -> Option<u64> {
+        self.leader_state.as_ref().map(|leader_state| leader_state.elected_ms)
+    }
+
     /// Returns the greatest value that a majority of voters reaches; `own_value` is this replica's.
     pub(super) fn quorum_value<T: Ord>(
         &self,
--- a/crates/redwinglatch-log/src/replica/membership.rs
+++ b/crates/redwinglatch-log/src/replica/membership.rs
@@ -52,6 +52,12 @@
         self.check_quorum_in_contact(&new_membership)?;
         let index = self.append_entry(EntryKind::Membership(new_membership.clone()));
         self.update_tracked_replicas(&new_membership);
+        if let MembershipChange::Demote(replica) = change
+            && let Some(progress) = self.leader_state.as_mut().and_then(|l| l.progress_mut(replica))
+        {
+            // A later promotion waits until the replica has caught up again.
+            progress.promotion_index = None;
+        }
         Ok(index)
     }
 
--- a/crates/redwinglatch-log/tests/common/cluster.rs
+++ b/crates/redwinglatch-log/tests/common/cluster.rs
@@ -370,7 +370,8 @@
     fn continue_repair(&mut self) {
         let Some(Repair { lost, replacement }) = self.repair else { return };
         let members = &self.history.membership;
-        if members.is_voter(replacement) && !members.is_voter(lost) {
+        let is_member = |id| members.members().any(|member| member == id);
+        if members.is_voter(replacement) && !is_member(lost) {
             self.repair = None;
             self.repairs += 1;
             // Sometimes a second disk is lost right after the repair.
@@ -382,10 +383,12 @@
             }
             return;
         }
-        let change = if !members.members().any(|member| member == replacement) {
+        let change = if !is_member(replacement) {
             MembershipChange::AddLearner(replacement)
         } else if !members.is_voter(replacement) {
             MembershipChange::Promote(replacement)
+        } else if members.is_voter(lost) && self.rng.bool() {
+            MembershipChange::Demote(lost)
         } else {
             MembershipChange::Remove(lost)
         };
--- a/crates/redwinglatch-log/tests/replica.rs
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -319,6 +319,33 @@
     assert_eq!(again, Err(MembershipError::RemovedId(ReplicaId(3))));
 }
 
+/// Guards against a demoted voter that still counts for majorities, or can't come back.
+#[test]
+fn a_demoted_voter_is_promoted_once_it_has_caught_up_again() {
+    let mut group = Group::with_leader_1(3);
+    let three = ReplicaId(3);
+    group.run(100);
+    assert_eq!(
+        group.change(MembershipChange::Demote(ReplicaId(4))),
+        Err(MembershipError::NotMember(ReplicaId(4)))
+    );
+    group.isolate(3);
+    group.run(1000);
+    group.change(MembershipChange::Demote(three)).unwrap();
+    group.run(50);
+    let members = group.get(1).membership().clone();
+    assert!(members.is_learner(three) && members.majority() == 2 && members.voters().len() == 2);
+    group.propose(10);
+    group.run(50);
+    let promote = MembershipChange::Promote(three);
+    assert!(matches!(group.change(promote), Err(MembershipError::NotCaughtUp { .. })));
+    group.cut_links.clear();
+    group.run(200);
+    group.change(promote).unwrap();
+    group.run(200);
+    assert!(group.get(3).membership().is_voter(three));
+}
+
 /// Guards against a membership that can't commit anything any more, and a removed leader that stays
 /// the leader.
 #[test]
