--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -18,6 +18,8 @@
 /// A member that acknowledges nothing for this long is unresponsive. It is longer than an election timeout, so that a
 /// leader that was suspended has lost its leadership before it takes the others for unresponsive.
 const UNRESPONSIVE_MEMBER_TIMEOUT_MS: u64 = 1_000;
+/// A member that acknowledges nothing for this long is not expected to return.
+const LOST_MEMBER_TIMEOUT_MS: u64 = 600_000;
 /// Time for which an announced stop counts; a process that stops repeats the announcement.
 const STOP_ANNOUNCEMENT_MS: u64 = 1_000;
 const STOP_ANNOUNCEMENT_INTERVAL_MS: u64 = 100;
@@ -77,9 +79,12 @@
             .get(&member.0)
             .is_some_and(|announced_ms| now_ms < announced_ms + STOP_ANNOUNCEMENT_MS);
         let last_contact_ms = self.replica.last_ack_ms(member).max(self.replica.elected_ms());
-        let is_silent =
-            last_contact_ms.is_some_and(|ms| ms + UNRESPONSIVE_MEMBER_TIMEOUT_MS < now_ms);
-        if is_stopping || is_silent { MemberState::Unresponsive } else { MemberState::Responsive }
+        match last_contact_ms.map_or(0, |ms| now_ms.saturating_sub(ms)) {
+            LOST_MEMBER_TIMEOUT_MS.. => MemberState::Lost,
+            UNRESPONSIVE_MEMBER_TIMEOUT_MS.. => MemberState::Unresponsive,
+            _ if is_stopping => MemberState::Unresponsive,
+            _ => MemberState::Responsive,
+        }
     }
 
     /// Records that another core process has received SIGTERM.
--- a/crates/redwinglatch-fleet/src/core/member_choice/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/member_choice/tests.rs
@@ -27,7 +27,7 @@
     /// Carries out changes until none is due; `state_of` tells about the members.
     fn settle(&mut self, state_of: impl Fn(ReplicaId) -> MemberState) {
         let is_alive = |member: &&ReplicaId| state_of(**member) == MemberState::Responsive;
-        for _ in 0..20 {
+        for _ in 0..40 {
             let Some(change) = next_change(&self.membership, LEADER, &state_of) else { return };
             if let MembershipChange::Promote(learner) = change {
                 assert!(is_alive(&&learner), "{learner} never catches up: {:?}", self.membership);
@@ -102,6 +102,24 @@
     });
 }
 
+/// Guards against a lost learner that is always the next to be promoted, so that no lost voter is replaced any more.
+#[test]
+fn a_lost_learner_blocks_no_other() {
+    for lost_as in [MemberState::Unresponsive, MemberState::Lost, MemberState::Superseded] {
+        for_each_loss(true, |members, lost| check_margin(members, lost, lost_as));
+    }
+}
+
+/// Guards against a log that can take no more learners, because those that were lost fill its membership.
+#[test]
+fn learners_that_are_lost_for_good_are_removed_beyond_a_few() {
+    let learners = replicas(4..=30);
+    let mut members = Members::new(replicas(1..=3), learners.clone());
+    members.settle(members_in(MemberState::Lost, &learners));
+    assert_eq!(members.membership.learners().len(), MAX_LOST_LEARNERS);
+    assert_eq!(members.membership.voters().len(), 3);
+}
+
 /// Guards against a sound voter that is removed for good because it was slow or cut off for a while.
 #[test]
 fn an_unresponsive_voter_stays_a_member() {
--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -1,6 +1,7 @@
 //! The task of a log replica and, while it is the leader, of the control leader's soft state.
 
 mod handlers;
+mod member_choice;
 mod messages;
 
 use std::collections::{BTreeMap, HashMap};
@@ -13,8 +14,7 @@
 use redwinglatch_core::prelude::*;
 use redwinglatch_instances::{ControlRefusal, PeerMessage, Transport};
 use redwinglatch_log::{
-    Effects, Entry, EntryKind, Index, MembershipChange, ProposeError, Replica, Storage, Term,
-    WriteId,
+    Effects, Entry, EntryKind, Index, ProposeError, Replica, Storage, Term, WriteId,
 };
 use redwinglatch_metrics::{Counter, Gauge, Metrics};
 use tokio::sync::oneshot;
@@ -25,6 +25,7 @@
     StepReplica, TransferLeadership,
 };
 
+use self::member_choice::next_change;
 use self::messages::{LogWritten, Tick};
 use crate::clock::{Clock, wall_clock_s};
 
@@ -367,7 +368,8 @@
                 self.leader_proposals.insert(key, now_ms + LEADER_PROPOSAL_TIMEOUT_MS);
             }
         }
-        if let Some(change) = self.membership_change() {
+        let configured: Vec<ReplicaId> = self.parts.replica_instances.keys().copied().collect();
+        if let Some(change) = next_change(self.parts.replica.membership(), &configured) {
             // A refused change, such as the promotion of a learner that is still catching up, is
             // proposed again at the next tick.
             if self.parts.replica.propose_membership(change, now_ms).is_ok() {
@@ -381,30 +383,6 @@
         }
     }
 
-    /// The next step from the log's current members towards the replicas in the settings.
-    ///
-    /// Replica ids only increase, so a leader with old settings neither removes a newer replica nor
-    /// adds a replaced one again while new settings are rolled out.
-    fn membership_change(&self) -> Option<MembershipChange> {
-        let membership = self.parts.replica.membership();
-        if let Some(learner) = membership.learners().first() {
-            return Some(MembershipChange::Promote(*learner));
-        }
-        let configured = &self.parts.replica_instances;
-        let newest = membership.members().max()?;
-        if configured.len() < membership.voters().len() {
-            let replaced = membership.voters().iter().find(|id| !configured.contains_key(id))?;
-            let replacement = configured.keys().any(|id| replaced < id && membership.is_voter(*id));
-            return replacement.then_some(MembershipChange::Remove(*replaced));
-        }
-        configured
-            .keys()
-            .filter(|id| newest < **id)
-            .min()
-            .copied()
-            .map(MembershipChange::AddLearner)
-    }
-
     /// The command that assigns a new coordinator to `cell`, if it has none or its current one is
     /// draining or has an expired lease.
     fn coordinator_assignment(
