Refuse at the coordinator what fits on no engine

Change: the coordinator refuses it at once as well, unless an engine has the adapter loaded.

Evidence: request_for_an_adapter_that_fits_on_no_engine_is_refused_at_once failed before (503 overloaded) and passes.

--- a/crates/redwinglatch-fleet/src/core/planner.rs
+++ b/crates/redwinglatch-fleet/src/core/planner.rs
@@ -484,6 +484,10 @@
         if is_first && self.try_place(now_ms, &waiting) {
             return;
         }
+        if self.is_too_large(&waiting.request) {
+            self.refuse_too_large(&waiting);
+            return;
+        }
         self.waiting.push(waiting);
         self.replies.push(AddressedPlaceReply { entry, id, reply: PlaceReply::Queued });
     }
--- a/crates/redwinglatch-fleet/src/core/planner/engine_memory.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine_memory.rs
@@ -60,6 +60,15 @@
         size_mb.unwrap_or(f64::INFINITY)
     }
 
+    /// Returns whether a model, or an adapter with its base model, is known to be larger than the memory.
+    pub(super) fn is_too_large(&self, model: &str) -> bool {
+        let base = model.split('/').next().unwrap_or(model);
+        self.sizes.get(base).is_some_and(|size| {
+            let adapter_mb = if is_adapter(model) { size.adapter_mb } else { 0.0 };
+            size.weights_mb + adapter_mb > self.weights_mb
+        })
+    }
+
     /// Returns whether these models and adapters together fit into the memory.
     pub(super) fn holds<'a>(&self, models: impl IntoIterator<Item = &'a str>) -> bool {
         let used_mb: f64 = models.into_iter().map(|model| self.size_mb(model)).sum();
--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -121,6 +121,22 @@
         self.push_reply(waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
     }
 
+    /// Returns whether no engine can hold the adapter of a request beside its base model.
+    pub(super) fn is_too_large(&self, request: &PlaceRequest) -> bool {
+        let service = self.services.get(&request.service);
+        service.is_some_and(|service| service.memory.is_too_large(&request.model))
+    }
+
+    /// Refuses a request whose adapter no engine can hold, from an entry process that doesn't have this configuration.
+    pub(super) fn refuse_too_large(&mut self, waiting: &WaitingRequest) {
+        let cause = RefusalCause::NotLoadedInTime {
+            loads_in_flight: saturate(self.store.in_flight()),
+            load_limit: 0,
+        };
+        let retry_after_ms = fastrand::u64(RETRY_AFTER_RANGE_MS);
+        self.push_reply(waiting, PlaceReply::RefusedFor { retry_after_ms, cause });
+    }
+
     /// Returns why no engine was found in time for a request.
     pub(super) fn timeout_cause(&self, now_ms: u64, waiting: &WaitingRequest) -> RefusalCause {
         let model = &waiting.request.model;
--- a/crates/redwinglatch-fleet/src/core/planner/tests/engine_memory.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests/engine_memory.rs
@@ -103,8 +103,10 @@
     simulation.memory = memory_for(0);
     simulation.apply_services();
     simulation.place(99, request("m/a9"));
+    simulation.run(5);
+    let reply = simulation.replies.get(&99);
+    assert!(matches!(reply, Some(PlaceReply::RefusedFor { .. })), "not refused at once: {reply:?}");
     simulation.run(3_000);
-    assert_eq!(simulation.engine_of(99), None);
     let engine = simulation.engines.values().next().expect("an engine");
     assert_eq!(engine.adapters.len(), 2);
 }
