Refuse requests that can't be answered before a planned stop ends

Seen: while a process drains, requests were taken late and answered 502 when it gave its requests up, though they had run: 9 of about 100, with servers that take 1.5 s and a grace period of 4 s.

Cause: only streams were checked against the end of the grace period.

Evidence: requests_that_come_late_in_the_grace_period_are_answered_or_refused failed before and passes.

--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -1,5 +1,6 @@
 //! Entry process, which serves callers and forwards their requests to backend servers.
 
+mod answer_times;
 mod backend_health;
 mod brittle_rooms;
 mod budget;
@@ -56,7 +57,7 @@
     tasks,
 };
 
-use self::{budget::RetryBudget, state_sources::StateSources};
+use self::{answer_times::AnswerTimes, budget::RetryBudget, state_sources::StateSources};
 pub(crate) use self::{fleet_view::FleetView, stream_versions::stream_lifetime_ms};
 
 /// Time before the end of the grace period at which the process stops accepting connections.
@@ -86,6 +87,7 @@
     retry_budget: Mutex<RetryBudget>,
     state_sources: Mutex<StateSources>,
     customer_credits: Mutex<CustomerCredits>,
+    answer_times: Mutex<AnswerTimes>,
     /// Whether the process gives up the requests in flight, because it is about to end.
     gives_up: watch::Sender<bool>,
 }
@@ -108,6 +110,10 @@
         self.customer_credits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
+        self.answer_times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns what a server of this process needs to count the memory of its clients.
     pub(crate) fn server_memory(&self, name: &'static str, memory: SharedMemory) -> ServerMemory {
         ServerMemory { name, memory, metrics: Arc::clone(&self.metrics) }
@@ -174,6 +180,7 @@
         state_sources: Mutex::new(StateSources::new(front, settings.data_centre.clone())),
         retry_budget: Mutex::new(RetryBudget::new(settings.retry_budget)),
         customer_credits: Mutex::default(),
+        answer_times: Mutex::default(),
         gives_up: watch::Sender::new(false),
         settings,
     });
--- a/crates/redwinglatch-fleet/src/entry/fleet_view.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view.rs
@@ -240,6 +240,11 @@
         entries
     }
 
+    /// Returns whether a core process reports another entry process as ready.
+    pub(crate) fn has_other_ready_entry(&self) -> bool {
+        self.ready_entries.addresses().iter().any(|front| *front != self.front)
+    }
+
     pub(crate) fn merge_model_locations(&mut self, locations: Vec<ModelLocation>) {
         // Locations are only added: a new coordinator knows fewer than its predecessor announced.
         for location in locations {
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -23,7 +23,7 @@
 };
 
 use super::{
-    EntryContext, customer_caps,
+    EntryContext, GIVE_UP_MARGIN_MS, customer_caps,
     fleet_view::BackendSelection,
     in_flight::CallerRequest,
     peers::TriedPeers,
@@ -61,6 +61,10 @@
 /// Time after SIGTERM during which new streams are accepted; they must end within the grace period.
 const DRAIN_ACCEPT_STREAMS_MS: u64 = 2_900;
 
+/// Multiple of the longest answer of a service lately that a request may take, and time beyond it.
+const LONGEST_ANSWER_FACTOR: u64 = 2;
+const ANSWER_SLACK_MS: u64 = 100;
+
 /// Serves one request; `earlier` are the attempts of a process that has passed it on.
 pub(crate) async fn serve(
     context: &Arc<EntryContext>,
@@ -207,15 +211,21 @@
     }
 }
 
-/// Returns whether the process is draining and the request is a stream that might not end in time.
+/// Returns whether the process is draining and the request might not end in time.
+///
+/// A request without a stream is served all the same if there is no other entry process for it.
 fn cannot_end_before_stop(context: &EntryContext, prepared: &PreparedRequest) -> bool {
-    let draining_since_ms = context.fleet_view().draining_since_ms();
-    draining_since_ms.is_some_and(|since_ms| {
-        let draining_ms = context.now_ms().saturating_sub(since_ms);
-        let most_tokens = prepared.max_output_tokens;
-        prepared.route().kind.is_stream()
-            && !can_end_before_stop(draining_ms, context.settings.grace_ms, most_tokens)
-    })
+    let Some(since_ms) = context.fleet_view().draining_since_ms() else { return false };
+    let now_ms = context.now_ms();
+    let (draining_ms, grace_ms) = (now_ms.saturating_sub(since_ms), context.settings.grace_ms);
+    if prepared.route().kind.is_stream() {
+        return !can_end_before_stop(draining_ms, grace_ms, prepared.max_output_tokens);
+    }
+    let time_left_ms = grace_ms.saturating_sub(GIVE_UP_MARGIN_MS).saturating_sub(draining_ms);
+    let remaining = prepared.deadline.saturating_duration_since(Instant::now());
+    let longest_ms = context.answer_times().longest_ms(now_ms, &prepared.service);
+    !can_be_answered_within(time_left_ms, longest_ms, remaining.as_millis() as u64)
+        && context.fleet_view().has_other_ready_entry()
 }
 
 /// Sends a request to backend servers until there is a response or no further attempt is allowed.
@@ -292,7 +302,17 @@
             placement,
             last_event_id: None,
         };
-        let Ok(outcome) = timeout_at(prepared.deadline, attempt.send()).await else {
+        let sent_ms = context.now_ms();
+        let outcome = timeout_at(prepared.deadline, attempt.send()).await;
+        if !prepared.route().kind.is_stream() {
+            let now_ms = context.now_ms();
+            context.answer_times().record(
+                now_ms,
+                &prepared.service,
+                now_ms.saturating_sub(sent_ms),
+            );
+        }
+        let Ok(outcome) = outcome else {
             context.fleet_view().record_failure(context.now_ms(), selected.key);
             return Err(RefusalReason::TimedOut);
         };
@@ -341,6 +361,15 @@
     draining_ms <= DRAIN_ACCEPT_STREAMS_MS && draining_ms + longest_ms <= grace_ms
 }
 
+/// Returns whether a request without a stream is answered within this time, by the longest answer of its service lately
+/// and the time until its deadline.
+fn can_be_answered_within(time_left_ms: u64, longest_ms: Option<u64>, remaining_ms: u64) -> bool {
+    let expected_ms = longest_ms.map_or(u64::MAX, |longest_ms| {
+        longest_ms.saturating_mul(LONGEST_ANSWER_FACTOR).saturating_add(ANSWER_SLACK_MS)
+    });
+    expected_ms.min(remaining_ms) <= time_left_ms
+}
+
 /// Counts an executed but failed attempt, and returns whether the request may be retried on another
 /// server.
 fn can_retry_executed(
