Record the addresses of all members of the log

Cause: the first core processes join no log, so only those that had led were recorded with their addresses.

Change: the leader records the addresses of all members, a former process before its successor.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -208,6 +208,8 @@
     /// Whether the process is shutting down and no longer acts as coordinator.
     is_stopping: bool,
     stop_announcement_due_ms: u64,
+    /// Earliest time of the next proposals to record the addresses of members.
+    addresses_due_ms: u64,
     /// Tells whether the log needs this process no longer as a voter while it shuts down.
     is_replaced: watch::Sender<bool>,
     lag: TimerLag,
@@ -288,6 +290,7 @@
             leadership_transfer_due_ms: 0,
             is_stopping: false,
             stop_announcement_due_ms: 0,
+            addresses_due_ms: 0,
             is_replaced,
             backend_loads_due_ms: 0,
             engine_loads_due_ms: 0,
--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -20,6 +20,8 @@
 const UNRESPONSIVE_MEMBER_TIMEOUT_MS: u64 = 1_000;
 /// A member that acknowledges nothing for this long is not expected to return.
 const LOST_MEMBER_TIMEOUT_MS: u64 = 600_000;
+/// Interval between proposals to record the addresses of members.
+const ADDRESSES_INTERVAL_MS: u64 = 1_000;
 /// Time for which an announced stop counts; a process that stops repeats the announcement.
 const STOP_ANNOUNCEMENT_MS: u64 = 1_000;
 const STOP_ANNOUNCEMENT_INTERVAL_MS: u64 = 100;
@@ -33,6 +35,12 @@
         }
         let now_ms = self.now_ms();
         self.last_message_ms.insert(replica.0, now_ms);
+        // The former process at the address is recorded first, so that the log shows which of the two is newer.
+        for (member, address) in self.unrecorded_addresses() {
+            if address == link && member != replica {
+                self.propose(&StateCommand::SetCoreAddress { replica: member, link }, None);
+            }
+        }
         if self.state.cores.get(&replica.0).is_none_or(|(address, _)| *address != link) {
             self.propose(&StateCommand::SetCoreAddress { replica, link }, None);
         }
@@ -49,12 +57,7 @@
             return;
         }
         let own = self.replica.id();
-        if !self.state.cores.contains_key(&own.0) {
-            let link = self.own_link;
-            if !self.proposals.values().any(|(term, _)| *term == self.replica.term()) {
-                self.propose(&StateCommand::SetCoreAddress { replica: own, link }, None);
-            }
-        }
+        self.record_addresses(now_ms);
         let membership = self.replica.membership();
         let Some(change) = next_change(membership, own, |member| self.member_state(now_ms, member))
         else {
@@ -65,6 +68,33 @@
         }
     }
 
+    /// Returns the members whose addresses this process knows and the replicated state doesn't.
+    fn unrecorded_addresses(&self) -> Vec<(ReplicaId, SocketAddr)> {
+        let own = (self.replica.id(), self.own_link);
+        let others = self.core_addresses.iter().map(|(id, link)| (ReplicaId(*id), *link));
+        let known = others.filter(|(member, _)| *member != own.0).chain([own]);
+        let members = self.replica.membership();
+        let is_member = |id: ReplicaId| members.is_voter(id) || members.is_learner(id);
+        self.state.unrecorded(known.filter(|(id, _)| is_member(*id)))
+    }
+
+    /// Records the addresses of the members, the first of which have joined no log.
+    ///
+    /// Answers the loss of all core processes just after one of them has lost its disk: the next leader tells from the
+    /// addresses which member the process without a disk has been.
+    fn record_addresses(&mut self, now_ms: u64) {
+        if now_ms < self.addresses_due_ms {
+            return;
+        }
+        let unrecorded = self.unrecorded_addresses();
+        if !unrecorded.is_empty() {
+            self.addresses_due_ms = now_ms + ADDRESSES_INTERVAL_MS;
+        }
+        for (replica, link) in unrecorded {
+            self.propose(&StateCommand::SetCoreAddress { replica, link }, None);
+        }
+    }
+
     /// Returns the state of a member, on the leader.
     fn member_state(&self, now_ms: u64, member: ReplicaId) -> MemberState {
         if member == self.replica.id() {
--- a/crates/redwinglatch-fleet/src/state.rs
+++ b/crates/redwinglatch-fleet/src/state.rs
@@ -193,6 +193,16 @@
         Ok(state)
     }
 
+    /// Returns those of the known addresses that aren't recorded. One that is recorded for another replica is left out:
+    /// recorded later, the former process at it would pass for the newer one.
+    pub(crate) fn unrecorded(
+        &self,
+        known: impl Iterator<Item = (ReplicaId, SocketAddr)>,
+    ) -> Vec<(ReplicaId, SocketAddr)> {
+        let is_taken = |link: &SocketAddr| self.cores.values().any(|(taken, _)| taken == link);
+        known.filter(|(id, link)| !self.cores.contains_key(&id.0) && !is_taken(link)).collect()
+    }
+
     /// Returns whether another member has taken the address of `old` since, because its process was started anew with
     /// another id.
     pub(crate) fn is_superseded(&self, old: ReplicaId, members: &[ReplicaId]) -> bool {
--- a/crates/redwinglatch-fleet/src/state/tests.rs
+++ b/crates/redwinglatch-fleet/src/state/tests.rs
@@ -47,6 +47,20 @@
     assert_eq!(superseded(&state, &members), Some(ReplicaId(1)));
 }
 
+/// Guards against a former process that passes for the newer one at its address, because it is recorded later.
+#[test]
+fn an_address_that_another_replica_has_is_not_recorded() {
+    let mut state = FleetState::default();
+    let link = |last| std::net::SocketAddr::from(([192, 0, 2, last], 7_000));
+    state.apply(1, StateCommand::SetCoreAddress { replica: ReplicaId(5_000), link: link(3) });
+    let known = [1, 2, 3].map(|id| (ReplicaId(u32::from(id)), link(id)));
+    let unrecorded = state.unrecorded(known.into_iter());
+    assert_eq!(unrecorded, [(ReplicaId(1), link(1)), (ReplicaId(2), link(2))]);
+    state.apply(2, StateCommand::SetCoreAddress { replica: ReplicaId(1), link: link(1) });
+    let unrecorded = state.unrecorded(known.into_iter());
+    assert_eq!(unrecorded, [(ReplicaId(2), link(2))]);
+}
+
 #[test]
 fn a_snapshot_restores_the_state() {
     let mut state = FleetState::default();
