Bound the prompt parts that are kept of a request

Cause: each part took 16 bytes for as long as the request lasts, four times its size in the head.

Change: 64 parts are kept apart; further ones count towards the last.

--- a/crates/redwinglatch-fleet/src/entry/forward/headers.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/headers.rs
@@ -12,6 +12,10 @@
 
 use crate::HeaderNames;
 
+/// Prompt parts of a request that are kept apart; further ones count towards the last. A legal head has room for
+/// thousands, which would take several times its memory for as long as the request lasts.
+const MAX_PROMPT_PARTS: usize = 64;
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -119,12 +123,26 @@
     }
 }
 
-/// Parses the prompt parts, as ids with token counts, up to the first malformed part.
-pub(super) fn prompt_parts(headers: &HeaderMap, names: &HeaderNames) -> Vec<(u64, u32)> {
-    let value = headers.get(&names.prompt_parts).and_then(|value| value.to_str().ok());
+/// Parses the prompt parts in a header, as ids with token counts, up to the first malformed part.
+pub(super) fn prompt_parts(headers: &HeaderMap, name: &HeaderName) -> Vec<(u64, u32)> {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
     let parts = value.unwrap_or_default().split(',').map_while(|part| {
         let (id, tokens) = part.trim().split_once(':')?;
         Some((u64::from_str_radix(id, 16).ok()?, tokens.parse().ok()?))
     });
-    parts.collect()
+    let mut kept: Vec<(u64, u32)> = Vec::new();
+    for (id, tokens) in parts {
+        let is_full = kept.len() == MAX_PROMPT_PARTS;
+        match kept.last_mut() {
+            // The last part is that of the request itself.
+            Some((last_id, last_tokens)) if is_full => {
+                (*last_id, *last_tokens) = (id, last_tokens.saturating_add(tokens));
+            }
+            _ => kept.push((id, tokens)),
+        }
+    }
+    kept
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/redwinglatch-fleet/src/entry/forward/prepared_request.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/prepared_request.rs
@@ -77,7 +77,7 @@
         output_tokens: tokens.expected_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
         stated_tokens: tokens.stated,
         max_output_tokens: tokens.max_output.unwrap_or(DEFAULT_OUTPUT_TOKENS),
-        prompt_parts: headers::prompt_parts(&parts.headers, names),
+        prompt_parts: headers::prompt_parts(&parts.headers, &names.prompt_parts),
         host: host_of(&parts).unwrap_or_default().into(),
         caller: peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |PeerAddress(address)| *address),
         digests: OnceLock::new(),
