--- a/crates/redwinglatch-fleet/src/core/planner/engine.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine.rs
@@ -383,14 +383,18 @@
     /// slot or the memory. It advanced the sequence, so the orders of the removed loads can't take effect any more;
     /// sent again with the new sequence they would exceed the slots or the memory.
     pub(super) fn remove_superseded_loads(&mut self) {
+        let is_unaccepted = |(model, model_state): (&ModelName, &ModelState)| {
+            is_adapter(model)
+                && model_state.phase == ModelPhase::Loading
+                && model_state.order != OrderState::Accepted
+        };
+        if self.order_sent_ms.is_some() || !self.models.iter().any(is_unaccepted) {
+            return;
+        }
         let is_overcommitted =
             self.used_slots() > self.limits.adapter_slots || !self.memory.holds(self.occupants());
-        if is_overcommitted && self.order_sent_ms.is_none() {
-            self.models.retain(|model, model_state| {
-                !is_adapter(model)
-                    || model_state.phase != ModelPhase::Loading
-                    || model_state.order == OrderState::Accepted
-            });
+        if is_overcommitted {
+            self.models.retain(|model, model_state| !is_unaccepted((model, model_state)));
         }
     }
 
