Don't borrow the flag that the driver sets while a core process stops

Cause: a completed wait_for keeps the watch channel's value borrowed until the operators' requests have ended too. The driver runs in the same task and set the value again at its next tick, which waited for that borrow: the process stood still for good.

Change: the borrowed value is dropped at once, and the driver sets the value only if it changes.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -149,7 +149,9 @@
     let all_answered = async {
         tokio::time::sleep(STOP_PAUSE).await;
         let remaining = STOP_TIMEOUT.saturating_sub(STOP_PAUSE);
-        let replacement = tokio::time::timeout(remaining, replaced.wait_for(|replaced| *replaced));
+        // The value is dropped at once: while it is borrowed, the driver can't set another one, and both run in this task.
+        let replacement = async { replaced.wait_for(|replaced| *replaced).await.is_ok() };
+        let replacement = tokio::time::timeout(remaining, replacement);
         let answers = tokio::time::timeout(remaining, control_server);
         let (replacement, answers) = tokio::join!(replacement, answers);
         if replacement.is_err() {
--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -135,7 +135,7 @@
         let id = self.replica.id();
         let membership = self.replica.membership();
         if !membership.is_voter(id) || membership.learners().is_empty() {
-            self.is_replaced.send_replace(true);
+            self.is_replaced.send_if_modified(|is_replaced| !std::mem::replace(is_replaced, true));
             return;
         }
         if self.stop_announcement_due_ms <= now_ms {
