--- a/crates/redwinglatch-fleet/src/core/links.rs
+++ b/crates/redwinglatch-fleet/src/core/links.rs
@@ -119,7 +119,7 @@
     understands_reach: bool,
     /// Whether the process understands requests for credits.
     understands_credits: bool,
-    /// Whether the process understands the announcement that another one stops.
+    /// Set once the process has shown that it understands `CoreStopping`.
     understands_stop: bool,
 }
 
--- a/crates/redwinglatch-fleet/src/core/planner/engine_memory.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/engine_memory.rs
@@ -6,14 +6,14 @@
 
 use crate::ids::{ModelName, is_adapter};
 
-/// What a base model and each of its adapters occupy.
+/// The sizes of a base model and of each of its adapters.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct ModelSize {
     weights_mb: f64,
     adapter_mb: f64,
 }
 
-/// The memory of each engine of a service for models and adapters, and what these occupy.
+/// The memory of each engine of a service for models and adapters, and the sizes of these.
 ///
 /// Answers engines whose memory is used up before their adapter slots: an engine that is ordered to load more than it
 /// can hold crashes, with all requests on it.
--- a/crates/redwinglatch-fleet/src/entry/stream_versions.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream_versions.rs
@@ -49,7 +49,7 @@
     own_fetch_ms: Option<u64>,
 }
 
-/// What is known of a stream that a caller takes up, when it is decided at which version it goes on.
+/// The facts by which the version is chosen at which a stream goes on that a caller takes up.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct StreamQuestion<'a> {
     pub(super) stream: StreamKey,
--- a/crates/redwinglatch-routing/src/configuration.rs
+++ b/crates/redwinglatch-routing/src/configuration.rs
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Whether the model, or the adapter with its model, fits into the memory of one engine.
+    /// Returns whether the model, or the adapter with its model, fits into the memory of one engine.
     #[must_use]
     pub fn fits(&self, name: &str) -> bool {
         let (model, adapter) = match name.split_once('/') {
