Log how the replicated log stands where a configuration is acknowledged and put in force

The lines so far couldn't tell an outdated core process from a slow one, nor a log without a majority from a sound one.

- A core process logs what its disk holds at its start, each change of the members, the holders and voters of each acknowledged configuration, and that it hears no leader, with the links that it has, each 2 s.
- An entry process logs from which core process a configuration comes, how far that one has come in the log and how old its word of a leader is; a refusal for want of a route names the version in force and that age.

Core processes send their progress beside the notices that they send anyway, and only to entry processes that have sent CoreAddresses, so builds of both kinds run side by side.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -77,10 +77,15 @@
     let (stop, stopped) = watch::channel(false);
     let start_state = start::open(&data_dir, &settings, link, clock)?;
     log::info!(
-        "core: {} starts at {link} as replica {} of the log, joining={}",
+        "core: {} starts at {link} as replica {} of the log, joining={}; on disk: configuration {}, log up to index {}, \
+         term {}, known core processes {:?}",
         settings.name,
         start_state.replica.id(),
         start_state.is_joining,
+        start_state.state.version,
+        start_state.replica.last_index(),
+        start_state.replica.term(),
+        start_state.core_addresses,
     );
     let metrics = Arc::new(Metrics::default());
     tasks::spawn_essential(
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -5,6 +5,7 @@
 mod engine_reach;
 mod former_coordinator;
 mod leader_requests;
+mod log_reports;
 mod membership;
 mod messages;
 mod placement;
@@ -45,6 +46,7 @@
 use self::{
     customer_caps::CustomerCaps,
     former_coordinator::FormerCoordinator,
+    log_reports::LogReports,
     software_versions::{SoftwareVersions, UnrecordedVersions},
 };
 use super::{
@@ -208,6 +210,7 @@
     /// Whether the process is shutting down and no longer acts as coordinator.
     is_stopping: bool,
     stop_announcement_due_ms: u64,
+    log_reports: LogReports,
     /// Earliest time of the next proposals to record the addresses of members.
     addresses_due_ms: u64,
     /// Tells whether the log needs this process no longer as a voter while it shuts down.
@@ -290,6 +293,7 @@
             leadership_transfer_due_ms: 0,
             is_stopping: false,
             stop_announcement_due_ms: 0,
+            log_reports: LogReports::new(clock.now_ms()),
             addresses_due_ms: 0,
             is_replaced,
             backend_loads_due_ms: 0,
@@ -450,6 +454,7 @@
             }
         }
         self.update_membership(now_ms);
+        self.warn_of_missing_leader(now_ms);
         if self.is_stopping {
             self.announce_stop(now_ms);
         }
@@ -501,6 +506,7 @@
                 }
             }
         }
+        self.log_members();
         self.respond_to_reads();
         self.follow_leadership();
         if self.replica.snapshot_due() {
@@ -582,6 +588,7 @@
             }
             if let Some((term, response_sender)) = self.proposals.remove(&entry.index) {
                 let response = if term == entry.term {
+                    self.log_acknowledgement(&entry);
                     LeaderResponse::Committed
                 } else {
                     LeaderResponse::Unconfirmed
@@ -609,6 +616,7 @@
             return;
         }
         log::info!("core: configuration {} is in force", self.state.version);
+        self.entries.broadcast_progress(self.log_progress());
         let version = self.state.version;
         self.entries.broadcast(&FleetMessage::ConfigurationNotice { version });
     }
--- /dev/null
+++ b/crates/redwinglatch-fleet/src/core/driver/log_reports.rs
@@ -0,0 +1,90 @@
+//! Log lines that tell how the replicated log stands, and what entry processes are told of it.
+
+use redwinglatch_core::ReplicaId;
+use redwinglatch_log::{Entry, EntryKind, Membership};
+use smallvec::SmallVec;
+
+use crate::{message::LogProgress, state::StateCommand};
+
+use super::Driver;
+
+/// Time without a leader, or without becoming a member, after which a process says so, and interval between such lines.
+const MISSING_LEADER_MS: u64 = 2_000;
+
+/// What the last lines have told.
+#[derive(Debug)]
+pub(super) struct LogReports {
+    members: Membership,
+    /// Time of the last message of a leader or, if there was none, of the start.
+    led_ms: u64,
+    missing_leader_due_ms: u64,
+}
+
+impl LogReports {
+    pub(super) fn new(now_ms: u64) -> LogReports {
+        LogReports {
+            members: Membership::default(),
+            led_ms: now_ms,
+            missing_leader_due_ms: now_ms + MISSING_LEADER_MS,
+        }
+    }
+}
+
+impl Driver {
+    /// Returns how far this process has come in the log.
+    pub(super) fn log_progress(&self) -> LogProgress {
+        let now_ms = self.now_ms();
+        let leader_age_ms = if self.replica.is_leader() {
+            Some(0)
+        } else {
+            self.leader_heard_ms.map(|heard_ms| now_ms.saturating_sub(heard_ms))
+        };
+        LogProgress { index: self.applied_index, term: self.applied_term, leader_age_ms }
+    }
+
+    /// Logs who holds a change that is about to be acknowledged.
+    pub(super) fn log_acknowledgement(&self, entry: &Entry) {
+        let EntryKind::Data(data) = &entry.kind else { return };
+        let Ok(StateCommand::PutConfiguration { version, .. }) = postcard::from_bytes(data) else {
+            return;
+        };
+        let holders: SmallVec<[ReplicaId; 8]> = self.replica.holders(entry.index).collect();
+        log::info!(
+            "core: configuration {version} is acknowledged at index {} of term {}; held by {holders:?}, voters {:?}",
+            entry.index,
+            entry.term,
+            self.replica.membership().voters(),
+        );
+    }
+
+    /// Logs the members of the log when they have changed.
+    pub(super) fn log_members(&mut self) {
+        let members = self.replica.membership();
+        if *members != self.log_reports.members {
+            let (voters, learners) = (members.voters(), members.learners());
+            log::info!("core: the log has the voters {voters:?} and the learners {learners:?}");
+            self.log_reports.members = members.clone();
+        }
+    }
+
+    /// Warns while this process hears no leader, and while it isn't a member of the log.
+    pub(super) fn warn_of_missing_leader(&mut self, now_ms: u64) {
+        let led_ms = if self.replica.is_leader() { Some(now_ms) } else { self.leader_heard_ms };
+        let reports = &mut self.log_reports;
+        reports.led_ms = reports.led_ms.max(led_ms.unwrap_or_default());
+        let silence_ms = now_ms.saturating_sub(reports.led_ms);
+        if silence_ms < MISSING_LEADER_MS || now_ms < reports.missing_leader_due_ms {
+            return;
+        }
+        reports.missing_leader_due_ms = now_ms + MISSING_LEADER_MS;
+        let connected: SmallVec<[_; 8]> = self.cores.connected_addresses().collect();
+        let voters = self.replica.membership().voters();
+        log::warn!(
+            "core: no message of a leader for {silence_ms} ms; joining={}, version {}, index {}, voters {voters:?}, \
+             connected to {connected:?}",
+            self.is_joining,
+            self.state.version,
+            self.replica.last_index(),
+        );
+    }
+}
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -143,6 +143,9 @@
                 self.former_coordinator.stopped_ms = Some(self.now_ms());
             }
             FleetMessage::CoreStopping { replica } => self.handle_stop_announcement(replica),
+            FleetMessage::CoreAddresses(_) => {
+                self.entries.understands_progress(link, self.log_progress());
+            }
             FleetMessage::Join { replica, link } => self.handle_join(replica, link),
             FleetMessage::LeaderRequest { id, request } => {
                 self.handle_leader_request(request, ResponseSender::Remote { sender, id });
--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -229,6 +229,7 @@
         if let Some((_, planner)) = &mut self.planner {
             planner.set_backends(now_ms, self.backends.list());
         }
+        self.entries.broadcast_progress(self.log_progress());
         self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
     }
 
--- a/crates/redwinglatch-fleet/src/core/entry_links.rs
+++ b/crates/redwinglatch-fleet/src/core/entry_links.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     link::{Frame, LinkSender},
-    message::{EntryEndpoint, EntryEndpointChanges, EntryHello, FleetMessage},
+    message::{EntryEndpoint, EntryEndpointChanges, EntryHello, FleetMessage, LogProgress},
 };
 
 /// Interval between messages about entry processes that have become ready or no longer are. It
@@ -21,6 +21,8 @@
     sender: LinkSender,
     hello: EntryHello,
     is_ready: bool,
+    /// Whether the process understands `LogProgress`.
+    understands_progress: bool,
 }
 
 /// The entry processes that are connected to a core process.
@@ -50,7 +52,10 @@
             data_centre: data_centre.clone(),
         });
         sender.send(&FleetMessage::EntryEndpoints(endpoints.collect()));
-        self.links.insert(link, EntryLink { sender, hello, is_ready: false });
+        self.links.insert(
+            link,
+            EntryLink { sender, hello, is_ready: false, understands_progress: false },
+        );
         self.has_changed = true;
     }
 
@@ -74,6 +79,22 @@
         true
     }
 
+    /// Records that an entry process understands `LogProgress`, and sends it the first one.
+    pub(super) fn understands_progress(&mut self, link: u64, progress: LogProgress) {
+        if let Some(entry) = self.links.get_mut(&link) {
+            entry.understands_progress = true;
+            entry.sender.send(&FleetMessage::LogProgress(progress));
+        }
+    }
+
+    /// Sends the progress in the log to the entry processes that understand it.
+    pub(super) fn broadcast_progress(&self, progress: LogProgress) {
+        let frame = Frame::encode(&FleetMessage::LogProgress(progress));
+        for entry in self.links.values().filter(|entry| entry.understands_progress) {
+            entry.sender.send_frame(frame.clone());
+        }
+    }
+
     /// Announces the changes of the last interval.
     pub(super) fn tick(&mut self, now_ms: u64) {
         if !self.has_changed || now_ms < self.changes_due_ms {
--- a/crates/redwinglatch-fleet/src/core/links.rs
+++ b/crates/redwinglatch-fleet/src/core/links.rs
@@ -191,6 +191,13 @@
         self.links.iter().map(|link| link.address)
     }
 
+    /// Returns the addresses to which a link is established.
+    pub(super) fn connected_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let is_connected =
+            |link: &&CoreLink| link.sender.as_ref().is_some_and(|sender| !sender.is_closed());
+        self.links.iter().filter(is_connected).map(|link| link.address)
+    }
+
     /// Sends a message if the link to `address` is established; returns whether it was queued.
     pub(super) fn send(&self, address: SocketAddr, message: &FleetMessage) -> bool {
         let link = self.links.iter().find(|link| link.address == address);
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -125,6 +125,8 @@
             Ok(stream) => {
                 let (sender, mut reader) = link::split(stream, MAX_QUEUED_BYTES, &context.metrics);
                 sender.send(&FleetMessage::EntryHello(hello.clone()));
+                let connected = context.fleet_view().connected_core_addresses().collect();
+                sender.send(&FleetMessage::CoreAddresses(connected));
                 context.fleet_view().core_connected(address, sender.clone());
                 context.state_sources().connected(address);
                 log::info!("entry: connected to the core process at {address}");
@@ -158,6 +160,10 @@
 ) {
     match message {
         FleetMessage::Ping => {}
+        FleetMessage::LogProgress(progress) => {
+            let now_ms = context.now_ms();
+            context.state_sources().set_progress(now_ms, core, progress);
+        }
         FleetMessage::ConfigurationNotice { version } => {
             let now_ms = context.now_ms();
             context.state_sources().configuration_announced(now_ms, core, version);
@@ -166,7 +172,7 @@
         FleetMessage::CompressedConfiguration { version, document } => {
             context.state_sources().configuration_received(core);
             match core::decompress_configuration(&document) {
-                Ok(document) => install_configuration(context, version, &document),
+                Ok(document) => install_configuration(context, core, version, &document),
                 Err(error) => {
                     log::error!("entry: cannot decompress configuration {version}: {error}");
                 }
@@ -177,7 +183,7 @@
         }
         FleetMessage::Configuration { version, document } => {
             context.state_sources().configuration_received(core);
-            install_configuration(context, version, &document);
+            install_configuration(context, core, version, &document);
         }
         FleetMessage::Quarantine(keys) => {
             let now_ms = context.now_ms();
@@ -323,7 +329,7 @@
     acceptance
 }
 
-fn install_configuration(context: &EntryContext, version: u64, document: &[u8]) {
+fn install_configuration(context: &EntryContext, core: SocketAddr, version: u64, document: &[u8]) {
     if version <= context.fleet_view().version() {
         return;
     }
@@ -332,8 +338,9 @@
     });
     match table {
         Ok(table) => {
-            log::info!("entry: configuration {version} is in force");
             let now_ms = context.now_ms();
+            let progress = context.state_sources().progress(now_ms, core);
+            log::info!("entry: configuration {version} is in force, from {core} with {progress:?}");
             context.customer_credits().retain(|name| table.customer_named(name).is_some());
             let mut view = context.fleet_view();
             view.update_route_table(table);
--- a/crates/redwinglatch-fleet/src/entry/fleet_view/cores.rs
+++ b/crates/redwinglatch-fleet/src/entry/fleet_view/cores.rs
@@ -107,7 +107,14 @@
     }
 
     pub(crate) fn connected_cores(&self) -> usize {
-        self.cores.values().flatten().filter(|sender| !sender.is_closed()).count()
+        self.connected_core_addresses().count()
+    }
+
+    /// Returns the addresses of the core processes to which this process has a link.
+    pub(crate) fn connected_core_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let is_open =
+            |link: &Option<LinkSender>| link.as_ref().is_some_and(|link| !link.is_closed());
+        self.cores.iter().filter(move |(_, link)| is_open(link)).map(|(core, _)| *core)
     }
 
     /// Returns the number of core processes to which this process has a link, or had one a moment ago.
--- a/crates/redwinglatch-fleet/src/entry/forward.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward.rs
@@ -151,14 +151,25 @@
 ) -> Response<Body> {
     context.metrics.record_refusal(reason.code());
     let after_ms = received_at.elapsed().as_millis();
+    // An outdated configuration is told from a path that no configuration has.
+    let state = if reason == RefusalReason::NoRoute { known_state(context) } else { String::new() };
     log::info!(
-        "request: {log_name} outcome={} after_ms={after_ms}{}",
+        "request: {log_name} outcome={} after_ms={after_ms}{}{state}",
         reason.code(),
         reason.inputs()
     );
     refusal_response(context.dialect, reason)
 }
 
+/// Returns the fields of a log line that tell which configuration this process has and how old its word of a leader is.
+fn known_state(context: &EntryContext) -> String {
+    let version = context.fleet_view().version();
+    match context.state_sources().leader_age_ms(context.now_ms()) {
+        Some(age_ms) => format!(" config={version} leader_age_ms={age_ms}"),
+        None => format!(" config={version} leader_age_ms=-"),
+    }
+}
+
 /// Returns the fields that identify a request in log lines before its route is known.
 fn unrouted_log_name(context: &EntryContext, parts: &Parts) -> String {
     let id = parts.headers.get(&context.dialect.headers.request_id);
--- a/crates/redwinglatch-fleet/src/entry/state_sources.rs
+++ b/crates/redwinglatch-fleet/src/entry/state_sources.rs
@@ -2,7 +2,10 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
-use crate::ids::{mix_bits, name_hash};
+use crate::{
+    ids::{mix_bits, name_hash},
+    message::LogProgress,
+};
 
 /// Time after a notice for which the preferred core process may still announce the same version.
 const PREFERRED_NOTICE_DELAY_MS: u64 = 150;
@@ -22,6 +25,8 @@
     data_centre: Option<Box<str>>,
     /// The newest configuration that the core process has announced.
     version: u64,
+    /// How far the core process has come in the log, and when it said so.
+    progress: Option<(LogProgress, u64)>,
 }
 
 /// The last request for the configuration.
@@ -93,6 +98,26 @@
         self.sources.iter().min_by_key(rank).map(|(core, _)| *core)
     }
 
+    /// Records how far a core process has come in the log.
+    pub(crate) fn set_progress(&mut self, now_ms: u64, core: SocketAddr, progress: LogProgress) {
+        if let Some(source) = self.sources.get_mut(&core) {
+            source.progress = Some((progress, now_ms));
+        }
+    }
+
+    /// Returns how far a core process has come in the log, if it has said so.
+    pub(crate) fn progress(&self, now_ms: u64, core: SocketAddr) -> Option<LogProgress> {
+        let (progress, said_ms) = self.sources.get(&core)?.progress?;
+        let age_ms = progress.leader_age_ms.map(|age_ms| age_ms + now_ms.saturating_sub(said_ms));
+        Some(LogProgress { leader_age_ms: age_ms, ..progress })
+    }
+
+    /// Returns the time since a connected core process has heard a leader, as far as it is known.
+    pub(crate) fn leader_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let progress = self.sources.keys().filter_map(|core| self.progress(now_ms, *core));
+        progress.filter_map(|progress| progress.leader_age_ms).min()
+    }
+
     /// Records the version of a core process's configuration.
     pub(crate) fn configuration_announced(&mut self, now_ms: u64, core: SocketAddr, version: u64) {
         if let Some(source) = self.sources.get_mut(&core) {
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -56,7 +56,8 @@
     Backends { digest: u64, entries: Vec<Backend> },
     /// The entry processes that are connected to the sender.
     EntryEndpoints(Vec<EntryEndpoint>),
-    /// The link addresses of the core processes.
+    /// The link addresses of the core processes. An entry process sends those to which it is connected, which shows that
+    /// it understands `LogProgress`.
     CoreAddresses(Vec<SocketAddr>),
     /// The models and adapters loaded on all engines, as known to the coordinator.
     ModelLocations { epoch: u64, locations: Vec<ModelLocation> },
@@ -148,6 +149,9 @@
     CustomerCreditReply { id: u64, reply: CreditReply },
     /// The sender, a voter of the replicated log, is shutting down.
     CoreStopping { replica: ReplicaId },
+    /// How far the sender, a core process, has come in the replicated log. Only entry processes that have sent
+    /// `CoreAddresses` understand it.
+    LogProgress(LogProgress),
 }
 
 impl FleetMessage {
@@ -166,9 +170,9 @@
             FleetMessage::ConfigurationRequest
             | FleetMessage::BackendsRequest
             | FleetMessage::ModelLocationsRequest => "state_request",
-            FleetMessage::ConfigurationNotice { .. } | FleetMessage::BackendsNotice { .. } => {
-                "state_notice"
-            }
+            FleetMessage::ConfigurationNotice { .. }
+            | FleetMessage::BackendsNotice { .. }
+            | FleetMessage::LogProgress(_) => "state_notice",
             FleetMessage::Configuration { .. } | FleetMessage::CompressedConfiguration { .. } => {
                 "configuration"
             }
@@ -212,6 +216,16 @@
     }
 }
 
+/// How far a core process has come in the replicated log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LogProgress {
+    /// The last entry that is applied, and its term.
+    pub(crate) index: u64,
+    pub(crate) term: u64,
+    /// Time since the last message of a leader; 0 for a leader, and `None` before the first one.
+    pub(crate) leader_age_ms: Option<u64>,
+}
+
 /// A core process's decision on units of a customer's cap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum CreditReply {
--- a/crates/redwinglatch-log/src/replica/leader.rs
+++ b/crates/redwinglatch-log/src/replica/leader.rs
@@ -128,6 +128,15 @@
         self.leader_state.as_ref()?.progress(replica)?.acked_sent_ms
     }
 
+    /// Returns the members that are known to have synced the entry at `index`. Without leadership there are none.
+    pub fn holders(&self, index: Index) -> impl Iterator<Item = ReplicaId> {
+        let own = (self.write_queue.durable_index >= index).then_some(self.config.id);
+        let progress = self.leader_state.iter().flat_map(|state| state.progress.iter());
+        let others = progress.filter(move |(_, progress)| progress.match_index >= index);
+        let others = others.map(|(other, _)| *other);
+        others.chain(own.filter(|_| self.leader_state.is_some()))
+    }
+
     /// Returns when this replica was elected, if it leads.
     #[must_use]
     pub fn elected_ms(&self) -> Option<u64> {
