Tell core processes the addresses of all others, so that one whose seeds don't lead joins the log

Cause: only entry processes were told the addresses of core processes. A core process knew its seeds, those that said hello to it and those of the replicated state, which a process that hasn't joined doesn't have.

Change: the answer to the hello of a core process carries the addresses that are connected or belong to members of the log, an entry process sends those to which it is connected, and a new address is passed on to all connected core processes. So all that are connected, also through others or through an entry process, find each other, and the new one asks the leader itself. Addresses that are neither connected nor of members are told to nobody any more, because they may be gone for good.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -346,8 +346,19 @@
         self.clock.now_ms()
     }
 
+    fn dial_all(&mut self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            self.dial(*address);
+        }
+    }
+
+    /// Keeps a link to another core process, and tells the others of it if it is new.
+    ///
+    /// Answers a process whose seeds don't lead: all processes that are connected, also through others, get to know each
+    /// other.
     fn dial(&mut self, address: SocketAddr) {
         if address != self.own_link && self.cores.add(address) {
+            self.cores.send_all(&FleetMessage::CoreAddresses(vec![address]));
             let own = (self.replica.id(), self.own_link);
             let (events, metrics) = (self.events.clone(), Arc::clone(&self.metrics));
             tasks::spawn_restarting("core link", move || {
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -1,7 +1,7 @@
 //! Handles messages of entry processes and other core processes, and sends updates to entry
 //! processes.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use redwinglatch_log::{LogMessage, Term};
 
@@ -32,6 +32,7 @@
                     link: self.own_link,
                 });
                 self.announce_caps(&sender);
+                sender.send(&self.core_addresses_message());
                 self.core_addresses.insert(replica.0, link);
                 self.dial(link);
             }
@@ -143,8 +144,9 @@
                 self.former_coordinator.stopped_ms = Some(self.now_ms());
             }
             FleetMessage::CoreStopping { replica } => self.handle_stop_announcement(replica),
-            FleetMessage::CoreAddresses(_) => {
+            FleetMessage::CoreAddresses(addresses) => {
                 self.entries.understands_progress(link, self.log_progress());
+                self.dial_all(&addresses);
             }
             FleetMessage::Join { replica, link } => self.handle_join(replica, link),
             FleetMessage::LeaderRequest { id, request } => {
@@ -181,11 +183,7 @@
                     let _ = reply.send(response);
                 }
             }
-            FleetMessage::CoreAddresses(addresses) => {
-                for address in addresses {
-                    self.dial(address);
-                }
-            }
+            FleetMessage::CoreAddresses(addresses) => self.dial_all(&addresses),
             other => log::debug!("core: ignoring an unexpected response: {other:?}"),
         }
     }
@@ -234,10 +232,14 @@
         }
     }
 
+    /// Returns the addresses of the core processes to which this one has a link, and those of the members of the log.
+    /// Others may be gone for good.
     pub(super) fn core_addresses_message(&self) -> FleetMessage {
-        let mut addresses: Vec<_> = self.cores.addresses().collect();
-        addresses.push(self.own_link);
-        FleetMessage::CoreAddresses(addresses)
+        let members = self.replica.membership().members();
+        let of_members = members.filter_map(|member| self.core_addresses.get(&member.0).copied());
+        let known = self.cores.connected_addresses().chain(of_members).chain([self.own_link]);
+        let addresses: BTreeSet<SocketAddr> = known.collect();
+        FleetMessage::CoreAddresses(addresses.into_iter().collect())
     }
 
     pub(super) fn versions_message(&self) -> FleetMessage {
--- a/crates/redwinglatch-fleet/src/core/links.rs
+++ b/crates/redwinglatch-fleet/src/core/links.rs
@@ -187,10 +187,6 @@
         }
     }
 
-    pub(super) fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.links.iter().map(|link| link.address)
-    }
-
     /// Returns the addresses to which a link is established.
     pub(super) fn connected_addresses(&self) -> impl Iterator<Item = SocketAddr> {
         let is_connected =
--- a/crates/redwinglatch-fleet/src/message.rs
+++ b/crates/redwinglatch-fleet/src/message.rs
@@ -56,8 +56,9 @@
     Backends { digest: u64, entries: Vec<Backend> },
     /// The entry processes that are connected to the sender.
     EntryEndpoints(Vec<EntryEndpoint>),
-    /// The link addresses of the core processes. An entry process sends those to which it is connected, which shows that
-    /// it understands `LogProgress`.
+    /// The link addresses of core processes that the sender knows. Each process sends them on a new link to a core
+    /// process or answers with them, so that core processes with different seeds find each other; an entry process shows
+    /// so that it understands `LogProgress`.
     CoreAddresses(Vec<SocketAddr>),
     /// The models and adapters loaded on all engines, as known to the coordinator.
     ModelLocations { epoch: u64, locations: Vec<ModelLocation> },
