Tell entry processes of no configuration before it is known to be current

What was confirmed later follows when a leader is elected, after a second or more, and never if the log has lost its majority.

Change: a core process tells entry processes of its configuration and of the versions of adapters once it has applied what was confirmed before the present leader began. Without a leader it tells them after 3 s, with a warning, so that a log without a majority doesn't stop service. Entry processes that keep running keep their configuration as before.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -1,5 +1,6 @@
 //! The task that owns the state of a core process.
 
+mod announced_configuration;
 mod coordinator;
 mod customer_caps;
 mod engine_reach;
@@ -174,6 +175,9 @@
     applied_index: Index,
     applied_term: Term,
     table: Option<Arc<RouteTable>>,
+    /// Whether entry processes aren't told of the configuration, because it may be outdated.
+    withholds_configuration: bool,
+    started_ms: u64,
     is_joining: bool,
     join_due_ms: u64,
     cores: CoreLinks,
@@ -260,6 +264,8 @@
             applied_index: 0,
             applied_term: 0,
             table: None,
+            withholds_configuration: true,
+            started_ms: clock.now_ms(),
             is_joining: start_state.is_joining,
             join_due_ms: 0,
             cores: CoreLinks::default(),
@@ -466,6 +472,7 @@
         }
         self.update_membership(now_ms);
         self.warn_of_missing_leader(now_ms);
+        self.announce_withheld_configuration(now_ms);
         if self.is_stopping {
             self.announce_stop(now_ms);
         }
@@ -558,7 +565,7 @@
                 self.applied_term = term;
                 self.update_core_addresses();
                 self.announce_configuration();
-                self.entries.broadcast(&self.versions_message());
+                self.tell_versions();
                 self.update_quarantine();
                 self.update_recorded_versions();
             }
@@ -611,7 +618,7 @@
             self.announce_configuration();
         }
         if has_new_versions {
-            self.entries.broadcast(&self.versions_message());
+            self.tell_versions();
             if let Some((_, planner)) = &mut self.planner {
                 planner.set_versions(&self.state.versions);
             }
@@ -627,9 +634,7 @@
             return;
         }
         log::info!("core: configuration {} is in force", self.state.version);
-        self.entries.broadcast_progress(self.log_progress());
-        let version = self.state.version;
-        self.entries.broadcast(&FleetMessage::ConfigurationNotice { version });
+        self.tell_configuration();
     }
 
     fn load_configuration(&mut self) {
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -104,12 +104,7 @@
                     sender.send(&FleetMessage::GrantReply { id, granted });
                 }
             }
-            FleetMessage::ConfigurationRequest => {
-                if self.state.version > 0 {
-                    sender.send_frame(self.compressed_configuration.frame(&self.state));
-                    sender.send(&self.versions_message());
-                }
-            }
+            FleetMessage::ConfigurationRequest => self.send_configuration(&sender),
             FleetMessage::BackendsRequest => {
                 sender.send_frame(self.backends.frame_for(link));
             }
@@ -199,10 +194,7 @@
             sender.send(&FleetMessage::BrittleServices(planner.brittle_services()));
         }
         sender.send(&self.core_addresses_message());
-        if self.state.version > 0 {
-            sender.send(&FleetMessage::ConfigurationNotice { version: self.state.version });
-        }
-        sender.send(&self.versions_message());
+        self.tell_new_entry(&sender);
         sender.send(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
         self.send_model_locations(&sender);
         self.entries.insert(link, sender, hello);
@@ -242,11 +234,6 @@
         FleetMessage::CoreAddresses(addresses.into_iter().collect())
     }
 
-    pub(super) fn versions_message(&self) -> FleetMessage {
-        let versions = self.state.versions.iter();
-        FleetMessage::Versions(versions.map(|(model, version)| (model.clone(), *version)).collect())
-    }
-
     /// Sends the locations of all models if this process is the coordinator, in parts that leave
     /// room for other messages.
     fn send_model_locations(&self, sender: &LinkSender) {
--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -200,7 +200,7 @@
     }
 
     /// Returns whether this process has applied all that was committed before the present leader began.
-    fn knows_log(&self) -> bool {
+    pub(super) fn knows_log(&self) -> bool {
         let leader = self.replica.leader().and_then(|leader| self.last_message_ms.get(&leader.0));
         let position = LogPosition {
             term: self.replica.term(),
