Let a core process that hears no leader ask to join the log again

Seen in a test: a new core process comes, and the leader that has just sent it a part of the log is lost with its entry that adds the process. Both are started again; the new process is no member, hears nobody and asks nobody, because its disk isn't empty. The log has one successor less than it seems, and the next lost disk takes the acknowledged configuration.

Cause: whether a process must ask was decided at its start, from an empty disk.

Change: a process that has heard no leader for 2 s asks to join. A leader ignores what is a member already.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -85,7 +85,7 @@
 const MAX_LOCATION_BYTES_PER_S: u64 = 2_000;
 /// Changes in one message.
 const MAX_LOCATION_CHANGES: usize = 1_000;
-/// Interval between requests to join the log while the process isn't a voter.
+/// Interval between requests to join the log.
 const JOIN_INTERVAL_MS: u64 = 250;
 /// A leader transfers leadership when a write takes longer than this.
 const SLOW_WRITE_MS: u64 = 400;
@@ -458,18 +458,7 @@
         let now_ms = self.now_ms();
         self.lag.tick(now_ms, TICK_INTERVAL);
         self.replica.tick(now_ms);
-        if self.is_joining && self.join_due_ms <= now_ms {
-            self.join_due_ms = now_ms + JOIN_INTERVAL_MS;
-            let membership = self.replica.membership();
-            if membership.is_voter(self.replica.id()) {
-                log::info!("core: replica {} is a voter", self.replica.id());
-                self.is_joining = false;
-            } else {
-                let message =
-                    FleetMessage::Join { replica: self.replica.id(), link: self.own_link };
-                self.cores.send_all(&message);
-            }
-        }
+        self.ask_to_join(now_ms);
         self.update_membership(now_ms);
         self.warn_of_missing_leader(now_ms);
         self.announce_withheld_configuration(now_ms);
--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -13,7 +13,13 @@
     state::StateCommand,
 };
 
-use super::{Driver, LEADERSHIP_TRANSFER_INTERVAL_MS, MIN_LEADERSHIP_MS, SLOW_WRITE_MS};
+use super::{
+    Driver, JOIN_INTERVAL_MS, LEADERSHIP_TRANSFER_INTERVAL_MS, MIN_LEADERSHIP_MS, SLOW_WRITE_MS,
+};
+
+/// Time without a message of a leader after which a process may be no member of the log any more: longer than an
+/// election takes.
+const MAX_SILENCE_MS: u64 = 2_000;
 
 /// A member that acknowledges nothing for this long is unresponsive. It is longer than an election timeout, so that a
 /// leader that was suspended has lost its leadership before it takes the others for unresponsive.
@@ -27,6 +33,32 @@
 const STOP_ANNOUNCEMENT_INTERVAL_MS: u64 = 100;
 
 impl Driver {
+    /// Asks to join the log while this process isn't a voter that hears a leader.
+    ///
+    /// Answers the loss of a leader that had sent a new process a part of the log, and whose entry that adds the process
+    /// nobody else has: such a process has a log and is no member. A leader ignores what is a member already.
+    pub(super) fn ask_to_join(&mut self, now_ms: u64) {
+        if now_ms < self.join_due_ms {
+            return;
+        }
+        let replica = self.replica.id();
+        let membership = self.replica.membership();
+        let is_voter = membership.is_voter(replica);
+        if is_voter && self.is_joining {
+            log::info!("core: replica {replica} is a voter");
+            self.is_joining = false;
+        }
+        let is_led = self.replica.is_leader()
+            || self.leader_heard_ms.is_some_and(|heard_ms| now_ms <= heard_ms + MAX_SILENCE_MS);
+        if !self.is_joining && is_led {
+            return;
+        }
+        self.join_due_ms = now_ms + JOIN_INTERVAL_MS;
+        if self.is_joining || now_ms >= self.started_ms + MAX_SILENCE_MS {
+            self.cores.send_all(&FleetMessage::Join { replica, link: self.own_link });
+        }
+    }
+
     pub(super) fn handle_join(&mut self, replica: ReplicaId, link: SocketAddr) {
         self.core_addresses.insert(replica.0, link);
         self.dial(link);
