Don't record the former process at an address behind its successor

If the change of members has to wait, the next round proposed the predecessor's address again, because neither was applied yet. Recorded last, the predecessor passes for the newer process, and the new one is removed for good.

No test shows the order; the suite passes.

--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -67,7 +67,9 @@
         }
         let now_ms = self.now_ms();
         self.last_message_ms.insert(replica.0, now_ms);
-        // The former process at the address is recorded first, so that the log shows which of the two is newer.
+        // The former process at the address is recorded first, and not again, so that the log shows which of the two is
+        // newer.
+        self.addresses_due_ms = now_ms + ADDRESSES_INTERVAL_MS;
         for (member, address) in self.unrecorded_addresses() {
             if address == link && member != replica {
                 self.propose(&StateCommand::SetCoreAddress { replica: member, link }, None);
