Pass on the address of a core process whenever a link to it is established

A process that had connected to one core process before that one found the others was told of none of them, and addresses of processes that are gone went round.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -358,13 +358,9 @@
         }
     }
 
-    /// Keeps a link to another core process, and tells the others of it if it is new.
-    ///
-    /// Answers a process whose seeds don't lead: all processes that are connected, also through others, get to know each
-    /// other.
+    /// Keeps a link to another core process.
     fn dial(&mut self, address: SocketAddr) {
         if address != self.own_link && self.cores.add(address) {
-            self.cores.send_all(&FleetMessage::CoreAddresses(vec![address]));
             let own = (self.replica.id(), self.own_link);
             let (events, metrics) = (self.events.clone(), Arc::clone(&self.metrics));
             tasks::spawn_restarting("core link", move || {
@@ -382,7 +378,9 @@
             DriverEvent::CoreConnected { address, sender } => {
                 log::info!("core: connected to the core process at {address}");
                 sender.send(&FleetMessage::ModelLocationsRequest);
+                sender.send(&self.core_addresses_message());
                 self.cores.connected(address, sender);
+                self.pass_on_address(address);
                 self.join_due_ms = 0;
             }
             DriverEvent::CoreMessageReceived { address, message } => {
--- a/crates/redwinglatch-fleet/src/core/driver/messages.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/messages.rs
@@ -224,6 +224,16 @@
         }
     }
 
+    /// Tells all connected processes of a core process to which this one has a link now.
+    ///
+    /// Answers a process whose seeds don't lead: all processes that are connected, also through others, get to know each
+    /// other.
+    pub(super) fn pass_on_address(&self, address: SocketAddr) {
+        let message = FleetMessage::CoreAddresses(vec![address]);
+        self.cores.send_all(&message);
+        self.entries.broadcast(&message);
+    }
+
     /// Returns the addresses of the core processes to which this one has a link, and those of the members of the log.
     /// Others may be gone for good.
     pub(super) fn core_addresses_message(&self) -> FleetMessage {
