Ignore the hello of an abandoned link of an entry process

Change: a link replaces only those that were accepted before it. late_hello_of_an_abandoned_link_replaces_no_newer_one failed before.

--- a/crates/redwinglatch-fleet/src/core/entry_links.rs
+++ b/crates/redwinglatch-fleet/src/core/entry_links.rs
@@ -43,9 +43,17 @@
         self.links.len()
     }
 
-    /// Adds the link of an entry process, which replaces an older one of the same process.
+    /// Adds the link of an entry process, which replaces an older one of the same process. Later links have higher numbers;
+    /// the hello of an abandoned one may have been held up.
     pub(super) fn insert(&mut self, link: u64, sender: LinkSender, hello: EntryHello) {
         sender.set_max_queued_bytes(MAX_QUEUED_BYTES);
+        let is_abandoned = self
+            .links
+            .iter()
+            .any(|(other, entry)| *other > link && entry.hello.front == hello.front);
+        if is_abandoned {
+            return;
+        }
         self.links.retain(|_, other| other.hello.front != hello.front);
         let endpoints = self.announced.iter().map(|(front, data_centre)| EntryEndpoint {
             front: *front,
--- a/crates/redwinglatch-fleet/src/core/entry_links/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/entry_links/tests.rs
@@ -164,3 +164,15 @@
     assert_eq!(fleet.links.remove(1), None);
     assert_eq!(fleet.links.remove(9), Some(hello(1).front));
 }
+
+/// Guards against a hello that was held up on an abandoned link and silences the link that has replaced it.
+#[test]
+fn late_hello_of_an_abandoned_link_replaces_no_newer_one() {
+    let mut fleet = Fleet::default();
+    fleet.connect(2);
+    fleet.read_all();
+    let (sender, _queue) = LinkQueue::without_connection(1 << 20);
+    fleet.links.insert(1, sender, hello(2));
+    fleet.links.broadcast(&FleetMessage::ConfigurationNotice { version: 5 });
+    assert!(fleet.queues[0].1.try_next().is_some());
+}
