Ask all core processes that have a newer configuration, and first one with the newest

In a storm of changes that is the leader alone, which also places the requests. And a process that had just started took what the nearest core process had, although another one had announced a newer configuration.

Change: any core process with a newer version is asked, except that the first configuration is the newest that is announced. Both tests failed before.

--- a/crates/redwinglatch-fleet/src/entry/state_sources.rs
+++ b/crates/redwinglatch-fleet/src/entry/state_sources.rs
@@ -161,8 +161,9 @@
                 return None;
             }
         }
-        let is_newer = |core: &SocketAddr| self.sources[core].version > own_version;
-        let preferred = self.preferred().filter(|core| is_newer(core) && Some(*core) != unanswered);
+        let preferred = self
+            .preferred()
+            .filter(|core| self.is_usable(*core, newest) && Some(*core) != unanswered);
         if preferred.is_none() && now_ms < outdated_since_ms + PREFERRED_NOTICE_DELAY_MS {
             return None;
         }
@@ -171,10 +172,18 @@
         Some(core)
     }
 
-    /// Draws a core process that has announced `version`, but `unanswered` only if there is no other.
-    fn other_holder(&self, version: u64, unanswered: Option<SocketAddr>) -> Option<SocketAddr> {
-        let holders = self.sources.iter().filter(|(_, source)| source.version == version);
-        let holders: Vec<SocketAddr> = holders.map(|(core, _)| *core).collect();
+    /// Returns whether a core process may be asked, when `newest` is the newest version that is announced. In a storm of
+    /// changes any newer version will do, so that not all ask the leader; the first one must be the newest, because the
+    /// core process that has another may be far behind.
+    fn is_usable(&self, core: SocketAddr, newest: u64) -> bool {
+        let version = self.sources[&core].version;
+        version == newest || (self.own_version > 0 && version > self.own_version)
+    }
+
+    /// Draws a core process that may be asked, but `unanswered` only if there is no other.
+    fn other_holder(&self, newest: u64, unanswered: Option<SocketAddr>) -> Option<SocketAddr> {
+        let cores = self.sources.keys().copied();
+        let holders: Vec<SocketAddr> = cores.filter(|core| self.is_usable(*core, newest)).collect();
         let others: Vec<SocketAddr> =
             holders.iter().copied().filter(|core| Some(*core) != unanswered).collect();
         fastrand::choice(others).or_else(|| fastrand::choice(holders))
--- a/crates/redwinglatch-fleet/src/entry/state_sources/tests.rs
+++ b/crates/redwinglatch-fleet/src/entry/state_sources/tests.rs
@@ -114,3 +114,28 @@
     }
     assert!(requests <= 12, "{requests} requests of one process in 3 s");
 }
+
+/// Guards against a process that has just started and puts in force what the nearest core process has, although another
+/// one has announced a newer configuration.
+#[test]
+fn first_configuration_is_the_newest_that_is_announced() {
+    let mut sources = sources(0);
+    sources.configuration_announced(0, core(2), 178);
+    sources.configuration_announced(0, core(3), 230);
+    assert_eq!(sources.take_configuration_request(150, 0), Some(core(3)));
+}
+
+/// Guards against hundreds of entry processes that all ask the leader, which is the first to have each change of a storm,
+/// because the nearest core process is slow.
+#[test]
+fn requests_during_a_storm_are_shared_by_all_that_have_a_newer_configuration() {
+    let mut counts = [0; 3];
+    for front in 0..100 {
+        let mut sources = sources(front);
+        sources.configuration_announced(0, core(1), 10);
+        sources.configuration_announced(0, core(3), 9);
+        let asked = sources.take_configuration_request(150, 7).expect("a request");
+        counts[usize::from(asked == core(3))] += 1;
+    }
+    assert!(counts[0] >= 20 && counts[1] >= 20, "{counts:?}");
+}
