Withhold the configuration of a core process that lacks what its leader has committed

And 3 s without a leader, after which an outdated configuration is told, can pass on a slow machine before one is elected.

Change: the commit index that the leader names must be applied, the notice is repeated with each backend list, and the limit is 6 s.

--- a/crates/redwinglatch-fleet/src/core/driver/announced_configuration.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/announced_configuration.rs
@@ -5,8 +5,8 @@
 use super::Driver;
 
 /// Time after a start without a leader after which entry processes are told of a configuration that may be outdated:
-/// several election timeouts. A log without a majority doesn't stop service.
-const MAX_WITHHELD_MS: u64 = 3_000;
+/// several election timeouts on a slow machine. A log without a majority doesn't stop service.
+const MAX_WITHHELD_MS: u64 = 6_000;
 
 impl Driver {
     /// Tells entry processes of the configuration once this process knows what was confirmed before its start.
@@ -17,14 +17,17 @@
         if !self.withholds_configuration {
             return;
         }
-        let is_current = self.knows_log();
+        let is_behind = !self.replica.is_leader()
+            && self.replica.leader_commit_index().is_none_or(|index| self.applied_index < index);
+        let is_current = self.knows_log() && !is_behind;
         if !is_current && now_ms < self.started_ms + MAX_WITHHELD_MS {
             return;
         }
         self.withholds_configuration = false;
         if !is_current && self.state.version > 0 {
             log::warn!(
-                "core: there is no leader; entry processes are told of configuration {}, which may be outdated",
+                "core: no leader has confirmed the log; entry processes are told of configuration {}, which may be \
+                 outdated",
                 self.state.version
             );
         }
--- a/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/software_versions.rs
@@ -229,7 +229,8 @@
         if let Some((_, planner)) = &mut self.planner {
             planner.set_backends(now_ms, self.backends.list());
         }
-        self.entries.broadcast_progress(self.log_progress());
+        // Repeated with each list, so that an entry process that has missed a notice isn't outdated for long.
+        self.tell_configuration();
         self.entries.broadcast(&FleetMessage::BackendsNotice { digest: self.backends.digest() });
     }
 
--- a/crates/redwinglatch-log/src/replica.rs
+++ b/crates/redwinglatch-log/src/replica.rs
@@ -64,6 +64,8 @@
     own_vote_write: Option<WriteId>,
     log: MemoryLog,
     commit_index: Index,
+    /// The commit index that a leader has named last, whatever this replica has of the log.
+    leader_commit_index: Option<Index>,
     applied_index: Index,
     applied_bytes_since_snapshot: u64,
     /// The latest synced snapshot.
@@ -124,6 +126,7 @@
             own_vote_write: None,
             log,
             commit_index: base_index,
+            leader_commit_index: None,
             applied_index: base_index,
             applied_bytes_since_snapshot: 0,
             snapshot,
@@ -351,6 +354,12 @@
         self.commit_index
     }
 
+    /// Returns the commit index that a leader has named last since the start; this replica may lack a part of the log.
+    #[must_use]
+    pub fn leader_commit_index(&self) -> Option<Index> {
+        self.leader_commit_index
+    }
+
     /// Returns the last index that [`Replica::take_effects`] returned to be applied.
     #[must_use]
     pub fn applied_index(&self) -> Index {
--- a/crates/redwinglatch-log/src/replica/follower.rs
+++ b/crates/redwinglatch-log/src/replica/follower.rs
@@ -57,6 +57,7 @@
             log::warn!("log: ignores entries of replica {from} that are out of order");
             return;
         }
+        self.leader_commit_index = Some(leader_commit);
         let result = self.append_after(prev_index, prev_term, entries);
         if let AppendResult::Matched { index } = result {
             self.commit_index = self.commit_index.max(leader_commit.min(index));
