Sync each removal of a log segment, so that no power loss leaves a gap

Callers would see a core process that doesn't start any more after a power loss, "the entries before this file are missing": one disk fewer than the deployment may count on. Shown by the storage test only, not seen on a deployment.

Cause: several segments were removed before one sync of the folder. After a power loss each removal may be kept or lost by itself, so a later segment could be gone while an earlier one was back.

Evidence: the disk of the tests lost unsynced names all together or not at all. It now loses each by itself, and keeps a new file that was synced; a_crash_at_any_operation_leaves_the_old_or_the_new_state failed then.

Each removal is now synced before the next, so the segments that are left follow each other after any power loss.

--- a/crates/redwinglatch-log/src/storage.rs
+++ b/crates/redwinglatch-log/src/storage.rs
@@ -181,16 +181,16 @@
     /// Returns an error if an operation fails.
     pub fn truncate(&mut self, first: Index) -> Result<(), StorageError> {
         self.check_usable()?;
-        // Segments are removed from the end, so that a crash leaves no gap in the log.
+        // Segments are removed from the end, and each removal is synced, so that a crash leaves no gap in the log.
         while let Some(segment) = self.segments.last()
             && segment.first_index >= first
         {
             let path = segment.path.clone();
             self.active_file = None;
             self.remove_file(path)?;
+            self.sync_dir()?;
             self.segments.pop();
         }
-        self.sync_dir()?;
         if let Some(segment) = self.segments.last_mut()
             && first < segment.next_index()
         {
@@ -239,6 +239,8 @@
         while self.segments.len() > 1 && self.segments[0].next_index() <= index {
             let path = self.segments[0].path.clone();
             self.remove_file(path)?;
+            // A power loss may undo each removal that isn't synced, and leave a gap in the log.
+            self.sync_dir()?;
             self.segments.remove(0);
         }
         self.sync_dir()
--- a/crates/redwinglatch-log/tests/common/disk.rs
+++ b/crates/redwinglatch-log/tests/common/disk.rs
@@ -15,11 +15,20 @@
     synced: Vec<u8>,
 }
 
+/// A change of the names in the folder.
+enum NameChange {
+    Created(PathBuf, usize),
+    Renamed(PathBuf, PathBuf),
+    Removed(PathBuf),
+}
+
 #[derive(Default)]
 pub struct DiskState {
     inodes: Vec<Inode>,
     names: BTreeMap<PathBuf, usize>,
     synced_names: BTreeMap<PathBuf, usize>,
+    /// The changes since the folder was synced.
+    unsynced_changes: Vec<NameChange>,
     /// The number of operations after which every further one fails.
     pub operations_until_crash: Option<u32>,
     pub syncs_fail: bool,
@@ -62,11 +71,39 @@
         }
         match inode {
             _ if self.syncs_are_ignored => {}
-            Some(inode) => self.inodes[inode].synced = self.inodes[inode].current.clone(),
-            None => self.synced_names = self.names.clone(),
+            Some(inode) => {
+                self.inodes[inode].synced = self.inodes[inode].current.clone();
+                // A new file becomes durable with its own sync.
+                let is_own = |change: &mut NameChange| matches!(change, NameChange::Created(_, created) if *created == inode);
+                for created in self.unsynced_changes.extract_if(.., is_own) {
+                    if let NameChange::Created(path, inode) = created {
+                        self.synced_names.insert(path, inode);
+                    }
+                }
+            }
+            None => {
+                self.synced_names = self.names.clone();
+                self.unsynced_changes.clear();
+            }
         }
         Ok(())
     }
+
+    /// Keeps or loses each change of a name that was not synced, independently of the others.
+    fn lose_unsynced_names(&mut self, rng: &mut fastrand::Rng) {
+        for change in self.unsynced_changes.drain(..).filter(|_| rng.bool()) {
+            match change {
+                NameChange::Created(path, inode) => drop(self.synced_names.insert(path, inode)),
+                NameChange::Renamed(from, to) => {
+                    if let Some(inode) = self.synced_names.remove(&from) {
+                        self.synced_names.insert(to, inode);
+                    }
+                }
+                NameChange::Removed(path) => drop(self.synced_names.remove(&path)),
+            }
+        }
+        self.names = self.synced_names.clone();
+    }
 }
 
 #[derive(Clone, Default)]
@@ -77,16 +114,12 @@
         self.0.lock().unwrap()
     }
 
-    /// Simulates a power loss: drops unsynced names and a random part of the unsynced data, because
-    /// the kernel may have written some of it already.
+    /// Simulates a power loss: drops some of the unsynced changes of names and a random part of the unsynced data,
+    /// because the kernel may have written the rest already.
     pub fn crash(&self, rng: &mut fastrand::Rng) {
         self.end_faults();
         let state = &mut *self.state();
-        if rng.bool() {
-            state.names = state.synced_names.clone();
-        } else {
-            state.synced_names = state.names.clone();
-        }
+        state.lose_unsynced_names(rng);
         for Inode { current, synced } in &mut state.inodes {
             if current.starts_with(synced) {
                 current.truncate(rng.usize(synced.len()..=current.len()));
@@ -143,6 +176,7 @@
                 let inode = *state.names.entry(path.to_owned()).or_insert(next);
                 if inode == next {
                     state.inodes.push(Inode::default());
+                    state.unsynced_changes.push(NameChange::Created(path.to_owned(), inode));
                 }
                 let [write, sync, truncate] = [(); 3].map(|()| open.clone());
                 Ok(OpenFile {
@@ -161,12 +195,14 @@
                 state.count_operation()?;
                 let inode = state.names.remove(from).ok_or(ErrorKind::NotFound)?;
                 state.names.insert(to.to_owned(), inode);
+                state.unsynced_changes.push(NameChange::Renamed(from.to_owned(), to.to_owned()));
                 Ok(())
             }),
             remove: Box::new(move |path| {
                 let mut state = remove.state();
                 state.count_operation()?;
                 state.names.remove(path).ok_or(ErrorKind::NotFound)?;
+                state.unsynced_changes.push(NameChange::Removed(path.to_owned()));
                 Ok(())
             }),
             sync_dir: Box::new(move |_| sync_dir.state().sync(None)),
--- a/crates/redwinglatch-log/tests/storage.rs
+++ b/crates/redwinglatch-log/tests/storage.rs
@@ -189,10 +189,9 @@
     }
 }
 
-/// Guards against a crash during a save that leaves a state which is neither old nor new.
-#[test]
-fn a_crash_at_any_operation_leaves_the_old_or_the_new_state() {
-    let cases = [
+/// Returns the kinds of saves after [`disk_with_log`].
+fn saves() -> [Effects; 4] {
+    [
         // Only a vote.
         Effects { hard_state: Some(hard_state(2)), ..Effects::default() },
         // A vote and entries that replace a part of the log.
@@ -212,8 +211,13 @@
             append: entries(7..=9, 2),
             ..Effects::default()
         },
-    ];
-    for effects in &cases {
+    ]
+}
+
+/// Guards against a crash during a save that leaves a state which is neither old nor new.
+#[test]
+fn a_crash_at_any_operation_leaves_the_old_or_the_new_state() {
+    for effects in &saves() {
         let mut finished = false;
         for (operations, seed) in (0..60).flat_map(|count| (0..8).map(move |seed| (count, seed))) {
             let disk = disk_with_log();
