Sync at the start what a killed process has written to the log

Callers would see a vote or an entry that a core process has answered with disappear in a power loss after a kill, or a core process that doesn't start any more: with the leader's log intact elsewhere, one disk fewer than the deployment may count on. Shown by the storage test only, not seen on a deployment.

Cause: a process that is killed between a write and its sync leaves data that only the kernel holds. The next start read it as durable.

Evidence: what_a_restart_has_read_survives_a_power_loss failed, first with a vote that was read at the start and was gone after the power loss.

The folder is now synced before anything is read or removed, and the last segment before the state is returned, so the replica answers only with what a power loss leaves.

--- a/crates/redwinglatch-log/src/storage/open.rs
+++ b/crates/redwinglatch-log/src/storage/open.rs
@@ -38,6 +38,9 @@
         poisoned: None,
         _lock: lock,
     };
+    // What a killed process had not synced yet is read below, and must not be lost later: the replica answers with it,
+    // and files that it replaces are removed.
+    storage.sync_dir()?;
     let hard_state = storage.read_or_create_identity(replica, &names)?;
     for name in names.iter().filter(|name| name.ends_with(TEMPORARY_SUFFIX)) {
         storage.remove_file(storage.dir.join(name))?;
@@ -46,6 +49,7 @@
     let snapshot = storage.read_newest_snapshot(&names)?;
     let entries = storage.read_segments(&names)?;
     let entries = storage.retain_after_snapshot(entries, snapshot.as_deref())?;
+    storage.sync_last_segment()?;
     Ok((storage, DurableState { hard_state, snapshot, entries }))
 }
 
@@ -219,6 +223,13 @@
         Ok(())
     }
 
+    /// Syncs the last segment, which a killed process may have written without a sync.
+    fn sync_last_segment(&mut self) -> Result<(), StorageError> {
+        self.open_last_segment()?;
+        self.has_unsynced_writes = true;
+        self.sync()
+    }
+
     /// Truncates the last segment to `size_bytes` and syncs it.
     fn truncate_last_segment(&mut self, size_bytes: u64) -> Result<(), StorageError> {
         self.open_last_segment()?;
--- a/crates/redwinglatch-log/tests/storage.rs
+++ b/crates/redwinglatch-log/tests/storage.rs
@@ -239,6 +239,28 @@
     }
 }
 
+/// Guards against votes and entries that a killed process has written and not synced: its successor reads them and
+/// answers with them, and the next power loss takes them.
+#[test]
+fn what_a_restart_has_read_survives_a_power_loss() {
+    for effects in &saves() {
+        for (operations, seed) in (0..60).flat_map(|count| (0..8).map(move |seed| (count, seed))) {
+            let disk = disk_with_log();
+            let (mut storage, _) = open(&disk).unwrap();
+            disk.state().operations_until_crash = Some(operations);
+            // Most of the saves are interrupted.
+            let _ = storage.save(effects);
+            disk.end_faults();
+            let (_, read) = open(&disk).unwrap();
+            disk.crash(&mut fastrand::Rng::with_seed(seed));
+            let (_, durable) = open(&disk).unwrap();
+            let parts = |state: DurableState| (state.hard_state, state.snapshot, state.entries);
+            let context = format!("killed after {operations} operations, seed {seed}");
+            assert_eq!(parts(durable), parts(read), "{context}");
+        }
+    }
+}
+
 fn check_after_crash(effects: &Effects, durable: &DurableState, saved: bool) {
     let new_hard_state = effects.hard_state.unwrap_or(hard_state(1));
     let base = durable.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
