Let the largest configuration wait beside a long list of servers

Callers saw: an entry process that starts loses a link to a core process at once and connects again, whenever the configuration is near its largest size and hardly compresses and the list has thousands of servers. In 3 of 3 starts with a configuration of 1,044,480 bytes (860,465 compressed) and 4,000 servers; it came into force in time all the same, by way of another link.

Cause: the entry process requests the configuration and the list at once, and a core process queues both before either is written. The queue of 1 MiB held one of them only, so it overflowed and closed the link.

Evidence: largest_configuration_fits_the_queue_beside_a_long_list failed with the former limit.

2 MiB hold the largest configuration, 1 MiB, beside 1 MiB for the rest of the state. The memory hardly grows, since configurations and lists are held once for all links.

--- a/crates/redwinglatch-fleet/src/core/entry_links.rs
+++ b/crates/redwinglatch-fleet/src/core/entry_links.rs
@@ -13,9 +13,10 @@
 /// Interval between messages about entry processes that have become ready or no longer are. It
 /// bounds the messages while a whole fleet starts or restarts.
 const ENDPOINT_CHANGES_INTERVAL_MS: u64 = 250;
-/// Frames that may wait for one slow entry process: the whole state of a fleet with thousands of engines.
-/// The lists and configurations among them are held once for all links.
-const MAX_QUEUED_BYTES: usize = 1 << 20;
+/// Frames that may wait for one slow entry process: the whole state of a fleet with thousands of engines, and
+/// a configuration of the largest size, 1 MiB, which may hardly compress. An entry process that starts requests both
+/// at once. The lists and configurations among them are held once for all links.
+const MAX_QUEUED_BYTES: usize = 2 << 20;
 
 struct EntryLink {
     sender: LinkSender,
--- a/crates/redwinglatch-fleet/src/core/entry_links/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/entry_links/tests.rs
@@ -3,13 +3,18 @@
 use super::EntryLinks;
 use crate::{
     core::compressed_configuration::CompressedConfiguration,
+    ids::BackendKey,
     link::{LinkQueue, LinkSender},
-    message::{EntryEndpointChanges, EntryHello, FleetMessage},
+    message::{Backend, EntryEndpointChanges, EntryHello, FleetMessage},
     state::FleetState,
 };
 
 /// Size of the large fleet.
 const ENTRIES: u64 = 200;
+/// Size of the largest configuration that operators may send.
+const LARGEST_DOCUMENT_BYTES: usize = 1_044_480;
+/// Servers of a fleet with thousands of engines.
+const SERVERS: u16 = 4_000;
 /// Control traffic that an entry process may cause.
 const MAX_CONTROL_BYTES_PER_S: usize = 3_000;
 /// Time from the start of the machines to the start of traffic.
@@ -109,6 +114,32 @@
     assert_eq!(decompressed, document.as_bytes());
 }
 
+/// Guards against a link that is closed whenever its entry process starts, because a configuration of the largest size
+/// doesn't fit the queue beside the list of thousands of servers.
+#[test]
+fn largest_configuration_fits_the_queue_beside_a_long_list() {
+    let mut links = EntryLinks::default();
+    let (sender, _queue) = LinkQueue::without_connection(usize::MAX);
+    links.insert(1, sender.clone(), hello(1));
+    let mut rng = fastrand::Rng::with_seed(7);
+    let document = std::iter::repeat_with(|| rng.u8(..)).take(LARGEST_DOCUMENT_BYTES).collect();
+    let state = FleetState { version: 3, document, ..FleetState::default() };
+    assert!(sender.send_frame(CompressedConfiguration::default().frame(&state)));
+    let server = |number: u16| Backend {
+        key: BackendKey(u64::from(number).wrapping_mul(0x9E37_79B9_7F4A_7C15)),
+        id: format!("replica-{number}").into(),
+        service: "service-of-engines".into(),
+        address: SocketAddr::from(([192, 0, 2, 1], number)),
+        data_centre: "hall-a".into(),
+        slots: 64,
+        leaving: false,
+        software_version: "v1".into(),
+    };
+    let entries: Vec<Backend> = (0..SERVERS).map(server).collect();
+    let versions = Backend::versions(&entries);
+    assert!(sender.send(&FleetMessage::VersionedBackends { digest: 1, entries, versions }));
+}
+
 /// A slow entry process gets no more than its queue, and its link is closed.
 #[test]
 fn slow_entry_process_does_not_grow_memory() {
