--- a/crates/redwinglatch-log/tests/common/disk.rs
+++ b/crates/redwinglatch-log/tests/common/disk.rs
@@ -55,11 +55,15 @@
         Ok(&mut self.inodes[inode])
     }
 
+    fn used_bytes(&self) -> usize {
+        self.names.values().map(|&inode| self.inodes[inode].current.len()).sum()
+    }
+
     fn write(&mut self, inode: usize, bytes: &[u8]) -> io::Result<()> {
         self.count_operation()?;
-        let used: usize = self.names.values().map(|&inode| self.inodes[inode].current.len()).sum();
+        let used_bytes = self.used_bytes();
         let free_bytes =
-            self.capacity_bytes.map_or(bytes.len(), |capacity| capacity.saturating_sub(used));
+            self.capacity_bytes.map_or(bytes.len(), |capacity| capacity.saturating_sub(used_bytes));
         self.inodes[inode].current.extend_from_slice(&bytes[..free_bytes.min(bytes.len())]);
         if free_bytes < bytes.len() { Err(ErrorKind::StorageFull.into()) } else { Ok(()) }
     }
@@ -139,6 +143,13 @@
         state.capacity_bytes = None;
     }
 
+    /// Leaves room for some more bytes only.
+    pub fn fill(&self, room_bytes: usize) {
+        let mut state = self.state();
+        let used_bytes = state.used_bytes();
+        state.capacity_bytes = Some(used_bytes + room_bytes);
+    }
+
     pub fn wipe(&self) {
         *self.state() = DiskState::default();
     }
--- a/crates/redwinglatch-log/tests/storage.rs
+++ b/crates/redwinglatch-log/tests/storage.rs
@@ -261,6 +261,56 @@
     }
 }
 
+/// Guards against a log that can't be read or continued after a write that broke off on a full disk, also if the disk is
+/// still full when the process starts again.
+#[test]
+fn a_log_goes_on_after_its_disk_was_full() {
+    let cases = [
+        Effects { append: entries(11..=14, 1), ..Effects::default() },
+        Effects {
+            hard_state: Some(hard_state(2)),
+            truncate_from: Some(8),
+            append: entries(8..=14, 2),
+            ..Effects::default()
+        },
+        Effects {
+            snapshot: Some(snapshot(10, 1)),
+            append: entries(11..=12, 1),
+            ..Effects::default()
+        },
+    ];
+    for effects in &cases {
+        let is_saved = |room| {
+            let disk = disk_with_log();
+            let (mut storage, _) = open(&disk).unwrap();
+            disk.fill(room);
+            let saved = storage.save(effects).is_ok();
+            drop(storage);
+            for _ in 0..3 {
+                disk.fill(0);
+                let (mut storage, durable) = open(&disk).unwrap();
+                check_after_crash(effects, &durable, saved);
+                // The removal of an incomplete record has made room.
+                disk.fill(0);
+                storage.write_hard_state(&hard_state(3)).unwrap_err();
+            }
+            disk.end_faults();
+            let (mut storage, durable) = open(&disk).unwrap();
+            check_after_crash(effects, &durable, saved);
+            let base = durable.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+            let next = base + durable.entries.len() as u64 + 1;
+            let append = entries(next..=next + 8, 3);
+            let later = Effects { hard_state: Some(hard_state(3)), append, ..Effects::default() };
+            storage.save(&later).unwrap();
+            let (_, durable) = open(&disk).unwrap();
+            assert!(durable.entries.ends_with(&later.append), "{room} bytes");
+            assert_eq!(durable.hard_state, hard_state(3));
+            saved
+        };
+        assert!((0..2_000).any(is_saved), "no run reached the end of the save");
+    }
+}
+
 fn check_after_crash(effects: &Effects, durable: &DurableState, saved: bool) {
     let new_hard_state = effects.hard_state.unwrap_or(hard_state(1));
     let base = durable.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
