Read the records of streams behind a write that broke off on a full disk

After the disk of a core machine was full for a moment, the versions that began streams were not known after a loss of all processes, so these streams were refused, although they were written after the disk had room again.

Cause: the file stays open after a write that failed. The part of a record that such a write leaves moves all later records of the file off their positions, where the checksums don't match.

Evidence: records_behind_a_write_that_broke_off_are_read fails before the change (none of the later records is read) and passes with it.

Fix: after an append that failed, the file is cut back to the records that were synced before the next ones are written. What a failed write or sync left behind is dropped and not taken for written.

--- a/crates/redwinglatch-fleet/src/core/stream_records/record_files.rs
+++ b/crates/redwinglatch-fleet/src/core/stream_records/record_files.rs
@@ -35,6 +35,8 @@
     current: Option<File>,
     opened_ms: u64,
     records: usize,
+    /// Whether the newest file may end in a part of a record, behind which no other could be read.
+    is_torn: bool,
 }
 
 impl RecordFiles {
@@ -69,6 +71,7 @@
             current: None,
             opened_ms: now_ms,
             records: 0,
+            is_torn: false,
         };
         Ok((files, records))
     }
@@ -95,15 +98,20 @@
             None => {
                 let path = path(&self.folder, self.number);
                 let file = OpenOptions::new().create(true).append(true).open(path)?;
-                (self.opened_ms, self.records) = (now_ms, 0);
+                (self.opened_ms, self.records, self.is_torn) = (now_ms, 0, false);
                 self.current.insert(file)
             }
         };
+        if self.is_torn {
+            file.set_len((self.records * RECORD_BYTES) as u64)?;
+        }
+        self.is_torn = true;
         let room = MAX_RECORDS_PER_FILE.saturating_sub(self.records);
         let written = &records[..records.len().min(room)];
         let bytes: Vec<u8> = written.iter().flat_map(encode).collect();
         file.write_all(&bytes)?;
         file.sync_data()?;
+        self.is_torn = false;
         self.records += written.len();
         Ok(())
     }
--- a/crates/redwinglatch-fleet/src/core/stream_records/record_files/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/stream_records/record_files/tests.rs
@@ -82,6 +82,25 @@
     assert_eq!(folder.open(0).1, [record(1)]);
 }
 
+/// Guards against records that are lost long after the disk was full: a write that broke off leaves a part of a record,
+/// behind which no other was read.
+#[test]
+fn records_behind_a_write_that_broke_off_are_read() {
+    let folder = Folder::new("broken-off");
+    let (mut files, _) = folder.open(0);
+    files.append(0, LIFETIME_MS, &[record(1)]).expect("written");
+    let path = path(&folder.0, 1);
+    let writable = files.current.replace(fs::File::open(&path).expect("a file"));
+    files.append(10, LIFETIME_MS, &[record(2)]).expect_err("the file can't be written");
+    let mut file = OpenOptions::new().append(true).open(&path).expect("a file");
+    file.write_all(&[7; 33]).expect("written");
+    files.append(20, LIFETIME_MS, &[record(3)]).expect_err("the file can't be truncated");
+    files.current = writable;
+    files.append(30, LIFETIME_MS, &[record(4)]).expect("written");
+    files.append(40, LIFETIME_MS, &[record(5)]).expect("written");
+    assert_eq!(folder.open(0).1, [1, 4, 5].map(record));
+}
+
 quickcheck! {
     /// Guards against versions of streams that a damaged disk makes up.
     fn damaged_records_are_left_out(streams: Vec<u64>, damaged: Vec<(u16, u8)>, any: Vec<u8>) -> bool {
