Read the seeds again while a process finds no core process that is current

What callers saw: an entry process whose seeds were all gone when it started refused everything for good, and one that was suspended while all core processes were replaced went on with the configuration of before (404 for a route that an acknowledged configuration has). A new core process with such seeds never joined the log, so that the next loss took the majority.

Cause: the seeds were read only at the start. SIGHUP and a settings file that named core processes which run changed nothing.

Change: at SIGHUP, and each second while the process is isolated, the seeds are read again and the unknown ones are dialled. Isolated is a core process that has heard no leader for 2 s, and an entry process without a link to a core process that has heard one in the last 3 s. Known addresses stay.

Not settled: a settings file that is never written again, and addresses that are gone for good, which are still dialled for ever.

--- a/crates/redwinglatch-fleet/src/core.rs
+++ b/crates/redwinglatch-fleet/src/core.rs
@@ -18,7 +18,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::{mpsc, watch},
 };
 
@@ -28,11 +28,12 @@
     http::{self, ServerLimits, ServerMemory},
     memory::CoreMemory,
     metrics::Metrics,
+    seeds::SeedFile,
     tasks,
 };
 
 pub use self::placement_query::PlacementAnswer;
-use self::{placement_query::PlacementQueries, stream_records::StreamRecords};
+use self::{driver::DriverEvent, placement_query::PlacementQueries, stream_records::StreamRecords};
 pub(crate) use backend_list::fetch as fetch_backend_list;
 pub(crate) use compressed_configuration::decompress as decompress_configuration;
 
@@ -54,14 +55,7 @@
 ) -> Result<(), FleetError> {
     let mut terminate = signal(SignalKind::terminate())?;
     // Installed before anything that waits, because SIGHUP ends a process without a handler.
-    let mut hangup = signal(SignalKind::hangup())?;
-    tokio::spawn(async move {
-        while hangup.recv().await.is_some() {
-            log::info!(
-                "core: SIGHUP received; a core process applies its settings only at startup"
-            );
-        }
-    });
+    let hangup = signal(SignalKind::hangup())?;
     let Some(data_dir) = settings.data_dir.clone() else {
         log::warn!("core: {} has no data directory, so the process stays idle", settings.name);
         terminate.recv().await;
@@ -124,6 +118,10 @@
     }
     let (stream_records, recorded_streams) = StreamRecords::open(&data_dir, clock);
     let (is_replaced, mut replaced) = watch::channel(false);
+    let (lacks_leader, leader_lacking) = watch::channel(false);
+    if let Some(file) = SeedFile::of(&settings) {
+        tasks::spawn_essential("seeds", follow_seeds(file, hangup, leader_lacking, events.clone()));
+    }
     let context = driver::DriverContext {
         dialect,
         clock,
@@ -131,6 +129,7 @@
         coordinator_state,
         stream_records,
         is_replaced,
+        lacks_leader,
     };
     let events_of_driver = events.clone();
     let driver = driver::Driver::new(
@@ -150,7 +149,7 @@
     // The listener is closed so that operators use another process, and leadership is transferred
     // before this process exits.
     let _ = stop.send(true);
-    let _ = events.send(driver::DriverEvent::Stopping).await;
+    let _ = events.send(DriverEvent::Stopping).await;
     let all_answered = async {
         tokio::time::sleep(STOP_PAUSE).await;
         let remaining = STOP_TIMEOUT.saturating_sub(STOP_PAUSE);
@@ -171,3 +170,18 @@
         () = all_answered => Ok(()),
     }
 }
+
+/// Passes the seeds that the settings file names later to the driver, also without a signal while the process hears no
+/// leader.
+async fn follow_seeds(
+    file: SeedFile,
+    hangup: Signal,
+    lacks_leader: watch::Receiver<bool>,
+    events: mpsc::Sender<DriverEvent>,
+) {
+    let add = async |links| {
+        // The driver ends only with the process.
+        let _ = events.send(DriverEvent::SeedsRead(links)).await;
+    };
+    file.follow(hangup, || *lacks_leader.borrow(), add).await;
+}
--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -120,6 +120,8 @@
     ReportFetched { engine: BackendKey, answer: EngineAnswer<Option<EngineReport>> },
     /// An order was answered or timed out.
     OrderFinished { epoch: Term, order: PlannedOrder, answer: EngineAnswer<OrderOutcome> },
+    /// The settings file names seeds with these link addresses.
+    SeedsRead(Vec<SocketAddr>),
     /// The process is shutting down.
     Stopping,
     /// A write to the log's storage ended.
@@ -155,6 +157,8 @@
     pub(super) stream_records: StreamRecords,
     /// Tells whether the log needs this process no longer as a voter while it shuts down.
     pub(super) is_replaced: watch::Sender<bool>,
+    /// Tells whether this process has heard no leader for a while.
+    pub(super) lacks_leader: watch::Sender<bool>,
 }
 
 /// The state of a core process.
@@ -215,6 +219,8 @@
     is_stopping: bool,
     stop_announcement_due_ms: u64,
     log_reports: LogReports,
+    /// Tells whether this process has heard no leader for a while.
+    lacks_leader: watch::Sender<bool>,
     /// Earliest time of the next proposals to record the addresses of members.
     addresses_due_ms: u64,
     /// Tells whether the log needs this process no longer as a voter while it shuts down.
@@ -248,6 +254,7 @@
             coordinator_state,
             stream_records,
             is_replaced,
+            lacks_leader,
         } = context;
         let mut driver = Driver {
             dialect,
@@ -300,6 +307,7 @@
             is_stopping: false,
             stop_announcement_due_ms: 0,
             log_reports: LogReports::new(clock.now_ms()),
+            lacks_leader,
             addresses_due_ms: 0,
             is_replaced,
             backend_loads_due_ms: 0,
@@ -429,6 +437,7 @@
                     }
                 }
             }
+            DriverEvent::SeedsRead(links) => links.into_iter().for_each(|link| self.dial(link)),
             DriverEvent::Stopping => {
                 let now_ms = self.now_ms();
                 if self.planner.take().is_some() {
--- a/crates/redwinglatch-fleet/src/core/driver/log_reports.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/log_reports.rs
@@ -73,7 +73,10 @@
         let reports = &mut self.log_reports;
         reports.led_ms = reports.led_ms.max(led_ms.unwrap_or_default());
         let silence_ms = now_ms.saturating_sub(reports.led_ms);
-        if silence_ms < MISSING_LEADER_MS || now_ms < reports.missing_leader_due_ms {
+        let lacks_leader = silence_ms >= MISSING_LEADER_MS;
+        self.lacks_leader
+            .send_if_modified(|lacks| std::mem::replace(lacks, lacks_leader) != lacks_leader);
+        if !lacks_leader || now_ms < reports.missing_leader_due_ms {
             return;
         }
         reports.missing_leader_due_ms = now_ms + MISSING_LEADER_MS;
--- a/crates/redwinglatch-fleet/src/entry.rs
+++ b/crates/redwinglatch-fleet/src/entry.rs
@@ -156,12 +156,7 @@
 ) -> Result<(), FleetError> {
     // Installed first, because a signal ends a process that has no handler for it.
     let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    tokio::spawn(async move {
-        while hangup.recv().await.is_some() {
-            log::info!("entry: SIGHUP; new seeds apply at the next start");
-        }
-    });
+    let hangup = signal(SignalKind::hangup())?;
     let missing = |key| SettingsError::Missing { section: "listen", key };
     let front = settings.front.ok_or(missing("front"))?;
     let ready = settings.ready.ok_or(missing("ready"))?;
@@ -188,7 +183,7 @@
         settings,
     });
     let (stop, stopped) = watch::channel(false);
-    core_links::start(&context);
+    core_links::start(&context, hangup);
     tasks::spawn_essential("path checks", path_checks::run(Arc::clone(&context)));
     // The readiness check and the metrics are served until the process ends.
     let (_serve_ready, ready_stopped) = watch::channel(false);
--- a/crates/redwinglatch-fleet/src/entry/core_links.rs
+++ b/crates/redwinglatch-fleet/src/entry/core_links.rs
@@ -3,12 +3,14 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use redwinglatch_routing::RouteTable;
+use tokio::signal::unix::Signal;
 
 use crate::{
     clock::{ENTRY_OVERLOAD_LAG_MS, TimerLag},
     core,
     link::{self, ReconnectDelay},
     message::{Backend, BackendChanges, EntryHello, FleetMessage},
+    seeds::SeedFile,
     tasks,
 };
 
@@ -28,6 +30,9 @@
 const MAX_QUEUED_BYTES: usize = 1 << 20;
 /// Time without a link to any core process after which this process polls the backend list itself.
 const ISOLATED_AFTER_MS: u64 = 1_500;
+/// Time after the last word of a leader at any connected core process after which seeds are read again. Core processes
+/// tell it when they have fetched the backend list, about each 700 ms.
+const MAX_LEADER_AGE_MS: u64 = 3_000;
 /// Shortest interval between these polls.
 const MIN_ISOLATED_POLL_INTERVAL_MS: u64 = 1_000;
 /// Shortest interval between polls that take-ups of streams ask for.
@@ -37,10 +42,13 @@
 
 /// Starts the tasks that maintain the links to the core processes and send the status of this
 /// process.
-pub(crate) fn start(context: &Arc<EntryContext>) {
+pub(crate) fn start(context: &Arc<EntryContext>, hangup: Signal) {
     for seed in context.settings.seeds.clone() {
         add_core(context, SocketAddr::new(seed.ip(), context.settings.link_port));
     }
+    if let Some(file) = SeedFile::of(&context.settings) {
+        tasks::spawn_essential("seeds", follow_seeds(Arc::clone(context), file, hangup));
+    }
     tasks::spawn_essential("status", send_status_periodically(Arc::clone(context)));
     tasks::spawn_essential("isolated list", poll_list_when_isolated(Arc::clone(context)));
 }
@@ -70,6 +78,12 @@
     }
 }
 
+fn add_cores(context: &Arc<EntryContext>, addresses: Vec<SocketAddr>) {
+    for address in addresses {
+        add_core(context, address);
+    }
+}
+
 fn add_core(context: &Arc<EntryContext>, address: SocketAddr) {
     if context.fleet_view().add_core(address) {
         let context = Arc::clone(context);
@@ -77,6 +91,17 @@
     }
 }
 
+/// Adds the seeds that the settings file names later, also without a signal while no core process that has heard a
+/// leader is connected: one that was replaced and still runs has nothing new to give.
+async fn follow_seeds(context: Arc<EntryContext>, file: SeedFile, hangup: Signal) {
+    let is_isolated = || {
+        let leader_age_ms = context.state_sources().leader_age_ms(context.now_ms());
+        leader_age_ms.is_none_or(|age_ms| age_ms >= MAX_LEADER_AGE_MS)
+    };
+    let add = async |links| add_cores(&context, links);
+    file.follow(hangup, is_isolated, add).await;
+}
+
 async fn send_status_periodically(context: Arc<EntryContext>) {
     let mut lag = TimerLag::default();
     let mut was_overloaded = false;
@@ -253,11 +278,7 @@
             };
             context.retry_budget().set_processes(count);
         }
-        FleetMessage::CoreAddresses(addresses) => {
-            for address in addresses {
-                add_core(context, address);
-            }
-        }
+        FleetMessage::CoreAddresses(addresses) => add_cores(context, addresses),
         FleetMessage::ModelLocations { epoch, locations } => {
             if accept_coordinator(context, core, epoch) != CoordinatorAcceptance::Outdated {
                 let mut view = context.fleet_view();
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -29,6 +29,7 @@
 mod quarantine;
 mod request_digests;
 mod request_rate;
+mod seeds;
 mod server_paths;
 mod settings;
 mod state;
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -1,6 +1,10 @@
 //! Settings of a process, read from an INI file.
 
-use std::{net::SocketAddr, path::PathBuf, str::FromStr};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    str::FromStr,
+};
 
 use ini::Ini;
 use redwinglatch_admission::CapBounds;
@@ -65,6 +69,8 @@
     pub metrics: Option<SocketAddr>,
     /// Control addresses of some core processes, for the first connection.
     pub seeds: Vec<SocketAddr>,
+    /// The file of these settings, if they came from one. Its seeds are read again while the process runs.
+    pub file: Option<PathBuf>,
     /// Whether the whole fleet starts for the first time, so that the log has no members yet.
     pub bootstrap: bool,
     /// The data folder; core processes only. A core process without one stays idle.
@@ -141,9 +147,10 @@
     ///
     /// Fails if the file cannot be read, or at the first key that is missing or malformed.
     pub fn from_file(path: &str, role: ProcessRole) -> Result<ProcessSettings, SettingsError> {
-        let ini = Ini::load_from_file(path)
-            .map_err(|error| SettingsError::Unreadable { reason: error.to_string().into() })?;
-        ProcessSettings::from_ini(&ini, role)
+        let path = Path::new(path);
+        let mut settings = ProcessSettings::from_ini(&read_ini(path)?, role)?;
+        settings.file = Some(path.to_owned());
+        Ok(settings)
     }
 
     /// Parses the settings of a process with `role`.
@@ -174,7 +181,8 @@
             metrics: ini.optional("listen", "metrics", ADDRESS)?,
             link_port: ini.required("fleet", "link_port", "a port")?,
             relay_port: ini.optional("fleet", "relay_port", "a port")?,
-            seeds: ini.list("fleet", "seeds", ADDRESS)?,
+            seeds: ini.seeds()?,
+            file: None,
             bootstrap: ini.or_default("fleet", "bootstrap", "true or false", false)?,
             data_dir: ini.optional("fleet", "data_dir", "a path")?,
             list_address: ini.optional("platform", "list_address", ADDRESS)?,
@@ -201,6 +209,16 @@
     }
 }
 
+/// Reads the seeds from a settings file, whose other settings may be missing or malformed.
+pub(crate) fn read_seeds(path: &Path) -> Result<Vec<SocketAddr>, SettingsError> {
+    IniReader { ini: &read_ini(path)? }.seeds()
+}
+
+fn read_ini(path: &Path) -> Result<Ini, SettingsError> {
+    Ini::load_from_file(path)
+        .map_err(|error| SettingsError::Unreadable { reason: error.to_string().into() })
+}
+
 const ADDRESS: &str = "an address such as 192.0.2.1:7000";
 const NUMBER: &str = "a number from 0 to 1000000000";
 const LIMIT: &str = "a number from 64 to 1000000000";
@@ -249,6 +267,10 @@
         Ok(self.optional(section, key, expected)?.unwrap_or(default))
     }
 
+    fn seeds(&self) -> Result<Vec<SocketAddr>, SettingsError> {
+        self.list("fleet", "seeds", ADDRESS)
+    }
+
     /// Returns a bound, which may have a fraction.
     fn bound(&self, key: &'static str, default: f64) -> Result<f64, SettingsError> {
         let value = self.or_default("bounds", key, NUMBER, default)?;
