Hold up no request behind one that must not go to some engines again

Callers saw: a stream that broke off at one engine was cut off after 1.5 s, though two engines were free and it had attempts left. A request that has failed at all engines of its adapter waits at the coordinator until it is too late for it, and until then nothing else was placed for the adapter: the first request that can't be placed blocked all others. That is right only if the others may go to no engine that the first must not go to again.

Now it blocks the requests that must not go to the same engines, and one without such engines blocks all, as before.

--- a/crates/redwinglatch-fleet/src/core/planner/placing.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/placing.rs
@@ -47,15 +47,19 @@
     pub(super) fn place_waiting(&mut self, now_ms: u64) {
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_cached_key(|waiting| waiting.rank(now_ms));
-        // If the most urgent request for an adapter can't be placed, the others can't either.
-        let mut blocked: HashSet<u64> = HashSet::new();
+        // If the most urgent request for an adapter can't be placed, the others can't either, unless they may go to
+        // engines that it must not go to again.
+        let mut blocked: HashSet<(u64, Vec<BackendKey>)> = HashSet::new();
         waiting.retain(|waiting| {
-            if blocked.contains(&waiting.model_hash) && !waiting.has_timed_out(now_ms) {
+            let for_all = (waiting.model_hash, Vec::new());
+            let for_its_engines = (waiting.model_hash, waiting.request.excluded_engines.clone());
+            let is_blocked = blocked.contains(&for_all) || blocked.contains(&for_its_engines);
+            if is_blocked && !waiting.has_timed_out(now_ms) {
                 return true;
             }
             let is_done = self.try_place(now_ms, waiting);
             if !is_done {
-                blocked.insert(waiting.model_hash);
+                blocked.insert(for_its_engines);
             }
             !is_done
         });
--- a/crates/redwinglatch-fleet/src/core/planner/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/planner/tests.rs
@@ -202,6 +202,22 @@
     assert_eq!(simulation.loads(), 1);
 }
 
+/// Guards against requests that time out beside free engines, because one before them has failed at all engines.
+#[test]
+fn a_request_that_no_engine_may_get_holds_up_no_other() {
+    let mut simulation = Simulation::new(2);
+    simulation.place(1, request("m/a1"));
+    simulation.run(600);
+    assert!(simulation.engine_of(1).is_some());
+    simulation.planner.release(simulation.now_ms, 1, 1);
+    let excluded_engines = vec![backend(0).key, backend(1).key];
+    simulation.place(2, PlaceRequest { excluded_engines, ..request("m/a1") });
+    simulation.place(3, request("m/a1"));
+    simulation.run(100);
+    assert_eq!(simulation.engine_of(2), None);
+    assert!(simulation.engine_of(3).is_some());
+}
+
 #[test]
 fn an_adapter_in_use_is_not_unloaded() {
     let mut simulation = Simulation::new(1);
