Count a server that sent a part of a head as reached

Callers saw: streams at engines whose next server broke off in its head were cut off, and requests answered 502, though a sound engine was left.

Cause: a new connection that brought a part of a head counted as one that brought nothing, which is how servers look to a process that is cut off from them. The path counted as lost after a few, and the engines were excluded as out of reach. Now the client notes whether any byte of an answer has arrived.

--- a/crates/redwinglatch-fleet/src/http/answer_filter.rs
+++ b/crates/redwinglatch-fleet/src/http/answer_filter.rs
@@ -5,7 +5,10 @@
 use std::{
     io,
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -31,14 +34,22 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct ExpectedId {
     id: Arc<Mutex<Option<HeaderValue>>>,
+    /// Bytes of an answer have arrived since the id was set.
+    has_answer_begun: Arc<AtomicBool>,
 }
 
 impl ExpectedId {
     /// Makes the next answer be checked for this id.
     pub(super) fn set(&self, id: Option<HeaderValue>) {
+        self.has_answer_begun.store(false, Ordering::Relaxed);
         *self.id.lock().unwrap_or_else(PoisonError::into_inner) = id;
     }
 
+    /// Returns whether the server has sent anything since the id was set.
+    pub(super) fn has_answer_begun(&self) -> bool {
+        self.has_answer_begun.load(Ordering::Relaxed)
+    }
+
     fn take(&self) -> Option<HeaderValue> {
         self.id.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
@@ -215,6 +226,9 @@
             let mut chunk = ReadBuf::new(&mut chunk);
             ready!(Pin::new(&mut this.stream).poll_read(context, &mut chunk))?;
             this.is_at_end = chunk.filled().is_empty();
+            if !this.is_at_end {
+                this.expected.has_answer_begun.store(true, Ordering::Relaxed);
+            }
             this.received.extend_from_slice(chunk.filled());
         }
     }
--- a/crates/redwinglatch-fleet/src/http/client.rs
+++ b/crates/redwinglatch-fleet/src/http/client.rs
@@ -331,7 +331,10 @@
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection before anything was written.
                     Some(unsent) => request = unsent,
-                    None => return Err(maybe_sent(address, false, &error.into_error())),
+                    None => {
+                        let error = error.into_error();
+                        return Err(maybe_sent(address, &connection, false, &error));
+                    }
                 },
             }
         }
@@ -349,7 +352,7 @@
                     failure: ConnectFailure::Closed,
                     reason: error.into_error().to_string().into(),
                 }),
-                None => Err(maybe_sent(address, true, &error.into_error())),
+                None => Err(maybe_sent(address, &connection, true, &error.into_error())),
             },
         }
     }
@@ -477,8 +480,13 @@
         .filter(|remaining| !remaining.is_zero())
 }
 
-fn maybe_sent(address: SocketAddr, is_new: bool, error: &hyper::Error) -> SendError {
-    let has_answered = error.is_parse();
+fn maybe_sent(
+    address: SocketAddr,
+    connection: &Connection,
+    is_new: bool,
+    error: &hyper::Error,
+) -> SendError {
+    let has_answered = error.is_parse() || connection.expected_id.has_answer_begun();
     SendError::MaybeSent { address, is_new, has_answered, reason: error.to_string().into() }
 }
 
