Believe no single server that a stream has no events left

Callers saw: a stream that ended as complete after 3 of 10 events, because the next server answered with a whole event stream that has no events.

Cause: only framing tells the end of a stream, and an empty body that is whole passed for it. It may be the truth, where the first server broke off after its last event, so it can't be refused either.

Now a second server must have nothing left too. Without one the answer is broken off, and the caller may take the stream up. An answer to a take-up ends with the word of one server if no other can be asked, so that such a stream ends.

stream_that_goes_on_without_events_is_not_complete failed before (complete after 3 of 10 events). stream_that_breaks_off_after_its_last_event_ends guards the other side; it also states that a route with two attempts now breaks such a stream off, and that its take-up ends it.

--- a/crates/redwinglatch-fleet/src/entry/forward/prepared_request.rs
+++ b/crates/redwinglatch-fleet/src/entry/forward/prepared_request.rs
@@ -201,6 +201,11 @@
         request
     }
 
+    /// Returns whether the caller goes on with a stream of which it has events.
+    pub(crate) fn is_take_up(&self, context: &EntryContext) -> bool {
+        self.headers.contains_key(&context.dialect.headers.last_event_id)
+    }
+
     /// Returns the digests of the request, which are computed when they are first needed.
     pub(crate) fn digests(&self) -> RequestDigests {
         let PreparedRequest { method, host, uri, body, caller, .. } = self;
--- a/crates/redwinglatch-fleet/src/entry/stream.rs
+++ b/crates/redwinglatch-fleet/src/entry/stream.rs
@@ -30,6 +30,10 @@
 /// Bytes of an event that count as progress. A stalled server may send a byte now and then; one that is sound sends an
 /// event of this size, or an end of one, in far less than [`RESUME_TIMEOUT`].
 const PROGRESS_BYTES: usize = 512;
+/// Servers that must have nothing left of a stream that goes on before its answer ends as complete. Nothing else tells the
+/// end of a stream: the first server may have broken off after its last event, or the next one may answer with no events
+/// though some are missing.
+const AGREEING_SERVERS: u32 = 2;
 /// The outcome of a stream that ends without its last event, in log lines and counters.
 const BROKEN_OFF_OUTCOME: &str = "broken_off";
 
@@ -76,6 +80,8 @@
 /// Result of reading a stream from one server.
 enum ReadResult {
     Complete,
+    /// The stream goes on here, and the server has no events left.
+    NothingLeft,
     /// The stream ended early.
     Interrupted,
     /// The server has sent no end of an event and hardly any bytes for [`RESUME_TIMEOUT`].
@@ -113,6 +119,8 @@
         received_at,
         timings: StreamTimings::default(),
         events: EventBuffer::new(is_resumable),
+        has_broken_off: false,
+        empty_rests: 0,
         _caller: caller,
     };
     let context = Arc::clone(context);
@@ -162,6 +170,10 @@
     timings: StreamTimings,
     sender: BodySender,
     events: EventBuffer,
+    /// A server broke the stream off, so the caller takes the answer for complete only by the word of another.
+    has_broken_off: bool,
+    /// Servers that had no events left.
+    empty_rests: u32,
     _caller: Arc<CallerRequest>,
 }
 
@@ -173,6 +185,7 @@
             let StartedStream { mut body, framing, lease, in_flight, software, .. } = started;
             self.events.start_body();
             let backend = in_flight.backend();
+            let mut has_nothing_left = false;
             // A silent server may still go on, so it is left only for one that takes the stream over.
             let successor = loop {
                 match self.forward_body(&mut body, framing, software, &in_flight).await {
@@ -181,6 +194,10 @@
                         self.record_completion(backend);
                         return self.sender.finish();
                     }
+                    ReadResult::NothingLeft => {
+                        has_nothing_left = true;
+                        break None;
+                    }
                     ReadResult::Stopped => return,
                     ReadResult::Interrupted => break None,
                     ReadResult::Silent => match self.find_successor().await {
@@ -190,11 +207,21 @@
                 }
             };
             drop(in_flight);
-            drop(lease);
-            self.context.fleet_view().record_failure(self.context.now_ms(), backend);
+            if has_nothing_left {
+                lease.reuse();
+                self.empty_rests += 1;
+                if self.empty_rests >= AGREEING_SERVERS {
+                    self.record_completion(backend);
+                    return self.sender.finish();
+                }
+            } else {
+                drop(lease);
+                self.has_broken_off = true;
+                self.context.fleet_view().record_failure(self.context.now_ms(), backend);
+            }
             let can_resume = self.events.can_resume();
             log::info!(
-                "request: id={} stream broke off, resumable={can_resume} silent={}",
+                "request: id={} stream broke off, resumable={can_resume} silent={} nothing_left={has_nothing_left}",
                 self.prepared.request_id.as_deref().unwrap_or("-"),
                 successor.is_some(),
             );
@@ -202,11 +229,21 @@
                 if can_resume { self.resume(successor).await } else { Err("not_resumable") };
             match resumed {
                 Ok(next) => started = next,
+                // The whole answer to a caller that took its stream up.
+                Err(_) if has_nothing_left && !self.has_broken_off => {
+                    self.record_completion(backend);
+                    return self.sender.finish();
+                }
                 Err(why) => return self.record_interruption(why),
             }
         }
     }
 
+    /// Returns whether the current body is the rest of a stream of which the caller may have events.
+    fn is_rest(&self) -> bool {
+        self.events.can_resume() && (self.has_broken_off || self.prepared.is_take_up(&self.context))
+    }
+
     /// Counts how a server's body ended, logs it unless the body was delimited and ended between events,
     /// and returns whether the stream is complete.
     fn end_body(
@@ -234,7 +271,8 @@
             );
         }
         if end.is_complete(framing, events) {
-            return ReadResult::Complete;
+            let has_nothing_left = events == 0 && self.is_rest();
+            return if has_nothing_left { ReadResult::NothingLeft } else { ReadResult::Complete };
         }
         let address = self.context.fleet_view().backend_address(backend);
         if let Some(address) = address {
