--- a/crates/redwinglatch-log/tests/common/disk.rs
+++ b/crates/redwinglatch-log/tests/common/disk.rs
@@ -18,7 +18,7 @@
 /// A change of the names in the folder.
 enum NameChange {
     Created(PathBuf, usize),
-    Renamed(PathBuf, PathBuf),
+    Renamed { from: PathBuf, to: PathBuf, inode: usize },
     Removed(PathBuf),
 }
 
@@ -75,16 +75,7 @@
         }
         match inode {
             _ if self.syncs_are_ignored => {}
-            Some(inode) => {
-                self.inodes[inode].synced = self.inodes[inode].current.clone();
-                // A new file becomes durable with its own sync.
-                let is_own = |change: &mut NameChange| matches!(change, NameChange::Created(_, created) if *created == inode);
-                for created in self.unsynced_changes.extract_if(.., is_own) {
-                    if let NameChange::Created(path, inode) = created {
-                        self.synced_names.insert(path, inode);
-                    }
-                }
-            }
+            Some(inode) => self.inodes[inode].synced = self.inodes[inode].current.clone(),
             None => {
                 self.synced_names = self.names.clone();
                 self.unsynced_changes.clear();
@@ -98,10 +89,10 @@
         for change in self.unsynced_changes.drain(..).filter(|_| rng.bool()) {
             match change {
                 NameChange::Created(path, inode) => drop(self.synced_names.insert(path, inode)),
-                NameChange::Renamed(from, to) => {
-                    if let Some(inode) = self.synced_names.remove(&from) {
-                        self.synced_names.insert(to, inode);
-                    }
+                // The new name stands for the file that was renamed, also if an earlier change of its old name is lost.
+                NameChange::Renamed { from, to, inode } => {
+                    self.synced_names.remove(&from);
+                    self.synced_names.insert(to, inode);
                 }
                 NameChange::Removed(path) => drop(self.synced_names.remove(&path)),
             }
@@ -206,7 +197,8 @@
                 state.count_operation()?;
                 let inode = state.names.remove(from).ok_or(ErrorKind::NotFound)?;
                 state.names.insert(to.to_owned(), inode);
-                state.unsynced_changes.push(NameChange::Renamed(from.to_owned(), to.to_owned()));
+                let (from, to) = (from.to_owned(), to.to_owned());
+                state.unsynced_changes.push(NameChange::Renamed { from, to, inode });
                 Ok(())
             }),
             remove: Box::new(move |path| {
