--- a/review/standins-2/src/cases/cut.rs
+++ b/review/standins-2/src/cases/cut.rs
@@ -14,9 +14,9 @@
 
 use super::start;
 
-const STREAMS: usize = 80;
+const STREAMS: usize = 120;
 /// Time between two callers.
-const SPACING: Duration = Duration::from_millis(450);
+const SPACING: Duration = Duration::from_millis(400);
 /// How long the first replica is silent in each stream: "a second or so". In three of four it is after the head of its
 /// answer, in the others after the eleventh event.
 const SILENCE: Duration = Duration::from_millis(1_600);
