--- a/review/10/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
     echo "build the deploy file's program and run review/build-2.sh first"
     exit 2
 fi
-exec "$program" route review/10
+exec "$program" successors review/6
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod cut;
 mod gone;
 mod route;
+mod successors;
 mod twice;
 
 use serde_json::{Value, json};
@@ -20,6 +21,7 @@
         "cut" => cut::run(record, has_trouble).await,
         "gone" => gone::run(record, has_trouble).await,
         "route" => route::run(record, has_trouble).await,
+        "successors" => successors::run(record, has_trouble).await,
         "twice" => twice::run(record, has_trouble).await,
         _ => Verdict::CannotRun(format!("there is no case {case:?}")),
     }
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -16,17 +16,22 @@
 
 const PROGRAM: &str = "target/release/redwinglatch-clearwall";
 const TEMPLATE: &str = "platform/settings.ini";
+/// The most core processes, with those that come later.
+const MAX_CORES: u8 = 6;
 /// Time after which a case that hangs is ended with all its processes.
 const MAX_CASE_TIME: Duration = Duration::from_secs(113);
+/// `grace-s` of the deployment.
+const GRACE: Duration = Duration::from_secs(8);
 const START_TIMEOUT: Duration = Duration::from_secs(25);
 
 pub struct Fleet {
-    pub cores: u8,
     pub entries: u8,
     folder: PathBuf,
     base_port: u16,
     list: SocketAddr,
     processes: Vec<(String, Child)>,
+    /// The core processes that the settings of a process name when it starts.
+    pub seeds: Vec<u8>,
     record: Record,
 }
 
@@ -66,14 +71,14 @@
 
 impl Fleet {
     pub fn start(record: &Record, cores: u8, entries: u8, list: SocketAddr) -> Fleet {
-        let hosts: Vec<u8> = (1..=cores).chain((1..=entries).map(|entry| 10 + entry)).collect();
+        let hosts: Vec<u8> = (1..=MAX_CORES).chain((1..=entries).map(|entry| 10 + entry)).collect();
         let base_port = free_base_port(&hosts);
         let id = std::process::id();
         let folder = std::env::temp_dir().join(format!("redwinglatch-review-{id}-{base_port}"));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let record = record.clone();
-        let processes = Vec::new();
-        let mut fleet = Fleet { cores, entries, folder, base_port, list, processes, record };
+        let (processes, seeds) = (Vec::new(), (1..=cores.min(3)).collect());
+        let mut fleet = Fleet { entries, folder, base_port, list, processes, seeds, record };
         for core in 1..=cores {
             fleet.spawn("core", core, true);
         }
@@ -104,7 +109,7 @@
         let host = Fleet::host(role, number);
         let at = |port: u16| address(host, self.base_port + port).to_string();
         let seeds: Vec<String> =
-            (1..=self.cores.min(3)).map(|n| self.control(n).to_string()).collect();
+            self.seeds.iter().map(|core| self.control(*core).to_string()).collect();
         let is_core = role == "core";
         let only = |wanted: bool, text: String| if wanted { text } else { String::new() };
         let values = [
@@ -163,11 +168,73 @@
         self.processes.push((name, child));
     }
 
+    /// Returns the numbers of the core processes that were started and not ended since.
+    pub fn running_cores(&self) -> Vec<u8> {
+        let names = self.processes.iter().filter_map(|(name, _)| name.strip_prefix("core-"));
+        names.filter_map(|number| number.parse().ok()).collect()
+    }
+
+    /// Ends a process by SIGTERM, or by SIGKILL after the grace period; it isn't started again.
+    pub async fn terminate(&mut self, name: &str) {
+        let at = self.processes.iter().position(|(running, _)| running == name);
+        let (_, mut child) = self.processes.remove(at.expect("the process runs"));
+        self.record.line(format!("SIGTERM to {name}"));
+        let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        let deadline = Instant::now() + GRACE;
+        while Instant::now() < deadline && matches!(child.try_wait(), Ok(None)) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        self.record.line(format!("{name} has ended"));
+    }
+
+    /// Kills a core process and starts it again at its address, with an empty folder.
+    pub async fn lose_disk(&mut self, core: u8) {
+        let name = format!("core-{core}");
+        let at = self.processes.iter().position(|(running, _)| *running == name);
+        let (_, mut child) = self.processes.remove(at.expect("the process runs"));
+        let _ = child.kill();
+        let _ = child.wait();
+        let _ = fs::remove_dir_all(self.folder.join(&name));
+        self.record.line(format!("{name} is killed and loses its disk"));
+        sleep(Duration::from_secs(1)).await;
+        self.spawn("core", core, false);
+    }
+
+    /// Reads the manifest at each core process in turn until one returns it, for some time; returns its version.
+    pub async fn read_manifest(&self, limit: Duration) -> Option<u64> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            for core in self.running_cores() {
+                let request = "GET /api/config HTTP/1.1\r\nHost: control\r\n\r\n";
+                let answer =
+                    http::call(self.control(core), request, b"", Duration::from_secs(1)).await;
+                let text = match &answer {
+                    Ok(answer) => answer.status().to_string(),
+                    Err(error) => error.to_string(),
+                };
+                let version =
+                    answer.ok().filter(|answer| answer.status() == 200).and_then(|answer| {
+                        serde_json::from_slice::<serde_json::Value>(&answer.body).ok()?["version"]
+                            .as_u64()
+                    });
+                self.record
+                    .line(format!("GET /api/config at core-{core}: {text} version={version:?}"));
+                if version.is_some() {
+                    return version;
+                }
+            }
+            sleep(Duration::from_millis(500)).await;
+        }
+        None
+    }
+
     /// Sends an operator's request to the core processes in turn until one acknowledges it.
     pub async fn operate(&self, method: &str, path: &str, body: &str) -> bool {
         let deadline = Instant::now() + START_TIMEOUT;
         while Instant::now() < deadline {
-            for core in 1..=self.cores {
+            for core in self.running_cores() {
                 let request = format!(
                     "{method} {path} HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                     body.len()
