--- a/review/standins-2/src/bin/upgrades/main.rs
+++ b/review/standins-2/src/bin/upgrades/main.rs
@@ -39,6 +39,8 @@
     // A panic ends the processes, and the case couldn't run.
     let run = AssertUnwindSafe(|| run(root, Arc::clone(&record), has_trouble));
     let Ok(is_broken) = catch_unwind(run) else { exit(2) };
-    record.line(if is_broken { "the rule was broken" } else { "the rule held" });
+    let verdict = if is_broken { "the rule was broken" } else { "the rule held" };
+    record.line(verdict);
+    println!("{verdict}");
     exit(i32::from(is_broken));
 }
