--- a/review/standins-2/src/bin/upgrades/fleet.rs
+++ b/review/standins-2/src/bin/upgrades/fleet.rs
@@ -1,4 +1,4 @@
-//! The processes of a small deployment: three machines, each with a core and an entry process.
+//! The processes of a small deployment: nine machines with an entry process, three of them also with a core process.
 
 use std::{
     collections::HashMap,
@@ -16,7 +16,9 @@
     record::Record,
 };
 
-pub const MACHINES: u8 = 3;
+/// Machines with an entry process, and those of them with a core process.
+pub const MACHINES: u8 = 9;
+const CORES: u8 = 3;
 pub const HOST: &str = "ficu95.example";
 /// How far the platform's list lags (`max-lag-ms`).
 const LIST_LAG: Duration = Duration::from_millis(800);
@@ -87,11 +89,8 @@
             network,
             processes: HashMap::new(),
         };
-        for machine in 1..=MACHINES {
-            for role in ["core", "entry"] {
-                fleet.spawn(machine, role, true);
-            }
-        }
+        (1..=CORES).for_each(|machine| fleet.spawn(machine, "core", true));
+        (1..=MACHINES).for_each(|machine| fleet.spawn(machine, "entry", true));
         fleet
     }
 
@@ -137,12 +136,12 @@
         let mut text = fs::read_to_string(template).expect("the template of the settings");
         let data = self.folder.join(format!("data-{role}-{machine}"));
         fs::create_dir_all(&data).expect("a data folder");
-        let seeds: Vec<String> = (1..=MACHINES).map(|m| self.control(m).to_string()).collect();
-        let zone = char::from(b'a' + machine - 1);
+        let seeds: Vec<String> = (1..=CORES).map(|m| self.control(m).to_string()).collect();
+        let zone = char::from(b'a' + (machine - 1) % 3);
         let address = |port: u16| SocketAddr::new(self.ip(machine), port).to_string();
         // The figures are those of the Clearwall sheet.
         let values = [
-            ("node", format!("front-hall-{zone}-1")),
+            ("node", format!("front-hall-{zone}-{}", (machine - 1) / 3 + 1)),
             ("zone", format!("hall-{zone}")),
             ("listen.front", address(8149)),
             ("listen.ready", address(8141)),
@@ -177,7 +176,7 @@
     /// Sends a manifest until it is acknowledged.
     pub fn put_manifest(&self, manifest: &str) {
         let deadline = Instant::now() + Duration::from_secs(20);
-        for machine in (1..=MACHINES).cycle() {
+        for machine in (1..=CORES).cycle() {
             let put = http::call(
                 self.control(machine),
                 "PUT",
--- a/review/standins-2/src/bin/upgrades/upgrade.rs
+++ b/review/standins-2/src/bin/upgrades/upgrade.rs
@@ -23,7 +23,7 @@
 const GAP: Duration = Duration::from_millis(1_000);
 /// Time from the end of a replica to its next start.
 const RESTART: Duration = Duration::from_millis(400);
-const STREAMS: u64 = 24;
+const STREAMS: u64 = 72;
 
 const MANIFEST: &str = r#"{"version":1,"routes":[
 {"name":"r-draft","hostname":"ficu95.example","path-prefix":"/draft/","kind":"stream","timeout-ms":25000,"slo-ms":1000,"priority":1,"service":"writer","max-attempts":2,"sticky":false,"resumable":true,"gap-slo-ms":250}],
@@ -61,7 +61,7 @@
             let front = fleet.front(1 + (number % u64::from(MACHINES)) as u8);
             let (results, record) = (Arc::clone(&results), Arc::clone(&record));
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(30 * number));
+                thread::sleep(Duration::from_millis(10 * number));
                 let id = format!("stream-{number:04}");
                 let versions = read_stream(front, &id, &record);
                 results.lock().expect("no panic").push((id, versions));
