Read a settings file without seeds again

Cause: a file that is being written is empty for a moment, and an empty file passed for one that names no seeds. The read counted as successful and wasn't repeated, so seeds that a SIGHUP announced were missed until the process was isolated. On a disk the moment is longer.

Change: a file without seeds is an error, which is read again after a second.

--- a/crates/redwinglatch-fleet/src/seeds/tests.rs
+++ b/crates/redwinglatch-fleet/src/seeds/tests.rs
@@ -50,3 +50,19 @@
     }
     fs::remove_dir_all(&folder).expect("the folder can be removed");
 }
+
+/// Guards against seeds that are missed because the file was read after it had been truncated and before it was written
+/// again: such a file has no seeds, and isn't malformed.
+#[tokio::test(start_paused = true)]
+async fn a_file_without_seeds_is_read_again() {
+    let folder = std::env::temp_dir().join(format!("redwinglatch-seeds-{}", fastrand::u64(..)));
+    fs::create_dir(&folder).expect("a folder");
+    let path = folder.join("settings.ini");
+    fs::write(&path, "").expect("the file is written");
+    let mut file = SeedFile { path: path.clone(), link_port: LINK_PORT, seeds: Ok(Vec::new()) };
+    assert!(file.read_again().await.is_empty());
+    assert!(file.seeds.is_err(), "the read isn't repeated");
+    fs::write(&path, "[fleet]\nseeds = 192.0.2.1:80").expect("the file is written");
+    assert_eq!(file.read_again().await, [link(1)]);
+    fs::remove_dir_all(&folder).expect("the folder can be removed");
+}
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -210,8 +210,14 @@
 }
 
 /// Reads the seeds from a settings file, whose other settings may be missing or malformed.
+///
+/// A file without seeds is an error, because a file that is being written is empty for a moment.
 pub(crate) fn read_seeds(path: &Path) -> Result<Vec<SocketAddr>, SettingsError> {
-    IniReader { ini: &read_ini(path)? }.seeds()
+    let seeds = IniReader { ini: &read_ini(path)? }.seeds()?;
+    if seeds.is_empty() {
+        return Err(SettingsError::Missing { section: "fleet", key: "seeds" });
+    }
+    Ok(seeds)
 }
 
 fn read_ini(path: &Path) -> Result<Ini, SettingsError> {
