Tell which members of the log have caught up

The leader records for each member the latest time of which it has synced everything that was committed then. A choice of members needs it: a learner that acknowledges messages may be far behind, and a new leader knows nothing of one that hasn't answered yet.

--- a/crates/redwinglatch-log/src/progress.rs
+++ b/crates/redwinglatch-log/src/progress.rs
@@ -45,6 +45,10 @@
     pub(crate) is_heartbeat_due: bool,
     /// The commit index when the promotion of this learner was first requested.
     pub(crate) promotion_index: Option<Index>,
+    /// The commit index that the replica has to reach next, and the time at which it was that.
+    next_round: Option<(Index, u64)>,
+    /// The latest time of which the replica is known to have synced everything that was committed then.
+    caught_up_ms: Option<u64>,
 }
 
 impl Progress {
@@ -57,6 +61,8 @@
             acked_read_round: 0,
             is_heartbeat_due: true,
             promotion_index: None,
+            next_round: None,
+            caught_up_ms: None,
         }
     }
 
@@ -92,6 +98,21 @@
         }
     }
 
+    /// Records a reply: once the replica has reached the commit index of the round, the next one begins.
+    pub(crate) fn record_round(&mut self, commit_index: Index, now_ms: u64) {
+        match self.next_round {
+            Some((required_index, _)) if self.match_index < required_index => return,
+            Some((_, started_ms)) => self.caught_up_ms = Some(started_ms),
+            None => {}
+        }
+        self.next_round = Some((commit_index, now_ms));
+    }
+
+    /// Returns whether the replica has synced everything that was committed at some time after `since_ms`.
+    pub(crate) fn is_caught_up_since(&self, since_ms: u64) -> bool {
+        self.caught_up_ms.is_some_and(|caught_up_ms| since_ms <= caught_up_ms)
+    }
+
     /// Records that the replica rejected entries after `prev_index` and may accept them from
     /// `next_index` on.
     pub(crate) fn record_conflict(&mut self, prev_index: Index, next_index: Index) {
--- a/crates/redwinglatch-log/src/replica/leader.rs
+++ b/crates/redwinglatch-log/src/replica/leader.rs
@@ -14,6 +14,9 @@
 
 use super::{membership::Transfer, read::PendingRead};
 
+/// Election timeouts for which a replica counts as caught up after it had synced all that was committed.
+const CAUGHT_UP_ELECTION_TIMEOUTS: u64 = 2;
+
 /// The state that a replica has only while it is the leader.
 #[derive(Debug)]
 pub(super) struct LeaderState {
@@ -128,6 +131,17 @@
         self.leader_state.as_ref()?.progress(replica)?.acked_sent_ms
     }
 
+    /// Returns whether `replica` has synced all that was committed at a time within the last two election
+    /// timeouts, as far as this replica knows as the leader.
+    #[must_use]
+    pub fn is_caught_up(&self, replica: ReplicaId) -> bool {
+        let progress = self.leader_state.as_ref().and_then(|state| state.progress(replica));
+        let period_ms = CAUGHT_UP_ELECTION_TIMEOUTS * self.config.election_timeout_ms;
+        progress.is_some_and(|progress| {
+            progress.is_caught_up_since(self.now_ms.saturating_sub(period_ms))
+        })
+    }
+
     /// Returns the members that are known to have synced the entry at `index`. Without leadership there are none.
     pub fn holders(&self, index: Index) -> impl Iterator<Item = ReplicaId> {
         let own = (self.write_queue.durable_index >= index).then_some(self.config.id);
@@ -280,11 +294,13 @@
         result: AppendResult,
     ) {
         let last_index = self.log.last_index();
+        let (commit_index, now_ms) = (self.commit_index, self.now_ms);
         let next_index = self.next_index_after(result);
         let Some(progress) = self.acknowledged_progress(from, stamp) else { return };
         match result {
             AppendResult::Matched { index } if index <= last_index => {
                 progress.record_match(index);
+                progress.record_round(commit_index, now_ms);
                 self.advance_commit();
                 self.complete_transfer_if_caught_up();
             }
--- a/crates/redwinglatch-log/tests/replica.rs
+++ b/crates/redwinglatch-log/tests/replica.rs
@@ -319,6 +319,23 @@
     assert_eq!(again, Err(MembershipError::RemovedId(ReplicaId(3))));
 }
 
+/// Guards against a learner that is far behind, or unknown to a new leader, and passes for one that can vote.
+#[test]
+fn only_members_with_recent_entries_are_caught_up() {
+    let mut group = Group::with_leader_1(3);
+    let three = ReplicaId(3);
+    group.run(300);
+    assert!(group.get(1).is_caught_up(three));
+    assert!(!group.get(2).is_caught_up(three), "it doesn't lead");
+    group.isolate(3);
+    group.propose(10);
+    group.run(2_000);
+    assert!(!group.get(1).is_caught_up(three));
+    group.cut_links.clear();
+    group.run(300);
+    assert!(group.get(1).is_caught_up(three));
+}
+
 /// Guards against a demoted voter that still counts for majorities, or can't come back.
 #[test]
 fn a_demoted_voter_is_promoted_once_it_has_caught_up_again() {
