Let no lagging learner keep other replicas from joining

In redwinglatch-server the members of the log follow the settings, so the number of voters falls with them. But the first learner was asked to be promoted until it had caught up, and no other replica was added or promoted meanwhile: a replacement that was lost while the settings still named it kept the next one from voting.

Change: only a learner that has caught up is promoted; others are added and promoted beside it.

--- a/crates/redwinglatch-server/src/control.rs
+++ b/crates/redwinglatch-server/src/control.rs
@@ -369,9 +369,11 @@
             }
         }
         let configured: Vec<ReplicaId> = self.parts.replica_instances.keys().copied().collect();
-        if let Some(change) = next_change(self.parts.replica.membership(), &configured) {
-            // A refused change, such as the promotion of a learner that is still catching up, is
-            // proposed again at the next tick.
+        let replica = &self.parts.replica;
+        let is_caught_up = |learner| replica.is_caught_up(learner);
+        if let Some(change) = next_change(replica.membership(), &configured, is_caught_up) {
+            // A refused change, such as one beside another that isn't committed yet, is proposed
+            // again at the next tick.
             if self.parts.replica.propose_membership(change, now_ms).is_ok() {
                 log::info!("control: proposed a membership change of the log: {change:?}");
             }
--- a/crates/redwinglatch-server/src/control/member_choice.rs
+++ b/crates/redwinglatch-server/src/control/member_choice.rs
@@ -6,10 +6,12 @@
 /// Returns the next step from the log's current members towards the replicas in the settings.
 ///
 /// Replica ids only increase, so a leader with old settings neither removes a newer replica nor
-/// adds a replaced one again while new settings are rolled out.
+/// adds a replaced one again while new settings are rolled out. A learner that is lost or far behind keeps no other
+/// replica from being added, from voting or from leaving.
 pub(super) fn next_change(
     membership: &Membership,
     configured: &[ReplicaId],
+    is_caught_up: impl Fn(ReplicaId) -> bool,
 ) -> Option<MembershipChange> {
     // A learner that was replaced before it caught up would be the next to be promoted forever.
     let is_replaced =
@@ -17,7 +19,8 @@
     if let Some(replaced) = membership.learners().iter().find(is_replaced) {
         return Some(MembershipChange::Remove(*replaced));
     }
-    if let Some(learner) = membership.learners().first() {
+    let caught_up = membership.learners().iter().find(|learner| is_caught_up(**learner));
+    if let Some(learner) = caught_up {
         return Some(MembershipChange::Promote(*learner));
     }
     let newest = membership.members().max()?;
