Let the number of voters fall while the log has no margin

Nobody returns the acknowledged configuration, and no change is acknowledged.

Cause: two learners that respond are both promoted, so three voters become five, and a voter that was gone lost its place only to a learner. With the two old machines gone, three of five voters ran and no learner was there.

Change: while fewer losses can be borne than the deployment tolerates, a voter that is gone or silent becomes a learner (a superseded one is removed) without one that takes its place, down to 2 f + 1 voters. f is the new setting tolerated_losses, which the platform's template fills in; without a value it is 1, and where data centres or regions may be lost the number never falls. A learner that lacks a part of the log is neither promoted nor keeps another one waiting. A stop is announced without a learner too, and counts until the silence does. At most 20 silent learners are kept. The leader logs a margin that stays too small, a process without a leader how many voters it reaches, and the metrics page has both.

Why this works: a fall from 2 f + 3 to 2 f + 1 ends with all that respond in the majority's reach, and with f + 1 disks under each acknowledged entry, as in a deployment that has 2 f + 1 processes from the start. In calm, and after losses that the margin bears, nothing changes.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -471,6 +471,7 @@
         self.ask_to_join(now_ms);
         self.update_membership(now_ms);
         self.warn_of_missing_leader(now_ms);
+        self.report_margin(now_ms);
         self.announce_withheld_configuration(now_ms);
         if self.is_stopping {
             self.announce_stop(now_ms);
--- a/crates/redwinglatch-fleet/src/core/driver/log_reports.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/log_reports.rs
@@ -4,10 +4,22 @@
 use redwinglatch_log::{Entry, EntryKind, Membership};
 use smallvec::SmallVec;
 
-use crate::{message::LogProgress, state::StateCommand};
+use crate::{
+    core::member_choice::{MemberState, tolerated_losses},
+    message::LogProgress,
+    metrics::LogValues,
+    state::StateCommand,
+};
 
 use super::{Driver, MISSING_LEADER_MS};
 
+/// Interval between looks at the margin of the log.
+const MARGIN_INTERVAL_MS: u64 = 500;
+/// Time after which a margin that is too small is reported: longer than a replacement takes.
+const SMALL_MARGIN_MS: u64 = 4_000;
+/// Interval between reports of a margin that is too small.
+const MARGIN_REPORT_INTERVAL_MS: u64 = 10_000;
+
 /// What the last lines have told.
 #[derive(Debug)]
 pub(super) struct LogReports {
@@ -15,6 +27,10 @@
     /// Time of the last message of a leader or, if there was none, of the start.
     led_ms: u64,
     missing_leader_due_ms: u64,
+    margin_due_ms: u64,
+    /// Time since which the log tolerates too few losses, on the leader.
+    small_margin_since_ms: Option<u64>,
+    small_margin_due_ms: u64,
 }
 
 impl LogReports {
@@ -23,6 +39,9 @@
             members: Membership::default(),
             led_ms: now_ms,
             missing_leader_due_ms: now_ms + MISSING_LEADER_MS,
+            margin_due_ms: now_ms,
+            small_margin_since_ms: None,
+            small_margin_due_ms: now_ms,
         }
     }
 }
@@ -78,13 +97,77 @@
         }
         reports.missing_leader_due_ms = now_ms + MISSING_LEADER_MS;
         let connected: SmallVec<[_; 8]> = self.cores.connected_addresses().collect();
-        let voters = self.replica.membership().voters();
+        let members = self.replica.membership();
         log::warn!(
-            "core: no message of a leader for {silence_ms} ms; joining={}, version {}, index {}, voters {voters:?}, \
-             connected to {connected:?}",
+            "core: no message of a leader for {silence_ms} ms; joining={}, version {}, index {}, voters {:?}, \
+             of which {} are connected and {} needed, connected to {connected:?}",
             self.is_joining,
             self.state.version,
             self.replica.last_index(),
+            members.voters(),
+            self.connected_voters(),
+            members.majority(),
+        );
+    }
+
+    /// Returns the number of voters to which this process has a link, and itself if it votes.
+    fn connected_voters(&self) -> usize {
+        let connected: SmallVec<[_; 8]> = self.cores.connected_addresses().collect();
+        let is_connected = |voter: &&ReplicaId| {
+            **voter == self.replica.id()
+                || self.core_addresses.get(&voter.0).is_some_and(|link| connected.contains(link))
+        };
+        self.replica.membership().voters().iter().filter(is_connected).count()
+    }
+
+    /// Shows how many losses the log tolerates, and warns on the leader while they are too few.
+    pub(super) fn report_margin(&mut self, now_ms: u64) {
+        if now_ms < self.log_reports.margin_due_ms {
+            return;
+        }
+        self.log_reports.margin_due_ms = now_ms + MARGIN_INTERVAL_MS;
+        let members = self.replica.membership();
+        let required = self.settings.loss_tolerance.processes;
+        let state_of = |member| self.member_state(now_ms, member);
+        let is_leader = self.is_current_leader();
+        let tolerated = is_leader.then(|| tolerated_losses(members, state_of));
+        let led_ms = if is_leader { now_ms } else { self.log_reports.led_ms };
+        self.metrics.set_log(LogValues {
+            voters: members.voters().len(),
+            connected_voters: self.connected_voters(),
+            tolerated_losses: tolerated,
+            required_losses: required,
+            leader_silence_ms: now_ms.saturating_sub(led_ms),
+        });
+        let Some(tolerated) = tolerated else {
+            self.log_reports.small_margin_since_ms = None;
+            return;
+        };
+        let is_silent = |member: &ReplicaId| state_of(*member) != MemberState::Responsive;
+        let silent: SmallVec<[_; 8]> = members.voters().iter().copied().filter(is_silent).collect();
+        let learners: SmallVec<[_; 8]> =
+            members.learners().iter().map(|learner| (*learner, state_of(*learner))).collect();
+        let reports = &mut self.log_reports;
+        if tolerated >= required {
+            if let Some(since_ms) = reports.small_margin_since_ms.take()
+                && now_ms >= since_ms + SMALL_MARGIN_MS
+            {
+                let lasted_ms = now_ms - since_ms;
+                log::info!(
+                    "core: the log tolerates {tolerated} losses again, after {lasted_ms} ms"
+                );
+            }
+            return;
+        }
+        let since_ms = *reports.small_margin_since_ms.get_or_insert(now_ms);
+        let lasted_ms = now_ms - since_ms;
+        if lasted_ms < SMALL_MARGIN_MS || now_ms < reports.small_margin_due_ms {
+            return;
+        }
+        reports.small_margin_due_ms = now_ms + MARGIN_REPORT_INTERVAL_MS;
+        log::warn!(
+            "core: the log tolerates {tolerated} losses for {lasted_ms} ms, and {required} are required; silent voters \
+             {silent:?}, learners {learners:?}"
         );
     }
 }
--- a/crates/redwinglatch-fleet/src/core/driver/membership.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/membership.rs
@@ -25,9 +25,11 @@
 const LOST_MEMBER_TIMEOUT_MS: u64 = 600_000;
 /// Interval between proposals to record the addresses of members.
 const ADDRESSES_INTERVAL_MS: u64 = 1_000;
-/// Time for which an announced stop counts; a process that stops repeats the announcement.
-const STOP_ANNOUNCEMENT_MS: u64 = 1_000;
 const STOP_ANNOUNCEMENT_INTERVAL_MS: u64 = 100;
+/// Time for which an announced stop counts; a process that stops repeats the announcement. Its silence counts from its
+/// last acknowledgement, which may be newer than its last announcement.
+const STOP_ANNOUNCEMENT_MS: u64 =
+    UNRESPONSIVE_MEMBER_TIMEOUT_MS + 2 * STOP_ANNOUNCEMENT_INTERVAL_MS;
 
 impl Driver {
     /// Asks to join the log while this process isn't a voter that hears a leader.
@@ -90,10 +92,9 @@
         let own = self.replica.id();
         self.record_addresses(now_ms);
         let membership = self.replica.membership();
-        let Some(change) = next_change(membership, own, |member| self.member_state(now_ms, member))
-        else {
-            return;
-        };
+        let tolerance = self.settings.loss_tolerance;
+        let state_of = |member| self.member_state(now_ms, member);
+        let Some(change) = next_change(membership, own, tolerance, state_of) else { return };
         if self.replica.propose_membership(change, now_ms).is_ok() {
             log::info!("core: changing the members of the log: {change:?}");
         }
@@ -127,7 +128,7 @@
     }
 
     /// Returns the state of a member, on the leader.
-    fn member_state(&self, now_ms: u64, member: ReplicaId) -> MemberState {
+    pub(super) fn member_state(&self, now_ms: u64, member: ReplicaId) -> MemberState {
         if member == self.replica.id() {
             return MemberState::Responsive;
         }
@@ -144,6 +145,11 @@
             LOST_MEMBER_TIMEOUT_MS.. => MemberState::Lost,
             UNRESPONSIVE_MEMBER_TIMEOUT_MS.. => MemberState::Unresponsive,
             _ if is_stopping => MemberState::Unresponsive,
+            _ if self.replica.membership().is_learner(member)
+                && !self.replica.is_caught_up(member) =>
+            {
+                MemberState::Lagging
+            }
             _ => MemberState::Responsive,
         }
     }
@@ -161,15 +167,16 @@
     /// Announces to the other core processes that this one stops, until a learner has taken its place as a voter.
     ///
     /// Answers a planned replacement: the successor joins first, and the log must tolerate the next loss from the
-    /// moment at which this process is gone.
+    /// moment at which this process is gone. Without a learner the process doesn't wait, but the leader has to know that
+    /// it is gone: the successor may vote already.
     pub(super) fn announce_stop(&mut self, now_ms: u64) {
         let id = self.replica.id();
         let membership = self.replica.membership();
-        if !membership.is_voter(id) || membership.learners().is_empty() {
+        let is_voter = membership.is_voter(id);
+        if !is_voter || membership.learners().is_empty() {
             self.is_replaced.send_if_modified(|is_replaced| !std::mem::replace(is_replaced, true));
-            return;
         }
-        if self.stop_announcement_due_ms <= now_ms {
+        if is_voter && self.stop_announcement_due_ms <= now_ms {
             self.stop_announcement_due_ms = now_ms + STOP_ANNOUNCEMENT_INTERVAL_MS;
             self.cores.send_stop_announcement(&FleetMessage::CoreStopping { replica: id });
         }
--- a/crates/redwinglatch-fleet/src/core/member_choice/tests.rs
+++ b/crates/redwinglatch-fleet/src/core/member_choice/tests.rs
@@ -1,5 +1,7 @@
 //! Membership changes under joins, losses and replacements.
 
+mod series;
+
 use super::*;
 
 /// The leader; it never loses its own state.
@@ -12,6 +14,12 @@
 /// The members of a log that carries out the chosen changes.
 struct Members {
     membership: Membership,
+    tolerance: LossTolerance,
+}
+
+/// The tolerance for the loss of some processes.
+fn losses(processes: usize) -> LossTolerance {
+    LossTolerance { processes, ..LossTolerance::default() }
 }
 
 impl Members {
@@ -21,14 +29,15 @@
             membership =
                 membership.with_change(MembershipChange::AddLearner(learner)).expect("new");
         }
-        Members { membership }
+        Members { membership, tolerance: losses(1) }
     }
 
     /// Carries out changes until none is due; `state_of` tells about the members.
     fn settle(&mut self, state_of: impl Fn(ReplicaId) -> MemberState) {
         let is_alive = |member: &&ReplicaId| state_of(**member) == MemberState::Responsive;
         for _ in 0..40 {
-            let Some(change) = next_change(&self.membership, LEADER, &state_of) else { return };
+            let change = next_change(&self.membership, LEADER, self.tolerance, &state_of);
+            let Some(change) = change else { return };
             if let MembershipChange::Promote(learner) = change {
                 assert!(is_alive(&&learner), "{learner} never catches up: {:?}", self.membership);
             }
@@ -50,6 +59,10 @@
     MemberState::Responsive
 }
 
+/// A tolerance with which the number of voters never falls.
+const MANY_DATA_CENTRES: LossTolerance =
+    LossTolerance { processes: 1, data_centres: 1, regions: 0 };
+
 /// Returns a state in which the members of `ids` are in `state`, and all others are responsive.
 fn members_in(state: MemberState, ids: &[ReplicaId]) -> impl Fn(ReplicaId) -> MemberState + '_ {
     move |member| if ids.contains(&member) { state } else { MemberState::Responsive }
@@ -72,19 +85,26 @@
                 continue;
             }
             let spare = replicas(voters + 1..=voters + learners);
-            check(Members::new(replicas(1..=voters), spare), &lost);
+            for tolerance in [losses(1), losses(2), losses(3), MANY_DATA_CENTRES] {
+                let members = Members::new(replicas(1..=voters), spare.clone());
+                check(Members { tolerance, ..members }, &lost);
+            }
         }
     }
 }
 
-/// Checks that the log tolerates as many further losses as the responsive members allow without fewer voters.
+/// Checks that the log tolerates as many further losses as the responsive members allow, and has no fewer voters than it
+/// may have.
 fn check_margin(mut members: Members, lost: &[ReplicaId], lost_as: MemberState) {
     let alive = members.membership.members().filter(|member| !lost.contains(member)).count();
     let voters = members.membership.voters().len();
     let best_margin = alive.min(voters).saturating_sub(members.membership.majority());
-    let before = format!("{:?} without {lost:?}", members.membership);
+    let tolerance = members.tolerance;
+    let before = format!("{:?} without {lost:?}, {tolerance:?}", members.membership);
     let state_of = members_in(lost_as, lost);
     members.settle(&state_of);
+    let voters_after = members.membership.voters().len();
+    assert!(voters_after >= voters.min(tolerance.min_voters()) - 1, "{voters_after}: {before}");
     assert_eq!(members.membership.voters().len() % 2, 1, "even number of voters: {before}");
     let margin = members.alive_voters(&state_of) - members.membership.majority();
     assert!(margin >= best_margin, "one more loss is not tolerated: {before}");
@@ -131,6 +151,78 @@
     });
 }
 
+/// Guards against a log without a margin for good: its voters are gone, and their successors have been voters before.
+#[test]
+fn voters_that_none_can_replace_leave_a_margin() {
+    for lost_as in [MemberState::Unresponsive, MemberState::Lost, MemberState::Superseded] {
+        for (voters, lost, left) in [(5, 2..=3, 3), (7, 2..=4, 5), (7, 2..=3, 7), (9, 2..=5, 7)] {
+            let lost = replicas(lost);
+            let mut members = Members::new(replicas(1..=voters), vec![]);
+            let state_of = members_in(lost_as, &lost);
+            members.settle(&state_of);
+            assert_eq!(members.membership.voters().len(), left, "{voters} without {lost:?}");
+            assert!(tolerated_losses(&members.membership, &state_of) >= 1);
+        }
+    }
+}
+
+/// Guards against acknowledged entries on no more disks than may be lost.
+#[test]
+fn voters_fall_to_a_majority_that_outlasts_the_tolerated_losses() {
+    for (tolerance, voters, left) in [
+        (losses(1), 3_u32, 3),
+        (losses(1), 5, 3),
+        (losses(2), 5, 5),
+        (losses(2), 7, 5),
+        (losses(3), 7, 7),
+        (MANY_DATA_CENTRES, 5, 5),
+    ] {
+        let lost = replicas(2..=voters.div_ceil(2));
+        let mut members = Members::new(replicas(1..=voters), vec![]);
+        members.tolerance = tolerance;
+        members.settle(members_in(MemberState::Unresponsive, &lost));
+        assert_eq!(members.membership.voters().len(), left, "{tolerance:?}, {voters} voters");
+    }
+}
+
+/// Guards against a cut or a suspension that is taken for the end of voters although the log bears it.
+#[test]
+fn a_margin_that_suffices_costs_no_voter() {
+    for (voters, silent) in [(5, 2..=2), (7, 2..=3), (9, 2..=4)] {
+        let silent = replicas(silent);
+        let mut members = Members::new(replicas(1..=voters), vec![]);
+        members.settle(members_in(MemberState::Unresponsive, &silent));
+        assert_eq!(members.membership.voters().len(), voters as usize);
+    }
+}
+
+/// Guards against a learner that is far behind, and keeps another one from voting or voters from leaving.
+#[test]
+fn a_lagging_learner_is_passed_over() {
+    let lagging = ReplicaId(6);
+    let lost = [2, 3].map(ReplicaId);
+    let state_of = |member| match member == lagging {
+        true => MemberState::Lagging,
+        false => members_in(MemberState::Unresponsive, &lost)(member),
+    };
+    let mut members = Members::new(replicas(1..=5), vec![lagging]);
+    members.settle(state_of);
+    assert_eq!(members.membership.voters(), [1, 4, 5].map(ReplicaId));
+    let mut members = Members::new([1, 2, 5].map(ReplicaId).into(), vec![lagging, ReplicaId(7)]);
+    members.settle(state_of);
+    assert_eq!(members.membership.voters(), [1, 5, 7].map(ReplicaId));
+}
+
+/// Guards against a log that has no room for a new process, because silent learners fill it.
+#[test]
+fn silent_learners_leave_room_for_new_ones() {
+    let learners = replicas(4..=35);
+    let mut members = Members::new(replicas(1..=3), learners.clone());
+    members.settle(members_in(MemberState::Unresponsive, &learners));
+    assert_eq!(members.membership.learners().len(), MAX_SILENT_LEARNERS);
+    assert!(!membership_has(&members.membership, ReplicaId(4)), "the oldest goes first");
+}
+
 /// Guards against a partition into halves of which neither has a majority.
 #[test]
 fn one_half_of_the_core_processes_has_a_majority() {
--- a/crates/redwinglatch-fleet/src/lib.rs
+++ b/crates/redwinglatch-fleet/src/lib.rs
@@ -43,7 +43,9 @@
 };
 pub use error::FleetError;
 pub use logging::init_logging;
-pub use settings::{ProcessLimits, ProcessRole, ProcessSettings, RetryBudgetBounds, SettingsError};
+pub use settings::{
+    LossTolerance, ProcessLimits, ProcessRole, ProcessSettings, RetryBudgetBounds, SettingsError,
+};
 
 pub(crate) use logging::REQUEST_PLACED_TARGET;
 
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -43,6 +43,18 @@
     /// The customers whose requests are counted each on its own.
     customers: BTreeSet<Box<str>>,
     caps: Vec<CapValues>,
+    log: Option<LogValues>,
+}
+
+/// How the replicated log stands, as a core process sees it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LogValues {
+    pub(crate) voters: usize,
+    pub(crate) connected_voters: usize,
+    /// The number of voters that may still be lost, on the leader.
+    pub(crate) tolerated_losses: Option<usize>,
+    pub(crate) required_losses: usize,
+    pub(crate) leader_silence_ms: u64,
 }
 
 /// What a core process may still grant of a customer's cap.
@@ -100,6 +112,11 @@
         self.lock().caps = caps;
     }
 
+    /// Sets how the replicated log stands.
+    pub(crate) fn set_log(&self, log: LogValues) {
+        self.lock().log = Some(log);
+    }
+
     /// Counts a retry of a request.
     pub(crate) fn record_retry(&self, reason: &'static str) {
         self.increment("repeats", reason);
@@ -206,6 +223,18 @@
                 );
             }
         }
+        if let Some(log) = &values.log {
+            let LogValues { voters, connected_voters, required_losses, .. } = log;
+            let _ = writeln!(page, "redwinglatch_log_voters{{state=\"all\"}} {voters}");
+            let _ =
+                writeln!(page, "redwinglatch_log_voters{{state=\"connected\"}} {connected_voters}");
+            let _ =
+                writeln!(page, "redwinglatch_log_losses{{state=\"required\"}} {required_losses}");
+            if let Some(losses) = log.tolerated_losses {
+                let _ = writeln!(page, "redwinglatch_log_losses{{state=\"tolerated\"}} {losses}");
+            }
+            let _ = writeln!(page, "redwinglatch_log_leader_silence_ms {}", log.leader_silence_ms);
+        }
         for (name, LatencyHistogram(latencies)) in &values.latencies {
             for quantile in QUANTILES {
                 let value = latencies.value_at_quantile(quantile);
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -43,6 +43,39 @@
     pub window_ms: u64,
 }
 
+/// The losses of core processes, with their disks, that the log has to tolerate at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LossTolerance {
+    /// Number of core processes.
+    pub processes: usize,
+    /// Number of data centres, with all of their core processes.
+    pub data_centres: usize,
+    /// Number of regions, with all of their core processes.
+    pub regions: usize,
+}
+
+impl Default for LossTolerance {
+    fn default() -> LossTolerance {
+        LossTolerance { processes: 1, data_centres: 0, regions: 0 }
+    }
+}
+
+impl LossTolerance {
+    /// The smallest number of voters that tolerates the loss of one.
+    const MIN_VOTERS: usize = 3;
+
+    /// Returns the number of voters below which the log may not fall: with fewer, an acknowledged entry could be on no
+    /// more disks than may be lost. It is unlimited if a data centre or a region may be lost, because the number of core
+    /// processes that this takes isn't known.
+    #[must_use]
+    pub fn min_voters(self) -> usize {
+        if self.data_centres > 0 || self.regions > 0 {
+            return usize::MAX;
+        }
+        self.processes.saturating_mul(2).saturating_add(1).max(LossTolerance::MIN_VOTERS)
+    }
+}
+
 /// The settings of one process.
 #[derive(Debug, Clone)]
 pub struct ProcessSettings {
@@ -73,6 +106,8 @@
     pub file: Option<PathBuf>,
     /// Whether the whole fleet starts for the first time, so that the log has no members yet.
     pub bootstrap: bool,
+    /// The losses that the log has to tolerate; core processes only.
+    pub loss_tolerance: LossTolerance,
     /// The data folder; core processes only. A core process without one stays idle.
     pub data_dir: Option<PathBuf>,
     /// Address of the platform's list of backend servers.
@@ -184,6 +219,7 @@
             seeds: ini.seeds()?,
             file: None,
             bootstrap: ini.or_default("fleet", "bootstrap", "true or false", false)?,
+            loss_tolerance: ini.loss_tolerance()?,
             data_dir: ini.optional("fleet", "data_dir", "a path")?,
             list_address: ini.optional("platform", "list_address", ADDRESS)?,
             grace_ms: seconds_to_ms(ini.bound("grace_s", 8.0)?),
@@ -226,6 +262,7 @@
 }
 
 const ADDRESS: &str = "an address such as 192.0.2.1:7000";
+const LOSSES: &str = "a whole number such as 1";
 const NUMBER: &str = "a number from 0 to 1000000000";
 const LIMIT: &str = "a number from 64 to 1000000000";
 /// The smallest limit of a resource with which a process can work.
@@ -297,6 +334,17 @@
         Ok((bounds.window_ms > 0).then_some(bounds))
     }
 
+    /// Returns the losses that the log has to tolerate; without a value, that of one process.
+    fn loss_tolerance(&self) -> Result<LossTolerance, SettingsError> {
+        let losses = |key, default| self.or_default("fleet", key, LOSSES, default);
+        let default = LossTolerance::default();
+        Ok(LossTolerance {
+            processes: losses("tolerated_losses", default.processes)?,
+            data_centres: losses("tolerated_data_centre_losses", default.data_centres)?,
+            regions: losses("tolerated_region_losses", default.regions)?,
+        })
+    }
+
     /// Returns a limit of a resource, rounded down.
     fn limit(&self, key: &'static str, default: usize) -> Result<usize, SettingsError> {
         let value = self.or_default("limits", key, LIMIT, default as f64)?;
--- a/crates/redwinglatch-fleet/tests/settings.rs
+++ b/crates/redwinglatch-fleet/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Tests of parsing the settings of a process.
 
-use redwinglatch_fleet::{ProcessRole, ProcessSettings, SettingsError};
+use redwinglatch_fleet::{LossTolerance, ProcessRole, ProcessSettings, SettingsError};
 
 const CORE: &str = "[process]\nname = core-1\ndata_centre = hall-a\n[listen]\nfront =\n\
     control = 192.0.2.1:7000\n[fleet]\nlink_port = 7100\n\
@@ -34,6 +34,27 @@
     assert!(message.contains("192.0.2.1:7000"), "{message}");
 }
 
+/// Guards against a log with fewer voters than the losses of the deployment need, and against a platform that states
+/// none.
+#[test]
+fn tolerated_losses_bound_the_number_of_voters() {
+    let tolerance = |values: &str| {
+        let text = CORE.replace("[platform]", &format!("{values}\n[platform]"));
+        ProcessSettings::from_text(&text, ProcessRole::Core).map(|settings| settings.loss_tolerance)
+    };
+    let stated = "tolerated_losses = 2\ntolerated_data_centre_losses = 0";
+    let expected = LossTolerance { processes: 2, data_centres: 0, regions: 0 };
+    assert_eq!(tolerance(stated), Ok(expected));
+    assert_eq!(expected.min_voters(), 5);
+    let empty = "tolerated_losses =\ntolerated_data_centre_losses =\ntolerated_region_losses =";
+    assert_eq!(tolerance(empty), Ok(LossTolerance::default()));
+    assert_eq!(LossTolerance::default().min_voters(), 3);
+    let data_centre = tolerance("tolerated_data_centre_losses = 1").expect("valid");
+    assert_eq!(data_centre.min_voters(), usize::MAX);
+    let error = tolerance("tolerated_losses = -1").expect_err("a negative number");
+    assert!(error.to_string().contains("[fleet] tolerated_losses = \"-1\""), "{error}");
+}
+
 /// Deployments without the setting are served as before.
 #[test]
 fn prompt_reuse_is_off_unless_set() {
