Show what becomes of answers with an invalid status

A report on other systems (MIXED): a replica in trouble sent an answer whose status was 000, and the client got it as an answer. Reports, orders, the list and health checks share one call, which reports an error.

No program code changes.

--- a/crates/redwinglatch-fleet/src/http/client/tests.rs
+++ b/crates/redwinglatch-fleet/src/http/client/tests.rs
@@ -105,3 +105,26 @@
         assert!(matches!(result, Err(CallError::Incomplete { .. })), "{broken:?}: {result:?}");
     }
 }
+
+/// Guards against a report, an answer to an order, a page of the list or a health check that passes for one although its
+/// status isn't one of the protocol.
+#[tokio::test]
+async fn response_with_an_invalid_status_is_an_error() {
+    for status in ["000 Unknown", "000", "001 OK", "099 OK", "20 OK", "2000 OK", "-00 OK", "0x0 OK"]
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let response = format!("HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\n[]");
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            stream.read_buf(&mut Vec::with_capacity(1_024)).await.expect("a request");
+            stream.write_all(response.as_bytes()).await.expect("the peer reads the response");
+            // The connection stays open until the peer closes it.
+            let _ = stream.read_buf(&mut Vec::with_capacity(1)).await;
+        });
+        let request = Request::get("/").body(Full::new(Bytes::new())).expect("a valid request");
+        let limits = CallLimits { time: Duration::from_secs(10), response_bytes: BODY_BYTES };
+        let result = HttpClient::new(ID).call(address, request, limits).await;
+        assert!(matches!(result, Err(CallError::Send(_))), "{status}: {result:?}");
+    }
+}
