Keep the reports of a small margin apart from the driver

The smallest number of voters stands in one place. What is logged now names the state of each member; the members change as before.

--- a/crates/redwinglatch-fleet/src/core/driver.rs
+++ b/crates/redwinglatch-fleet/src/core/driver.rs
@@ -11,6 +11,7 @@
 mod messages;
 mod placement;
 mod quarantine;
+mod small_margin;
 mod software_versions;
 
 use std::{
--- a/crates/redwinglatch-fleet/src/core/driver/log_reports.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/log_reports.rs
@@ -11,14 +11,13 @@
     state::StateCommand,
 };
 
-use super::{Driver, MISSING_LEADER_MS};
+use super::{
+    Driver, MISSING_LEADER_MS,
+    small_margin::{MarginReport, SmallMargin},
+};
 
 /// Interval between looks at the margin of the log.
 const MARGIN_INTERVAL_MS: u64 = 500;
-/// Time after which a margin that is too small is reported: longer than a replacement takes.
-const SMALL_MARGIN_MS: u64 = 4_000;
-/// Interval between reports of a margin that is too small.
-const MARGIN_REPORT_INTERVAL_MS: u64 = 10_000;
 
 /// What the last lines have told.
 #[derive(Debug)]
@@ -28,9 +27,7 @@
     led_ms: u64,
     missing_leader_due_ms: u64,
     margin_due_ms: u64,
-    /// Time since which the log tolerates too few losses, on the leader.
-    small_margin_since_ms: Option<u64>,
-    small_margin_due_ms: u64,
+    small_margin: SmallMargin,
 }
 
 impl LogReports {
@@ -40,8 +37,7 @@
             led_ms: now_ms,
             missing_leader_due_ms: now_ms + MISSING_LEADER_MS,
             margin_due_ms: now_ms,
-            small_margin_since_ms: None,
-            small_margin_due_ms: now_ms,
+            small_margin: SmallMargin::default(),
         }
     }
 }
@@ -126,48 +122,48 @@
             return;
         }
         self.log_reports.margin_due_ms = now_ms + MARGIN_INTERVAL_MS;
-        let members = self.replica.membership();
-        let required = self.settings.loss_tolerance.processes;
-        let state_of = |member| self.member_state(now_ms, member);
-        let is_leader = self.is_current_leader();
-        let tolerated = is_leader.then(|| tolerated_losses(members, state_of));
-        let led_ms = if is_leader { now_ms } else { self.log_reports.led_ms };
-        self.metrics.set_log(LogValues {
-            voters: members.voters().len(),
-            connected_voters: self.connected_voters(),
-            tolerated_losses: tolerated,
-            required_losses: required,
-            leader_silence_ms: now_ms.saturating_sub(led_ms),
-        });
-        let Some(tolerated) = tolerated else {
-            self.log_reports.small_margin_since_ms = None;
+        let values = self.log_values(now_ms);
+        self.metrics.set_log(values);
+        let Some(tolerated) = values.tolerated_losses else {
+            self.log_reports.small_margin = SmallMargin::default();
             return;
         };
-        let is_silent = |member: &ReplicaId| state_of(*member) != MemberState::Responsive;
-        let silent: SmallVec<[_; 8]> = members.voters().iter().copied().filter(is_silent).collect();
-        let learners: SmallVec<[_; 8]> =
-            members.learners().iter().map(|learner| (*learner, state_of(*learner))).collect();
-        let reports = &mut self.log_reports;
-        if tolerated >= required {
-            if let Some(since_ms) = reports.small_margin_since_ms.take()
-                && now_ms >= since_ms + SMALL_MARGIN_MS
-            {
-                let lasted_ms = now_ms - since_ms;
+        let required = values.required_losses;
+        match self.log_reports.small_margin.observe(now_ms, tolerated < required) {
+            Some(MarginReport::Small { lasted_ms }) => log::warn!(
+                "core: the log tolerates {tolerated} losses for {lasted_ms} ms, and {required} are required; voters {:?}, \
+                 learners {:?}",
+                self.member_states(now_ms, self.replica.membership().voters()),
+                self.member_states(now_ms, self.replica.membership().learners()),
+            ),
+            Some(MarginReport::Restored { lasted_ms }) => {
                 log::info!(
                     "core: the log tolerates {tolerated} losses again, after {lasted_ms} ms"
                 );
             }
-            return;
+            None => {}
         }
-        let since_ms = *reports.small_margin_since_ms.get_or_insert(now_ms);
-        let lasted_ms = now_ms - since_ms;
-        if lasted_ms < SMALL_MARGIN_MS || now_ms < reports.small_margin_due_ms {
-            return;
+    }
+
+    fn log_values(&self, now_ms: u64) -> LogValues {
+        let members = self.replica.membership();
+        let is_leader = self.is_current_leader();
+        let state_of = |member| self.member_state(now_ms, member);
+        let led_ms = if is_leader { now_ms } else { self.log_reports.led_ms };
+        LogValues {
+            voters: members.voters().len(),
+            connected_voters: self.connected_voters(),
+            tolerated_losses: is_leader.then(|| tolerated_losses(members, state_of)),
+            required_losses: self.settings.loss_tolerance.processes,
+            leader_silence_ms: now_ms.saturating_sub(led_ms),
         }
-        reports.small_margin_due_ms = now_ms + MARGIN_REPORT_INTERVAL_MS;
-        log::warn!(
-            "core: the log tolerates {tolerated} losses for {lasted_ms} ms, and {required} are required; silent voters \
-             {silent:?}, learners {learners:?}"
-        );
+    }
+
+    fn member_states(
+        &self,
+        now_ms: u64,
+        members: &[ReplicaId],
+    ) -> SmallVec<[(ReplicaId, MemberState); 8]> {
+        members.iter().map(|member| (*member, self.member_state(now_ms, *member))).collect()
     }
 }
--- a/crates/redwinglatch-fleet/src/core/member_choice.rs
+++ b/crates/redwinglatch-fleet/src/core/member_choice.rs
@@ -5,9 +5,6 @@
 
 use crate::settings::LossTolerance;
 
-/// The smallest number of voters that tolerates the loss of one.
-const MIN_VOTERS: usize = 3;
-
 /// Learners that are kept although they are lost, in case their machines return.
 const MAX_LOST_LEARNERS: usize = 8;
 
@@ -71,7 +68,7 @@
     let unresponsive = voters.iter().find(|voter| state_of(**voter).is_silent());
     let outdated = superseded.or(unresponsive.copied().map(MembershipChange::Demote));
     let may_fall = if is_even {
-        voters.len() > MIN_VOTERS
+        voters.len() > LossTolerance::MIN_VOTERS
     } else {
         voters.len() > tolerance.min_voters()
             && tolerated_losses(membership, &state_of) < tolerance.processes
@@ -84,11 +81,13 @@
         learners.iter().filter(|learner| state_of(**learner) == MemberState::Responsive);
     let Some(candidate) = candidates.next() else {
         let spare = voters.iter().rev().find(|voter| **voter != leader).copied();
-        let is_spare = is_even && voters.len() > MIN_VOTERS;
+        let is_spare = is_even && voters.len() > LossTolerance::MIN_VOTERS;
         return spare.filter(|_| is_spare).map(MembershipChange::Demote);
     };
-    let is_needed =
-        is_even || outdated.is_some() || candidates.next().is_some() || voters.len() < MIN_VOTERS;
+    let is_needed = is_even
+        || outdated.is_some()
+        || candidates.next().is_some()
+        || voters.len() < LossTolerance::MIN_VOTERS;
     is_needed.then_some(MembershipChange::Promote(*candidate))
 }
 
--- a/crates/redwinglatch-fleet/src/settings.rs
+++ b/crates/redwinglatch-fleet/src/settings.rs
@@ -62,7 +62,7 @@
 
 impl LossTolerance {
     /// The smallest number of voters that tolerates the loss of one.
-    const MIN_VOTERS: usize = 3;
+    pub(crate) const MIN_VOTERS: usize = 3;
 
     /// Returns the number of voters below which the log may not fall: with fewer, an acknowledged entry could be on no
     /// more disks than may be lost. It is unlimited if a data centre or a region may be lost, because the number of core
