--- a/crates/redwinglatch-fleet/src/core/driver/small_margin.rs
+++ b/crates/redwinglatch-fleet/src/core/driver/small_margin.rs
@@ -5,7 +5,7 @@
 /// Interval between reports of a margin that is too small.
 const REPORT_INTERVAL_MS: u64 = 10_000;
 
-/// What is to be reported of the log's margin.
+/// A report on the number of losses that the log tolerates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum MarginReport {
     /// The log has tolerated too few losses for this time.
@@ -14,7 +14,7 @@
     Restored { lasted_ms: u64 },
 }
 
-/// How long the log has tolerated too few losses, on the leader.
+/// Time since which the log tolerates fewer losses than required, as the leader counts it.
 #[derive(Debug, Default)]
 pub(super) struct SmallMargin {
     since_ms: Option<u64>,
--- a/crates/redwinglatch-fleet/src/metrics.rs
+++ b/crates/redwinglatch-fleet/src/metrics.rs
@@ -46,7 +46,7 @@
     log: Option<LogValues>,
 }
 
-/// How the replicated log stands, as a core process sees it.
+/// State of the replicated log for the metrics page of a core process.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LogValues {
     pub(crate) voters: usize,
@@ -112,7 +112,7 @@
         self.lock().caps = caps;
     }
 
-    /// Sets how the replicated log stands.
+    /// Sets the state of the replicated log.
     pub(crate) fn set_log(&self, log: LogValues) {
         self.lock().log = Some(log);
     }
